Lay the frame of the workspace

Cause: nothing exists. Packages by domain with generated tsconfig files, the formatter and linter of deno, a check of dependency directions that fails when a core package imports a socket, file, timer, clock or random source, shared types, the error class and the log event catalogue, and the protocols at the interfaces.

--- /dev/null
+++ b/foundation/log-events/src/catalogue.ts
@@ -0,0 +1,19 @@
+/** Every log event. Each domain has a file and a thousand of numbers of its own. */
+
+import { PROCESS_EVENTS } from "./process_events.ts";
+import { ENTRY_EVENTS } from "./entry_events.ts";
+import { AGENT_EVENTS } from "./agent_events.ts";
+import { PLATFORM_EVENTS } from "./platform_events.ts";
+import { MAP_EVENTS } from "./map_events.ts";
+import { LIMIT_EVENTS } from "./limit_events.ts";
+import { LEDGER_EVENTS } from "./ledger_events.ts";
+
+export const LOG_EVENTS = {
+  ...PROCESS_EVENTS,
+  ...ENTRY_EVENTS,
+  ...AGENT_EVENTS,
+  ...PLATFORM_EVENTS,
+  ...MAP_EVENTS,
+  ...LIMIT_EVENTS,
+  ...LEDGER_EVENTS,
+} as const;
--- /dev/null
+++ b/foundation/log-events/src/create_log_event.ts
@@ -0,0 +1,39 @@
+/** Makes one log event from the catalogue. */
+
+import { LOG_EVENTS } from "./catalogue.ts";
+import type { LogLevel } from "./definition.ts";
+
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+export interface LogEvent {
+  readonly id: number;
+  readonly name: string;
+  readonly level: LogLevel;
+  readonly text: string;
+  readonly fields: LogFields;
+}
+
+/** Takes log events; how they are shown is its own business. */
+export interface Logger {
+  log(name: keyof typeof LOG_EVENTS, fields: LogFields): void;
+}
+
+export function createLogEvent(
+  name: keyof typeof LOG_EVENTS,
+  fields: LogFields,
+): LogEvent {
+  const definition = LOG_EVENTS[name];
+  return {
+    id: definition.id,
+    name,
+    level: definition.level,
+    text: fillIn(definition.text, fields),
+    fields,
+  };
+}
+
+function fillIn(text: string, fields: LogFields): string {
+  return text.replace(/\{(\w+)\}/g, (_, name) => String(fields[name] ?? "?"));
+}
--- /dev/null
+++ b/foundation/log-events/src/mod.ts
@@ -0,0 +1,6 @@
+/** The catalogue of numbered log events, as data. Printing them is another package's job. */
+
+export { LOG_EVENTS } from "./catalogue.ts";
+export { createLogEvent } from "./create_log_event.ts";
+export type { LogEvent, LogFields, Logger } from "./create_log_event.ts";
+export type { LogEventDefinition, LogLevel } from "./definition.ts";
--- /dev/null
+++ b/foundation/log-events/src/process_events.ts
@@ -0,0 +1,31 @@
+/** Events of any process, numbered from 1000. */
+
+import type { LogEventDefinition } from "./definition.ts";
+
+export const PROCESS_EVENTS = {
+  processStarted: {
+    id: 1000,
+    level: "info",
+    text: "Started {role} {name}, version {version}",
+    help: "None needed",
+  },
+  processStopping: {
+    id: 1001,
+    level: "info",
+    text: "Stopping on {signal}",
+    help: "None needed",
+  },
+  processStopped: {
+    id: 1002,
+    level: "info",
+    text: "Stopped after {elapsedMs} ms",
+    help: "None needed",
+  },
+  invariantViolated: {
+    id: 1003,
+    level: "error",
+    text: "Invariant {invariant} violated: {detail}",
+    help:
+      "Report it with the log lines around it; the work concerned was refused",
+  },
+} as const satisfies Record<string, LogEventDefinition>;
--- /dev/null
+++ b/foundation/types/src/attempt.ts
@@ -0,0 +1,95 @@
+/** One attempt at a request: what an entry sends an agent, and what comes back. */
+
+import type { TargetLoad } from "./target.ts";
+
+/** The head of an attempt. Its body follows as bytes. */
+export interface AttemptHead {
+  readonly attemptId: string;
+  readonly requestId: string;
+  readonly organisation: string;
+  /** The caller's request key, if it gave one. */
+  readonly key?: string;
+  /** Digest of organisation, operation and body. */
+  readonly fingerprint: string;
+  readonly entry: string;
+  readonly entryIncarnation: string;
+  readonly idempotent: boolean;
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string;
+  readonly priority: number;
+  /** Time left for the whole answer when the head was sent. */
+  readonly timeLeftMs: number;
+  /** Revision of the view under which the request was admitted. */
+  readonly viewRevision: number;
+}
+
+/** What an agent sends back for an attempt, in order. */
+export type AttemptFrame =
+  | AttemptAdmitted
+  | AttemptRefused
+  | AttemptAnswerHead
+  | AttemptData
+  | AttemptHeartbeat
+  | AttemptEnd
+  | AttemptFailed;
+
+/** The agent took the attempt: from here on it may run. */
+export interface AttemptAdmitted {
+  readonly type: "admitted";
+  readonly attemptId: string;
+  /** The attempt whose answer follows, if a repeat joined one. */
+  readonly answeredBy: string;
+}
+
+/** The agent refused the attempt: it never ran and never will. */
+export interface AttemptRefused {
+  readonly type: "refused";
+  readonly attemptId: string;
+  readonly code: string;
+  readonly retryAfterMs: number;
+  readonly load: TargetLoad;
+}
+
+export interface AttemptAnswerHead {
+  readonly type: "head";
+  readonly attemptId: string;
+  readonly status: number;
+  readonly contentType: string;
+  /** How the data frames carry the body's bytes. */
+  readonly encoding: "utf8" | "base64";
+}
+
+export interface AttemptData {
+  readonly type: "data";
+  readonly attemptId: string;
+  /** From 0, without gaps. */
+  readonly sequence: number;
+  readonly data: string;
+}
+
+/** Shows that the connection and the attempt are alive. */
+export interface AttemptHeartbeat {
+  readonly type: "heartbeat";
+  readonly attemptId: string;
+}
+
+/** The answer is whole. */
+export interface AttemptEnd {
+  readonly type: "end";
+  readonly attemptId: string;
+  readonly lengthBytes: number;
+  /** SHA-256 of the body, in hexadecimal. */
+  readonly digest: string;
+  readonly load: TargetLoad;
+}
+
+/** The target ended the attempt without a whole answer. */
+export interface AttemptFailed {
+  readonly type: "failed";
+  readonly attemptId: string;
+  readonly code: string;
+  /** Whether the target may have begun the call. */
+  readonly mayHaveRun: boolean;
+  readonly load: TargetLoad;
+}
--- /dev/null
+++ b/foundation/types/src/mod.ts
@@ -0,0 +1,12 @@
+/** Types that several packages share. They hold no behaviour. */
+
+export type * from "./attempt.ts";
+export type * from "./config.ts";
+export type * from "./contract.ts";
+export type * from "./outcome.ts";
+export type * from "./registration.ts";
+export type * from "./step.ts";
+export type * from "./stop.ts";
+export type * from "./stored_object.ts";
+export type * from "./target.ts";
+export type * from "./view.ts";
--- /dev/null
+++ b/foundation/types/src/registration.ts
@@ -0,0 +1,27 @@
+/** What processes write about themselves into the platform's objects. */
+
+import type { Target } from "./target.ts";
+
+/** An entry's registration. */
+export interface EntryRegistration {
+  readonly name: string;
+  /** New with every start of the process. */
+  readonly incarnation: string;
+  readonly callerUrl: string;
+  readonly peerUrl: string;
+  readonly dataCentre: string;
+}
+
+/** An agent's registration. */
+export interface AgentRegistration {
+  readonly target: Target;
+  readonly incarnation: string;
+  readonly peerUrl: string;
+}
+
+/** Ends an entry's incarnation and names who answers for its keys. */
+export interface IncarnationClosing {
+  readonly entry: string;
+  readonly incarnation: string;
+  readonly successor: string;
+}
--- /dev/null
+++ b/foundation/types/src/view.ts
@@ -0,0 +1,23 @@
+/** A process's view of the platform's objects at one revision. */
+
+import type { Config } from "./config.ts";
+import type { Contract, Operator } from "./contract.ts";
+import type {
+  AgentRegistration,
+  EntryRegistration,
+  IncarnationClosing,
+} from "./registration.ts";
+import type { PlannedStop } from "./stop.ts";
+import type { StoredObject } from "./stored_object.ts";
+
+export interface View {
+  /** The store's revision that this view shows; it never goes down. */
+  readonly revision: number;
+  readonly config: StoredObject<Config> | undefined;
+  readonly contracts: ReadonlyMap<string, StoredObject<Contract>>;
+  readonly operators: ReadonlyMap<string, StoredObject<Operator>>;
+  readonly stops: ReadonlyMap<string, StoredObject<PlannedStop>>;
+  readonly agents: ReadonlyMap<string, StoredObject<AgentRegistration>>;
+  readonly entries: ReadonlyMap<string, StoredObject<EntryRegistration>>;
+  readonly closings: ReadonlyMap<string, StoredObject<IncarnationClosing>>;
+}
