Name the operations that the product uses of the platform's object API

Cause: the client, its stand-in and their users are written side by side and need one interface. Checked by the build.

--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -3,6 +3,7 @@
 export type * from "./attempt.ts";
 export type * from "./config.ts";
 export type * from "./contract.ts";
+export type * from "./object_store.ts";
 export type * from "./outcome.ts";
 export type * from "./registration.ts";
 export type * from "./step.ts";
