--- /dev/null
+++ b/foundation/run-core/src/mod.ts
@@ -0,0 +1,4 @@
+/** Runs a pure core inside a task. */
+
+export { CoreRunner } from "./core_runner.ts";
+export type { CoreRunnerOptions } from "./core_runner.ts";
--- /dev/null
+++ b/peers/exchange-attempts/src/exchange_attempts_test.ts
@@ -0,0 +1,97 @@
+import type { AttemptFrame, AttemptHead } from "@dandelionbank/types";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as fc from "fast-check";
+import {
+  encodeFrame,
+  encodeHead,
+  LineSplitter,
+  parseFrame,
+  parseHead,
+} from "./mod.ts";
+
+const LOAD = { inFlight: 1, queued: 0, cachedTokens: 7 };
+const FRAMES: readonly AttemptFrame[] = [
+  { type: "admitted", attemptId: "a", answeredBy: "b" },
+  {
+    type: "refused",
+    attemptId: "a",
+    code: "FULL",
+    retryAfterMs: 5,
+    load: LOAD,
+  },
+  {
+    type: "head",
+    attemptId: "a",
+    status: 200,
+    contentType: "text/event-stream",
+    encoding: "utf8",
+  },
+  { type: "data", attemptId: "a", sequence: 0, data: "മലയാളം\n" },
+  { type: "heartbeat", attemptId: "a" },
+  { type: "end", attemptId: "a", lengthBytes: 3, digest: "00", load: LOAD },
+  { type: "failed", attemptId: "a", code: "X", mayHaveRun: true, load: LOAD },
+];
+
+test("Frames survive any split of the bytes between them", () => {
+  const text = FRAMES.map(encodeFrame).join("");
+  fc.assert(
+    fc.property(
+      fc.array(fc.integer({ min: 0, max: text.length }), { maxLength: 20 }),
+      (cuts) => {
+        const points = [0, ...cuts.sort((a, b) => a - b), text.length];
+        const splitter = new LineSplitter();
+        const lines = points.slice(1).flatMap((end, index) =>
+          splitter.push(text.slice(points[index], end))
+        );
+        const frames = lines.map(parseFrame).map((result) =>
+          result.kind === "ok" ? result.frame : result
+        );
+        assert.deepEqual(frames, FRAMES);
+      },
+    ),
+    { seed: 1, numRuns: 200 },
+  );
+});
+
+test("A line that is no frame is named as invalid", () => {
+  const table: readonly (readonly [string, RegExp])[] = [
+    ["", /frame/],
+    ["{", /frame/],
+    ["null", /frame/],
+    [`{"type":"data","attemptId":"a","sequence":0.5,"data":""}`, /type/],
+    [`{"type":"end","attemptId":"a","lengthBytes":-1}`, /lengthBytes/],
+    [`{"type":"head","attemptId":"a","status":99}`, /status/],
+  ];
+  for (const [line, problem] of table) {
+    const result = parseFrame(line);
+    assert.equal(result.kind, "invalid", line);
+    assert.match(result.kind === "invalid" ? result.problem : "", problem);
+  }
+});
+
+test("A head is read back, and a wrong one says which field is wrong", () => {
+  const head: AttemptHead = createHead();
+  assert.deepEqual(parseHead(encodeHead(head).trimEnd()), { kind: "ok", head });
+  const wrong = parseHead(encodeHead({ ...head, path: "no-slash" }));
+  assert.equal(wrong.kind, "invalid");
+  assert.match(wrong.kind === "invalid" ? wrong.problem : "", /^path: /);
+});
+
+function createHead(): AttemptHead {
+  return {
+    attemptId: "e1.1",
+    requestId: "r1",
+    organisation: "acme",
+    fingerprint: "f",
+    entry: "e1",
+    entryIncarnation: "i1",
+    idempotent: true,
+    method: "POST",
+    path: "/v1/completions",
+    contentType: "application/json",
+    priority: 5,
+    timeLeftMs: 1000,
+    viewRevision: 3,
+  };
+}
--- /dev/null
+++ b/peers/exchange-attempts/src/frame_codec.ts
@@ -0,0 +1,86 @@
+/**
+ * Frames of an attempt as lines of JSON. Data frames are by far the most, so
+ * their few fields are checked by hand; the others go through a schema.
+ */
+
+import type { AttemptData, AttemptFrame } from "@dandelionbank/types";
+import * as v from "valibot";
+
+export type FrameResult =
+  | { readonly kind: "ok"; readonly frame: AttemptFrame }
+  | { readonly kind: "invalid"; readonly problem: string };
+
+const COUNT = v.pipe(v.number(), v.integer(), v.minValue(0));
+const LOAD = v.object({
+  inFlight: COUNT,
+  queued: COUNT,
+  cachedTokens: COUNT,
+});
+const FRAME_SCHEMA = v.variant("type", [
+  v.object({
+    type: v.literal("admitted"),
+    attemptId: v.string(),
+    answeredBy: v.string(),
+  }),
+  v.object({
+    type: v.literal("refused"),
+    attemptId: v.string(),
+    code: v.string(),
+    retryAfterMs: v.pipe(v.number(), v.minValue(0)),
+    load: LOAD,
+  }),
+  v.object({
+    type: v.literal("head"),
+    attemptId: v.string(),
+    status: v.pipe(v.number(), v.integer(), v.minValue(200), v.maxValue(599)),
+    contentType: v.string(),
+    encoding: v.picklist(["utf8", "base64"]),
+  }),
+  v.object({ type: v.literal("heartbeat"), attemptId: v.string() }),
+  v.object({
+    type: v.literal("end"),
+    attemptId: v.string(),
+    lengthBytes: COUNT,
+    digest: v.string(),
+    load: LOAD,
+  }),
+  v.object({
+    type: v.literal("failed"),
+    attemptId: v.string(),
+    code: v.string(),
+    mayHaveRun: v.boolean(),
+    load: LOAD,
+  }),
+]);
+
+export function encodeFrame(frame: AttemptFrame): string {
+  return JSON.stringify(frame) + "\n";
+}
+
+export function parseFrame(line: string): FrameResult {
+  const value = readJson(line);
+  if (isData(value)) return { kind: "ok", frame: value };
+  const parsed = v.safeParse(FRAME_SCHEMA, value);
+  if (parsed.success) return { kind: "ok", frame: parsed.output };
+  const issue = parsed.issues[0];
+  return {
+    kind: "invalid",
+    problem: `${v.getDotPath(issue) ?? "frame"}: ${issue.message}`,
+  };
+}
+
+function isData(value: unknown): value is AttemptData {
+  const data = value as Partial<AttemptData> | undefined | null;
+  return data?.type === "data" &&
+    typeof data.attemptId === "string" &&
+    typeof data.data === "string" &&
+    Number.isInteger(data.sequence);
+}
+
+function readJson(line: string): unknown {
+  try {
+    return JSON.parse(line);
+  } catch {
+    return undefined;
+  }
+}
