Call targets over HTTP and tell a whole answer from a cut one

Cause: the agent needs one interface towards engines, ranks and plain services. A chunked or sized body that ends early is found by HTTP itself; an event stream that ends cleanly without its closing event only by reading its tail. Whether a call may have begun follows from whether a connection was made.

--- /dev/null
+++ b/daemon/call-target/src/mod.ts
@@ -0,0 +1,9 @@
+/** One adapter class for each kind of target, behind one interface. */
+
+export { createTargetAdapter } from "./create_target_adapter.ts";
+export type {
+  RunningCall,
+  TargetAdapter,
+  TargetCall,
+  TargetSink,
+} from "./target_adapter.ts";
--- /dev/null
+++ b/daemon/call-target/src/plain_adapter.ts
@@ -0,0 +1,33 @@
+/**
+ * Calls a plain service. HTTP itself tells whether the answer is whole: by its
+ * length or by the last chunk.
+ */
+
+import type { HttpPool } from "@dandelionbank/open-http";
+import { sendCall } from "./send_call.ts";
+import type {
+  RunningCall,
+  TargetAdapter,
+  TargetCall,
+  TargetSink,
+} from "./target_adapter.ts";
+
+export class PlainAdapter implements TargetAdapter {
+  readonly #pool: HttpPool;
+
+  private constructor(pool: HttpPool) {
+    this.#pool = pool;
+  }
+
+  static create(pool: HttpPool): PlainAdapter {
+    return new PlainAdapter(pool);
+  }
+
+  call(call: TargetCall, sink: TargetSink): RunningCall {
+    return sendCall(this.#pool, call, sink);
+  }
+
+  close(): Promise<void> {
+    return this.#pool.close();
+  }
+}
--- /dev/null
+++ b/foundation/open-http/src/http_pool.ts
@@ -0,0 +1,163 @@
+/**
+ * A pool of connections to one origin. A request reports its answer piece by
+ * piece; the caller may cancel it at any time, and may pause it while its own
+ * reader is slow.
+ */
+
+import type { Dispatcher } from "undici";
+import Pool from "undici/lib/dispatcher/pool.js";
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const KEEP_ALIVE_MS = 30_000;
+
+/** Codes of undici and Node.js for a connection that was never made. */
+const NOT_CONNECTED_CODES: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ETIMEDOUT",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+export interface TlsOptions {
+  readonly key?: string;
+  readonly cert?: string;
+  readonly ca?: string;
+}
+
+export interface HttpPoolOptions {
+  /** Such as `http://10.0.0.1:7000`. */
+  readonly origin: string;
+  readonly connections: number;
+  readonly connectTimeoutMs?: number;
+  readonly tls?: TlsOptions;
+}
+
+export interface HttpRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body?: string | Uint8Array;
+}
+
+export interface HttpAnswerHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+}
+
+export interface HttpHandler {
+  onHead(head: HttpAnswerHead): void;
+  onData(chunk: Buffer): void;
+  onEnd(): void;
+  /** `wasSent` is false only if no connection was made. */
+  onError(error: Error, wasSent: boolean): void;
+}
+
+export interface RunningRequest {
+  cancel(): void;
+  pause(): void;
+  resume(): void;
+}
+
+export class HttpPool {
+  readonly origin: string;
+  readonly #pool: Pool;
+
+  private constructor(options: HttpPoolOptions) {
+    this.origin = options.origin;
+    this.#pool = new Pool(options.origin, {
+      connections: options.connections,
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connect: {
+        timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+        ...options.tls,
+      },
+    });
+  }
+
+  static create(options: HttpPoolOptions): HttpPool {
+    return new HttpPool(options);
+  }
+
+  /** Sends one request; exactly one of `onEnd` and `onError` follows. */
+  send(request: HttpRequest, handler: HttpHandler): RunningRequest {
+    const running = new RunningDispatch(handler);
+    this.#pool.dispatch(
+      {
+        origin: this.origin,
+        path: request.path,
+        method: request.method as Dispatcher.HttpMethod,
+        headers: request.headers,
+        body: request.body ?? null,
+      },
+      running,
+    );
+    return running;
+  }
+
+  /** Ends every connection; requests under way fail. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+}
+
+class RunningDispatch implements Dispatcher.DispatchHandler, RunningRequest {
+  readonly #handler: HttpHandler;
+  #controller: Dispatcher.DispatchController | undefined;
+  #isCancelled = false;
+  #isEnded = false;
+
+  constructor(handler: HttpHandler) {
+    this.#handler = handler;
+  }
+
+  cancel(): void {
+    this.#isCancelled = true;
+    this.#controller?.abort(new Error("Cancelled"));
+  }
+
+  pause(): void {
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#isCancelled) controller.abort(new Error("Cancelled"));
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: HttpAnswerHead["headers"],
+  ): void {
+    if (status >= 200) this.#handler.onHead({ status, headers });
+  }
+
+  onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#handler.onData(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (this.#isEnded) return;
+    this.#isEnded = true;
+    this.#handler.onEnd();
+  }
+
+  onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    if (this.#isEnded) return;
+    this.#isEnded = true;
+    this.#handler.onError(error, wasSent(error));
+  }
+}
+
+function wasSent(error: Error): boolean {
+  const code = (error as NodeJS.ErrnoException).code;
+  return code === undefined || !NOT_CONNECTED_CODES.has(code);
+}
--- /dev/null
+++ b/foundation/open-http/src/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * HTTP towards peers and targets by undici. Only undici's pool is loaded: the
+ * whole library takes some ten megabytes more of resident memory.
+ */
+
+export { HttpPool } from "./http_pool.ts";
+export type {
+  HttpAnswerHead,
+  HttpHandler,
+  HttpPoolOptions,
+  HttpRequest,
+  RunningRequest,
+  TlsOptions,
+} from "./http_pool.ts";
+export { callJson, readWhole } from "./read_whole.ts";
+export type { JsonAnswer, WholeAnswer } from "./read_whole.ts";
--- /dev/null
+++ b/foundation/open-http/src/pool_module.d.ts
@@ -0,0 +1,4 @@
+declare module "undici/lib/dispatcher/pool.js" {
+  import { Pool } from "undici";
+  export default Pool;
+}
--- /dev/null
+++ b/foundation/open-http/src/read_whole.ts
@@ -0,0 +1,68 @@
+/** Requests whose whole answer is wanted at once. */
+
+import type { HttpAnswerHead, HttpPool, HttpRequest } from "./http_pool.ts";
+
+export interface WholeAnswer extends HttpAnswerHead {
+  readonly body: Buffer;
+}
+
+export interface JsonAnswer {
+  readonly status: number;
+  /** The parsed body, or `undefined` if it is not JSON. */
+  readonly value: unknown;
+}
+
+/** Rejects with the connection's error, or after `timeoutMs` of waiting. */
+export function readWhole(
+  pool: HttpPool,
+  request: HttpRequest,
+  options: { readonly timeoutMs: number },
+): Promise<WholeAnswer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let head: HttpAnswerHead = { status: 0, headers: {} };
+    const timer = setTimeout(() => {
+      running.cancel();
+      reject(new Error(`No answer from ${pool.origin} in time`));
+    }, options.timeoutMs);
+    const running = pool.send(request, {
+      onHead: (answered) => {
+        head = answered;
+      },
+      onData: (chunk) => {
+        chunks.push(chunk);
+      },
+      onEnd: () => {
+        clearTimeout(timer);
+        resolve({ ...head, body: Buffer.concat(chunks) });
+      },
+      onError: (error) => {
+        clearTimeout(timer);
+        reject(error);
+      },
+    });
+  });
+}
+
+/** Sends `value` as JSON and reads JSON back. */
+export async function callJson(
+  pool: HttpPool,
+  request: Omit<HttpRequest, "body"> & { readonly value?: unknown },
+  options: { readonly timeoutMs: number },
+): Promise<JsonAnswer> {
+  const { value, ...rest } = request;
+  const answer = await readWhole(pool, {
+    ...rest,
+    headers: { "content-type": "application/json", ...rest.headers },
+    ...(value === undefined ? {} : { body: JSON.stringify(value) }),
+  }, options);
+  return { status: answer.status, value: parseJson(answer.body) };
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString("utf8"));
+  } catch {
+    return undefined;
+  }
+}
