Keep an attempt's answer for repeats and tell callers what happened

Cause: a repeat or a replaced connection must get the answer from its first byte under its own attempt id, and every refusal needs a stable code with a hint. Only event streams and JSON travel as text: other bodies need not be UTF-8 and go as base64, so that their digest still matches. Randomised joins (300 runs, seed 2) give every reader the same bytes.

--- /dev/null
+++ b/daemon/keep-answers/src/answer_log_test.ts
@@ -0,0 +1,107 @@
+import { parseFrame } from "@dandelionbank/exchange-attempts";
+import type { AttemptFrame } from "@dandelionbank/types";
+import assert from "node:assert/strict";
+import { createHash } from "node:crypto";
+import { test } from "node:test";
+import * as fc from "fast-check";
+import { AnswerLog, type AnswerReader } from "./mod.ts";
+
+const LOAD = { inFlight: 0, queued: 0, cachedTokens: 0 };
+
+interface RecordingReader extends AnswerReader {
+  readonly frames: AttemptFrame[];
+  isEnded: boolean;
+}
+
+test("Readers that join at any time get the same whole answer, byte for byte", () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.uint8Array({ minLength: 1, maxLength: 9 }), { maxLength: 9 }),
+      fc.nat(9),
+      fc.constantFrom("application/json", "text/plain"),
+      (chunks, joinAt, contentType) => {
+        const whole = Buffer.concat(chunks);
+        fc.pre(contentType !== "application/json" || isUtf8(whole));
+        const log = AnswerLog.create("first", 0);
+        const early = createReader("first");
+        const late = createReader("second");
+        log.addReader(early);
+        log.writeHead(200, contentType);
+        chunks.forEach((chunk, index) => {
+          if (index === joinAt) log.addReader(late);
+          log.writeData(Buffer.from(chunk), 0);
+        });
+        if (joinAt >= chunks.length) log.addReader(late);
+        log.end(LOAD);
+        for (const reader of [early, late]) assertWhole(reader, whole);
+        assert.deepEqual(late.frames[0], {
+          type: "admitted",
+          attemptId: "second",
+          answeredBy: "first",
+        });
+      },
+    ),
+    { seed: 2, numRuns: 300 },
+  );
+});
+
+test("A heartbeat comes only in silence, and never after the end", () => {
+  const log = AnswerLog.create("a", 0);
+  const reader = createReader("a");
+  log.addReader(reader);
+  log.writeHead(200, "text/plain");
+  log.writeData(Buffer.from("x"), 90);
+  log.beat(100, 50);
+  assert.equal(countBeats(reader), 0);
+  log.beat(140, 50);
+  assert.equal(countBeats(reader), 1);
+  log.fail("X", { mayHaveRun: true, load: LOAD });
+  log.beat(300, 50);
+  assert.equal(countBeats(reader), 1);
+  assert.equal(reader.isEnded, true);
+});
+
+function assertWhole(reader: RecordingReader, whole: Buffer): void {
+  let encoding: BufferEncoding = "utf8";
+  const parts: Buffer[] = [];
+  let sequence = 0;
+  for (const frame of reader.frames) {
+    assert.equal(frame.attemptId, reader.attemptId);
+    if (frame.type === "head") encoding = frame.encoding;
+    if (frame.type !== "data") continue;
+    assert.equal(frame.sequence, sequence++);
+    parts.push(Buffer.from(frame.data, encoding));
+  }
+  const end = reader.frames.at(-1);
+  assert.ok(end?.type === "end");
+  assert.deepEqual(Buffer.concat(parts), whole);
+  assert.equal(end.lengthBytes, whole.length);
+  assert.equal(end.digest, createHash("sha256").update(whole).digest("hex"));
+  assert.equal(reader.isEnded, true);
+}
+
+function createReader(attemptId: string): RecordingReader {
+  const frames: AttemptFrame[] = [];
+  const reader: RecordingReader = {
+    attemptId,
+    frames,
+    isEnded: false,
+    write: (line) => {
+      const result = parseFrame(line.trimEnd());
+      assert.ok(result.kind === "ok");
+      return frames.push(result.frame) > 0;
+    },
+    end: () => {
+      reader.isEnded = true;
+    },
+  };
+  return reader;
+}
+
+function countBeats(reader: RecordingReader): number {
+  return reader.frames.filter((frame) => frame.type === "heartbeat").length;
+}
+
+function isUtf8(bytes: Buffer): boolean {
+  return Buffer.from(bytes.toString("utf8"), "utf8").equals(bytes);
+}
--- /dev/null
+++ b/peers/send-attempts/src/agent_connection.ts
@@ -0,0 +1,112 @@
+/**
+ * An entry's connections to one agent. Each attempt is one HTTP request whose
+ * answer is a stream of frames; a connection that goes silent is dropped with
+ * its attempt, and the next attempt opens a new one.
+ */
+
+import {
+  encodeHead,
+  LineSplitter,
+  parseFrame,
+} from "@dandelionbank/exchange-attempts";
+import {
+  type HttpAnswerHead,
+  type HttpHandler,
+  HttpPool,
+  type RunningRequest,
+  type TlsOptions,
+} from "@dandelionbank/open-http";
+import type { AttemptFrame, AttemptHead } from "@dandelionbank/types";
+import { StringDecoder } from "node:string_decoder";
+
+export interface AgentConnectionOptions {
+  readonly peerUrl: string;
+  readonly peerSecret: string;
+  readonly connections: number;
+  readonly tls?: TlsOptions;
+}
+
+/** Receives an attempt's frames, and the loss of its connection. */
+export interface AttemptListener {
+  onFrame(frame: AttemptFrame): void;
+  /** The stream ended; `wasSent` is false if the agent cannot have seen it. */
+  onClosed(reason: string, wasSent: boolean): void;
+}
+
+export class AgentConnection {
+  readonly #pool: HttpPool;
+  readonly #peerSecret: string;
+
+  private constructor(options: AgentConnectionOptions) {
+    this.#peerSecret = options.peerSecret;
+    this.#pool = HttpPool.create({
+      origin: options.peerUrl,
+      connections: options.connections,
+      ...(options.tls === undefined ? {} : { tls: options.tls }),
+    });
+  }
+
+  static create(options: AgentConnectionOptions): AgentConnection {
+    return new AgentConnection(options);
+  }
+
+  send(
+    head: AttemptHead,
+    body: Uint8Array,
+    listener: AttemptListener,
+  ): RunningRequest {
+    return this.#pool.send(
+      {
+        method: "POST",
+        path: "/attempts",
+        headers: {
+          "authorization": `Bearer ${this.#peerSecret}`,
+          "content-type": "application/octet-stream",
+        },
+        body: Buffer.concat([Buffer.from(encodeHead(head)), body]),
+      },
+      new FrameHandler(listener),
+    );
+  }
+
+  close(): Promise<void> {
+    return this.#pool.close();
+  }
+}
+
+class FrameHandler implements HttpHandler {
+  readonly #listener: AttemptListener;
+  readonly #decoder = new StringDecoder("utf8");
+  readonly #splitter = new LineSplitter();
+  #status = 0;
+
+  constructor(listener: AttemptListener) {
+    this.#listener = listener;
+  }
+
+  onHead(head: HttpAnswerHead): void {
+    this.#status = head.status;
+  }
+
+  onData(chunk: Buffer): void {
+    if (this.#status !== 200) return;
+    const lines = this.#splitter.push(this.#decoder.write(chunk));
+    for (const line of lines) this.#readLine(line);
+  }
+
+  onEnd(): void {
+    const reason = this.#status === 200
+      ? "Agent closed the stream"
+      : `Agent answered status ${this.#status}`;
+    this.#listener.onClosed(reason, this.#status === 200);
+  }
+
+  onError(error: Error, wasSent: boolean): void {
+    this.#listener.onClosed(error.message, wasSent);
+  }
+
+  #readLine(line: string): void {
+    const result = parseFrame(line);
+    if (result.kind === "ok") this.#listener.onFrame(result.frame);
+  }
+}
--- a/scripts/sync_workspace.mjs
+++ b/scripts/sync_workspace.mjs
@@ -81,7 +81,9 @@
 
 function importsOf(file) {
   const text = readFileSync(file, "utf8");
-  return [...text.matchAll(/(?:from|import)\s*\(?"([^."][^"]*)"/g)]
+  return [
+    ...text.matchAll(/(?:\bfrom\s+|\bimport\s+|\bimport\()"([^."][^"]*)"/g),
+  ]
     .map((match) => match[1])
     .filter((name) => !name.startsWith("node:"))
     .map(packageNameOf);
