--- /dev/null
+++ b/routing/read-call/src/read_call_test.ts
@@ -0,0 +1,87 @@
+import type { Config } from "@dandelionbank/types";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Call, type CallInput, readCall } from "./mod.ts";
+
+test("Calls find their pool, and wrong ones their code", () => {
+  const table:
+    readonly (readonly [Partial<CallInput>, string | Partial<Call>])[] = [
+      [{ path: "/v1/other" }, "ROUTE_UNKNOWN"],
+      [{ method: "GET" }, "METHOD_NOT_ALLOWED"],
+      [{ body: "{" }, "BODY_NOT_JSON"],
+      [{ body: "" }, "BODY_NOT_JSON"],
+      [{ body: "[]" }, "BODY_INVALID"],
+      [{ body: completion({ max_tokens: 0 }) }, "BODY_INVALID"],
+      [{ body: completion({ prompt: 7 }) }, "BODY_INVALID"],
+      [{ body: completion({ model: "other" }) }, "MODEL_UNKNOWN"],
+      [
+        { body: completion({ stream: true, max_tokens: 10 }) },
+        {
+          pool: "review",
+          isStream: true,
+          idempotent: true,
+          estimatedTokens: 12,
+        },
+      ],
+      [{ mayRepeat: false }, { pool: "review", idempotent: false }],
+      [{ path: "/services/none/x" }, "POOL_UNKNOWN"],
+      [{ path: "/services/review/x" }, "POOL_UNKNOWN"],
+      [
+        { path: "/services/parts/reels/7?a=1" },
+        { pool: "parts", path: "/reels/7?a=1", idempotent: false },
+      ],
+      [{ path: "/services/parts" }, { path: "/", idempotent: false }],
+      [{ method: "GET", path: "/services/parts/x" }, { idempotent: true }],
+      [
+        { method: "PUT", path: "/services/parts/sheets/3" },
+        { path: "/sheets/3", idempotent: true },
+      ],
+      [{ method: "GET", path: "/services/parts/book" }, { idempotent: false }],
+    ];
+  for (const [input, expected] of table) {
+    const result = readCall(createInput(input), createConfig());
+    if (typeof expected === "string") {
+      assert.deepEqual(result, { kind: "wrong", code: expected });
+      continue;
+    }
+    assert.ok(result.kind === "ok", JSON.stringify(input));
+    assert.deepEqual({ ...result.call, ...expected }, result.call);
+  }
+});
+
+function createInput(input: Partial<CallInput>): CallInput {
+  return {
+    method: "POST",
+    path: "/v1/completions",
+    body: completion({}),
+    mayRepeat: true,
+    ...input,
+  };
+}
+
+function completion(fields: Readonly<Record<string, unknown>>): string {
+  return JSON.stringify({ model: "plaque-7b", prompt: "12345678", ...fields });
+}
+
+function createConfig(): Config {
+  return {
+    pools: [
+      { name: "review", kind: "rank", models: ["plaque-7b"], routes: [] },
+      {
+        name: "parts",
+        kind: "plain",
+        models: [],
+        routes: [
+          { method: "PUT", pathPrefix: "/sheets/", idempotent: true },
+          { method: "GET", pathPrefix: "/book", idempotent: false },
+        ],
+      },
+    ],
+    drainTimeoutMs: 1,
+    requestTimeoutMs: 1,
+    progressTimeoutMs: 1,
+    bodyLimitBytes: 1,
+    ticketValidityMs: 1,
+    placement: "powerOfTwo",
+  };
+}
