Take callers' requests and check them at the edge

Cause: everything wrong with a request must be found before it is dispatched, so that notRun is proved by neverDispatched. A final refusal (4xx other than 429) carries no time to come back: repeating it cannot help. Not yet run end to end.

--- /dev/null
+++ b/daemon/serve-callers/src/caller_answer.ts
@@ -0,0 +1,114 @@
+/** Answers one caller over HTTP: the target's answer, or what became of it. */
+
+import { describeOutcome } from "@dandelionbank/describe-outcome";
+import type { Outcome } from "@dandelionbank/types";
+import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
+
+export interface StartOptions {
+  readonly status: number;
+  readonly contentType: string;
+  readonly target: string;
+  /** Known only if the whole answer is at hand. */
+  readonly lengthBytes?: number;
+}
+
+/** The caller's end of a request. */
+export interface CallerAnswer {
+  readonly isStarted: boolean;
+  start(options: StartOptions): void;
+  /** False while the caller reads more slowly than the answer comes. */
+  write(chunk: string | Buffer): boolean;
+  end(): void;
+  /** Tells what became of the request, also when the answer has begun. */
+  giveUp(outcome: Exclude<Outcome, { readonly kind: "answered" }>): void;
+  onDrained(listener: () => void): void;
+  /** The caller went away before its answer was complete. */
+  onAbandoned(listener: () => void): void;
+}
+
+export class HttpCallerAnswer implements CallerAnswer {
+  readonly #response: ServerResponse;
+  readonly #requestId: string;
+  readonly #entry: string;
+  #isEventStream = false;
+
+  private constructor(
+    response: ServerResponse,
+    options: { readonly requestId: string; readonly entry: string },
+  ) {
+    this.#response = response;
+    this.#requestId = options.requestId;
+    this.#entry = options.entry;
+  }
+
+  static create(
+    response: ServerResponse,
+    options: { readonly requestId: string; readonly entry: string },
+  ): HttpCallerAnswer {
+    return new HttpCallerAnswer(response, options);
+  }
+
+  get isStarted(): boolean {
+    return this.#response.headersSent;
+  }
+
+  start(options: StartOptions): void {
+    this.#isEventStream = options.contentType.startsWith("text/event-stream");
+    this.#response.writeHead(options.status, {
+      ...this.#ownHeaders(),
+      "dandelionbank-target": options.target,
+      "content-type": options.contentType,
+      ...(options.lengthBytes === undefined
+        ? {}
+        : { "content-length": options.lengthBytes }),
+    });
+    if (this.#isEventStream) this.#response.flushHeaders();
+  }
+
+  write(chunk: string | Buffer): boolean {
+    return this.#response.write(chunk);
+  }
+
+  end(): void {
+    this.#response.end();
+  }
+
+  giveUp(outcome: Exclude<Outcome, { readonly kind: "answered" }>): void {
+    const described = describeOutcome(outcome, this.#requestId);
+    const body = JSON.stringify(described.body);
+    if (!this.isStarted) {
+      this.#response.writeHead(described.status, {
+        ...this.#ownHeaders(),
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+        ...(described.retryAfterSeconds === undefined
+          ? {}
+          : { "retry-after": described.retryAfterSeconds }),
+      });
+      this.#response.end(body);
+      return;
+    }
+    if (this.#isEventStream) {
+      this.#response.end(`event: error\ndata: ${body}\n\n`);
+      return;
+    }
+    this.#response.destroy();
+  }
+
+  onDrained(listener: () => void): void {
+    this.#response.on("drain", listener);
+  }
+
+  onAbandoned(listener: () => void): void {
+    this.#response.once("close", () => {
+      if (!this.#response.writableEnded) listener();
+    });
+  }
+
+  #ownHeaders(): OutgoingHttpHeaders {
+    return {
+      "dandelionbank-request-id": this.#requestId,
+      "dandelionbank-entry": this.#entry,
+    };
+  }
+}
--- /dev/null
+++ b/daemon/serve-callers/src/caller_request.ts
@@ -0,0 +1,38 @@
+/** A request that passed every check at the edge. */
+
+import type { Call } from "@dandelionbank/read-call";
+import type { Config, Contract } from "@dandelionbank/types";
+import { createHash, randomUUID } from "node:crypto";
+
+export interface CallerRequest {
+  readonly requestId: string;
+  readonly contract: Contract;
+  /** The view's revision under which the request was checked. */
+  readonly viewRevision: number;
+  readonly config: Config;
+  readonly call: Call;
+  readonly method: string;
+  readonly contentType: string;
+  /** The caller's `Idempotency-Key`, if it sent one. */
+  readonly key: string | undefined;
+  /** SHA-256 over organisation, operation and body, in hexadecimal. */
+  readonly fingerprint: string;
+  readonly body: Buffer;
+}
+
+export function createRequestId(): string {
+  return randomUUID();
+}
+
+export function fingerprintOf(parts: {
+  readonly organisation: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: Buffer;
+}): string {
+  const operation = [parts.organisation, parts.method, parts.path];
+  return createHash("sha256")
+    .update(JSON.stringify(operation))
+    .update(parts.body)
+    .digest("hex");
+}
--- /dev/null
+++ b/daemon/serve-callers/src/caller_server.ts
@@ -0,0 +1,213 @@
+/**
+ * Listens for callers. Every request is checked here before the request task
+ * sees it; whatever fails a check is answered at once and truthfully with
+ * `notRun`, since nothing was dispatched.
+ */
+
+import { readCall } from "@dandelionbank/read-call";
+import type { Config, Contract, Outcome } from "@dandelionbank/types";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import type { SecureContextOptions } from "node:tls";
+import { type CallerAnswer, HttpCallerAnswer } from "./caller_answer.ts";
+import {
+  type CallerRequest,
+  createRequestId,
+  fingerprintOf,
+} from "./caller_request.ts";
+import { readBody } from "./read_body.ts";
+
+const ADDRESSES_PATH = "/v1/addresses";
+const OPERATOR_PREFIX = "/operator";
+const KEY_LIMIT_CHARACTERS = 512;
+
+/** Time after which a caller may try again when this entry is not ready. */
+const NOT_READY_RETRY_MS = 1_000;
+
+export interface AddressAnswer {
+  readonly addresses: readonly string[];
+  readonly validityMs: number;
+  readonly ticket: string;
+}
+
+/** What the server asks of the entry. */
+export interface CallerGate {
+  /** Why no request can be taken now, or `undefined` if it can. */
+  readRefusal(): string | undefined;
+  readConfig():
+    | { readonly revision: number; readonly config: Config }
+    | undefined;
+  findContract(key: string): Contract | undefined;
+  answerAddresses(contract: Contract): AddressAnswer;
+  handle(request: CallerRequest, answer: CallerAnswer): void;
+}
+
+export interface CallerServerOptions {
+  readonly entry: string;
+  readonly host: string;
+  readonly port: number;
+  readonly gate: CallerGate;
+  readonly operatorListener: RequestListener;
+  readonly tls?: SecureContextOptions;
+}
+
+export class CallerServer {
+  readonly #options: CallerServerOptions;
+  readonly #server: Server;
+
+  private constructor(options: CallerServerOptions) {
+    this.#options = options;
+    const listener: RequestListener = (request, response) =>
+      void this.#serve(request, response);
+    this.#server = options.tls === undefined
+      ? createServer(listener)
+      : createTlsServer(options.tls, listener);
+  }
+
+  static create(options: CallerServerOptions): CallerServer {
+    return new CallerServer(options);
+  }
+
+  /** Resolves with the port that it listens on. */
+  listen(): Promise<number> {
+    const { host, port } = this.#options;
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        this.#server.removeListener("error", reject);
+        resolve((this.#server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Takes no new connections and waits for those under way. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeIdleConnections();
+    });
+  }
+
+  async #serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const path = request.url ?? "/";
+    if (path.startsWith(OPERATOR_PREFIX)) {
+      this.#options.operatorListener(request, response);
+      return;
+    }
+    const requestId = createRequestId();
+    const answer = HttpCallerAnswer.create(response, {
+      requestId,
+      entry: this.#options.entry,
+    });
+    const checked = await this.#check(request, path);
+    if (typeof checked === "string") return refuse(answer, checked);
+    if (checked.kind === "addresses") return sendJson(response, checked.value);
+    this.#options.gate.handle({ ...checked.request, requestId }, answer);
+  }
+
+  async #check(request: IncomingMessage, path: string): Promise<Checked> {
+    const { gate } = this.#options;
+    const key = readBearer(request);
+    if (key === undefined) return "CREDENTIAL_MISSING";
+    const known = gate.readConfig();
+    if (known === undefined) return "NOT_READY";
+    const contract = gate.findContract(key);
+    if (contract === undefined) return "CREDENTIAL_UNKNOWN";
+    if (path === ADDRESSES_PATH) {
+      if (request.method !== "GET") return "METHOD_NOT_ALLOWED";
+      return { kind: "addresses", value: gate.answerAddresses(contract) };
+    }
+    const refusal = gate.readRefusal();
+    if (refusal !== undefined) return refusal;
+    return await readRequest(request, { path, contract, known });
+  }
+}
+
+type Checked =
+  | string
+  | { readonly kind: "addresses"; readonly value: AddressAnswer }
+  | {
+    readonly kind: "request";
+    readonly request: Omit<CallerRequest, "requestId">;
+  };
+
+interface RequestContext {
+  readonly path: string;
+  readonly contract: Contract;
+  readonly known: { readonly revision: number; readonly config: Config };
+}
+
+async function readRequest(
+  request: IncomingMessage,
+  context: RequestContext,
+): Promise<Checked> {
+  const { config, revision } = context.known;
+  const key = request.headers["idempotency-key"];
+  if (typeof key === "string" && key.length > KEY_LIMIT_CHARACTERS) {
+    return "KEY_INVALID";
+  }
+  const read = await readBody(request, config.bodyLimitBytes);
+  if (read.kind === "tooLarge") return "BODY_TOO_LARGE";
+  if (read.kind === "cut") return "BODY_INVALID";
+  const method = request.method ?? "GET";
+  const result = readCall({
+    method,
+    path: context.path,
+    body: read.body.toString("utf8"),
+    mayRepeat: request.headers["dandelionbank-idempotent"] !== "false",
+  }, config);
+  if (result.kind === "wrong") return result.code;
+  return {
+    kind: "request",
+    request: {
+      contract: context.contract,
+      viewRevision: revision,
+      config,
+      call: result.call,
+      method,
+      contentType: request.headers["content-type"] ?? "",
+      key: typeof key === "string" ? key : undefined,
+      fingerprint: fingerprintOf({
+        organisation: context.contract.organisation,
+        method,
+        path: context.path,
+        body: read.body,
+      }),
+      body: read.body,
+    },
+  };
+}
+
+function refuse(answer: CallerAnswer, code: string): void {
+  const outcome: Outcome = {
+    kind: "notRun",
+    proof: { kind: "neverDispatched" },
+    code,
+    retryAfterMs: NOT_READY_RETRY_MS,
+  };
+  answer.giveUp(outcome);
+}
+
+function readBearer(request: IncomingMessage): string | undefined {
+  const match = /^Bearer (\S+)$/.exec(request.headers.authorization ?? "");
+  return match?.[1];
+}
+
+function sendJson(response: ServerResponse, value: unknown): void {
+  const body = JSON.stringify(value);
+  response.writeHead(200, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+}
--- a/routing/describe-outcome/src/describe_outcome.ts
+++ b/routing/describe-outcome/src/describe_outcome.ts
@@ -33,7 +33,7 @@
   requestId: string | undefined,
 ): DescribedOutcome {
   const reason = REASONS[outcome.code] ?? defaultReason(outcome.kind);
-  const retryAfterMs = outcome.kind === "unknown"
+  const retryAfterMs = outcome.kind === "unknown" || isFinal(reason.status)
     ? undefined
     : outcome.retryAfterMs;
   return {
@@ -59,3 +59,8 @@
   if (kind === "unknown") return UNKNOWN;
   return FAILED;
 }
+
+/** Whether coming back with the same request can't help. */
+function isFinal(status: number): boolean {
+  return status < 500 && status !== 429;
+}
--- a/routing/describe-outcome/src/describe_outcome_test.ts
+++ b/routing/describe-outcome/src/describe_outcome_test.ts
@@ -21,6 +21,16 @@
       503,
       3,
     ],
+    [
+      {
+        kind: "notRun",
+        proof: PROOF,
+        code: "BODY_INVALID",
+        retryAfterMs: 1000,
+      },
+      400,
+      undefined,
+    ],
     [{ kind: "unknown", code: "ANSWER_LOST" }, 502, undefined],
     [{ kind: "failed", code: "QUARANTINED" }, 422, undefined],
     [{ kind: "failed", code: "OTHER", retryAfterMs: 1000 }, 502, 1],
