--- a/daemon/serve-callers/src/caller_answer.ts
+++ b/daemon/serve-callers/src/caller_answer.ts
@@ -60,7 +60,7 @@
       "content-type": options.contentType,
       ...(options.lengthBytes === undefined
         ? {}
-        : { "content-length": options.lengthBytes }),
+        : { "content-length": String(options.lengthBytes) }),
     });
     if (this.#isEventStream) this.#response.flushHeaders();
   }
@@ -80,10 +80,10 @@
       this.#response.writeHead(described.status, {
         ...this.#ownHeaders(),
         "content-type": "application/json",
-        "content-length": Buffer.byteLength(body),
+        "content-length": String(Buffer.byteLength(body)),
         ...(described.retryAfterSeconds === undefined
           ? {}
-          : { "retry-after": described.retryAfterSeconds }),
+          : { "retry-after": String(described.retryAfterSeconds) }),
       });
       this.#response.end(body);
       return;
