Let entries and agents call each other, after proof of the shared secret

Cause: attempts go as one HTTP request each, everything else between our processes as tRPC. Built and linted; not yet run end to end.

--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -1,11 +1,13 @@
 /** Types that several packages share. They hold no behaviour. */
 
+export type * from "./agent_view.ts";
 export type * from "./attempt.ts";
 export type * from "./config.ts";
 export type * from "./contract.ts";
 export type * from "./object_store.ts";
 export type * from "./outcome.ts";
 export type * from "./registration.ts";
+export type * from "./status.ts";
 export type * from "./step.ts";
 export type * from "./stop.ts";
 export type * from "./stored_object.ts";
--- /dev/null
+++ b/peers/peer-api/src/agent_router.ts
@@ -0,0 +1,40 @@
+/** What an agent answers its entries. */
+
+import type { AgentStatus, AgentView } from "@dandelionbank/types";
+import { initTRPC } from "@trpc/server";
+import * as v from "valibot";
+
+export interface AgentHandlers {
+  /** Takes in a view if it is newer than the one known. */
+  applyView(view: AgentView): AgentStatus;
+  readStatus(): AgentStatus;
+}
+
+export type AgentRouter = ReturnType<typeof createAgentRouter>;
+
+const TEXT = v.pipe(v.string(), v.minLength(1));
+const DURATION_MS = v.pipe(v.number(), v.minValue(0));
+const AGENT_VIEW_SCHEMA = v.object({
+  entry: TEXT,
+  entryIncarnation: TEXT,
+  revision: v.pipe(v.number(), v.integer(), v.minValue(0)),
+  stop: v.optional(
+    v.object({ target: TEXT, reason: v.string(), requestedBy: v.string() }),
+  ),
+  isLeaving: v.boolean(),
+  closings: v.array(
+    v.object({ entry: TEXT, incarnation: TEXT, successor: TEXT }),
+  ),
+  progressTimeoutMs: DURATION_MS,
+  drainTimeoutMs: DURATION_MS,
+});
+
+export function createAgentRouter(handlers: AgentHandlers) {
+  const trpc = initTRPC.create();
+  return trpc.router({
+    applyView: trpc.procedure
+      .input(AGENT_VIEW_SCHEMA)
+      .mutation(({ input }) => handlers.applyView(input)),
+    readStatus: trpc.procedure.query(() => handlers.readStatus()),
+  });
+}
--- /dev/null
+++ b/peers/serve-peers/src/peer_server.ts
@@ -0,0 +1,178 @@
+/**
+ * Listens for entries and agents. Nothing is read from a peer before it has
+ * proved the shared secret.
+ */
+
+import { encodeFrame, parseHead } from "@dandelionbank/exchange-attempts";
+import type { AttemptFrame, AttemptHead } from "@dandelionbank/types";
+import type { AnyRouter } from "@trpc/server";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { createHash, timingSafeEqual } from "node:crypto";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import type { TlsOptions } from "node:tls";
+
+const TRPC_PREFIX = "/trpc/";
+const ATTEMPTS_PATH = "/attempts";
+const LINE_FEED = 10;
+
+/** Longest body of an attempt: the callers' limit and the head. */
+const ATTEMPT_LIMIT_BYTES = 64 * 1024 * 1024;
+
+/** One attempt as it arrived. */
+export interface AttemptRequest {
+  readonly head: AttemptHead;
+  readonly body: Buffer;
+}
+
+/** Sends the frames of one attempt back. */
+export interface AttemptResponder {
+  /** False while the peer reads more slowly than frames come. */
+  write(line: string): boolean;
+  send(frame: AttemptFrame): void;
+  end(): void;
+  onDrained(listener: () => void): void;
+  /** The peer went away before `end`. */
+  onAbandoned(listener: () => void): void;
+}
+
+export interface PeerServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly peerSecret: string;
+  readonly router: AnyRouter;
+  readonly onAttempt: (
+    request: AttemptRequest,
+    responder: AttemptResponder,
+  ) => void;
+  /** With `requestCert`, TLS is mutual. */
+  readonly tls?: TlsOptions;
+}
+
+export class PeerServer {
+  readonly #options: PeerServerOptions;
+  readonly #server: Server;
+  readonly #trpcListener: RequestListener;
+  readonly #secretDigest: Buffer;
+
+  private constructor(options: PeerServerOptions) {
+    this.#options = options;
+    this.#secretDigest = digest(options.peerSecret);
+    this.#trpcListener = createHTTPHandler({
+      router: options.router,
+      basePath: TRPC_PREFIX,
+    });
+    const listener: RequestListener = (request, response) =>
+      this.#serve(request, response);
+    this.#server = options.tls === undefined
+      ? createServer(listener)
+      : createTlsServer(options.tls, listener);
+    this.#server.keepAliveTimeout = 60_000;
+  }
+
+  static create(options: PeerServerOptions): PeerServer {
+    return new PeerServer(options);
+  }
+
+  /** Resolves with the port that it listens on. */
+  listen(): Promise<number> {
+    const { host, port } = this.#options;
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        this.#server.removeListener("error", reject);
+        resolve((this.#server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Takes no new connections and waits for the attempts under way. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      this.#server.closeIdleConnections();
+    });
+  }
+
+  #serve(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.#isPeer(request)) {
+      response.writeHead(401).end();
+      request.resume();
+      return;
+    }
+    const path = request.url ?? "/";
+    if (path === ATTEMPTS_PATH && request.method === "POST") {
+      this.#readAttempt(request, response);
+      return;
+    }
+    if (path.startsWith(TRPC_PREFIX)) {
+      this.#trpcListener(request, response);
+      return;
+    }
+    response.writeHead(404).end();
+    request.resume();
+  }
+
+  #isPeer(request: IncomingMessage): boolean {
+    const given = (request.headers.authorization ?? "").replace(/^Bearer /, "");
+    return timingSafeEqual(digest(given), this.#secretDigest);
+  }
+
+  #readAttempt(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    request.on("data", (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      if (sizeBytes > ATTEMPT_LIMIT_BYTES) request.destroy();
+      else chunks.push(chunk);
+    });
+    request.on("end", () => {
+      const attempt = parseAttempt(Buffer.concat(chunks));
+      if (attempt === undefined) {
+        response.writeHead(400).end();
+        return;
+      }
+      response.writeHead(200, { "content-type": "application/x-ndjson" });
+      this.#options.onAttempt(attempt, createResponder(response));
+    });
+  }
+}
+
+function parseAttempt(bytes: Buffer): AttemptRequest | undefined {
+  const end = bytes.indexOf(LINE_FEED);
+  if (end < 0) return undefined;
+  const parsed = parseHead(bytes.toString("utf8", 0, end));
+  if (parsed.kind === "invalid") return undefined;
+  return { head: parsed.head, body: bytes.subarray(end + 1) };
+}
+
+function createResponder(response: ServerResponse): AttemptResponder {
+  return {
+    write: (line) => response.write(line),
+    send: (frame) => {
+      response.write(encodeFrame(frame));
+    },
+    end: () => {
+      response.end();
+    },
+    onDrained: (listener) => {
+      response.on("drain", listener);
+    },
+    onAbandoned: (listener) => {
+      response.once("close", () => {
+        if (!response.writableEnded) listener();
+      });
+    },
+  };
+}
+
+function digest(text: string): Buffer {
+  return createHash("sha256").update(text).digest();
+}
