Read settings from flags and variables, checked as a whole

Settings are data: a field's name gives its flag and its variable, and one definition serves the reader, the help and the page of settings. All problems come at once, by name, with what was found and expected; a secret's text is never shown.

The field schemas moved from parse-objects to a package that both use.

--- /dev/null
+++ b/foundation/read-settings/src/agent_settings.ts
@@ -0,0 +1,176 @@
+/** The settings of an agent. */
+
+import type { RankPlace, Target, TlsSource } from "@dandelionbank/types";
+import { checkUrl, readSecret } from "./cross_checks.ts";
+import {
+  flagOf,
+  type SettingDefinitions,
+  type ValuesOf,
+} from "./definition.ts";
+import {
+  DATA_CENTRE_SETTING,
+  PEER_SETTINGS,
+  PLATFORM_SETTINGS,
+  REPORT_SETTINGS,
+} from "./process_settings.ts";
+import {
+  booleanSetting,
+  choiceSetting,
+  durationSetting,
+  integerSetting,
+  nameSetting,
+  urlSetting,
+} from "./setting_schemas.ts";
+import { findTlsSource, type WithoutPem } from "./tls_settings.ts";
+
+const MAX_GROUP_SIZE = 65_536;
+const PLACE_NAMES = ["group", "rank", "groupSize"] as const;
+
+export const AGENT_SETTINGS = {
+  role: {
+    presence: "required",
+    schema: choiceSetting(["agent"]),
+    help: "What this process does: entry or agent",
+  },
+  name: {
+    presence: "required",
+    schema: nameSetting(),
+    help: "Name of the agent's target, different from every other's",
+  },
+  dataCentre: DATA_CENTRE_SETTING,
+  targetKind: {
+    presence: "required",
+    schema: choiceSetting(["rank", "engine", "plain"]),
+    help: "What the target is: rank, engine or plain",
+  },
+  targetUrl: {
+    presence: "required",
+    schema: urlSetting(),
+    help: "URL of the target",
+  },
+  pool: {
+    presence: "required",
+    schema: nameSetting(),
+    help: "Pool that the target belongs to",
+  },
+  group: {
+    presence: "optional",
+    schema: nameSetting(),
+    help: "Group of a rank",
+  },
+  rank: {
+    presence: "optional",
+    schema: integerSetting({ min: 0, max: MAX_GROUP_SIZE - 1 }),
+    help: "Number of a rank within its group, from 0",
+  },
+  groupSize: {
+    presence: "optional",
+    schema: integerSetting({ min: 1, max: MAX_GROUP_SIZE }),
+    unit: "ranks",
+    help: "Size of a rank's group",
+  },
+  maxInFlight: {
+    presence: "defaulted",
+    schema: integerSetting({ min: 1, max: 100_000 }),
+    defaultText: "64",
+    unit: "requests",
+    help: "Most requests that the target runs at once",
+  },
+  keyTableEntries: {
+    presence: "defaulted",
+    schema: integerSetting({ min: 1, max: 1_000_000 }),
+    defaultText: "20000",
+    unit: "keys",
+    help: "Most request keys that the agent remembers",
+  },
+  keyRetentionMs: {
+    presence: "defaulted",
+    schema: durationSetting({ min: 1, max: 86_400_000 }),
+    defaultText: "600000",
+    unit: "ms",
+    help: "How long an ended request's key and answer are kept",
+  },
+  targetChecksFencing: {
+    presence: "defaulted",
+    schema: booleanSetting(),
+    defaultText: "false",
+    help: "Whether the target itself refuses orders with an old fencing number",
+  },
+  ...PEER_SETTINGS,
+  ...PLATFORM_SETTINGS,
+  ...REPORT_SETTINGS,
+} as const satisfies SettingDefinitions;
+
+type AgentValues = ValuesOf<typeof AGENT_SETTINGS>;
+
+export interface AgentSettings
+  extends WithoutPem<Omit<AgentValues, "peerSecret" | "peerSecretFile">> {
+  readonly peerSecret: string;
+  /** Absent where peers speak without TLS. */
+  readonly peerTls: TlsSource | undefined;
+}
+
+/** Settings checked against each other, as far as each is right by itself. */
+export function checkAgent(values: Partial<AgentValues>) {
+  const peerTls = findTlsSource("peerTls", values);
+  const secret = readSecret(values);
+  const problems = [
+    ...peerTls.problems,
+    ...secret.problems,
+    ...checkUrl({
+      side: "peer",
+      listen: values.peerListen,
+      url: values.peerUrl,
+      isTls: peerTls.source !== undefined,
+    }),
+    ...checkPlace(values),
+  ];
+  const settings = {
+    ...values,
+    peerSecret: secret.value,
+    peerTls: peerTls.source,
+  };
+  return { problems, settings: settings as AgentSettings };
+}
+
+/** The target as its agent registers it. */
+export function targetOf(settings: AgentSettings): Target {
+  const { name, targetKind: kind, pool, dataCentre } = settings;
+  const place = placeOf(settings);
+  return { name, kind, pool, dataCentre, ...(place && { place }) };
+}
+
+function placeOf(values: Partial<AgentValues>): RankPlace | undefined {
+  const { group, rank, groupSize } = values;
+  if (group === undefined) return undefined;
+  if (rank === undefined || groupSize === undefined) return undefined;
+  return { group, rank, groupSize };
+}
+
+function checkPlace(values: Partial<AgentValues>): readonly string[] {
+  if (values.targetKind === undefined) return [];
+  if (values.targetKind !== "rank") return refusePlace(values);
+  const missing = PLACE_NAMES.filter((name) =>
+    name in values && values[name] === undefined
+  );
+  if (missing.length > 0) {
+    return missing.map((name) =>
+      `--${flagOf(name)}: found nothing, expected it with --target-kind rank`
+    );
+  }
+  const place = placeOf(values);
+  if (place === undefined || place.rank < place.groupSize) return [];
+  return [
+    `--rank: found ${place.rank}, expected a number below --group-size, which is ${place.groupSize}`,
+  ];
+}
+
+function refusePlace(values: Partial<AgentValues>): readonly string[] {
+  return PLACE_NAMES
+    .filter((name) => values[name] !== undefined)
+    .map((name) =>
+      `--${flagOf(name)}: found ${
+        values[name]
+      }, expected it with --target-kind rank only`
+    );
+}
--- /dev/null
+++ b/foundation/read-settings/src/cross_checks.ts
@@ -0,0 +1,75 @@
+/** Checks of settings against each other that several roles share. */
+
+import { readFileSync } from "node:fs";
+import { flagOf, type ValuesOf } from "./definition.ts";
+import { isWildcard, type ListenAddress } from "./listen_address.ts";
+import type { PEER_SETTINGS } from "./process_settings.ts";
+import { secretSetting } from "./setting_schemas.ts";
+import * as v from "valibot";
+
+type PeerValues = Partial<ValuesOf<typeof PEER_SETTINGS>>;
+
+export interface CheckedSecret {
+  readonly value?: string;
+  readonly problems: readonly string[];
+}
+
+/** The shared secret, from its text or from its file. */
+export function readSecret(values: PeerValues): CheckedSecret {
+  const { peerSecret, peerSecretFile } = values;
+  if (!("peerSecret" in values)) return { problems: [] };
+  if (peerSecret !== undefined && peerSecretFile !== undefined) {
+    return refuse("--peer-secret: found --peer-secret-file too, expected one");
+  }
+  if (peerSecret !== undefined) return { value: peerSecret, problems: [] };
+  if (peerSecretFile !== undefined) return readSecretFile(peerSecretFile);
+  return refuse(
+    "--peer-secret or DANDELIONBANK_PEER_SECRET: found nothing, expected it or --peer-secret-file",
+  );
+}
+
+export interface UrlCheck {
+  /** Which of the process's URLs is meant. */
+  readonly side: "caller" | "peer";
+  readonly listen: ListenAddress | undefined;
+  readonly url: string | undefined;
+  readonly isTls: boolean;
+}
+
+/** The URL that others are told must fit the address and the use of TLS. */
+export function checkUrl(
+  { side, listen, url, isTls }: UrlCheck,
+): readonly string[] {
+  const urlFlag = `--${flagOf(`${side}Url`)}`;
+  if (url === undefined) {
+    if (listen === undefined || !isWildcard(listen)) return [];
+    return [
+      `${urlFlag}: found nothing, expected a URL, since --${side}-listen is a wildcard address`,
+    ];
+  }
+  const scheme = isTls ? "https" : "http";
+  if (url.startsWith(`${scheme}://`)) return [];
+  return [`${urlFlag}: found "${url}", expected an ${scheme} URL`];
+}
+
+function readSecretFile(path: string): CheckedSecret {
+  try {
+    const text = readFileSync(path, "utf8").trim();
+    const result = v.safeParse(secretSetting(), text);
+    if (result.success) return { value: text, problems: [] };
+    return refuse(
+      `--peer-secret-file: found a secret of ${text.length} characters, expected ${
+        result.issues[0].message
+      }`,
+    );
+  } catch (error) {
+    const code = (error as NodeJS.ErrnoException).code ?? "an error";
+    return refuse(
+      `--peer-secret-file: found ${code} on reading "${path}", expected a readable file`,
+    );
+  }
+}
+
+function refuse(problem: string): CheckedSecret {
+  return { problems: [problem] };
+}
--- /dev/null
+++ b/foundation/read-settings/src/parse_texts.ts
@@ -0,0 +1,87 @@
+/** Turns texts of flags and variables into values, or into all their problems. */
+
+import { describeFound } from "@dandelionbank/schemas";
+import * as v from "valibot";
+import {
+  flagOf,
+  type SettingDefinition,
+  type SettingDefinitions,
+  type ValuesOf,
+  variableOf,
+} from "./definition.ts";
+
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+export interface SettingTexts {
+  /** Texts of flags, by setting name. */
+  readonly flags: Readonly<Record<string, string | undefined>>;
+  readonly environment: Environment;
+}
+
+export interface ParsedTexts<Definitions extends SettingDefinitions> {
+  /** Lacks the settings that have a problem; absent optional ones are undefined. */
+  readonly values: Partial<ValuesOf<Definitions>>;
+  readonly problems: readonly string[];
+}
+
+export function parseTexts<Definitions extends SettingDefinitions>(
+  definitions: Definitions,
+  texts: SettingTexts,
+): ParsedTexts<Definitions> {
+  const values: Record<string, unknown> = {};
+  const problems: string[] = [];
+  for (const [name, definition] of Object.entries(definitions)) {
+    const result = parseText({ name, definition, texts });
+    if (result.problem !== undefined) problems.push(result.problem);
+    else values[name] = result.value;
+  }
+  return { values: values as Partial<ValuesOf<Definitions>>, problems };
+}
+
+interface NamedText {
+  readonly name: string;
+  readonly definition: SettingDefinition;
+  readonly texts: SettingTexts;
+}
+
+interface TextResult {
+  readonly value?: unknown;
+  readonly problem?: string;
+}
+
+function parseText({ name, definition, texts }: NamedText): TextResult {
+  const flagText = texts.flags[name];
+  const text = flagText ?? texts.environment[variableOf(name)] ??
+    definition.defaultText;
+  const source = flagText === undefined
+    ? variableOf(name)
+    : `--${flagOf(name)}`;
+  if (text === undefined) return describeAbsence(name, definition);
+  const result = v.safeParse(definition.schema, text, { abortPipeEarly: true });
+  if (result.success) return { value: result.output };
+  const expected = result.issues[0].message;
+  return {
+    problem: `${source}: found ${show(definition, text)}, expected ${expected}`,
+  };
+}
+
+function describeAbsence(
+  name: string,
+  { presence, schema }: SettingDefinition,
+): TextResult {
+  if (presence !== "required") return {};
+  const names = `--${flagOf(name)} or ${variableOf(name)}`;
+  return { problem: `${names}: found nothing, expected ${expectedBy(schema)}` };
+}
+
+/** What a schema expects is the message with which it refuses an empty text. */
+function expectedBy(schema: SettingDefinition["schema"]): string {
+  const result = v.safeParse(schema, "", { abortPipeEarly: true });
+  return result.success ? "a text" : result.issues[0].message;
+}
+
+function show(definition: SettingDefinition, text: string): string {
+  return definition.secret
+    ? `a secret of ${text.length} characters`
+    : describeFound(text);
+}
--- /dev/null
+++ b/foundation/read-settings/src/render_help.ts
@@ -0,0 +1,38 @@
+/** Renders `--help`. `yargs` is loaded only here. */
+
+import { flagOf, type SettingDefinitions, variableOf } from "./definition.ts";
+
+export interface HelpOptions {
+  readonly program: string;
+  readonly summary: string;
+  readonly definitions: SettingDefinitions;
+}
+
+export async function renderHelp(
+  { program, summary, definitions }: HelpOptions,
+): Promise<string> {
+  const { default: yargs } = await import("yargs");
+  const parser = yargs([])
+    .scriptName(program)
+    .usage(`${summary}\n\nUsage: $0 [settings]`)
+    .wrap(null)
+    .help(true)
+    .version("Print the version")
+    .epilogue(
+      "A flag wins over its variable; variables are named in brackets.",
+    );
+  for (const [name, definition] of Object.entries(definitions)) {
+    const { help, defaultText, unit } = definition;
+    parser.option(flagOf(name), {
+      type: "string",
+      requiresArg: true,
+      demandOption: definition.presence === "required",
+      description: `${help} [${variableOf(name)}]`,
+      ...(defaultText !== undefined && {
+        defaultDescription: unit ? `${defaultText} ${unit}` : defaultText,
+        default: defaultText,
+      }),
+    });
+  }
+  return await parser.getHelp();
+}
--- a/platform/parse-objects/src/describe_issues.ts
+++ b/foundation/schemas/src/describe_issues.ts
@@ -47,7 +47,8 @@
   return isObject && issue.input === undefined && issue.path !== undefined;
 }
 
-function describeFound(input: unknown): string {
+/** Shows a value in a problem; long texts are cut. */
+export function describeFound(input: unknown): string {
   if (input === undefined) return "nothing";
   if (Array.isArray(input)) return `a list of ${input.length}`;
   if (typeof input === "object" && input !== null) return "an object";
--- a/platform/parse-objects/src/fields.ts
+++ b/foundation/schemas/src/fields.ts
@@ -56,11 +56,10 @@
   return v.pipe(v.string(message), v.regex(URL_PATTERN, message));
 }
 
-/** Digests of keys: SHA-256 in lower-case hexadecimal. */
-export function keyDigestsField() {
+/** The digest of a key: SHA-256 in lower-case hexadecimal. */
+export function digestField() {
   const message = "a SHA-256 digest of 64 lower-case hexadecimal digits";
-  const digest = v.pipe(v.string(message), v.regex(DIGEST_PATTERN, message));
-  return listOf(digest, { maxLength: 64 });
+  return v.pipe(v.string(message), v.regex(DIGEST_PATTERN, message));
 }
 
 export interface ListOptions {
--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -10,4 +10,5 @@
 export type * from "./stop.ts";
 export type * from "./stored_object.ts";
 export type * from "./target.ts";
+export type * from "./tls.ts";
 export type * from "./view.ts";
