Hold each organisation to its contract at one entry

An entry had nothing to decide with which requests are inside a contract. The core limits rate, requests in flight and tokens by the share of the limits that the entry holds at that moment: an even part until it is told a holding. The parts add up to the limit exactly; a minimum for each entry was ruled out, since N entries would then give N times that minimum. A request's tokens are charged by estimate and settled at its end.

--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -1,5 +1,6 @@
 /** Types that several packages share. They hold no behaviour. */
 
+export type * from "./allowance.ts";
 export type * from "./attempt.ts";
 export type * from "./config.ts";
 export type * from "./contract.ts";
--- /dev/null
+++ b/routing/limit-requests/src/limit_requests_test.ts
@@ -0,0 +1,210 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Contract, LimitShare } from "@dandelionbank/types";
+import { createLimitState, limitRequests } from "./mod.ts";
+import type { LimitEffect, LimitEvent, LimitState } from "./mod.ts";
+
+type Arrival = Partial<Extract<LimitEvent, { type: "requestArrived" }>>;
+
+function createContract(values: Partial<Contract> = {}): Contract {
+  return {
+    organisation: "malabar",
+    keyDigests: [],
+    requestsPerSecond: 10,
+    concurrentRequests: 4,
+    tokensPerMinute: 60_000,
+    shareWeight: 1,
+    priority: 5,
+    objective: { firstTokenMs: 1, betweenTokensMs: 1, answeredMs: 1 },
+    ...values,
+  };
+}
+
+function createLimiter(contracts: readonly Contract[], entries = ["a"]) {
+  const state: LimitState = createLimitState("a");
+  const send = (event: LimitEvent, nowMs: number): readonly LimitEffect[] =>
+    limitRequests(state, event, nowMs).effects;
+  let sent = 0;
+  const arrive = (nowMs: number, arrival: Arrival = {}) =>
+    send({
+      type: "requestArrived",
+      requestId: `r${sent++}`,
+      organisation: "malabar",
+      pool: "review",
+      estimatedTokens: 0,
+      ...arrival,
+    }, nowMs)[0]!;
+  const end = (requestId: string, nowMs: number, actualTokens = 0) =>
+    send({ type: "requestEnded", requestId, actualTokens }, nowMs);
+  send({ type: "entriesChanged", entry: "a", entries }, 0);
+  for (const contract of contracts) {
+    send({ type: "contractChanged", contract }, 0);
+  }
+  return { send, arrive, end };
+}
+
+function codeOf(effect: LimitEffect): string {
+  return effect.type === "refuse" ? effect.code : effect.type;
+}
+
+function retryOf(effect: LimitEffect): number {
+  assert.equal(effect.type, "refuse");
+  return effect.type === "refuse" ? effect.retryAfterMs : 0;
+}
+
+const LIMIT_CASES: readonly {
+  readonly title: string;
+  readonly contract: Partial<Contract>;
+  readonly entries?: string[];
+  readonly tokens?: number;
+  readonly admitted: number;
+  readonly code: string;
+}[] = [
+  {
+    title: "rate",
+    contract: { concurrentRequests: 100 },
+    admitted: 10,
+    code: "DANDELIONBANK_RATE_LIMITED",
+  },
+  {
+    title: "concurrency",
+    contract: {},
+    admitted: 4,
+    code: "DANDELIONBANK_CONCURRENCY_LIMITED",
+  },
+  {
+    title: "tokens",
+    contract: { concurrentRequests: 100 },
+    tokens: 400,
+    admitted: 2,
+    code: "DANDELIONBANK_TOKENS_LIMITED",
+  },
+  {
+    title: "half of the rate between two entries",
+    contract: { concurrentRequests: 100 },
+    entries: ["a", "b"],
+    admitted: 5,
+    code: "DANDELIONBANK_RATE_LIMITED",
+  },
+  {
+    title: "half of the concurrency between two entries",
+    contract: {},
+    entries: ["a", "b"],
+    admitted: 2,
+    code: "DANDELIONBANK_CONCURRENCY_LIMITED",
+  },
+];
+
+for (
+  const { title, contract, entries, tokens, admitted, code } of LIMIT_CASES
+) {
+  test(`An organisation is held to its limit: ${title}`, () => {
+    const limiter = createLimiter([createContract(contract)], entries);
+    const effects = Array.from(
+      { length: admitted + 1 },
+      () => limiter.arrive(0, { estimatedTokens: tokens ?? 0 }),
+    );
+    assert.deepEqual(effects.slice(0, -1).map(codeOf), [
+      ...Array(admitted).fill("admit"),
+    ]);
+    assert.equal(codeOf(effects.at(-1)!), code);
+  });
+}
+
+test("A refused caller finds room when it was told to come back", () => {
+  const limiter = createLimiter([createContract({ concurrentRequests: 100 })]);
+  for (let i = 0; i < 10; i++) limiter.arrive(0);
+  const waits = [0, 1, 2].map(() => retryOf(limiter.arrive(0)));
+  assert.deepEqual(waits, [100, 200, 300]);
+  assert.deepEqual(
+    waits.map((waitMs) => codeOf(limiter.arrive(waitMs))),
+    ["admit", "admit", "admit"],
+  );
+});
+
+test("Tokens that weren't used are given back, and excess is owed", () => {
+  const contract = createContract({
+    concurrentRequests: 100,
+    requestsPerSecond: 1_000,
+  });
+  const limiter = createLimiter([contract]);
+  limiter.arrive(0, { requestId: "x", estimatedTokens: 1_000 });
+  assert.equal(
+    codeOf(limiter.arrive(0, { estimatedTokens: 500 })),
+    "DANDELIONBANK_TOKENS_LIMITED",
+  );
+  limiter.end("x", 0, 200);
+  assert.equal(
+    codeOf(limiter.arrive(0, { requestId: "y", estimatedTokens: 500 })),
+    "admit",
+  );
+  limiter.end("y", 0, 5_000);
+  const wait = retryOf(limiter.arrive(0, { estimatedTokens: 100 }));
+  assert.equal(wait, 4_300);
+});
+
+test("A loan counts until its time, also when nothing told of its end", () => {
+  const limiter = createLimiter([createContract({ concurrentRequests: 2 })], [
+    "a",
+    "b",
+  ]);
+  const loan: LimitShare = {
+    requestsPerSecond: 5,
+    concurrentRequests: 1,
+    tokensPerMinute: 30_000,
+  };
+  limiter.send({
+    type: "holdingChanged",
+    organisation: "malabar",
+    holding: {
+      reserved: { ...loan },
+      lent: [],
+      borrowed: [{ share: loan, untilMs: 1_000 }],
+    },
+  }, 0);
+  assert.equal(codeOf(limiter.arrive(999)), "admit");
+  assert.equal(codeOf(limiter.arrive(999)), "admit");
+  limiter.end("r0", 999);
+  assert.equal(
+    codeOf(limiter.arrive(1_000)),
+    "DANDELIONBANK_CONCURRENCY_LIMITED",
+  );
+});
+
+test("Under overload an organisation inside its share is served first", () => {
+  const greedy = createContract({
+    organisation: "greedy",
+    requestsPerSecond: 1_000,
+    concurrentRequests: 100,
+  });
+  const modest = createContract({ requestsPerSecond: 100 });
+  const limiter = createLimiter([greedy, modest]);
+  limiter.send({
+    type: "capacityChanged",
+    pool: "review",
+    concurrentRequests: 20,
+  }, 0);
+  limiter.arrive(0);
+  const codes = Array.from(
+    { length: 20 },
+    () => codeOf(limiter.arrive(0, { organisation: "greedy" })),
+  );
+  assert.equal(codes.filter((code) => code === "admit").length, 14);
+  assert.equal(codes.at(-1), "DANDELIONBANK_OVERLOADED");
+  assert.equal(codeOf(limiter.arrive(0)), "admit");
+});
+
+test("What can't be is refused or reported, never counted", () => {
+  const limiter = createLimiter([createContract()]);
+  assert.equal(
+    codeOf(limiter.arrive(0, { organisation: "nobody" })),
+    "DANDELIONBANK_ORGANISATION_UNKNOWN",
+  );
+  limiter.arrive(0, { requestId: "x" });
+  assert.equal(
+    codeOf(limiter.arrive(0, { requestId: "x" })),
+    "invariantViolated",
+  );
+  limiter.end("x", 1);
+  assert.equal(codeOf(limiter.end("x", 1)[0]!), "invariantViolated");
+});
