Pick the target of each attempt by a named policy

Placement had no core. The policies random, roundRobin, leastRequests and powerOfTwo choose among a subset that differs by entry; the estimate of a target's load is the entry's own count plus what others have there by a report that fades to the pool's mean. A first try took the mean of the reports alone: one busy report made every silent target look as busy, and a test of prefix affinity failed; one idle target is now counted with them.

--- /dev/null
+++ b/routing/pick-target/src/pick_target_test.ts
@@ -0,0 +1,243 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { TargetLoad } from "@dandelionbank/types";
+import { createPlacementState, pickTarget } from "./mod.ts";
+import type {
+  PlacementEffect,
+  PlacementEvent,
+  PlacementState,
+  PlacementTarget,
+} from "./mod.ts";
+
+interface PlacementFixture {
+  readonly entry?: string;
+  readonly policy?: string;
+  readonly subsetSize?: number;
+  readonly targets?: readonly PlacementTarget[];
+}
+
+function hash(text: string): number {
+  let value = 2166136261;
+  for (let index = 0; index < text.length; index++) {
+    value = Math.imul(value ^ text.charCodeAt(index), 16777619);
+  }
+  return value >>> 0;
+}
+
+function createRandom(seed = 7) {
+  let state = seed;
+  return () => {
+    state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
+function createTargets(
+  count: number,
+  state: PlacementState = "open",
+): PlacementTarget[] {
+  return Array.from({ length: count }, (_, index) => ({
+    name: `t${index}`,
+    pool: "p",
+    state,
+  }));
+}
+
+function createLoad(inFlight: number): TargetLoad {
+  return { inFlight, queued: 0, cachedTokens: 0 };
+}
+
+function createPlacement(
+  { targets = createTargets(4), entry = "a", ...options }: PlacementFixture =
+    {},
+) {
+  const state = createPlacementState({
+    entry,
+    random: createRandom(),
+    hash,
+    ...options,
+  });
+  const send = (event: PlacementEvent, nowMs = 0) =>
+    pickTarget(state, event, nowMs).effects;
+  let picks = 0;
+  const pick = (
+    nowMs = 0,
+    { exclude = [], ...rest }: {
+      readonly exclude?: readonly string[];
+      readonly prefixHash?: number;
+      readonly attemptId?: string;
+    } = {},
+  ) =>
+    send({
+      type: "pickWanted",
+      attemptId: `x${picks++}`,
+      pool: "p",
+      exclude,
+      ...rest,
+    }, nowMs)[0]!;
+  send({ type: "targetsChanged", targets });
+  return { send, pick };
+}
+
+function targetOf(effect: PlacementEffect): string {
+  return effect.type === "picked" ? effect.target : effect.type;
+}
+
+for (const policy of ["random", "roundRobin", "leastRequests", "powerOfTwo"]) {
+  test(`Policy ${policy} uses every target and no other`, () => {
+    const { pick } = createPlacement({ policy });
+    const used = new Set(Array.from({ length: 60 }, () => targetOf(pick())));
+    assert.deepEqual([...used].sort(), ["t0", "t1", "t2", "t3"]);
+  });
+}
+
+for (const policy of ["leastRequests", "powerOfTwo"]) {
+  test(`Policy ${policy} avoids a target that others keep busy`, () => {
+    const { send, pick } = createPlacement({ policy });
+    send({ type: "loadReported", target: "t0", load: createLoad(100) });
+    for (const name of ["t1", "t2", "t3"]) {
+      send({ type: "loadReported", target: name, load: createLoad(0) });
+    }
+    const used = Array.from({ length: 20 }, () => targetOf(pick()));
+    assert.ok(!used.includes("t0"));
+  });
+}
+
+test("An old report no longer keeps a target out", () => {
+  const { send, pick } = createPlacement({ policy: "leastRequests" });
+  send({ type: "loadReported", target: "t0", load: createLoad(8) });
+  for (const name of ["t1", "t2", "t3"]) {
+    send({ type: "loadReported", target: name, load: createLoad(0) });
+  }
+  const used = Array.from({ length: 8 }, () => targetOf(pick(20_000)));
+  assert.ok(used.includes("t0"));
+});
+
+const NEVER_PICKED: readonly {
+  readonly title: string;
+  readonly prepare: (fixture: ReturnType<typeof createPlacement>) => void;
+  readonly exclude?: readonly string[];
+}[] = [
+  { title: "excluded", prepare: () => {}, exclude: ["t0"] },
+  {
+    title: "closed",
+    prepare: ({ send }) =>
+      send({
+        type: "targetsChanged",
+        targets: createTargets(4).map((target) =>
+          target.name === "t0" ? { ...target, state: "closed" } : target
+        ),
+      }),
+  },
+  {
+    title: "suspected",
+    prepare: ({ send }) =>
+      send({
+        type: "targetsChanged",
+        targets: createTargets(4).map((target) =>
+          target.name === "t0" ? { ...target, state: "suspected" } : target
+        ),
+      }),
+  },
+  {
+    title: "refusing",
+    prepare: ({ send, pick }) => {
+      pick(0, { attemptId: "r", exclude: ["t1", "t2", "t3"] });
+      send({ type: "targetReplied", attemptId: "r", refusedForMs: 500 });
+    },
+  },
+  {
+    title: "lost",
+    prepare: ({ send, pick }) => {
+      pick(0, { attemptId: "l", exclude: ["t1", "t2", "t3"] });
+      send({ type: "targetLost", attemptId: "l" });
+    },
+  },
+];
+
+for (const { title, prepare, exclude = [] } of NEVER_PICKED) {
+  test(`A target is passed over while it is ${title}`, () => {
+    const fixture = createPlacement();
+    prepare(fixture);
+    for (let i = 0; i < 40; i++) {
+      const effect = fixture.pick(100, { exclude, prefixHash: i * 7919 });
+      assert.notEqual(targetOf(effect), "t0");
+      assert.equal(effect.type, "picked");
+    }
+  });
+}
+
+test("A suspected target is still better than none", () => {
+  const { pick } = createPlacement({ targets: createTargets(1, "suspected") });
+  assert.equal(targetOf(pick()), "t0");
+});
+
+test("A refusal says when something may serve", () => {
+  const { send, pick } = createPlacement({ targets: createTargets(2) });
+  for (const [index, refusedForMs] of [700, 300].entries()) {
+    pick(0, { attemptId: `b${index}`, exclude: [`t${1 - index}`] });
+    send({ type: "targetReplied", attemptId: `b${index}`, refusedForMs });
+  }
+  assert.deepEqual(pick(100, { attemptId: "y" }), {
+    type: "refused",
+    attemptId: "y",
+    code: "DANDELIONBANK_POOL_BUSY",
+    retryAfterMs: 200,
+  });
+  assert.equal(targetOf(pick(300)), "t1");
+});
+
+test("An empty pool refuses at once", () => {
+  const { pick } = createPlacement({ targets: [] });
+  assert.deepEqual(pick(0, { attemptId: "y" }), {
+    type: "refused",
+    attemptId: "y",
+    code: "DANDELIONBANK_POOL_EMPTY",
+    retryAfterMs: 1_000,
+  });
+});
+
+test("A prefix keeps to its target while that isn't far above the mean", () => {
+  const { send, pick } = createPlacement({ targets: createTargets(16) });
+  const home = targetOf(pick(0, { prefixHash: 99 }));
+  assert.equal(targetOf(pick(0, { prefixHash: 99 })), home);
+  send({ type: "loadReported", target: home, load: createLoad(50) });
+  assert.notEqual(targetOf(pick(0, { prefixHash: 99 })), home);
+});
+
+test("Entries' subsets are bounded, differ, and cover the pool together", () => {
+  const covered = new Set<string>();
+  const ofEach = [..."abcdefghijkl"].map((entry) => {
+    const { pick } = createPlacement({
+      entry,
+      subsetSize: 16,
+      targets: createTargets(32),
+    });
+    const used = new Set(Array.from({ length: 400 }, () => targetOf(pick())));
+    for (const name of used) covered.add(name);
+    return used;
+  });
+  assert.ok(ofEach.every((used) => used.size === 16));
+  assert.notDeepEqual([...ofEach[0]!].sort(), [...ofEach[1]!].sort());
+  assert.equal(covered.size, 32);
+});
+
+test("What an entry has in flight survives a change of the list", () => {
+  const { send, pick } = createPlacement({
+    policy: "leastRequests",
+    targets: createTargets(2),
+  });
+  const first = targetOf(pick());
+  send({ type: "targetsChanged", targets: createTargets(2) });
+  assert.notEqual(targetOf(pick()), first);
+});
+
+test("An attempt that ends twice is reported and not counted", () => {
+  const { send, pick } = createPlacement();
+  pick(0, { attemptId: "x" });
+  assert.deepEqual(send({ type: "targetReplied", attemptId: "x" }), []);
+  assert.equal(
+    send({ type: "targetLost", attemptId: "x" })[0]?.type,
+    "invariantViolated",
+  );
+});
