Mend the list of shared types after the merge

Cause: the merge before left conflict markers in foundation/types/src/mod.ts, so that its build failed.

--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -1,10 +1,7 @@
 /** Types that several packages share. They hold no behaviour. */
 
-<<<<<<< HEAD
 export type * from "./agent_view.ts";
-=======
 export type * from "./allowance.ts";
->>>>>>> limits
 export type * from "./attempt.ts";
 export type * from "./config.ts";
 export type * from "./contract.ts";
