Name the agent's incarnation in each attempt, and let an entry ask

Cause: the admission core refuses attempts that were meant for an earlier incarnation of the agent and answers questions about attempts, so the message carries both. Round trips pass.

--- a/foundation/types/src/attempt.ts
+++ b/foundation/types/src/attempt.ts
@@ -24,6 +24,26 @@
   readonly viewRevision: number;
 }
 
+/** Asks an agent to run a request. The caller's body follows. */
+export interface AttemptMessage {
+  readonly kind: "attempt";
+  /** Incarnation of the agent that the entry means. */
+  readonly agentIncarnation: string;
+  readonly head: AttemptHead;
+}
+
+/**
+ * Asks an agent what became of an attempt. One that never arrived is refused
+ * from then on.
+ */
+export interface AttemptQuestion {
+  readonly kind: "question";
+  readonly agentIncarnation: string;
+  readonly attemptId: string;
+  readonly organisation: string;
+  readonly key?: string;
+}
+
 /** What an agent sends back for an attempt, in order. */
 export type AttemptFrame =
   | AttemptAdmitted
--- a/peers/exchange-attempts/src/exchange_attempts_test.ts
+++ b/peers/exchange-attempts/src/exchange_attempts_test.ts
@@ -1,13 +1,18 @@
-import type { AttemptFrame, AttemptHead } from "@dandelionbank/types";
+import type {
+  AttemptFrame,
+  AttemptHead,
+  AttemptMessage,
+  AttemptQuestion,
+} from "@dandelionbank/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import * as fc from "fast-check";
 import {
   encodeFrame,
-  encodeHead,
+  encodeMessage,
   LineSplitter,
   parseFrame,
-  parseHead,
+  parseMessage,
 } from "./mod.ts";
 
 const LOAD = { inFlight: 1, queued: 0, cachedTokens: 7 };
@@ -70,12 +75,26 @@
   }
 });
 
-test("A head is read back, and a wrong one says which field is wrong", () => {
-  const head: AttemptHead = createHead();
-  assert.deepEqual(parseHead(encodeHead(head).trimEnd()), { kind: "ok", head });
-  const wrong = parseHead(encodeHead({ ...head, path: "no-slash" }));
+test("A message is read back, and a wrong one says which field is wrong", () => {
+  const message: AttemptMessage = {
+    kind: "attempt",
+    agentIncarnation: "g1",
+    head: createHead(),
+  };
+  const question: AttemptQuestion = {
+    kind: "question",
+    agentIncarnation: "g1",
+    attemptId: "e1.1",
+    organisation: "acme",
+  };
+  for (const each of [message, question]) {
+    const line = encodeMessage(each).trimEnd();
+    assert.deepEqual(parseMessage(line), { kind: "ok", message: each });
+  }
+  const head = { ...createHead(), path: "no-slash" };
+  const wrong = parseMessage(encodeMessage({ ...message, head }));
   assert.equal(wrong.kind, "invalid");
-  assert.match(wrong.kind === "invalid" ? wrong.problem : "", /^path: /);
+  assert.match(wrong.kind === "invalid" ? wrong.problem : "", /^head\.path: /);
 });
 
 function createHead(): AttemptHead {
--- /dev/null
+++ b/peers/exchange-attempts/src/message_codec.ts
@@ -0,0 +1,64 @@
+/** The first line of a request to an agent, in JSON. */
+
+import type { AttemptMessage, AttemptQuestion } from "@dandelionbank/types";
+import * as v from "valibot";
+
+export type MessageResult =
+  | { readonly kind: "ok"; readonly message: AttemptMessage | AttemptQuestion }
+  | { readonly kind: "invalid"; readonly problem: string };
+
+const HEAD_SCHEMA = v.object({
+  attemptId: v.pipe(v.string(), v.minLength(1), v.maxLength(200)),
+  requestId: v.pipe(v.string(), v.minLength(1), v.maxLength(200)),
+  organisation: v.pipe(v.string(), v.minLength(1)),
+  key: v.optional(v.pipe(v.string(), v.minLength(1), v.maxLength(600))),
+  fingerprint: v.pipe(v.string(), v.minLength(1)),
+  entry: v.pipe(v.string(), v.minLength(1)),
+  entryIncarnation: v.pipe(v.string(), v.minLength(1)),
+  idempotent: v.boolean(),
+  method: v.pipe(v.string(), v.minLength(1)),
+  path: v.pipe(v.string(), v.startsWith("/")),
+  contentType: v.string(),
+  priority: v.pipe(v.number(), v.integer()),
+  timeLeftMs: v.pipe(v.number(), v.minValue(0)),
+  viewRevision: v.pipe(v.number(), v.integer()),
+});
+
+const MESSAGE_SCHEMA = v.variant("kind", [
+  v.object({
+    kind: v.literal("attempt"),
+    agentIncarnation: v.string(),
+    head: HEAD_SCHEMA,
+  }),
+  v.object({
+    kind: v.literal("question"),
+    agentIncarnation: v.string(),
+    attemptId: v.pipe(v.string(), v.minLength(1), v.maxLength(200)),
+    organisation: v.pipe(v.string(), v.minLength(1)),
+    key: v.optional(v.pipe(v.string(), v.minLength(1), v.maxLength(600))),
+  }),
+]);
+
+export function encodeMessage(
+  message: AttemptMessage | AttemptQuestion,
+): string {
+  return JSON.stringify(message) + "\n";
+}
+
+export function parseMessage(line: string): MessageResult {
+  const parsed = v.safeParse(MESSAGE_SCHEMA, readJson(line));
+  if (parsed.success) return { kind: "ok", message: parsed.output };
+  const issue = parsed.issues[0];
+  return {
+    kind: "invalid",
+    problem: `${v.getDotPath(issue) ?? "message"}: ${issue.message}`,
+  };
+}
+
+function readJson(line: string): unknown {
+  try {
+    return JSON.parse(line);
+  } catch {
+    return undefined;
+  }
+}
--- a/peers/exchange-attempts/src/mod.ts
+++ b/peers/exchange-attempts/src/mod.ts
@@ -5,6 +5,6 @@
 
 export { encodeFrame, parseFrame } from "./frame_codec.ts";
 export type { FrameResult } from "./frame_codec.ts";
-export { encodeHead, parseHead } from "./head_codec.ts";
-export type { HeadResult } from "./head_codec.ts";
 export { LineSplitter } from "./line_splitter.ts";
+export { encodeMessage, parseMessage } from "./message_codec.ts";
+export type { MessageResult } from "./message_codec.ts";
--- a/peers/send-attempts/src/agent_connection.ts
+++ b/peers/send-attempts/src/agent_connection.ts
@@ -5,7 +5,7 @@
  */
 
 import {
-  encodeHead,
+  encodeMessage,
   LineSplitter,
   parseFrame,
 } from "@dandelionbank/exchange-attempts";
@@ -16,7 +16,11 @@
   type RunningRequest,
   type TlsOptions,
 } from "@dandelionbank/open-http";
-import type { AttemptFrame, AttemptHead } from "@dandelionbank/types";
+import type {
+  AttemptFrame,
+  AttemptMessage,
+  AttemptQuestion,
+} from "@dandelionbank/types";
 import { StringDecoder } from "node:string_decoder";
 
 export interface AgentConnectionOptions {
@@ -51,7 +55,7 @@
   }
 
   send(
-    head: AttemptHead,
+    message: AttemptMessage | AttemptQuestion,
     body: Uint8Array,
     listener: AttemptListener,
   ): RunningRequest {
@@ -63,7 +67,7 @@
           "authorization": `Bearer ${this.#peerSecret}`,
           "content-type": "application/octet-stream",
         },
-        body: Buffer.concat([Buffer.from(encodeHead(head)), body]),
+        body: Buffer.concat([Buffer.from(encodeMessage(message)), body]),
       },
       new FrameHandler(listener),
     );
--- a/peers/serve-peers/src/peer_server.ts
+++ b/peers/serve-peers/src/peer_server.ts
@@ -3,8 +3,12 @@
  * proved the shared secret.
  */
 
-import { encodeFrame, parseHead } from "@dandelionbank/exchange-attempts";
-import type { AttemptFrame, AttemptHead } from "@dandelionbank/types";
+import { encodeFrame, parseMessage } from "@dandelionbank/exchange-attempts";
+import type {
+  AttemptFrame,
+  AttemptMessage,
+  AttemptQuestion,
+} from "@dandelionbank/types";
 import type { AnyRouter } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { createHash, timingSafeEqual } from "node:crypto";
@@ -26,9 +30,9 @@
 /** Longest body of an attempt: the callers' limit and the head. */
 const ATTEMPT_LIMIT_BYTES = 64 * 1024 * 1024;
 
-/** One attempt as it arrived. */
+/** One attempt, or a question about one, as it arrived. */
 export interface AttemptRequest {
-  readonly head: AttemptHead;
+  readonly message: AttemptMessage | AttemptQuestion;
   readonly body: Buffer;
 }
 
@@ -148,9 +152,9 @@
 function parseAttempt(bytes: Buffer): AttemptRequest | undefined {
   const end = bytes.indexOf(LINE_FEED);
   if (end < 0) return undefined;
-  const parsed = parseHead(bytes.toString("utf8", 0, end));
+  const parsed = parseMessage(bytes.toString("utf8", 0, end));
   if (parsed.kind === "invalid") return undefined;
-  return { head: parsed.head, body: bytes.subarray(end + 1) };
+  return { message: parsed.message, body: bytes.subarray(end + 1) };
 }
 
 function createResponder(response: ServerResponse): AttemptResponder {
