Admit attempts at the agent, with its table of keys

Cause: the agent is the only way to its target, so it is where a key runs at most once, a refusal becomes proof, and a stop takes effect at once. Ruled out: remembering each settled attempt for ever (unbounded); refusing with proof on behalf of an earlier incarnation of the agent, which may have run the attempt; holding whole request keys in the table (a digest and small numbers stand for them, for the bound of 200 bytes a key). Before: no admission.

--- /dev/null
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -0,0 +1,179 @@
+/** What becomes of an attempt that arrives, or that an entry asks about. */
+
+import type { AttemptHead } from "@dandelionbank/types";
+import { parseAttemptId, parseRequestKey } from "@dandelionbank/read-ticket";
+import { checkRun } from "./check_run.ts";
+import type { AttemptArrived, AttemptAsked, RefusalCode } from "./events.ts";
+import type { IncarnationRecord } from "./incarnation_table.ts";
+import {
+  fingerprintPart,
+  type KeyRecord,
+  matchesFingerprint,
+  toTimeUnits,
+} from "./key_table.ts";
+import {
+  type AdmitContext,
+  attemptIdOf,
+  fail,
+  forgetRecord,
+  refuse,
+} from "./state.ts";
+
+interface Arrival {
+  readonly head: AttemptHead;
+  readonly keyId: string;
+  readonly number: number;
+  readonly entry: IncarnationRecord;
+  /** Whether it is a keyed call that may not be repeated. */
+  readonly once: boolean;
+}
+
+export function arrive(context: AdmitContext, event: AttemptArrived): void {
+  const { head } = event;
+  const { attemptId } = head;
+  const id = parseAttemptId(attemptId);
+  const keyMissing = (head.key === undefined) !== (event.keyId === undefined);
+  if (id?.entryIncarnation !== head.entryIncarnation || keyMissing) {
+    return refuse(context, { attemptId, code: "badAttemptId" });
+  }
+  if (event.agentIncarnation !== context.state.options.incarnation) {
+    return fail(context, { attemptId, code: "wrongIncarnation" });
+  }
+  const arrival: Arrival = {
+    head,
+    keyId: event.keyId ?? unkeyedId(attemptId),
+    number: id.number,
+    entry: context.state.incarnations.recordOf(id.entryIncarnation),
+    once: event.keyId !== undefined && !head.idempotent,
+  };
+  const code = findRefusal(context, arrival);
+  if (code === undefined) return runOrRepeat(context, arrival);
+  arrival.entry.decide(arrival.number);
+  refuse(context, { attemptId, code });
+}
+
+export function ask(context: AdmitContext, event: AttemptAsked): void {
+  const { attemptId } = event;
+  const { state } = context;
+  const id = parseAttemptId(attemptId);
+  if (id === undefined) {
+    return refuse(context, { attemptId, code: "badAttemptId" });
+  }
+  if (event.agentIncarnation !== state.options.incarnation) {
+    return fail(context, { attemptId, code: "wrongIncarnation" });
+  }
+  const record = state.keys.find(event.keyId ?? unkeyedId(attemptId));
+  if (record !== undefined) return repeat(context, { attemptId, record });
+  const entry = state.incarnations.recordOf(id.entryIncarnation);
+  if (id.number <= entry.forgottenNumber) {
+    return fail(context, { attemptId, code: "attemptForgotten" });
+  }
+  entry.decide(id.number);
+  refuse(context, { attemptId, code: "neverArrived" });
+}
+
+/** The first rule that refuses the arrival. */
+function findRefusal(
+  context: AdmitContext,
+  arrival: Arrival,
+): RefusalCode | undefined {
+  const { state } = context;
+  const { entry, head } = arrival;
+  if (entry.closed) return "incarnationClosed";
+  const record = state.keys.find(arrival.keyId);
+  if (record !== undefined) {
+    return matchesFingerprint(record, head.fingerprint)
+      ? undefined
+      : "keyReused";
+  }
+  if (!state.ready) return "agentStarting";
+  if (entry.isDecided(arrival.number)) return "attemptSettled";
+  if (state.stopReasons.size > 0) return "agentStopping";
+  if (head.timeLeftMs <= 0) return "tooLate";
+  if (state.running.size >= state.options.maxInFlight) return "targetBusy";
+  if (arrival.once && state.keys.isFull) return "tableFull";
+  return undefined;
+}
+
+function runOrRepeat(context: AdmitContext, arrival: Arrival): void {
+  const { attemptId } = arrival.head;
+  const record = context.state.keys.find(arrival.keyId);
+  if (record !== undefined) {
+    arrival.entry.decide(arrival.number);
+    return repeat(context, { attemptId, record });
+  }
+  if (checkRun(context, { ...arrival, attemptId })) run(context, arrival);
+  else refuse(context, { attemptId, code: "invariantViolated" });
+}
+
+/** Answers from what is known of a key, and runs nothing. */
+function repeat(
+  context: AdmitContext,
+  asked: { readonly attemptId: string; readonly record: KeyRecord },
+): void {
+  const { attemptId, record } = asked;
+  const answeredBy = attemptIdOf(record);
+  switch (record.standing) {
+    case "running":
+      return join(context, { attemptId, answeredBy });
+    case "kept":
+      context.effects.push({ type: "replay", attemptId, answeredBy });
+      return;
+    case "dropped":
+      return fail(context, { attemptId, code: "answerNotKept" });
+    case "failed":
+      return fail(context, { attemptId, code: "earlierAttemptFailed" });
+  }
+}
+
+function join(
+  context: AdmitContext,
+  joined: { readonly attemptId: string; readonly answeredBy: string },
+): void {
+  const call = context.state.running.get(joined.answeredBy);
+  call?.listeners.add(joined.attemptId);
+  if (call !== undefined) call.unheardSinceMs = undefined;
+  context.effects.push({ type: "join", ...joined });
+}
+
+function run(context: AdmitContext, arrival: Arrival): void {
+  const { state, nowMs } = context;
+  const { head, keyId, entry } = arrival;
+  const record = createRecord(context, arrival);
+  entry.decide(arrival.number);
+  state.keys.add(keyId, { record, once: arrival.once });
+  state.keys.trimSpare((dropped) => forgetRecord(context, dropped));
+  state.running.set(head.attemptId, {
+    attemptId: head.attemptId,
+    keyId,
+    record,
+    idempotent: head.idempotent,
+    keyed: head.key !== undefined,
+    deadlineMs: nowMs + head.timeLeftMs,
+    listeners: new Set([head.attemptId]),
+    unheardSinceMs: undefined,
+    cancelled: false,
+  });
+  context.effects.push({ type: "run", attemptId: head.attemptId });
+}
+
+function createRecord(context: AdmitContext, arrival: Arrival): KeyRecord {
+  const { head } = arrival;
+  const key = head.key === undefined ? undefined : parseRequestKey(head.key);
+  const { incarnations } = context.state;
+  return {
+    entry: arrival.entry,
+    number: arrival.number,
+    home: key && incarnations.recordOf(key.ticket.incarnation),
+    issuedAt: toTimeUnits(key?.ticket.issuedAtMs ?? 0),
+    fingerprintHigh: fingerprintPart(head.fingerprint, 0),
+    fingerprintLow: fingerprintPart(head.fingerprint, 1),
+    standing: "running",
+    endedAt: 0,
+    keptBytes: 0,
+  };
+}
+
+function unkeyedId(attemptId: string): string {
+  return `attempt ${attemptId}`;
+}
