--- a/daemon/call-target/src/mod.ts
+++ b/daemon/call-target/src/mod.ts
@@ -5,5 +5,6 @@
   RunningCall,
   TargetAdapter,
   TargetCall,
+  TargetFailure,
   TargetSink,
 } from "./target_adapter.ts";
--- /dev/null
+++ b/daemon/run-attempts/src/attempt_run.ts
@@ -0,0 +1,45 @@
+/** One call on the target, written into its answer log as it comes. */
+
+import type {
+  RunningCall,
+  TargetAdapter,
+  TargetFailure,
+} from "@dandelionbank/call-target";
+import type { AnswerLog } from "@dandelionbank/keep-answers";
+import type { AttemptHead } from "@dandelionbank/types";
+
+/** Any number of readers may ask a run to go on. */
+export type AttemptRun = RunningCall;
+
+export interface StartRunOptions {
+  readonly head: AttemptHead;
+  readonly body: Uint8Array;
+  readonly log: AnswerLog;
+  readonly adapter: TargetAdapter;
+  readonly readNowMs: () => number;
+  readonly onWhole: () => void;
+  readonly onFailure: (failure: TargetFailure) => void;
+}
+
+export function startRun(options: StartRunOptions): AttemptRun {
+  const { head, log, adapter, readNowMs } = options;
+  const call: RunningCall = adapter.call(
+    {
+      method: head.method,
+      path: head.path,
+      contentType: head.contentType,
+      priority: head.priority,
+      ...(head.key === undefined ? {} : { key: head.key }),
+      body: options.body,
+    },
+    {
+      onHead: (status, contentType) => log.writeHead(status, contentType),
+      onData: (chunk) => {
+        if (!log.writeData(chunk, readNowMs())) call.pause();
+      },
+      onEnd: options.onWhole,
+      onFailure: options.onFailure,
+    },
+  );
+  return call;
+}
