Deny only attempts that certainly never ran at the agent

Cause: a late copy of an attempt that had run, been answered and been forgotten was refused as settled, and one of a closed incarnation as closed; an entry takes a refusal as proof that nothing ran. Ruled out: remembering every attempt (unbounded).

--- a/routing/admit-attempts/src/admit_attempts.ts
+++ b/routing/admit-attempts/src/admit_attempts.ts
@@ -81,7 +81,7 @@
 }
 
 function close(state: AdmitState, incarnation: string): void {
-  state.incarnations.recordOf(incarnation).close();
+  state.incarnations.recordOf(incarnation).closed = true;
 }
 
 /** Closes the incarnations first, so that what is told stays true. */
--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -3,7 +3,12 @@
 import type { AttemptHead } from "@dandelionbank/types";
 import { parseAttemptId, parseRequestKey } from "@dandelionbank/read-ticket";
 import { checkRun } from "./check_run.ts";
-import type { AttemptArrived, AttemptAsked, RefusalCode } from "./events.ts";
+import type {
+  AttemptArrived,
+  AttemptAsked,
+  FailureCode,
+  RefusalCode,
+} from "./events.ts";
 import type { IncarnationRecord } from "./incarnation_table.ts";
 import {
   fingerprintPart,
@@ -28,6 +33,11 @@
   readonly once: boolean;
 }
 
+type Verdict =
+  | { readonly kind: "take" }
+  | { readonly kind: "refuse"; readonly code: RefusalCode }
+  | { readonly kind: "fail"; readonly code: FailureCode };
+
 export function arrive(context: AdmitContext, event: AttemptArrived): void {
   const { head } = event;
   const { attemptId } = head;
@@ -46,10 +56,11 @@
     entry: context.state.incarnations.recordOf(id.entryIncarnation),
     once: event.keyId !== undefined && !head.idempotent,
   };
-  const code = findRefusal(context, arrival);
-  if (code === undefined) return runOrRepeat(context, arrival);
-  arrival.entry.decide(arrival.number);
-  refuse(context, { attemptId, code });
+  const verdict = judge(context, arrival);
+  if (verdict.kind === "take") return runOrRepeat(context, arrival);
+  arrival.entry.decided.add(arrival.number);
+  if (verdict.kind === "refuse") refuse(context, { attemptId, ...verdict });
+  else fail(context, { attemptId, ...verdict });
 }
 
 export function ask(context: AdmitContext, event: AttemptAsked): void {
@@ -68,11 +79,33 @@
   if (id.number <= entry.forgottenNumber) {
     return fail(context, { attemptId, code: "attemptForgotten" });
   }
-  entry.decide(id.number);
+  entry.decided.add(id.number);
   refuse(context, { attemptId, code: "neverArrived" });
 }
 
-/** The first rule that refuses the arrival. */
+/**
+ * The first rule that stands against the arrival. A refusal is the agent's
+ * word that neither this attempt nor, under its key, any other ran here; where
+ * one may have run, the attempt fails instead.
+ */
+function judge(context: AdmitContext, arrival: Arrival): Verdict {
+  const { entry, head, keyId } = arrival;
+  const record = context.state.keys.find(keyId);
+  if (record !== undefined) {
+    if (!matchesFingerprint(record, head.fingerprint)) {
+      return { kind: "refuse", code: "keyReused" };
+    }
+    if (entry.closed) return { kind: "fail", code: "incarnationClosed" };
+    return { kind: "take" };
+  }
+  if (arrival.number <= entry.forgottenNumber) {
+    return { kind: "fail", code: "attemptForgotten" };
+  }
+  const code = findRefusal(context, arrival);
+  return code === undefined ? { kind: "take" } : { kind: "refuse", code };
+}
+
+/** Why an attempt with an unknown key is not run. */
 function findRefusal(
   context: AdmitContext,
   arrival: Arrival,
@@ -80,14 +113,8 @@
   const { state } = context;
   const { entry, head } = arrival;
   if (entry.closed) return "incarnationClosed";
-  const record = state.keys.find(arrival.keyId);
-  if (record !== undefined) {
-    return matchesFingerprint(record, head.fingerprint)
-      ? undefined
-      : "keyReused";
-  }
   if (!state.ready) return "agentStarting";
-  if (entry.isDecided(arrival.number)) return "attemptSettled";
+  if (entry.decided.has(arrival.number)) return "attemptSettled";
   if (state.stopReasons.size > 0) return "agentStopping";
   if (head.timeLeftMs <= 0) return "tooLate";
   if (state.running.size >= state.options.maxInFlight) return "targetBusy";
@@ -99,7 +126,7 @@
   const { attemptId } = arrival.head;
   const record = context.state.keys.find(arrival.keyId);
   if (record !== undefined) {
-    arrival.entry.decide(arrival.number);
+    arrival.entry.decided.add(arrival.number);
     return repeat(context, { attemptId, record });
   }
   if (checkRun(context, { ...arrival, attemptId })) run(context, arrival);
@@ -140,7 +167,7 @@
   const { state, nowMs } = context;
   const { head, keyId, entry } = arrival;
   const record = createRecord(context, arrival);
-  entry.decide(arrival.number);
+  entry.decided.add(arrival.number);
   state.keys.add(keyId, { record, once: arrival.once });
   state.keys.trimSpare((dropped) => forgetRecord(context, dropped));
   state.running.set(head.attemptId, {
--- a/routing/admit-attempts/src/check_run.ts
+++ b/routing/admit-attempts/src/check_run.ts
@@ -20,7 +20,7 @@
   const { state } = context;
   const { maxInFlight, maxKeys } = state.options;
   const rules: readonly (readonly [string, boolean])[] = [
-    ["attemptDecidedOnce", !run.entry.isDecided(run.number)],
+    ["attemptDecidedOnce", !run.entry.decided.has(run.number)],
     ["keyRunsOnce", state.keys.find(run.keyId) === undefined],
     ["closedIncarnationStaysOut", !run.entry.closed],
     ["nothingBeforeClosingsRead", state.ready],
--- a/routing/admit-attempts/src/events.ts
+++ b/routing/admit-attempts/src/events.ts
@@ -40,6 +40,7 @@
   | "answerNotKept"
   | "attemptForgotten"
   | "earlierAttemptFailed"
+  | "incarnationClosed"
   | "wrongIncarnation";
 
 /** Why the agent takes no new work. */
--- a/routing/admit-attempts/src/state.ts
+++ b/routing/admit-attempts/src/state.ts
@@ -68,7 +68,8 @@
   const waits = refusal.code === "tableFull" || refusal.code === "targetBusy";
   context.effects.push({
     type: "refuse",
-    ...refusal,
+    attemptId: refusal.attemptId,
+    code: refusal.code,
     retryAfterMs: waits ? context.state.options.retryAfterMs : 0,
   });
 }
@@ -77,7 +78,8 @@
   context: AdmitContext,
   failure: { readonly attemptId: string; readonly code: FailureCode },
 ): void {
-  context.effects.push({ type: "fail", ...failure });
+  const { attemptId, code } = failure;
+  context.effects.push({ type: "fail", attemptId, code });
 }
 
 /** Takes note of a record that left the table. */
--- a/routing/read-ticket/src/mod.ts
+++ b/routing/read-ticket/src/mod.ts
@@ -1,7 +1,8 @@
-/** Text form of tickets, request keys and attempt ids. */
+/** Tickets, request keys, attempt ids and the numbers in them. */
 
 export { formatAttemptId, parseAttemptId } from "./attempt_id.ts";
 export type { AttemptIdParts } from "./attempt_id.ts";
+export { DecidedNumbers } from "./decided_numbers.ts";
 export {
   formatTicket,
   parseRequestKey,
