Track requests at the entry, from arrival to one outcome

Cause: an entry has to give each caller the whole answer to its own request or a true word about what became of it, whatever happens to attempts, agents and other entries. Ruled out: answering not run from the failure of a connection (only an attempt that was never sent or that its agent refused proves it; the type of a notRun outcome cannot be made elsewhere); repeating a silent attempt before its agent was asked; letting an entry that may have been replaced speak for its keys. Before: no ledger.

--- /dev/null
+++ b/routing/track-requests/src/callers.ts
@@ -0,0 +1,149 @@
+/** What goes out to the callers of a request. */
+
+import type { Answer } from "./effects.ts";
+import type { KeptAnswer } from "./key_results.ts";
+import { proveNotRun } from "./not_run.ts";
+import type { Request } from "./request.ts";
+import type { SentAnswer } from "./sent_answer.ts";
+import { check, type TrackContext } from "./state.ts";
+
+export interface CallerOfRequest {
+  readonly request: Request;
+  readonly callerId: string;
+}
+
+/** Adds a caller, and sends it what the others have had. */
+export function addCaller(context: TrackContext, added: CallerOfRequest): void {
+  const { request, callerId } = added;
+  const { sent } = request;
+  request.callers.set(callerId, { sentCharacters: sent?.characters ?? 0 });
+  context.state.callers.set(callerId, request);
+  if (sent === undefined) return;
+  sendHead(context, { callerId, sent });
+  for (const data of sent.parts) {
+    context.effects.push({ type: "sendData", callerId, data });
+  }
+}
+
+export function removeCaller(
+  context: TrackContext,
+  callerId: string,
+): Request | undefined {
+  const request = context.state.callers.get(callerId);
+  context.state.callers.delete(callerId);
+  request?.callers.delete(callerId);
+  return request;
+}
+
+export function sendHeads(context: TrackContext, request: Request): void {
+  const { sent } = request;
+  if (sent === undefined) return;
+  for (const callerId of request.callers.keys()) {
+    sendHead(context, { callerId, sent });
+  }
+}
+
+export function sendData(
+  context: TrackContext,
+  sending: { readonly request: Request; readonly data: string },
+): void {
+  const { request, data } = sending;
+  for (const [callerId, caller] of request.callers) {
+    caller.sentCharacters += data.length;
+    context.effects.push({ type: "sendData", callerId, data });
+  }
+}
+
+/** Closes a whole answer for every caller. */
+export function sendEnds(
+  context: TrackContext,
+  ending: { readonly request: Request; readonly answer: EndOfAnswer },
+): void {
+  const { request, answer } = ending;
+  for (const [callerId, caller] of request.callers) {
+    const holds = caller.sentCharacters === answer.characters;
+    check(context, { invariant: "wholeAnswer", holds, detail: callerId });
+    removeCaller(context, callerId);
+    if (!holds) {
+      sendAnswer(context, {
+        request,
+        callerId,
+        outcome: { kind: "failed", code: "invariantViolated" },
+      });
+      continue;
+    }
+    const { lengthBytes, digest } = answer;
+    context.effects.push({ type: "sendEnd", callerId, lengthBytes, digest });
+  }
+}
+
+export interface EndOfAnswer {
+  readonly characters: number;
+  readonly lengthBytes: number;
+  readonly digest: string;
+}
+
+/** Ends every caller's request with the same outcome. */
+export function answerCallers(
+  context: TrackContext,
+  ending: { readonly request: Request; readonly outcome: Answer["outcome"] },
+): void {
+  for (const callerId of ending.request.callers.keys()) {
+    removeCaller(context, callerId);
+    sendAnswer(context, { ...ending, callerId });
+  }
+}
+
+/** Sends an ended request's kept answer to one more caller. */
+export function replayAnswer(
+  context: TrackContext,
+  replay: { readonly callerId: string; readonly answer: KeptAnswer },
+): void {
+  const { callerId, answer } = replay;
+  const { lengthBytes, digest } = answer;
+  sendHead(context, { callerId, sent: answer });
+  for (const data of answer.parts) {
+    context.effects.push({ type: "sendData", callerId, data });
+  }
+  context.effects.push({ type: "sendEnd", callerId, lengthBytes, digest });
+}
+
+function sendAnswer(
+  context: TrackContext,
+  ending: CallerOfRequest & { readonly outcome: Answer["outcome"] },
+): void {
+  const { request, callerId, outcome } = ending;
+  const { requestId } = request.info;
+  const proven = outcome.kind !== "notRun" || request.stage !== "here" ||
+    proveNotRun(request.attempts) !== undefined;
+  const holds = check(context, {
+    invariant: "notRunIsProven",
+    holds: proven,
+    detail: requestId,
+  });
+  context.effects.push({
+    type: "answer",
+    callerId,
+    requestId,
+    outcome: holds ? outcome : { kind: "unknown", code: "invariantViolated" },
+    headSent: request.sent !== undefined,
+  });
+}
+
+function sendHead(
+  context: TrackContext,
+  sending: {
+    readonly callerId: string;
+    readonly sent: Pick<SentAnswer, "head">;
+  },
+): void {
+  const { status, contentType, encoding } = sending.sent.head;
+  const { callerId } = sending;
+  context.effects.push({
+    type: "sendHead",
+    callerId,
+    status,
+    contentType,
+    encoding,
+  });
+}
--- /dev/null
+++ b/routing/track-requests/src/key_results.ts
@@ -0,0 +1,119 @@
+/**
+ * The keys that this entry arbitrates: those under way, and the results of
+ * those that ended, kept until their ticket has expired.
+ */
+
+import type {
+  AttemptAnswerHead,
+  FailedOutcome,
+  UnknownOutcome,
+} from "@dandelionbank/types";
+import type { Request } from "./request.ts";
+
+/** An answer that a repeat gets again. */
+export interface KeptAnswer {
+  readonly head: AttemptAnswerHead;
+  readonly parts: readonly string[];
+  readonly lengthBytes: number;
+  readonly digest: string;
+}
+
+export interface KeyResult {
+  readonly organisation: string;
+  readonly fingerprint: string;
+  readonly idempotent: boolean;
+  readonly expiresAtMs: number;
+  /** Absent if the call was answered. */
+  readonly outcome: FailedOutcome | UnknownOutcome | undefined;
+  /** Absent if there was no room for it. */
+  readonly answer: KeptAnswer | undefined;
+}
+
+export interface KeyResultLimits {
+  readonly maxKeys: number;
+  readonly maxKeptBytes: number;
+}
+
+export class KeyResults {
+  readonly #limits: KeyResultLimits;
+  readonly #active = new Map<string, Request>();
+  readonly #results = new Map<string, KeyResult>();
+  #keptBytes = 0;
+
+  private constructor(limits: KeyResultLimits) {
+    this.#limits = limits;
+  }
+
+  static create(limits: KeyResultLimits): KeyResults {
+    return new KeyResults(limits);
+  }
+
+  get size(): number {
+    return this.#active.size + this.#results.size;
+  }
+
+  get keptBytes(): number {
+    return this.#keptBytes;
+  }
+
+  findActive(keyId: string): Request | undefined {
+    return this.#active.get(keyId);
+  }
+
+  findResult(keyId: string): KeyResult | undefined {
+    return this.#results.get(keyId);
+  }
+
+  /** Registers a key under way; false if there is no room for it. */
+  claim(keyId: string, request: Request): boolean {
+    if (this.size >= this.#limits.maxKeys) {
+      this.#dropIdempotent(() => this.size < this.#limits.maxKeys);
+    }
+    if (this.size >= this.#limits.maxKeys) return false;
+    this.#active.set(keyId, request);
+    return true;
+  }
+
+  /** Forgets a key under way, which never ran or may run again. */
+  release(keyId: string): void {
+    this.#active.delete(keyId);
+  }
+
+  /** Forgets the result of a call that may run again. */
+  forgetResult(keyId: string): void {
+    const result = this.#results.get(keyId);
+    if (result === undefined) return;
+    this.#results.delete(keyId);
+    this.#keptBytes -= bytesOf(result);
+  }
+
+  /** Ends a key under way; its answer is kept if there is room. */
+  end(keyId: string, result: KeyResult): void {
+    this.#active.delete(keyId);
+    const bytes = bytesOf(result);
+    const fits = () => this.#keptBytes + bytes <= this.#limits.maxKeptBytes;
+    if (!fits()) this.#dropIdempotent(fits);
+    const kept = fits() ? result : { ...result, answer: undefined };
+    this.#keptBytes += bytesOf(kept);
+    this.#results.set(keyId, kept);
+  }
+
+  /** Forgets results whose tickets have expired. */
+  expire(nowMs: number): void {
+    for (const [keyId, result] of this.#results) {
+      if (result.expiresAtMs > nowMs) return;
+      this.forgetResult(keyId);
+    }
+  }
+
+  #dropIdempotent(isEnough: () => boolean): void {
+    for (const [keyId, result] of this.#results) {
+      if (isEnough()) return;
+      if (result.idempotent) this.forgetResult(keyId);
+    }
+  }
+}
+
+function bytesOf(result: KeyResult): number {
+  return result.answer?.lengthBytes ?? 0;
+}
--- /dev/null
+++ b/routing/track-requests/src/repeats.ts
@@ -0,0 +1,111 @@
+/** A key that is known here arrives again. */
+
+import { addCaller, replayAnswer } from "./callers.ts";
+import type { Answer } from "./effects.ts";
+import type { IncomingRequest } from "./events.ts";
+import type { KeyResult } from "./key_results.ts";
+import { createNotRun } from "./not_run.ts";
+import type { Request } from "./request.ts";
+import { check, isSureArbiter, type TrackContext } from "./state.ts";
+
+export interface Repeat {
+  readonly callerId: string;
+  readonly info: IncomingRequest;
+  readonly keyId: string;
+}
+
+/**
+ * Joins the request under way or gives its result again. Returns false if the
+ * key is not known here, or may run anew.
+ */
+export function repeatKey(context: TrackContext, repeat: Repeat): boolean {
+  const { keys } = context.state;
+  const active = keys.findActive(repeat.keyId);
+  if (active !== undefined) {
+    joinRequest(context, { repeat, request: active });
+    return true;
+  }
+  const result = keys.findResult(repeat.keyId);
+  if (result === undefined) return false;
+  return repeatResult(context, { repeat, result });
+}
+
+function joinRequest(
+  context: TrackContext,
+  joined: { readonly repeat: Repeat; readonly request: Request },
+): void {
+  const { repeat, request } = joined;
+  if (!isSameCall(context, { repeat, known: request.info })) {
+    return answerReused(context, repeat);
+  }
+  const deadlineMs = context.nowMs + repeat.info.timeLeftMs;
+  request.deadlineMs = request.background
+    ? deadlineMs
+    : Math.max(request.deadlineMs, deadlineMs);
+  request.background = false;
+  addCaller(context, { request, callerId: repeat.callerId });
+}
+
+function repeatResult(
+  context: TrackContext,
+  repeated: { readonly repeat: Repeat; readonly result: KeyResult },
+): boolean {
+  const { repeat, result } = repeated;
+  const { callerId } = repeat;
+  if (!isSameCall(context, { repeat, known: result })) {
+    answerReused(context, repeat);
+    return true;
+  }
+  const { answer, outcome } = result;
+  if (answer !== undefined) {
+    replayAnswer(context, { callerId, answer });
+    return true;
+  }
+  if (result.idempotent) {
+    context.state.keys.forgetResult(repeat.keyId);
+    return false;
+  }
+  const lost = { kind: "failed", code: "answerNotKept" } as const;
+  answerRepeat(context, { repeat, outcome: outcome ?? lost });
+  return true;
+}
+
+function isSameCall(
+  context: TrackContext,
+  compared: {
+    readonly repeat: Repeat;
+    readonly known: { organisation: string; fingerprint: string };
+  },
+): boolean {
+  const { repeat, known } = compared;
+  const own = check(context, {
+    invariant: "answerStaysInOrganisation",
+    holds: repeat.info.organisation === known.organisation,
+    detail: repeat.info.requestId,
+  });
+  return own && repeat.info.fingerprint === known.fingerprint;
+}
+
+/** The key was used for another call; this one was never dispatched. */
+function answerReused(context: TrackContext, repeat: Repeat): void {
+  const reason = { code: "keyReused", retryAfterMs: 0 };
+  const notRun = createNotRun([], reason);
+  const outcome = notRun !== undefined && isSureArbiter(context)
+    ? notRun
+    : { kind: "unknown", code: "keyReused" } as const;
+  answerRepeat(context, { repeat, outcome });
+}
+
+function answerRepeat(
+  context: TrackContext,
+  answered: { readonly repeat: Repeat; readonly outcome: Answer["outcome"] },
+): void {
+  const { callerId, info } = answered.repeat;
+  context.effects.push({
+    type: "answer",
+    callerId,
+    requestId: info.requestId,
+    outcome: answered.outcome,
+    headSent: false,
+  });
+}
