Take over the keys of a lost entry

Cause: an entry that dies leaves keys that may have run; its successor has to tell those that certainly did not from those that may have. Ruled out: remembering lost agents in the store (a write for each loss); comparing the clocks of different processes: a ticket carries the revision of the store's objects at which it was issued, and agents lost after that revision are the only ones that may have taken its keys without a trace. Conclusion: findHome(state, question) tells who arbitrates a key.

--- /dev/null
+++ b/routing/take-over-keys/src/find_home.ts
@@ -0,0 +1,60 @@
+/** Who arbitrates a key, and what is known of an inherited one. */
+
+import type { FoundHome, HomeQuestion } from "./events.ts";
+import { findArbiter, type TakeOverState } from "./state.ts";
+import type { Takeover } from "./takeover.ts";
+
+export function findHome(
+  state: TakeOverState,
+  question: HomeQuestion,
+): FoundHome {
+  const { ticket } = question;
+  const own = state.options.incarnation;
+  const arbiter = findArbiter(state.closings, ticket.incarnation);
+  if (arbiter !== own) {
+    return state.live.has(arbiter)
+      ? { kind: "elsewhere", incarnation: arbiter }
+      : { kind: "lost" };
+  }
+  if (ticket.incarnation === own) {
+    return { kind: "here", expiresAtMs: ticket.expiresAtMs };
+  }
+  const takeover = state.takeovers.get(ticket.incarnation);
+  if (takeover === undefined) return { kind: "pending" };
+  return judgeInherited(state, { question, takeover });
+}
+
+function judgeInherited(
+  state: TakeOverState,
+  judged: { readonly question: HomeQuestion; readonly takeover: Takeover },
+): FoundHome {
+  const { question, takeover } = judged;
+  const { options, history } = state;
+  const expiresAtMs = takeover.closedAtMs + options.keyLifeMs;
+  const held = takeover.findHeld(question.keyId);
+  if (held !== undefined) return { kind: "held", ...held, expiresAtMs };
+  if (takeover.stage === "listing") return { kind: "pending" };
+  if (takeover.waitedMs < options.leaseMs) return { kind: "pending" };
+  if (history.revision < takeover.listedRevision) return { kind: "pending" };
+  const answers = [...takeover.answersOf(question.pool)];
+  if (answers.some((answer) => answer === "waiting" || answer === "asked")) {
+    return { kind: "pending" };
+  }
+  return mayHaveRun(state, judged)
+    ? { kind: "unknown", expiresAtMs }
+    : { kind: "free", expiresAtMs };
+}
+
+/** Whether an agent that denies nothing may have taken the key. */
+function mayHaveRun(
+  state: TakeOverState,
+  judged: { readonly question: HomeQuestion; readonly takeover: Takeover },
+): boolean {
+  const { pool, ticket } = judged.question;
+  const { takeover } = judged;
+  for (const answer of takeover.answersOf(pool)) {
+    if (answer !== "answered") return true;
+  }
+  return takeover.mayHaveForgotten(pool, ticket) ||
+    state.history.mayHaveLost(pool, ticket.revision);
+}
--- /dev/null
+++ b/routing/take-over-keys/src/take_over_keys.ts
@@ -0,0 +1,217 @@
+/**
+ * The takeover of a lost entry's keys. The order makes it safe: the closing is
+ * written first and the agents are listed after it; each listed agent, once
+ * asked, refuses whatever comes from the closed incarnation, and an agent that
+ * registers later reads the closings before it takes anything.
+ *
+ * The state is changed in place and returned, for speed.
+ */
+
+import type { Step } from "@dandelionbank/types";
+import type {
+  AgentsListed,
+  KeysAnswered,
+  KeysUnanswered,
+  TakeOverEffect,
+  TakeOverEvent,
+} from "./events.ts";
+import {
+  findArbiter,
+  listTakeovers,
+  type TakeOverContext,
+  type TakeOverState,
+} from "./state.ts";
+import { type AskedAgent, Takeover } from "./takeover.ts";
+
+/** Separates a takeover's incarnation from the target in an ask's id. */
+const ASK_SEPARATOR = "\n";
+
+export function step(
+  state: TakeOverState,
+  event: TakeOverEvent,
+  nowMs: number,
+): Step<TakeOverState, TakeOverEffect> {
+  state.nowMs = Math.max(state.nowMs, nowMs);
+  const context = { state, nowMs: state.nowMs, effects: [] };
+  handle(context, event);
+  return { state, effects: context.effects };
+}
+
+function handle(context: TakeOverContext, event: TakeOverEvent): void {
+  const { state } = context;
+  switch (event.type) {
+    case "viewBegan":
+      return state.history.begin(event.revision, event.agents);
+    case "agentChanged":
+      return state.history.change(event.agent, event.revision);
+    case "agentRemoved":
+      return state.history.remove(event.target, event.revision);
+    case "viewReached":
+      return state.history.reach(event.revision);
+    case "entriesChanged":
+      state.live.clear();
+      event.incarnations.forEach((name) => state.live.add(name));
+      return;
+    case "closingSeen":
+      state.closings.set(event.incarnation, event.successor);
+      return coverInherited(context);
+    case "entryLost":
+      return begin(context, event.incarnation);
+    case "closingWritten":
+      state.closings.set(event.incarnation, state.options.incarnation);
+      return coverInherited(context);
+    case "agentsListed":
+      return takeAgents(context, event);
+    case "keysAnswered":
+      return takeAnswer(context, event);
+    case "keysUnanswered":
+      return takeSilence(context, event);
+    case "tick":
+      return passTime(context);
+  }
+}
+
+/** Closes an incarnation, unless it is closed or is this entry's own. */
+function begin(context: TakeOverContext, incarnation: string): void {
+  const { state, effects } = context;
+  const successor = state.options.incarnation;
+  if (incarnation === successor || state.closings.has(incarnation)) return;
+  effects.push({ type: "writeClosing", incarnation, successor });
+}
+
+/**
+ * Starts a takeover of every closed incarnation that this entry answers for
+ * and that none covers yet: the one it closed, and those whose keys that one
+ * had inherited.
+ */
+function coverInherited(context: TakeOverContext): void {
+  const { state, nowMs, effects } = context;
+  const { closings, takeovers } = state;
+  const [incarnation, ...others] = [...closings.keys()].filter((closed) =>
+    !takeovers.has(closed) &&
+    findArbiter(closings, closed) === state.options.incarnation
+  );
+  if (incarnation === undefined) return;
+  const takeover = new Takeover([incarnation, ...others], nowMs);
+  for (const covered of takeover.incarnations) {
+    takeovers.set(covered, takeover);
+  }
+  effects.push({ type: "listAgents", incarnation });
+}
+
+function takeAgents(context: TakeOverContext, event: AgentsListed): void {
+  const takeover = context.state.takeovers.get(event.incarnation);
+  if (takeover?.stage !== "listing") return;
+  takeover.list(event.agents, event.revision);
+  askWaiting(context, takeover);
+}
+
+function takeAnswer(context: TakeOverContext, event: KeysAnswered): void {
+  const found = findAsked(context, event.askId);
+  if (found === undefined || found.agent.answer === "replaced") return;
+  const { takeover, agent } = found;
+  if (event.agentIncarnation !== agent.sighting.incarnation) {
+    agent.answer = "replaced";
+  } else {
+    takeover.takeAnswer(agent, event.homes);
+  }
+  askWaiting(context, takeover);
+  decide(context, takeover);
+}
+
+function takeSilence(context: TakeOverContext, event: KeysUnanswered): void {
+  const found = findAsked(context, event.askId);
+  if (found?.agent.answer !== "asked") return;
+  found.agent.answer = "waiting";
+}
+
+function passTime(context: TakeOverContext): void {
+  const { askTimeoutMs } = context.state.options;
+  for (const takeover of listTakeovers(context.state)) {
+    takeover.wait(context.nowMs);
+    for (const agent of takeover.agents.values()) {
+      const silent = context.nowMs - agent.askedAtMs >= askTimeoutMs;
+      if (agent.answer === "asked" && silent) agent.answer = "waiting";
+    }
+    giveUpWaiting(context, takeover);
+    askWaiting(context, takeover);
+    askUnreachable(context, takeover);
+    decide(context, takeover);
+  }
+}
+
+/** Agents that have not answered in time count as unreachable. */
+function giveUpWaiting(context: TakeOverContext, takeover: Takeover): void {
+  const { decideAfterMs } = context.state.options;
+  if (context.nowMs - takeover.closedAtMs < decideAfterMs) return;
+  for (const agent of takeover.agents.values()) {
+    if (agent.answer !== "waiting" && agent.answer !== "asked") continue;
+    agent.answer = "unreachable";
+  }
+}
+
+function askWaiting(context: TakeOverContext, takeover: Takeover): void {
+  const { maxAsks, askTimeoutMs } = context.state.options;
+  let room = maxAsks - takeover.countAnswers("asked");
+  for (const agent of takeover.agents.values()) {
+    if (room <= 0) return;
+    if (agent.answer !== "waiting") continue;
+    if (context.nowMs - agent.askedAtMs < askTimeoutMs) continue;
+    agent.answer = "asked";
+    ask(context, { takeover, agent });
+    room -= 1;
+  }
+}
+
+/** An agent that comes back may still free the keys nobody asked for yet. */
+function askUnreachable(context: TakeOverContext, takeover: Takeover): void {
+  const { askTimeoutMs, keyLifeMs } = context.state.options;
+  if (context.nowMs - takeover.closedAtMs >= keyLifeMs) return;
+  for (const agent of takeover.agents.values()) {
+    if (agent.answer !== "unreachable") continue;
+    if (context.nowMs - agent.askedAtMs < askTimeoutMs) continue;
+    ask(context, { takeover, agent });
+  }
+}
+
+function ask(
+  context: TakeOverContext,
+  asked: { readonly takeover: Takeover; readonly agent: AskedAgent },
+): void {
+  const { takeover, agent } = asked;
+  const { target, incarnation } = agent.sighting;
+  agent.askedAtMs = context.nowMs;
+  context.effects.push({
+    type: "askKeys",
+    askId: [takeover.incarnation, target].join(ASK_SEPARATOR),
+    target,
+    agentIncarnation: incarnation,
+    incarnations: takeover.incarnations,
+  });
+}
+
+function decide(context: TakeOverContext, takeover: Takeover): void {
+  const open = takeover.countAnswers("waiting") +
+    takeover.countAnswers("asked");
+  if (takeover.stage !== "asking" || open > 0) return;
+  if (takeover.waitedMs < context.state.options.leaseMs) return;
+  takeover.stage = "decided";
+  context.effects.push({
+    type: "tookOver",
+    incarnation: takeover.incarnation,
+    heldKeys: takeover.heldCount,
+    unreachableAgents: takeover.countAnswers("unreachable") +
+      takeover.countAnswers("replaced"),
+    elapsedMs: context.nowMs - takeover.closedAtMs,
+  });
+}
+
+function findAsked(
+  context: TakeOverContext,
+  askId: string,
+): { readonly takeover: Takeover; readonly agent: AskedAgent } | undefined {
+  const [incarnation = "", target = ""] = askId.split(ASK_SEPARATOR);
+  const takeover = context.state.takeovers.get(incarnation);
+  const agent = takeover?.agents.get(target);
+  return takeover && agent && { takeover, agent };
+}
