Let operators read and write objects through an entry

Operators call an entry by tRPC under /operator/. A write is conditional on the revision that was read; a lost race is a typed result with both sides and the other's name, under status 409. A retry that meets its own effect is a success, but only with the same value: a change id used again for another value would otherwise be told as written.

Keys are found by digest in an index made once for each set of contracts and compared in constant time; a key that two organisations share belongs to neither, and the interface refuses to write one.

--- a/foundation/log-events/src/catalogue.ts
+++ b/foundation/log-events/src/catalogue.ts
@@ -7,6 +7,7 @@
 import { MAP_EVENTS } from "./map_events.ts";
 import { LIMIT_EVENTS } from "./limit_events.ts";
 import { LEDGER_EVENTS } from "./ledger_events.ts";
+import { OPERATOR_EVENTS } from "./operator_events.ts";
 import { TLS_EVENTS } from "./tls_events.ts";
 
 export const LOG_EVENTS = {
@@ -17,5 +18,6 @@
   ...MAP_EVENTS,
   ...LIMIT_EVENTS,
   ...LEDGER_EVENTS,
+  ...OPERATOR_EVENTS,
   ...TLS_EVENTS,
 } as const;
--- /dev/null
+++ b/peers/check-credential/src/mod.ts
@@ -0,0 +1,9 @@
+/** Finds whom a key belongs to, by its digest. */
+
+export {
+  findOperator,
+  findOrganisation,
+  type KeyHolder,
+} from "./find_holder.ts";
+export { digestKey, isSameSecret, matchesDigest } from "./key_digest.ts";
+export { readBearerKey } from "./read_bearer_key.ts";
--- /dev/null
+++ b/peers/operator-api/src/authenticate.ts
@@ -0,0 +1,37 @@
+/** Finds the operator who calls. */
+
+import {
+  findOperator,
+  matchesDigest,
+  readBearerKey,
+} from "@dandelionbank/check-credential";
+import type { IncomingMessage } from "node:http";
+import type { OperatorApiOptions } from "./options.ts";
+
+/** Stands for the holder of the key in the entry's settings. */
+export const BOOTSTRAP_OPERATOR = "bootstrap";
+
+export type Authentication =
+  | { readonly kind: "operator"; readonly name: string }
+  | { readonly kind: "refused"; readonly reason: string }
+  /** The entry knows no operators yet. */
+  | { readonly kind: "notReady" };
+
+export function authenticate(
+  request: IncomingMessage,
+  options: OperatorApiOptions,
+): Authentication {
+  const key = readBearerKey(request.headers.authorization);
+  if (key === undefined) return { kind: "refused", reason: "no key" };
+  const view = options.readView();
+  if (view === undefined) return { kind: "notReady" };
+  const operator = findOperator(view, key);
+  if (operator !== undefined) return { kind: "operator", name: operator.name };
+  const { bootstrapKeyDigest } = options;
+  const mayBootstrap = view.operators.size === 0 &&
+    bootstrapKeyDigest !== undefined;
+  if (mayBootstrap && matchesDigest(key, bootstrapKeyDigest)) {
+    return { kind: "operator", name: BOOTSTRAP_OPERATOR };
+  }
+  return { kind: "refused", reason: "unknown key" };
+}
--- /dev/null
+++ b/peers/operator-api/src/check_value.ts
@@ -0,0 +1,58 @@
+/** Checks a value that an operator wants to write, also against the view. */
+
+import { checkName, parseValue } from "@dandelionbank/parse-objects";
+import type { Contract, Operator, View } from "@dandelionbank/types";
+import type { OperatedKind } from "./operated_kinds.ts";
+
+export interface ProposedValue {
+  readonly kind: OperatedKind;
+  readonly name: string;
+  readonly value: unknown;
+}
+
+export type CheckedValue =
+  | {
+    readonly kind: "ok";
+    /** With the defaults of the fields that were left out. */
+    readonly value: unknown;
+    readonly warnings: readonly string[];
+  }
+  | { readonly kind: "invalid"; readonly problems: readonly string[] };
+
+export function checkValue(
+  { kind, name, value }: ProposedValue,
+  view: View,
+): CheckedValue {
+  const parsed = parseValue(kind, value);
+  if (parsed.kind === "invalid") return parsed;
+  const problems = [
+    ...checkName(kind, { name, value: parsed.value }),
+    ...findSharedKeys({ kind, name, value: parsed.value }, view),
+  ];
+  if (problems.length > 0) return { kind: "invalid", problems };
+  const warnings = kind === "stop" ? warnOfTarget(name, view) : [];
+  return { kind: "ok", value: parsed.value, warnings };
+}
+
+/** A key names one organisation or one operator. */
+function findSharedKeys(
+  { kind, name, value }: ProposedValue,
+  view: View,
+): readonly string[] {
+  if (kind !== "contract" && kind !== "operator") return [];
+  const holders = kind === "contract" ? view.contracts : view.operators;
+  const others = [...holders.values()].filter((holder) => holder.name !== name);
+  const { keyDigests } = value as Contract | Operator;
+  return keyDigests.flatMap((digest, index) =>
+    others
+      .filter((other) => other.value.keyDigests.includes(digest))
+      .map((other) =>
+        `keyDigests[${index}]: found in ${kind} "${other.name}" too, expected a key of one ${kind} only`
+      )
+  );
+}
+
+function warnOfTarget(target: string, view: View): readonly string[] {
+  if (view.agents.has(target)) return [];
+  return [`No agent is registered for target "${target}"`];
+}
--- /dev/null
+++ b/peers/operator-api/src/write_object.ts
@@ -0,0 +1,102 @@
+/** Conditional writes for an operator. */
+
+import type { View } from "@dandelionbank/types";
+import { isDeepStrictEqual } from "node:util";
+import { createCallError, translateStoreError } from "./call_error.ts";
+import { checkValue, type ProposedValue } from "./check_value.ts";
+import type { OperatedKind } from "./operated_kinds.ts";
+import type { OperatorApiOptions } from "./options.ts";
+import {
+  createChangeId,
+  createConflict,
+  type DeleteReport,
+  type SetReport,
+} from "./write_reports.ts";
+
+export interface SetCall {
+  readonly operator: string;
+  readonly proposed: ProposedValue;
+  readonly expectedRevision: number | undefined;
+  /** The same for each retry of one write. */
+  readonly changeId: string;
+  readonly view: View;
+}
+
+export async function setObject(
+  call: SetCall,
+  { store, logger }: OperatorApiOptions,
+): Promise<SetReport> {
+  const { operator, expectedRevision, view } = call;
+  const { kind, name } = call.proposed;
+  const proposed = withRequester(call.proposed, operator);
+  const checked = checkValue(proposed, view);
+  if (checked.kind === "invalid") throw refuseValue(kind, checked.problems);
+  const { value, warnings } = checked;
+  const changeId = createChangeId(operator, call.changeId);
+  const result = await store
+    .put({ kind, name }, value, { expectedRevision, changeId })
+    .catch(rethrow);
+  const written = result.kind === "written" ? result.object : result.current;
+  // A retry through another entry meets the effect of its own first try.
+  const isOwn = written?.changeId === changeId;
+  if (isOwn && isDeepStrictEqual(written.value, value)) {
+    const { revision } = written;
+    logger.log("operatorWrote", { operator, kind, name, revision });
+    return { kind: "written", object: written, warnings };
+  }
+  logger.log("operatorConflict", { operator, kind, name });
+  const yours = { value, ...asOptional(expectedRevision) };
+  return createConflict({ yours, current: written });
+}
+
+export interface DeleteCall {
+  readonly operator: string;
+  readonly kind: OperatedKind;
+  readonly name: string;
+  readonly expectedRevision: number;
+}
+
+export async function deleteObject(
+  { operator, kind, name, expectedRevision }: DeleteCall,
+  { store, logger }: OperatorApiOptions,
+): Promise<DeleteReport> {
+  const result = await store
+    .delete({ kind, name }, expectedRevision)
+    .catch(rethrow);
+  if (result.kind === "deleted") {
+    logger.log("operatorDeleted", { operator, kind, name });
+    return result;
+  }
+  logger.log("operatorConflict", { operator, kind, name });
+  return createConflict({
+    yours: { expectedRevision },
+    current: result.current,
+  });
+}
+
+/** A stop names who asked for it; no operator can name another. */
+function withRequester(proposed: ProposedValue, operator: string) {
+  const { kind, value } = proposed;
+  const isObject = typeof value === "object" && value !== null &&
+    !Array.isArray(value);
+  if (kind !== "stop" || !isObject) return proposed;
+  return { ...proposed, value: { ...value, requestedBy: operator } };
+}
+
+function asOptional(expectedRevision: number | undefined) {
+  return expectedRevision === undefined ? {} : { expectedRevision };
+}
+
+function refuseValue(kind: string, problems: readonly string[]): Error {
+  return createCallError("BAD_REQUEST", {
+    code: "DANDELIONBANK_INVALID_VALUE",
+    message: `The ${kind} does not parse`,
+    hint: "Mend each of the problems and write again",
+    outcome: "notRun",
+    problems,
+  });
+}
+
+function rethrow(error: unknown): never {
+  throw translateStoreError(error);
+}
