--- a/peers/peer-api/src/entry_router.ts
+++ b/peers/peer-api/src/entry_router.ts
@@ -1,10 +1,10 @@
 /** What an entry answers other entries. */
 
-import type { EntryStatus } from "@dandelionbank/types";
+import type { StatusReport } from "@dandelionbank/types";
 import { initTRPC } from "@trpc/server";
 
 export interface EntryHandlers {
-  readStatus(): EntryStatus;
+  readStatus(): StatusReport;
 }
 
 export type EntryRouter = ReturnType<typeof createEntryRouter>;
