Stand in for the platform, an engine, a group, a plain service and the weights

Cause: nothing of the path can be run or tested without what stands round it. Each stand-in is a process of its own and can also be started within a test; settings and faults are one set, given as flags and changed by POST /faults.

Ruled out: cutting a connection at once, which lost tokens already written and made the cut's place random (the test of the cut answer failed first); it now ends after what was written. An answer that fell silent stays so, since a watch that resumes within one connection would lose changes unseen.

--- /dev/null
+++ b/testing/standin-group/src/mod.ts
@@ -0,0 +1,7 @@
+/** Stand-in of a group of ranks in lock-step. */
+
+export { StandinGroup, startGroup } from "./group.ts";
+export type { GroupOptions, GroupReport, MapViolation } from "./group.ts";
+export { Rank } from "./rank.ts";
+export { GROUP_SETTINGS } from "./settings.ts";
+export type { GroupSettings } from "./settings.ts";
--- /dev/null
+++ b/testing/standin-group/src/rank_map.ts
@@ -0,0 +1,36 @@
+/** The expert maps of one rank: staged ones, and from which step each is used. */
+
+export interface MapSwitch {
+  readonly mapVersion: number;
+  readonly fromStep: number;
+}
+
+export class RankMap {
+  readonly #staged = new Set<number>([0]);
+  #switches: MapSwitch[] = [{ mapVersion: 0, fromStep: 0 }];
+
+  static create(): RankMap {
+    return new RankMap();
+  }
+
+  stage(mapVersion: number): void {
+    this.#staged.add(mapVersion);
+  }
+
+  isStaged(mapVersion: number): boolean {
+    return this.#staged.has(mapVersion);
+  }
+
+  /** A later order for the same step replaces an earlier one. */
+  switch(order: MapSwitch): void {
+    this.#switches = this.#switches
+      .filter(({ fromStep }) => fromStep !== order.fromStep)
+      .concat(order)
+      .sort((a, b) => a.fromStep - b.fromStep);
+  }
+
+  versionAt(step: number): number {
+    const last = this.#switches.findLast(({ fromStep }) => fromStep <= step);
+    return last?.mapVersion ?? 0;
+  }
+}
--- /dev/null
+++ b/testing/standin-plain/src/main.ts
@@ -0,0 +1,6 @@
+/** Runs the plain service's stand-in as a process. */
+
+import { runStandin } from "@dandelionbank/standin-common";
+import { PLAIN_SETTINGS, startPlain } from "./mod.ts";
+
+await runStandin({ defaults: PLAIN_SETTINGS, start: startPlain });
--- /dev/null
+++ b/testing/standin-plain/src/plain_test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { startPlain } from "./mod.ts";
+
+function book(url: string): Promise<Response> {
+  return fetch(`${url}/reels/7`, {
+    method: "POST",
+    headers: { "idempotency-key": "ticket/1" },
+    body: "one reel",
+  });
+}
+
+test("A call whose answer is lost has run and is counted", async (context) => {
+  const plain = await startPlain();
+  context.after(() => plain.close());
+  plain.change({ dropAnswer: true });
+  await assert.rejects(book(plain.listening));
+  plain.change({ dropAnswer: false });
+
+  const answer = await book(plain.listening);
+  assert.deepEqual(await answer.json(), {
+    method: "POST",
+    path: "/reels/7",
+    body: "one reel",
+    run: 2,
+  });
+  const counted = await (await fetch(`${plain.listening}/executions`)).json();
+  assert.deepEqual(counted, { executions: [{ key: "ticket/1", count: 2 }] });
+});
--- /dev/null
+++ b/testing/standin-platform/src/main.ts
@@ -0,0 +1,6 @@
+/** Runs the platform's stand-in as a process. */
+
+import { runStandin } from "@dandelionbank/standin-common";
+import { PLATFORM_SETTINGS, startPlatform } from "./mod.ts";
+
+await runStandin({ defaults: PLATFORM_SETTINGS, start: startPlatform });
--- /dev/null
+++ b/testing/standin-platform/src/watchers.ts
@@ -0,0 +1,43 @@
+/** The open watches: each gets the changes as lines, and bookmarks when time passes. */
+
+import type { Reply } from "@dandelionbank/standin-common";
+import type { ObjectChange } from "@dandelionbank/types";
+
+interface Watcher {
+  readonly reply: Reply;
+  readonly kinds: readonly string[];
+}
+
+export class Watchers {
+  readonly #watchers = new Set<Watcher>();
+
+  static create(): Watchers {
+    return new Watchers();
+  }
+
+  add(watcher: Watcher, missed: readonly ObjectChange[]): void {
+    watcher.reply.begin("application/x-ndjson");
+    for (const change of missed) sendChange(watcher, change);
+    this.#watchers.add(watcher);
+    watcher.reply.onClose(() => this.#watchers.delete(watcher));
+  }
+
+  publish(change: ObjectChange): void {
+    for (const watcher of this.#watchers) sendChange(watcher, change);
+  }
+
+  sendBookmarks(revision: number): void {
+    const line = JSON.stringify({ type: "bookmark", revision }) + "\n";
+    for (const watcher of this.#watchers) watcher.reply.write(line);
+  }
+
+  cutAll(): void {
+    for (const watcher of this.#watchers) watcher.reply.cut();
+  }
+}
+
+function sendChange(watcher: Watcher, change: ObjectChange): void {
+  const kind = change.type === "put" ? change.object.kind : change.kind;
+  if (watcher.kinds.length > 0 && !watcher.kinds.includes(kind)) return;
+  watcher.reply.write(JSON.stringify(change) + "\n");
+}
--- /dev/null
+++ b/testing/standin-weights/src/mod.ts
@@ -0,0 +1,9 @@
+/** Stand-in of the weight store. */
+
+export {
+  expectedByte,
+  StandinWeights,
+  startWeights,
+  WEIGHTS_SETTINGS,
+} from "./weights.ts";
+export type { WeightsOptions, WeightsSettings } from "./weights.ts";
--- /dev/null
+++ b/testing/standin-weights/src/weights.ts
@@ -0,0 +1,116 @@
+/** The weight store's stand-in: all readers share one rate, and there are only so many. */
+
+import {
+  type Call,
+  COMMON_SETTINGS,
+  type CommonSettings,
+  refuseForRate,
+  type Reply,
+  type RunningStandin,
+  StandinServer,
+} from "@dandelionbank/standin-common";
+
+const TICK_MS = 10;
+
+export interface WeightsSettings extends CommonSettings {
+  readonly bytesPerSecond: number;
+  readonly maxReaders: number;
+  /** Length of every weight file. */
+  readonly sizeBytes: number;
+  /** Cuts each answer after so many bytes; -1 is never. */
+  readonly cutAfterBytes: number;
+}
+
+export const WEIGHTS_SETTINGS: WeightsSettings = {
+  ...COMMON_SETTINGS,
+  bytesPerSecond: 100_000_000,
+  maxReaders: 4,
+  sizeBytes: 1_000_000,
+  cutAfterBytes: -1,
+};
+
+export interface WeightsOptions {
+  readonly listen?: string;
+  readonly settings?: Partial<WeightsSettings>;
+}
+
+interface Reader {
+  readonly reply: Reply;
+  readonly fill: number;
+  left: number;
+}
+
+/** The byte that the file of this name consists of. */
+export function expectedByte(name: string): number {
+  return [...name].reduce((sum, letter) => sum + letter.charCodeAt(0), 0) % 256;
+}
+
+/** Starts the stand-in in this process. */
+export async function startWeights(
+  options: WeightsOptions = {},
+): Promise<StandinWeights> {
+  const weights = new StandinWeights();
+  await weights.start(options);
+  return weights;
+}
+
+export class StandinWeights implements RunningStandin {
+  readonly #readers = new Set<Reader>();
+  #server!: StandinServer<WeightsSettings>;
+  #timer: NodeJS.Timeout | undefined;
+
+  async start(options: WeightsOptions): Promise<void> {
+    this.#server = await StandinServer.start({
+      ...(options.listen === undefined ? {} : { listen: options.listen }),
+      settings: { ...WEIGHTS_SETTINGS, ...options.settings },
+      handle: (call, reply) => this.#handle(call, reply),
+    });
+    this.#timer = setInterval(() => this.#feedReaders(), TICK_MS);
+  }
+
+  get listening(): string {
+    return this.#server.url;
+  }
+
+  change(settings: Partial<WeightsSettings>): void {
+    this.#server.change(settings);
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.#timer);
+    await this.#server.close();
+  }
+
+  #handle(call: Call, reply: Reply): void {
+    const name = call.path.match(/^\/v1\/weights\/([^/]+)$/)?.[1];
+    if (name === undefined || call.method !== "GET") {
+      return reply.sendJson(404, { message: "No such weights" });
+    }
+    const { maxReaders, sizeBytes } = this.#server.settings;
+    if (this.#readers.size >= maxReaders) return refuseForRate(reply);
+    const reader = { reply, fill: expectedByte(name), left: sizeBytes };
+    this.#readers.add(reader);
+    reply.onClose(() => this.#readers.delete(reader));
+    reply.begin("application/octet-stream", sizeBytes);
+  }
+
+  #feedReaders(): void {
+    const { bytesPerSecond } = this.#server.settings;
+    const each = Math.floor(
+      bytesPerSecond * TICK_MS / 1000 / this.#readers.size,
+    );
+    for (const reader of this.#readers) this.#feedReader(reader, each);
+  }
+
+  #feedReader(reader: Reader, budgetBytes: number): void {
+    const { sizeBytes, cutAfterBytes } = this.#server.settings;
+    const bytes = Math.min(budgetBytes, reader.left);
+    reader.left -= bytes;
+    reader.reply.write(Buffer.alloc(bytes, reader.fill));
+    const sentBytes = sizeBytes - reader.left;
+    const isCut = cutAfterBytes >= 0 && sentBytes >= cutAfterBytes;
+    if (isCut) reader.reply.cut();
+    else if (reader.left === 0) reader.reply.end();
+    if (isCut || reader.left === 0) this.#readers.delete(reader);
+  }
+}
