Lend parts of a contract's limits from entry to entry for a time

A limit divided evenly is of little use to an organisation whose requests come through few entries. Each entry keeps a reserved share and lends what it can spare through a coordinator, which grants only what offers cover that outlast the loan. Ruled out: a coordinator that owns the limit, since its loss with the store down would leave a sliver of the contract, and since a new one would have to wait for its predecessor's grants; here a lender binds each part to one coordinator, and no fencing number is needed.

An entry cut off from its coordinator went on binding its share with each unanswered ask: an offer now counts from the stamp in it.

--- /dev/null
+++ b/agreement/grant-allowances/src/exchange_test.ts
@@ -0,0 +1,175 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { AllowanceMessage, LimitShare } from "@dandelionbank/types";
+import {
+  createDivisionState,
+  createHoldingState,
+  divideOffers,
+  holdShares,
+  LOAN_MS,
+  OFFER_MS,
+  shareAt,
+} from "./mod.ts";
+import type { HoldingEvent } from "./mod.ts";
+
+const SETTLE_MS = 8_000;
+const LIMITS = createShare(12);
+
+interface Entry {
+  readonly send: (event: HoldingEvent, nowMs: number) => void;
+  readonly concurrentAt: (nowMs: number) => number;
+}
+
+function createShare(concurrentRequests: number): LimitShare {
+  return {
+    requestsPerSecond: concurrentRequests,
+    concurrentRequests,
+    tokensPerMinute: concurrentRequests,
+  };
+}
+
+/** Entries a, b and c, each with a coordinator's core; `deliver` may drop. */
+function createEntries(
+  deliver: (message: AllowanceMessage, to: string) => boolean = () => true,
+) {
+  const names = ["a", "b", "c"];
+  const pending: { to: string; message: AllowanceMessage }[] = [];
+  const divisions = new Map(names.map((name) => [
+    name,
+    createDivisionState({ coordinator: name, incarnation: `${name}1` }),
+  ]));
+  const entries = new Map(names.map((name) => [name, createEntry(name)]));
+
+  function createEntry(name: string): Entry {
+    const state = createHoldingState({
+      entry: name,
+      incarnation: `${name}1`,
+      settleMs: SETTLE_MS,
+    });
+    let concurrentAt = (_nowMs: number) => 0;
+    const send = (event: HoldingEvent, nowMs: number) => {
+      for (const effect of holdShares(state, event, nowMs).effects) {
+        assert.notEqual(effect.type, "invariantViolated");
+        if (effect.type === "send") pending.push(effect);
+        if (effect.type !== "holdingChanged") continue;
+        const { holding } = effect;
+        concurrentAt = (at) => shareAt(holding, at).concurrentRequests;
+      }
+    };
+    return { send, concurrentAt: (nowMs) => concurrentAt(nowMs) };
+  }
+
+  function handle(to: string, message: AllowanceMessage, nowMs: number): void {
+    const entry = entries.get(to)!;
+    if (message.type === "allowanceAnswer") {
+      return entry.send({ type: "answered", answer: message }, nowMs);
+    }
+    if (message.type === "offersWanted") {
+      return entry.send({ type: "offersWanted", call: message }, nowMs);
+    }
+    const division = divisions.get(to)!;
+    const event = { type: "asked", ask: message } as const;
+    for (const effect of divideOffers(division, event, nowMs).effects) {
+      assert.equal(effect.type, "send");
+      if (effect.type === "send") pending.push(effect);
+    }
+  }
+
+  function run(nowMs: number): void {
+    for (let next = pending.shift(); next; next = pending.shift()) {
+      if (deliver(next.message, next.to)) handle(next.to, next.message, nowMs);
+    }
+  }
+
+  for (const [name, entry] of entries) {
+    const organisation = "o";
+    entry.send({ type: "contractChanged", organisation, limits: LIMITS }, 0);
+    entry.send({ type: "entriesChanged", organisation, entries: names }, 0);
+    divideOffers(
+      divisions.get(name)!,
+      { type: "entriesChanged", organisation, entries: names },
+      0,
+    );
+  }
+  const demand = (name: string, concurrent: number, nowMs: number) => {
+    entries.get(name)!.send({
+      type: "demandMeasured",
+      organisation: "o",
+      demand: createShare(concurrent),
+    }, nowMs);
+    run(nowMs);
+  };
+  const tick = (nowMs: number) => {
+    for (const entry of entries.values()) entry.send({ type: "tick" }, nowMs);
+    run(nowMs);
+  };
+  const runUntil = (untilMs: number, fromMs: number) => {
+    for (let at = fromMs; at <= untilMs; at += 500) tick(at);
+  };
+  const heldAt = (nowMs: number) =>
+    names.map((name) => entries.get(name)!.concurrentAt(nowMs));
+  return { demand, tick, runUntil, heldAt };
+}
+
+test("Nothing is held before the list has settled, then an even part", () => {
+  const { tick, heldAt } = createEntries();
+  tick(SETTLE_MS - 1);
+  assert.deepEqual(heldAt(SETTLE_MS - 1), [0, 0, 0]);
+  tick(SETTLE_MS);
+  assert.deepEqual(heldAt(SETTLE_MS), [4, 4, 4]);
+});
+
+test("An entry that is short borrows all that the others can spare", () => {
+  const { demand, runUntil, heldAt } = createEntries();
+  runUntil(SETTLE_MS, SETTLE_MS);
+  demand("b", 12, 10_000);
+  runUntil(13_000, 10_500);
+  assert.deepEqual(heldAt(13_000), [0, 12, 0]);
+});
+
+test("Nothing is sent while every entry has enough", () => {
+  let sent = 0;
+  const { demand, runUntil } = createEntries(() => {
+    sent += 1;
+    return true;
+  });
+  runUntil(SETTLE_MS, SETTLE_MS);
+  for (const name of ["a", "b", "c"]) demand(name, 3, 10_000);
+  runUntil(20_000, 10_500);
+  assert.equal(sent, 0);
+});
+
+test("A lender in need gets its share back through the coordinator", () => {
+  const { demand, runUntil, heldAt } = createEntries();
+  runUntil(SETTLE_MS, SETTLE_MS);
+  demand("b", 12, 10_000);
+  runUntil(13_000, 10_500);
+  demand("c", 4, 13_000);
+  runUntil(15_000, 13_000);
+  assert.deepEqual(heldAt(15_000), [0, 8, 4]);
+  runUntil(20_000, 15_500);
+  assert.deepEqual(heldAt(20_000), [0, 8, 4]);
+});
+
+test("A cut-off entry falls back to its reserved share, and lends it no more", () => {
+  let cut = false;
+  const { demand, runUntil, heldAt } = createEntries(() => !cut);
+  runUntil(SETTLE_MS, SETTLE_MS);
+  demand("b", 12, 10_000);
+  runUntil(13_000, 10_500);
+  cut = true;
+  runUntil(13_000 + LOAN_MS, 13_500);
+  assert.deepEqual(heldAt(13_000 + LOAN_MS), [0, 4, 0]);
+  runUntil(13_000 + OFFER_MS + 500, 13_500 + LOAN_MS);
+  assert.deepEqual(heldAt(13_000 + OFFER_MS + 500), [4, 4, 4]);
+});
+
+test("Another coordinator is turned to when the first is silent", () => {
+  const { demand, runUntil, heldAt } = createEntries((message, to) =>
+    message.type !== "allowanceAsk" || to !== "a"
+  );
+  runUntil(SETTLE_MS, SETTLE_MS);
+  demand("b", 12, 10_000);
+  runUntil(18_000, 10_500);
+  assert.deepEqual(heldAt(18_000), [0, 12, 0]);
+});
--- a/agreement/grant-allowances/src/limit_share.ts
+++ b/agreement/grant-allowances/src/limit_share.ts
@@ -9,6 +9,9 @@
   TimedShare,
 } from "@dandelionbank/types";
 
+/** Differences below this part of an amount come from rounding. */
+const ROUNDING = 1e-9;
+
 export const NO_SHARE: LimitShare = {
   requestsPerSecond: 0,
   concurrentRequests: 0,
@@ -34,44 +37,50 @@
   return sum;
 }
 
-export function addShares(left: LimitShare, right: LimitShare): LimitShare {
+/** One share from two, limit by limit. */
+export function combineShares(
+  [left, right]: readonly [LimitShare, LimitShare],
+  combine: (left: number, right: number) => number,
+): LimitShare {
   return {
-    requestsPerSecond: left.requestsPerSecond + right.requestsPerSecond,
-    concurrentRequests: left.concurrentRequests + right.concurrentRequests,
-    tokensPerMinute: left.tokensPerMinute + right.tokensPerMinute,
+    requestsPerSecond: combine(
+      left.requestsPerSecond,
+      right.requestsPerSecond,
+    ),
+    concurrentRequests: combine(
+      left.concurrentRequests,
+      right.concurrentRequests,
+    ),
+    tokensPerMinute: combine(left.tokensPerMinute, right.tokensPerMinute),
   };
 }
 
+export function addShares(left: LimitShare, right: LimitShare): LimitShare {
+  return combineShares([left, right], (a, b) => a + b);
+}
+
 /** `left` without `right`, and never below nothing. */
 export function subtractShares(
   left: LimitShare,
   right: LimitShare,
 ): LimitShare {
-  return {
-    requestsPerSecond: Math.max(
-      0,
-      left.requestsPerSecond - right.requestsPerSecond,
-    ),
-    concurrentRequests: Math.max(
-      0,
-      left.concurrentRequests - right.concurrentRequests,
-    ),
-    tokensPerMinute: Math.max(0, left.tokensPerMinute - right.tokensPerMinute),
-  };
+  return combineShares([left, right], (a, b) => Math.max(0, a - b));
 }
 
-/** The smaller amount of each limit. */
 export function minShares(left: LimitShare, right: LimitShare): LimitShare {
+  return combineShares([left, right], Math.min);
+}
+
+export function maxShares(left: LimitShare, right: LimitShare): LimitShare {
+  return combineShares([left, right], Math.max);
+}
+
+/** The share times `factor`, with concurrent requests rounded. */
+export function scaleShare(share: LimitShare, factor: number): LimitShare {
   return {
-    requestsPerSecond: Math.min(
-      left.requestsPerSecond,
-      right.requestsPerSecond,
-    ),
-    concurrentRequests: Math.min(
-      left.concurrentRequests,
-      right.concurrentRequests,
-    ),
-    tokensPerMinute: Math.min(left.tokensPerMinute, right.tokensPerMinute),
+    requestsPerSecond: share.requestsPerSecond * factor,
+    concurrentRequests: Math.round(share.concurrentRequests * factor),
+    tokensPerMinute: share.tokensPerMinute * factor,
   };
 }
 
@@ -79,3 +88,14 @@
   return share.requestsPerSecond <= 0 && share.concurrentRequests <= 0 &&
     share.tokensPerMinute <= 0;
 }
+
+/** Whether `part` is within `whole` in each limit, up to rounding. */
+export function isWithin(part: LimitShare, whole: LimitShare): boolean {
+  return fits(part.requestsPerSecond, whole.requestsPerSecond) &&
+    fits(part.concurrentRequests, whole.concurrentRequests) &&
+    fits(part.tokensPerMinute, whole.tokensPerMinute);
+}
+
+function fits(part: number, whole: number): boolean {
+  return part <= whole + ROUNDING * Math.max(1, whole);
+}
