Add the operators' command-line tool

dandelionbank reads and writes contracts, configuration, planned stops and operators through any entry, tried in turn. A write keeps one change id over all entries, so an answer lost after the effect is settled by the next; where another's write may have replaced it, the tool says unsettled and never that nothing was changed.

--- /dev/null
+++ b/cli/dandelionbank/src/commands/delete_object.ts
@@ -0,0 +1,45 @@
+/** `delete`: removes an object at the revision that was read. */
+
+import type { OperatedKind } from "@dandelionbank/operator-api";
+import { describeConflict, describeObject } from "../describe_objects.ts";
+import type { CommonArguments, ToolContext } from "../tool_context.ts";
+import { ToolFailure } from "../tool_failure.ts";
+import { parseRevision } from "./write_value.ts";
+
+export interface DeleteArguments extends CommonArguments {
+  readonly kind: Exclude<OperatedKind, "config">;
+  readonly name: string;
+  readonly revision?: string | undefined;
+}
+
+export async function deleteObject(
+  args: DeleteArguments,
+  context: ToolContext,
+): Promise<void> {
+  const { kind, name, json } = args;
+  const client = context.createClient(args);
+  const expectedRevision = args.revision === undefined
+    ? await readRevision()
+    : parseRevision(args.revision);
+  if (expectedRevision === undefined) throw failAbsent(args);
+  const report = await client.delete({ kind, name, expectedRevision });
+  if (report.kind === "conflict") {
+    const lines = describeConflict(report);
+    throw new ToolFailure("refused", { lines, details: report });
+  }
+  if (json) return context.printJson(report);
+  context.print(`Deleted: ${kind} ${name}`);
+
+  async function readRevision(): Promise<number | undefined> {
+    const current = await client.get({ kind, name });
+    if (current) context.remark(`Current: ${describeObject(current)}`);
+    return current?.revision;
+  }
+}
+
+function failAbsent({ kind, name }: DeleteArguments): ToolFailure {
+  return new ToolFailure("refused", {
+    lines: [`There is no ${kind} ${name}`],
+    details: { kind, name, object: null },
+  });
+}
--- /dev/null
+++ b/cli/dandelionbank/src/commands/get_object.ts
@@ -0,0 +1,28 @@
+/** `get`: shows one object, its value on standard output. */
+
+import type { OperatedKind } from "@dandelionbank/operator-api";
+import { describeObject } from "../describe_objects.ts";
+import type { CommonArguments, ToolContext } from "../tool_context.ts";
+import { ToolFailure } from "../tool_failure.ts";
+
+export interface GetArguments extends CommonArguments {
+  readonly kind: OperatedKind;
+  readonly name: string;
+}
+
+export async function getObject(
+  args: GetArguments,
+  context: ToolContext,
+): Promise<void> {
+  const { kind, name, json } = args;
+  const object = await context.createClient(args).get({ kind, name });
+  if (object === undefined) {
+    throw new ToolFailure("refused", {
+      lines: [`There is no ${kind} ${name}`],
+      details: { kind, name, object: null },
+    });
+  }
+  if (json) return context.printJson(object);
+  context.remark(describeObject(object));
+  context.printJson(object.value);
+}
--- /dev/null
+++ b/cli/dandelionbank/src/commands/list_objects.ts
@@ -0,0 +1,19 @@
+/** `list`: shows all objects of a kind as a table. */
+
+import type { OperatedKind } from "@dandelionbank/operator-api";
+import { listObjects as renderObjects } from "../describe_objects.ts";
+import type { CommonArguments, ToolContext } from "../tool_context.ts";
+
+export interface ListArguments extends CommonArguments {
+  readonly kind: OperatedKind;
+}
+
+export async function listObjects(
+  args: ListArguments,
+  context: ToolContext,
+): Promise<void> {
+  const { kind, json } = args;
+  const objects = await context.createClient(args).list(kind);
+  if (json) return context.printJson(objects);
+  context.print(renderObjects(kind, objects));
+}
--- /dev/null
+++ b/cli/dandelionbank/src/commands/object_commands.ts
@@ -0,0 +1,129 @@
+/** The commands of one kind of object: `get`, `list`, `set` and `delete`. */
+
+import type { OperatedKind } from "@dandelionbank/operator-api";
+import { CONFIG_OBJECT_NAME } from "@dandelionbank/parse-objects";
+import type { Argv } from "yargs";
+import type { CommonArguments, ToolContext } from "../tool_context.ts";
+import { deleteObject } from "./delete_object.ts";
+import { getObject } from "./get_object.ts";
+import { listObjects } from "./list_objects.ts";
+import { planStop } from "./plan_stop.ts";
+import { setObject } from "./set_object.ts";
+import { WRITE_OPTIONS } from "./write_value.ts";
+
+type Parser = Argv<CommonArguments>;
+
+interface CommandPlace {
+  readonly parser: Parser;
+  readonly context: ToolContext;
+}
+
+const FILE_ARGUMENT = {
+  type: "string",
+  demandOption: true,
+  description: "JSON file of the value; - reads standard input",
+} as const;
+
+/** `contract` and `operator`: named objects, written from a file. */
+export function addNamedCommands(
+  kind: "contract" | "operator",
+  place: CommandPlace,
+): Parser {
+  addGet(kind, place);
+  addList(kind, place);
+  addDelete(kind, place);
+  const { parser, context } = place;
+  return parser.command(
+    "set <name> <file>",
+    `Write the ${kind} from a JSON file`,
+    (set) =>
+      set.positional("name", nameArgument(kind))
+        .positional("file", FILE_ARGUMENT)
+        .options(WRITE_OPTIONS),
+    (args) => setObject({ ...args, kind }, context),
+  ).demandCommand(1, 1, `Name a command of ${kind}, see --help`);
+}
+
+/** `config`: one object under a fixed name. */
+export function addConfigCommands({ parser, context }: CommandPlace): Parser {
+  const kind = "config";
+  const name = CONFIG_OBJECT_NAME;
+  addList(kind, { parser, context });
+  return parser.command(
+    "get",
+    "Show the configuration",
+    (get) => get,
+    (args) => getObject({ ...args, kind, name }, context),
+  ).command(
+    "set <file>",
+    "Write the configuration from a JSON file",
+    (set) => set.positional("file", FILE_ARGUMENT).options(WRITE_OPTIONS),
+    (args) => setObject({ ...args, kind, name }, context),
+  ).demandCommand(1, 1, "Name a command of config, see --help");
+}
+
+/** `stop`: planned by the target's name and a reason. */
+export function addStopCommands(place: CommandPlace): Parser {
+  const kind = "stop";
+  addGet(kind, place);
+  addList(kind, place);
+  addDelete(kind, place);
+  const { parser, context } = place;
+  return parser.command(
+    "set <name>",
+    "Plan the stop of a target: it ends its work and takes no more",
+    (set) =>
+      set.positional("name", nameArgument("target"))
+        .option("reason", {
+          type: "string",
+          requiresArg: true,
+          demandOption: true,
+          description: "Why the target is to stop",
+        })
+        .options(WRITE_OPTIONS),
+    (args) => planStop(args, context),
+  ).demandCommand(1, 1, "Name a command of stop, see --help");
+}
+
+function addGet(
+  kind: Exclude<OperatedKind, "config">,
+  { parser, context }: CommandPlace,
+): void {
+  parser.command(
+    "get <name>",
+    `Show the ${kind}: its value on standard output, its revision beside`,
+    (get) => get.positional("name", nameArgument(kind)),
+    (args) => getObject({ ...args, kind }, context),
+  );
+}
+
+function addList(kind: OperatedKind, { parser, context }: CommandPlace): void {
+  parser.command(
+    "list",
+    `List every ${kind}`,
+    (list) => list,
+    (args) => listObjects({ ...args, kind }, context),
+  );
+}
+
+function addDelete(
+  kind: Exclude<OperatedKind, "config">,
+  { parser, context }: CommandPlace,
+): void {
+  parser.command(
+    "delete <name>",
+    `Delete the ${kind}`,
+    (remove) =>
+      remove.positional("name", nameArgument(kind))
+        .option("revision", WRITE_OPTIONS.revision),
+    (args) => deleteObject({ ...args, kind }, context),
+  );
+}
+
+function nameArgument(of: string) {
+  return {
+    type: "string",
+    demandOption: true,
+    description: `Name of the ${of}`,
+  } as const;
+}
--- /dev/null
+++ b/cli/dandelionbank/src/commands/set_object.ts
@@ -0,0 +1,21 @@
+/** `set`: writes a value from a JSON file. */
+
+import type { OperatedKind } from "@dandelionbank/operator-api";
+import { readValue } from "../read_value.ts";
+import type { ToolContext } from "../tool_context.ts";
+import { type WriteArguments, writeValue } from "./write_value.ts";
+
+export interface SetArguments extends WriteArguments {
+  readonly kind: OperatedKind;
+  readonly name: string;
+  readonly file: string;
+}
+
+export async function setObject(
+  args: SetArguments,
+  context: ToolContext,
+): Promise<void> {
+  const { kind, name, file } = args;
+  const value = await readValue(file, context);
+  await writeValue({ kind, name, value }, args, context);
+}
--- /dev/null
+++ b/cli/dandelionbank/src/commands/show_status.ts
@@ -0,0 +1,13 @@
+/** `status`: shows what the first entry that answers says of itself. */
+
+import { describeStatus } from "../describe_objects.ts";
+import type { CommonArguments, ToolContext } from "../tool_context.ts";
+
+export async function showStatus(
+  args: CommonArguments,
+  context: ToolContext,
+): Promise<void> {
+  const status = await context.createClient(args).status();
+  if (args.json) return context.printJson(status);
+  context.print(describeStatus(status));
+}
--- /dev/null
+++ b/cli/dandelionbank/src/describe_objects.ts
@@ -0,0 +1,120 @@
+/** Shows objects, lost races and status to people. */
+
+import type { ConflictReport } from "@dandelionbank/operator-api";
+import { writerOf } from "@dandelionbank/operator-api";
+import type {
+  Config,
+  Contract,
+  Operator,
+  PlannedStop,
+  StatusReport,
+  StoredObject,
+} from "@dandelionbank/types";
+import type { OperatedKind } from "@dandelionbank/operator-api";
+import { renderTable, type Row } from "./render_table.ts";
+
+/** `contract trust, revision 12, written by asha`. */
+export function describeObject(object: StoredObject): string {
+  const writer = writerOf(object) ?? "another writer";
+  const { kind, name, revision } = object;
+  return `${kind} ${name}, revision ${revision}, written by ${writer}`;
+}
+
+type Describe = (value: unknown) => Row;
+
+/** What a list shows of a value, beside name and revision. */
+const COLUMNS: Readonly<Record<OperatedKind, Describe>> = {
+  contract: (value) => {
+    const contract = value as Contract;
+    return {
+      "requests/s": contract.requestsPerSecond,
+      concurrent: contract.concurrentRequests,
+      "tokens/min": contract.tokensPerMinute,
+      priority: contract.priority,
+      keys: contract.keyDigests.length,
+    };
+  },
+  config: (value) => {
+    const config = value as Config;
+    const pools = config.pools.map((pool) => pool.name).join(", ");
+    return { pools, placement: config.placement };
+  },
+  operator: (value) => ({ keys: (value as Operator).keyDigests.length }),
+  stop: (value) => {
+    const { requestedBy, reason } = value as PlannedStop;
+    return { "requested by": requestedBy, reason };
+  },
+};
+
+export function listObjects(
+  kind: OperatedKind,
+  objects: readonly StoredObject[],
+): string {
+  return renderTable(objects.map((object) => ({
+    name: object.name,
+    revision: object.revision,
+    ...COLUMNS[kind](object.value),
+  })));
+}
+
+/** Both sides of a lost race, one below the other. */
+export function describeConflict(conflict: ConflictReport): readonly string[] {
+  const { yours, current, error } = conflict;
+  const from = yours.expectedRevision === undefined
+    ? "to make a new object"
+    : `from revision ${yours.expectedRevision}`;
+  return [
+    error.message,
+    `Yours, ${from}:`,
+    "value" in yours ? showValue(yours.value) : "  (delete)",
+    current ? `Current, ${describeObject(current)}:` : "Current:",
+    current ? showValue(current.value) : "  (no such object)",
+    error.hint,
+  ];
+}
+
+export function describeStatus(status: StatusReport): string {
+  const { entry, outcomes, notReadyReasons } = status;
+  const config = status.configRevision ?? "none";
+  const reasons = notReadyReasons.join("; ");
+  return [
+    `Entry ${entry.name} in ${entry.dataCentre}, version ${status.version}`,
+    `Ready: ${status.isReady ? "yes" : `no, ${reasons}`}`,
+    `Platform: ${status.isPlatformReachable ? "answers" : "does not answer"}`,
+    `View: revision ${status.viewRevision}; config: revision ${config}`,
+    `Outcomes: ${
+      Object.entries(outcomes).map((pair) => pair.join(" ")).join(", ")
+    }`,
+    "",
+    renderTable(
+      status.entries.map((each) => ({ entry: each.name, ...each }))
+        .map(({ entry, dataCentre, callerUrl }) => ({
+          entry,
+          "data centre": dataCentre,
+          url: callerUrl,
+        })),
+    ),
+    "",
+    renderTable(status.targets.map(describeTarget)),
+  ].join("\n");
+}
+
+function describeTarget(
+  { target, state, load }: StatusReport["targets"][number],
+): Row {
+  const { place } = target;
+  return {
+    target: target.name,
+    kind: target.kind,
+    pool: target.pool,
+    group: place ? `${place.group} ${place.rank}/${place.groupSize}` : "",
+    "data centre": target.dataCentre,
+    state,
+    "in flight": load?.inFlight ?? "",
+    queued: load?.queued ?? "",
+  };
+}
+
+function showValue(value: unknown): string {
+  return JSON.stringify(value, null, 2).replace(/^/gm, "  ");
+}
--- /dev/null
+++ b/cli/dandelionbank/src/mod.ts
@@ -0,0 +1,6 @@
+/** The operators' command-line tool, as a function of its surroundings. */
+
+export { runTool } from "./run_tool.ts";
+export { EXIT_CODES } from "./tool_failure.ts";
+export { TOOL_SETTINGS } from "./tool_settings.ts";
+export type { ToolSurroundings } from "./tool_context.ts";
--- /dev/null
+++ b/cli/dandelionbank/src/operator_client.ts
@@ -0,0 +1,179 @@
+/**
+ * Calls the operators' interface. Entries are tried in turn until one answers;
+ * a write keeps its change id, so that trying it again cannot do it twice.
+ *
+ * tRPC's types take a field of type `unknown` for one that may be absent, so
+ * the answers are given their types back here.
+ */
+
+import type {
+  ConflictReport,
+  DeleteReport,
+  OperatedKind,
+  OperatorRouter,
+  SetReport,
+} from "@dandelionbank/operator-api";
+import type { StatusReport, StoredObject } from "@dandelionbank/types";
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { describeConflict } from "./describe_objects.ts";
+import { type PassingFailure, readFailure } from "./read_failure.ts";
+import { ToolFailure } from "./tool_failure.ts";
+import type { ToolSettings } from "./tool_settings.ts";
+
+type EntryApi = ReturnType<typeof createTRPCClient<OperatorRouter>>;
+
+export interface ObjectAddress {
+  readonly kind: OperatedKind;
+  readonly name: string;
+}
+
+export interface ObjectWrite extends ObjectAddress {
+  readonly value: unknown;
+  /** Absent to make a new object. */
+  readonly expectedRevision?: number;
+  readonly changeId: string;
+}
+
+export interface ObjectDeletion extends ObjectAddress {
+  readonly kind: Exclude<OperatedKind, "config">;
+  readonly expectedRevision: number;
+}
+
+interface Entry {
+  readonly url: string;
+  readonly api: EntryApi;
+}
+
+export class OperatorClient {
+  readonly #entries: readonly Entry[];
+
+  private constructor(entries: readonly Entry[]) {
+    this.#entries = entries;
+  }
+
+  static create({ entryUrl, key, timeoutMs }: ToolSettings): OperatorClient {
+    const headers = { authorization: `Bearer ${key}` };
+    const entries = entryUrl.map((url) => {
+      const link = httpLink({
+        url: `${url}/operator`,
+        headers,
+        fetch: (input, init) =>
+          fetch(input, {
+            ...init as RequestInit,
+            signal: AbortSignal.timeout(timeoutMs),
+          }),
+      });
+      return { url, api: createTRPCClient<OperatorRouter>({ links: [link] }) };
+    });
+    return new OperatorClient(entries);
+  }
+
+  async list(kind: OperatedKind): Promise<readonly StoredObject[]> {
+    const { result } = await this.#call((api) =>
+      api.objects.list.query({ kind })
+    );
+    return result as readonly StoredObject[];
+  }
+
+  async get(address: ObjectAddress): Promise<StoredObject | undefined> {
+    const { result } = await this.#call((api) =>
+      api.objects.get.query(address)
+    );
+    return (result ?? undefined) as StoredObject | undefined;
+  }
+
+  async status(): Promise<StatusReport> {
+    const { result } = await this.#call((api) => api.status.query());
+    return result;
+  }
+
+  /** Throws a `ToolFailure` also if an earlier try may have won the race. */
+  async set(write: ObjectWrite): Promise<SetReport> {
+    const { expectedRevision = "new", changeId } = write;
+    const { result, mayHaveRunBefore } = await this.#call(
+      (api) => api.objects.set.mutate(write),
+      { retryFlags: `--revision ${expectedRevision} --change-id ${changeId}` },
+    );
+    const report = result as SetReport;
+    if (report.kind === "written" || !mayHaveRunBefore) return report;
+    throw failReplaced(report);
+  }
+
+  async delete(deletion: ObjectDeletion): Promise<DeleteReport> {
+    const { result, mayHaveRunBefore } = await this.#call(
+      (api) => api.objects.delete.mutate(deletion),
+      {},
+    );
+    const report = result as DeleteReport;
+    if (report.kind === "deleted" || !mayHaveRunBefore) return report;
+    if (report.current !== undefined) throw failReplaced(report);
+    return { kind: "deleted", revision: deletion.expectedRevision };
+  }
+
+  async #call<Result>(
+    ask: (api: EntryApi) => Promise<Result>,
+    write?: PendingWrite,
+  ): Promise<CallResult<Result>> {
+    const failures: PassingFailure[] = [];
+    for (const { url, api } of this.#entries) {
+      try {
+        const result = await ask(api);
+        return { result, mayHaveRunBefore: failures.some(mayHaveRun) };
+      } catch (error) {
+        const failure = readFailure(error, url);
+        if (failure.isFinal) throw failure.refusal;
+        failures.push(failure);
+      }
+    }
+    throw summarise(failures, write);
+  }
+}
+
+interface CallResult<Result> {
+  readonly result: Result;
+  /** Whether an earlier try, through another entry, may have taken effect. */
+  readonly mayHaveRunBefore: boolean;
+}
+
+/** A call that changes something. */
+interface PendingWrite {
+  /** Flags with which the same change can be tried again. */
+  readonly retryFlags?: string;
+}
+
+function summarise(
+  failures: readonly PassingFailure[],
+  write: PendingWrite | undefined,
+): ToolFailure {
+  const lines = failures.map((failure) => `${failure.url}: ${failure.reason}`);
+  const isUnsettled = write !== undefined &&
+    failures.some(mayHaveRun);
+  if (!isUnsettled) {
+    return new ToolFailure("unreachable", {
+      lines: ["No entry could do it; nothing was changed", ...lines],
+      details: { failures: lines },
+    });
+  }
+  const advice = write.retryFlags === undefined
+    ? "Read the object before you try again"
+    : `Give the same command again with ${write.retryFlags}`;
+  return new ToolFailure("unsettled", {
+    lines: ["The change may or may not have taken effect", ...lines, advice],
+    details: { failures: lines, ...write },
+  });
+}
+
+/** The change may have been made, and then replaced by another's. */
+function failReplaced(conflict: ConflictReport): ToolFailure {
+  return new ToolFailure("unsettled", {
+    lines: [
+      "An earlier try may have taken effect before the current one",
+      ...describeConflict(conflict),
+    ],
+    details: conflict,
+  });
+}
+
+function mayHaveRun(failure: PassingFailure): boolean {
+  return failure.mayHaveRun;
+}
--- /dev/null
+++ b/cli/dandelionbank/src/render_table.ts
@@ -0,0 +1,23 @@
+/** Renders rows as a table of aligned columns. */
+
+export type Row = Readonly<Record<string, string | number>>;
+
+const GAP = "  ";
+
+export function renderTable(rows: readonly Row[]): string {
+  const first = rows[0];
+  if (first === undefined) return "None";
+  const titles = Object.keys(first);
+  const cells = rows.map((row) => titles.map((title) => String(row[title])));
+  const widths = titles.map((title, column) =>
+    Math.max(title.length, ...cells.map((line) => line[column]?.length ?? 0))
+  );
+  return [titles, ...cells].map((line) => alignLine(line, widths)).join("\n");
+}
+
+function alignLine(line: readonly string[], widths: readonly number[]): string {
+  return line
+    .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+    .join(GAP)
+    .trimEnd();
+}
--- /dev/null
+++ b/cli/dandelionbank/src/tool_failure.ts
@@ -0,0 +1,40 @@
+/** Why a command did not do what it was asked, and with which exit code it ends. */
+
+export const EXIT_CODES = {
+  done: 0,
+  /** The change was refused, or met another's. */
+  refused: 1,
+  usage: 2,
+  /** No entry answered, or no entry could reach the platform. */
+  unreachable: 3,
+  /** A write may or may not have taken effect. */
+  unsettled: 4,
+} as const;
+
+export type FailureKind = Exclude<keyof typeof EXIT_CODES, "done">;
+
+export interface FailureReport {
+  /** For people: the first line says what went wrong. */
+  readonly lines: readonly string[];
+  /** For programs, under `--json`. */
+  readonly details?: object;
+}
+
+export class ToolFailure extends Error {
+  readonly kind: FailureKind;
+  readonly report: FailureReport;
+
+  constructor(kind: FailureKind, report: FailureReport) {
+    super(report.lines[0]);
+    this.kind = kind;
+    this.report = report;
+  }
+
+  get exitCode(): number {
+    return EXIT_CODES[this.kind];
+  }
+}
+
+export function failUsage(...lines: string[]): ToolFailure {
+  return new ToolFailure("usage", { lines });
+}
