--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -6,7 +6,7 @@
 export type * from "./object_store.ts";
 export type * from "./outcome.ts";
 export type * from "./registration.ts";
-export type * from "./status.ts";
+export type * from "./status_report.ts";
 export type * from "./step.ts";
 export type * from "./stop.ts";
 export type * from "./stored_object.ts";
