Use one way of TLS, secrets and metrics

Cause: the first parts each compared secrets and opened TLS in their own way. They now go through check-credential, load-tls and metrics.

--- a/daemon/run-attempts/src/attempt_metrics.ts
+++ b/daemon/run-attempts/src/attempt_metrics.ts
@@ -1,6 +1,6 @@
 /** What an agent counts. */
 
-import { Counter, Gauge, type Registry } from "prom-client";
+import { Counter, Gauge, type Registry } from "@dandelionbank/metrics";
 
 export type AttemptResult = "answered" | "failed" | "refused" | "repeated";
 
--- a/daemon/serve-callers/src/caller_server.ts
+++ b/daemon/serve-callers/src/caller_server.ts
@@ -4,6 +4,9 @@
  * `notRun`, since nothing was dispatched.
  */
 
+import { readBearerKey } from "@dandelionbank/check-credential";
+import type { TlsMaterial } from "@dandelionbank/load-tls";
+import { OPERATOR_PATH } from "@dandelionbank/operator-api";
 import { readCall } from "@dandelionbank/read-call";
 import type { Config, Contract, Outcome } from "@dandelionbank/types";
 import {
@@ -15,7 +18,6 @@
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
-import type { SecureContextOptions } from "node:tls";
 import { type CallerAnswer, HttpCallerAnswer } from "./caller_answer.ts";
 import {
   type CallerRequest,
@@ -25,7 +27,6 @@
 import { readBody } from "./read_body.ts";
 
 const ADDRESSES_PATH = "/v1/addresses";
-const OPERATOR_PREFIX = "/operator";
 const KEY_LIMIT_CHARACTERS = 512;
 
 /** Time after which a caller may try again when this entry is not ready. */
@@ -55,7 +56,7 @@
   readonly port: number;
   readonly gate: CallerGate;
   readonly operatorListener: RequestListener;
-  readonly tls?: SecureContextOptions;
+  readonly tls?: TlsMaterial;
 }
 
 export class CallerServer {
@@ -68,7 +69,7 @@
       void this.#serve(request, response);
     this.#server = options.tls === undefined
       ? createServer(listener)
-      : createTlsServer(options.tls, listener);
+      : createSecureServer(options.tls, listener);
   }
 
   static create(options: CallerServerOptions): CallerServer {
@@ -100,7 +101,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const path = request.url ?? "/";
-    if (path.startsWith(OPERATOR_PREFIX)) {
+    if (path.startsWith(OPERATOR_PATH)) {
       this.#options.operatorListener(request, response);
       return;
     }
@@ -117,7 +118,7 @@
 
   async #check(request: IncomingMessage, path: string): Promise<Checked> {
     const { gate } = this.#options;
-    const key = readBearer(request);
+    const key = readBearerKey(request.headers.authorization);
     if (key === undefined) return "CREDENTIAL_MISSING";
     const known = gate.readConfig();
     if (known === undefined) return "NOT_READY";
@@ -198,11 +199,6 @@
   answer.giveUp(outcome);
 }
 
-function readBearer(request: IncomingMessage): string | undefined {
-  const match = /^Bearer (\S+)$/.exec(request.headers.authorization ?? "");
-  return match?.[1];
-}
-
 function sendJson(response: ServerResponse, value: unknown): void {
   const body = JSON.stringify(value);
   response.writeHead(200, {
@@ -211,3 +207,12 @@
   });
   response.end(body);
 }
+
+function createSecureServer(
+  tls: TlsMaterial,
+  listener: RequestListener,
+): Server {
+  const server = createTlsServer(tls.serverOptions(), listener);
+  tls.follow(server);
+  return server;
+}
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -4,7 +4,7 @@
  * reader is slow.
  */
 
-import type { Dispatcher } from "undici";
+import type { buildConnector, Dispatcher } from "undici";
 import Pool from "undici/lib/dispatcher/pool.js";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -19,18 +19,15 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-export interface TlsOptions {
-  readonly key?: string;
-  readonly cert?: string;
-  readonly ca?: string;
-}
+/** Makes connections in place of undici's own way, such as with TLS. */
+export type HttpConnector = buildConnector.connector;
 
 export interface HttpPoolOptions {
   /** Such as `http://10.0.0.1:7000`. */
   readonly origin: string;
   readonly connections: number;
   readonly connectTimeoutMs?: number;
-  readonly tls?: TlsOptions;
+  readonly connector?: HttpConnector;
 }
 
 export interface HttpRequest {
@@ -71,9 +68,8 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: {
+      connect: options.connector ?? {
         timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-        ...options.tls,
       },
     });
   }
--- a/foundation/open-http/src/mod.ts
+++ b/foundation/open-http/src/mod.ts
@@ -6,11 +6,11 @@
 export { HttpPool } from "./http_pool.ts";
 export type {
   HttpAnswerHead,
+  HttpConnector,
   HttpHandler,
   HttpPoolOptions,
   HttpRequest,
   RunningRequest,
-  TlsOptions,
 } from "./http_pool.ts";
 export { callJson, readWhole } from "./read_whole.ts";
 export type { JsonAnswer, WholeAnswer } from "./read_whole.ts";
--- a/peers/peer-api/src/peer_client.ts
+++ b/peers/peer-api/src/peer_client.ts
@@ -3,7 +3,11 @@
  * else: Node's own `fetch` would load a second HTTP client.
  */
 
-import { HttpPool, readWhole, type TlsOptions } from "@dandelionbank/open-http";
+import {
+  type HttpConnector,
+  HttpPool,
+  readWhole,
+} from "@dandelionbank/open-http";
 import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
 import type { AgentRouter } from "./agent_router.ts";
 import type { EntryRouter } from "./entry_router.ts";
@@ -15,7 +19,7 @@
   readonly peerUrl: string;
   readonly peerSecret: string;
   readonly timeoutMs: number;
-  readonly tls?: TlsOptions;
+  readonly connector?: HttpConnector;
 }
 
 export function createAgentClient(options: PeerClientOptions): AgentClient {
@@ -41,7 +45,9 @@
   const pool = HttpPool.create({
     origin: options.peerUrl,
     connections: 1,
-    ...(options.tls === undefined ? {} : { tls: options.tls }),
+    ...(options.connector === undefined
+      ? {}
+      : { connector: options.connector }),
   });
   return httpLink({
     url: `${options.peerUrl}/trpc`,
--- a/peers/send-attempts/src/agent_connection.ts
+++ b/peers/send-attempts/src/agent_connection.ts
@@ -11,10 +11,10 @@
 } from "@dandelionbank/exchange-attempts";
 import {
   type HttpAnswerHead,
+  type HttpConnector,
   type HttpHandler,
   HttpPool,
   type RunningRequest,
-  type TlsOptions,
 } from "@dandelionbank/open-http";
 import type {
   AttemptFrame,
@@ -27,7 +27,7 @@
   readonly peerUrl: string;
   readonly peerSecret: string;
   readonly connections: number;
-  readonly tls?: TlsOptions;
+  readonly connector?: HttpConnector;
 }
 
 /** Receives an attempt's frames, and the loss of its connection. */
@@ -46,7 +46,9 @@
     this.#pool = HttpPool.create({
       origin: options.peerUrl,
       connections: options.connections,
-      ...(options.tls === undefined ? {} : { tls: options.tls }),
+      ...(options.connector === undefined
+        ? {}
+        : { connector: options.connector }),
     });
   }
 
--- a/peers/serve-peers/src/peer_server.ts
+++ b/peers/serve-peers/src/peer_server.ts
@@ -4,6 +4,8 @@
  */
 
 import { encodeFrame, parseMessage } from "@dandelionbank/exchange-attempts";
+import { isSameSecret, readBearerKey } from "@dandelionbank/check-credential";
+import type { TlsMaterial } from "@dandelionbank/load-tls";
 import type {
   AttemptFrame,
   AttemptMessage,
@@ -11,7 +13,6 @@
 } from "@dandelionbank/types";
 import type { AnyRouter } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
-import { createHash, timingSafeEqual } from "node:crypto";
 import {
   createServer,
   type IncomingMessage,
@@ -21,7 +22,6 @@
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
-import type { TlsOptions } from "node:tls";
 
 const TRPC_PREFIX = "/trpc/";
 const ATTEMPTS_PATH = "/attempts";
@@ -56,19 +56,17 @@
     request: AttemptRequest,
     responder: AttemptResponder,
   ) => void;
-  /** With `requestCert`, TLS is mutual. */
-  readonly tls?: TlsOptions;
+  /** Makes TLS mutual if it holds an authority. */
+  readonly tls?: TlsMaterial;
 }
 
 export class PeerServer {
   readonly #options: PeerServerOptions;
   readonly #server: Server;
   readonly #trpcListener: RequestListener;
-  readonly #secretDigest: Buffer;
 
   private constructor(options: PeerServerOptions) {
     this.#options = options;
-    this.#secretDigest = digest(options.peerSecret);
     this.#trpcListener = createHTTPHandler({
       router: options.router,
       basePath: TRPC_PREFIX,
@@ -77,7 +75,7 @@
       this.#serve(request, response);
     this.#server = options.tls === undefined
       ? createServer(listener)
-      : createTlsServer(options.tls, listener);
+      : createMutualTlsServer(options.tls, listener);
     this.#server.keepAliveTimeout = 60_000;
   }
 
@@ -125,8 +123,8 @@
   }
 
   #isPeer(request: IncomingMessage): boolean {
-    const given = (request.headers.authorization ?? "").replace(/^Bearer /, "");
-    return timingSafeEqual(digest(given), this.#secretDigest);
+    const given = readBearerKey(request.headers.authorization);
+    return isSameSecret(given ?? "", this.#options.peerSecret);
   }
 
   #readAttempt(request: IncomingMessage, response: ServerResponse): void {
@@ -177,6 +175,11 @@
   };
 }
 
-function digest(text: string): Buffer {
-  return createHash("sha256").update(text).digest();
+function createMutualTlsServer(
+  tls: TlsMaterial,
+  listener: RequestListener,
+): Server {
+  const server = createTlsServer(tls.serverOptions(), listener);
+  tls.follow(server);
+  return server;
 }
