--- a/daemon/keep-answers/src/answer_log_test.ts
+++ b/daemon/keep-answers/src/answer_log_test.ts
@@ -1,5 +1,5 @@
 import { parseFrame } from "@dandelionbank/exchange-attempts";
-import type { AttemptFrame } from "@dandelionbank/types";
+import type { PeerFrame } from "@dandelionbank/types";
 import assert from "node:assert/strict";
 import { createHash } from "node:crypto";
 import { test } from "node:test";
@@ -9,7 +9,7 @@
 const LOAD = { inFlight: 0, queued: 0, cachedTokens: 0 };
 
 interface RecordingReader extends AnswerReader {
-  readonly frames: AttemptFrame[];
+  readonly frames: PeerFrame[];
   isEnded: boolean;
 }
 
@@ -81,7 +81,7 @@
 }
 
 function createReader(attemptId: string): RecordingReader {
-  const frames: AttemptFrame[] = [];
+  const frames: PeerFrame[] = [];
   const reader: RecordingReader = {
     attemptId,
     frames,
--- /dev/null
+++ b/daemon/route-requests/src/mod.ts
@@ -0,0 +1,6 @@
+/** The task in which an entry routes requests. */
+
+export { RequestMetrics } from "./request_metrics.ts";
+export { RequestTask } from "./request_task.ts";
+export type { RequestTaskOptions } from "./request_task.ts";
+export { TicketOffice } from "./ticket_office.ts";
--- /dev/null
+++ b/daemon/route-requests/src/peer_links.ts
@@ -0,0 +1,83 @@
+/**
+ * Connections to the agents and entries that a view names. A link that may
+ * have gone silent is renewed: later messages take new connections, and those
+ * under way on the old ones go on until they end.
+ */
+
+import type { HttpConnector } from "@dandelionbank/open-http";
+import { PeerConnection } from "@dandelionbank/send-attempts";
+
+export interface PeerLinksOptions {
+  readonly peerSecret: string;
+  readonly connector?: HttpConnector;
+}
+
+export interface PeerAddress {
+  /** The target of an agent, or an entry's incarnation. */
+  readonly name: string;
+  readonly incarnation: string;
+  readonly peerUrl: string;
+}
+
+interface Link extends PeerAddress {
+  connection: PeerConnection;
+}
+
+export class PeerLinks {
+  readonly #options: PeerLinksOptions;
+  #links = new Map<string, Link>();
+
+  private constructor(options: PeerLinksOptions) {
+    this.#options = options;
+  }
+
+  static create(options: PeerLinksOptions): PeerLinks {
+    return new PeerLinks(options);
+  }
+
+  /** Takes the whole list; returns the incarnations that are gone. */
+  replaceAll(addresses: readonly PeerAddress[]): readonly PeerAddress[] {
+    const known = this.#links;
+    this.#links = new Map(
+      addresses.map((address) => [address.name, this.#keep(known, address)]),
+    );
+    const gone = [...known.values()].filter((link) =>
+      this.#links.get(link.name)?.incarnation !== link.incarnation
+    );
+    for (const link of gone) void link.connection.drain();
+    return gone;
+  }
+
+  incarnationOf(name: string): string | undefined {
+    return this.#links.get(name)?.incarnation;
+  }
+
+  find(name: string, incarnation: string): PeerConnection | undefined {
+    const link = this.#links.get(name);
+    return link?.incarnation === incarnation ? link.connection : undefined;
+  }
+
+  renew(name: string): void {
+    const link = this.#links.get(name);
+    if (link === undefined) return;
+    void link.connection.drain();
+    link.connection = this.#open(link);
+  }
+
+  async close(): Promise<void> {
+    const links = [...this.#links.values()];
+    await Promise.all(links.map((link) => link.connection.close()));
+  }
+
+  #keep(known: ReadonlyMap<string, Link>, address: PeerAddress): Link {
+    const link = known.get(address.name);
+    const isSame = link?.incarnation === address.incarnation &&
+      link.peerUrl === address.peerUrl;
+    if (link !== undefined && isSame) return link;
+    return { ...address, connection: this.#open(address) };
+  }
+
+  #open({ peerUrl }: PeerAddress): PeerConnection {
+    return PeerConnection.create({ ...this.#options, peerUrl });
+  }
+}
--- /dev/null
+++ b/daemon/route-requests/src/request_metrics.ts
@@ -0,0 +1,130 @@
+/** What an entry counts. */
+
+import {
+  Counter,
+  Gauge,
+  Histogram,
+  type Registry,
+} from "@dandelionbank/metrics";
+import type { OutcomeKind } from "@dandelionbank/types";
+
+/** Upper bounds of the latency buckets. */
+const LATENCY_BUCKETS_MS = [
+  1,
+  2,
+  5,
+  10,
+  20,
+  50,
+  100,
+  200,
+  500,
+  1_000,
+  2_000,
+  5_000,
+  10_000,
+  60_000,
+];
+
+export type RequestEnd = OutcomeKind | "abandoned" | "merged";
+
+export class RequestMetrics {
+  readonly #ends: Counter<"outcome">;
+  readonly #refusals: Counter<"code">;
+  readonly #drops: Counter<"reason">;
+  readonly #violations: Counter<"invariant">;
+  readonly #inFlight: Gauge;
+  readonly #firstByteMs: Histogram;
+  readonly #answeredMs: Histogram;
+  readonly #outcomes: Record<OutcomeKind, number> = {
+    answered: 0,
+    notRun: 0,
+    unknown: 0,
+    failed: 0,
+  };
+
+  private constructor(registry: Registry) {
+    const registers = [registry];
+    this.#ends = new Counter({
+      name: "dandelionbank_requests_total",
+      help: "Requests by how they ended",
+      labelNames: ["outcome"],
+      registers,
+    });
+    this.#refusals = new Counter({
+      name: "dandelionbank_refusals_total",
+      help: "Requests refused before dispatch, by code",
+      labelNames: ["code"],
+      registers,
+    });
+    this.#drops = new Counter({
+      name: "dandelionbank_frames_dropped_total",
+      help: "Late, doubled or crossed frames that were not passed on",
+      labelNames: ["reason"],
+      registers,
+    });
+    this.#violations = new Counter({
+      name: "dandelionbank_invariant_violations_total",
+      help: "Violations of an invariant, each refused",
+      labelNames: ["invariant"],
+      registers,
+    });
+    this.#inFlight = new Gauge({
+      name: "dandelionbank_requests_in_flight",
+      help: "Requests that have not ended",
+      registers,
+    });
+    this.#firstByteMs = new Histogram({
+      name: "dandelionbank_first_byte_ms",
+      help: "Time from a request's arrival to the first byte of its answer",
+      buckets: LATENCY_BUCKETS_MS,
+      registers,
+    });
+    this.#answeredMs = new Histogram({
+      name: "dandelionbank_answered_ms",
+      help: "Time from a request's arrival to its whole answer",
+      buckets: LATENCY_BUCKETS_MS,
+      registers,
+    });
+  }
+
+  static create(registry: Registry): RequestMetrics {
+    return new RequestMetrics(registry);
+  }
+
+  /** Requests that ended here since the start, by outcome. */
+  readOutcomes(): Readonly<Record<OutcomeKind, number>> {
+    return { ...this.#outcomes };
+  }
+
+  countEnd(outcome: RequestEnd): void {
+    this.#ends.inc({ outcome });
+    if (outcome === "abandoned" || outcome === "merged") return;
+    this.#outcomes[outcome] += 1;
+  }
+
+  countRefusal(code: string): void {
+    this.#refusals.inc({ code });
+    this.#outcomes.notRun += 1;
+  }
+
+  countDrop(reason: string): void {
+    this.#drops.inc({ reason });
+  }
+
+  countViolation(invariant: string): void {
+    this.#violations.inc({ invariant });
+  }
+
+  setInFlight(count: number): void {
+    this.#inFlight.set(count);
+  }
+
+  observeFirstByte(elapsedMs: number): void {
+    this.#firstByteMs.observe(elapsedMs);
+  }
+
+  observeAnswered(elapsedMs: number): void {
+    this.#answeredMs.observe(elapsedMs);
+  }
+}
--- /dev/null
+++ b/daemon/route-requests/src/request_table.ts
@@ -0,0 +1,48 @@
+/** What the task keeps of each request until it ends. */
+
+import type { Ticket } from "@dandelionbank/read-ticket";
+
+export interface OpenRequest {
+  readonly requestId: string;
+  readonly organisation: string;
+  readonly pool: string;
+  readonly fingerprint: string;
+  readonly idempotent: boolean;
+  readonly resumable: boolean;
+  readonly promptPrefix: string;
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string;
+  readonly priority: number;
+  readonly viewRevision: number;
+  readonly ticket: Ticket | undefined;
+  readonly keyText: string | undefined;
+  readonly body: Buffer;
+  readonly arrivedMs: number;
+  /** Whether this entry's limiter admitted it. */
+  readonly isLimited: boolean;
+}
+
+export class RequestTable {
+  readonly #open = new Map<string, OpenRequest>();
+
+  private constructor() {}
+
+  static create(): RequestTable {
+    return new RequestTable();
+  }
+
+  add(request: OpenRequest): void {
+    this.#open.set(request.requestId, request);
+  }
+
+  get(requestId: string): OpenRequest | undefined {
+    return this.#open.get(requestId);
+  }
+
+  take(requestId: string): OpenRequest | undefined {
+    const request = this.#open.get(requestId);
+    this.#open.delete(requestId);
+    return request;
+  }
+}
--- /dev/null
+++ b/daemon/route-requests/src/request_task.ts
@@ -0,0 +1,499 @@
+/**
+ * Owns an entry's requests: the limiter, placement and the ledger decide, and
+ * this task sends, relays and answers as their effects say.
+ */
+
+import type { TextHash } from "@dandelionbank/hash-text";
+import {
+  createLimitState,
+  type LimitEffect,
+  type LimitEvent,
+  limitRequests,
+  type LimitState,
+} from "@dandelionbank/limit-requests";
+import type { Logger } from "@dandelionbank/log-events";
+import type { HttpConnector } from "@dandelionbank/open-http";
+import { CoreRunner } from "@dandelionbank/run-core";
+import type { CallerAnswer, CallerRequest } from "@dandelionbank/serve-callers";
+import type { AttemptResponder } from "@dandelionbank/serve-peers";
+import type { FoundHome, HomeQuestion } from "@dandelionbank/take-over-keys";
+import {
+  createTrackState,
+  readFigures,
+  step as trackStep,
+  type TrackEffect,
+  type TrackEvent,
+  type TrackState,
+} from "@dandelionbank/track-requests";
+import type { RelayMessage, View } from "@dandelionbank/types";
+import { randomUUID } from "node:crypto";
+import { AttemptSender } from "./attempt_sender.ts";
+import { toCallerCode } from "./caller_code.ts";
+import { CallerTable } from "./caller_table.ts";
+import { HttpCallerPort } from "./http_caller_port.ts";
+import { Placer } from "./placer.ts";
+import { RelayPort } from "./relay_port.ts";
+import type { RequestMetrics } from "./request_metrics.ts";
+import { type OpenRequest, RequestTable } from "./request_table.ts";
+import { createRunningDigest } from "./running_digest.ts";
+import { keyIdOf, type TicketOffice } from "./ticket_office.ts";
+import { contractEvents } from "./contract_events.ts";
+
+const TICK_MS = 50;
+/** Ticks between two heartbeats to an entry that passed a request on. */
+const TICKS_PER_BEAT = 10;
+
+const TRACK_OPTIONS = {
+  progressTimeoutMs: 2_000,
+  hedgeAfterMs: undefined,
+  maxAttempts: 4,
+  retryShare: 0.1,
+  retryBurst: 20,
+  retryAfterMs: 1_000,
+  maxKeys: 50_000,
+  maxKeptBytes: 8 * 1024 * 1024,
+} as const;
+
+export interface RequestTaskOptions {
+  readonly entry: string;
+  readonly incarnation: string;
+  readonly peerSecret: string;
+  readonly connector?: HttpConnector;
+  readonly tickets: TicketOffice;
+  readonly hash: TextHash;
+  readonly logger: Logger;
+  readonly metrics: RequestMetrics;
+  /** Who arbitrates a key, as far as this entry knows. */
+  readonly findHome: (question: HomeQuestion) => FoundHome;
+  /** An attempt's target was lost while it ran this request. */
+  readonly onKeyedRequest: () => void;
+  /** A monotonic clock in milliseconds. */
+  readonly readNowMs: () => number;
+}
+
+export class RequestTask {
+  readonly #options: RequestTaskOptions;
+  readonly #tracker: CoreRunner<TrackState, TrackEvent, TrackEffect>;
+  readonly #limiter: CoreRunner<LimitState, LimitEvent, LimitEffect>;
+  readonly #placer: Placer;
+  readonly #sender: AttemptSender;
+  readonly #requests = RequestTable.create();
+  readonly #callers = CallerTable.create();
+  readonly #timer: NodeJS.Timeout;
+  #view: View | undefined;
+  #ticks = 0;
+  #lastRefusal:
+    | { readonly code: string; readonly retryAfterMs: number }
+    | undefined;
+
+  private constructor(options: RequestTaskOptions) {
+    this.#options = options;
+    const { incarnation, readNowMs } = options;
+    this.#tracker = CoreRunner.create({
+      initial: createTrackState({
+        ...TRACK_OPTIONS,
+        incarnation,
+        createDigest: createRunningDigest,
+      }),
+      step: trackStep,
+      perform: (effect) => this.#perform(effect),
+      readNowMs,
+    });
+    this.#limiter = CoreRunner.create({
+      initial: createLimitState(options.entry),
+      step: limitRequests,
+      perform: (effect) => this.#takeLimit(effect),
+      readNowMs,
+    });
+    this.#placer = Placer.create({
+      ...options,
+      onViolation: (violation) => this.#reportViolation(violation),
+    });
+    this.#sender = AttemptSender.create({
+      ...options,
+      post: (event) => this.#tracker.post(event),
+      placer: this.#placer,
+    });
+    this.#timer = setInterval(() => this.#tick(), TICK_MS);
+  }
+
+  static create(options: RequestTaskOptions): RequestTask {
+    return new RequestTask(options);
+  }
+
+  get inFlight(): number {
+    return readFigures(this.#tracker.state).requests;
+  }
+
+  /** Follows the platform's objects; work in flight keeps what it began with. */
+  applyView(view: View): void {
+    const before = this.#view;
+    this.#view = view;
+    for (const event of contractEvents(before, view)) this.#limiter.post(event);
+    if (before?.entries !== view.entries) this.#takeEntries(view);
+    if (before?.agents !== view.agents || before?.stops !== view.stops) {
+      this.#takeAgents(view);
+    }
+    const placement = view.config?.value.placement;
+    if (placement !== before?.config?.value.placement) {
+      this.#placer.usePolicy(placement);
+    }
+  }
+
+  /** Takes a caller's request that passed the checks at the edge. */
+  handle(request: CallerRequest, answer: CallerAnswer): void {
+    const { requestId, contract, call } = request;
+    const { organisation } = contract;
+    const port = HttpCallerPort.create(answer);
+    const key = request.key === undefined
+      ? undefined
+      : this.#options.tickets.readKey(organisation, request.key);
+    if (request.key !== undefined && key === undefined) {
+      return port.giveUp({
+        kind: "notRun",
+        proof: { kind: "neverDispatched" },
+        code: "keyInvalid",
+        retryAfterMs: 0,
+      });
+    }
+    const refusal = this.#admit(request);
+    if (refusal !== undefined) {
+      this.#options.metrics.countRefusal(toCallerCode(refusal.code));
+      return port.giveUp({
+        kind: "notRun",
+        proof: { kind: "neverDispatched" },
+        ...refusal,
+      });
+    }
+    this.#begin({
+      open: {
+        requestId,
+        organisation,
+        pool: call.pool,
+        fingerprint: request.fingerprint,
+        idempotent: call.idempotent,
+        resumable: call.idempotent && call.estimatedTokens > 0,
+        promptPrefix: call.promptPrefix,
+        method: request.method,
+        path: call.path,
+        contentType: request.contentType,
+        priority: contract.priority,
+        viewRevision: request.viewRevision,
+        ticket: key?.ticket,
+        keyText: request.key,
+        body: request.body,
+        arrivedMs: this.#options.readNowMs(),
+        isLimited: true,
+      },
+      port,
+      timeLeftMs: request.config.requestTimeoutMs,
+    });
+  }
+
+  /** Takes a request that another entry passed to this one, its home. */
+  takeRelay(
+    message: RelayMessage,
+    body: Buffer,
+    responder: AttemptResponder,
+  ): void {
+    const { head } = message;
+    const port = RelayPort.create(head.attemptId, responder);
+    const key = head.key === undefined
+      ? undefined
+      : this.#options.tickets.readKey(head.organisation, head.key);
+    if (key === undefined) return responder.end();
+    this.#begin({
+      open: {
+        requestId: randomUUID(),
+        organisation: head.organisation,
+        pool: message.pool,
+        fingerprint: head.fingerprint,
+        idempotent: head.idempotent,
+        resumable: message.resumable,
+        promptPrefix: "",
+        method: head.method,
+        path: head.path,
+        contentType: head.contentType,
+        priority: head.priority,
+        viewRevision: head.viewRevision,
+        ticket: key.ticket,
+        keyText: head.key,
+        body,
+        arrivedMs: this.#options.readNowMs(),
+        isLimited: false,
+      },
+      port,
+      timeLeftMs: head.timeLeftMs,
+      relay: {
+        entryIncarnation: head.entryIncarnation,
+        number: Number(
+          head.attemptId.slice(head.attemptId.lastIndexOf(".") + 1),
+        ),
+        supersedes: message.supersedes,
+      },
+    });
+  }
+
+  confirmArbiter(untilMs: number): void {
+    this.#tracker.post({ type: "arbiterConfirmed", untilMs });
+  }
+
+  closeArbiter(): void {
+    this.#tracker.post({ type: "arbiterClosed" });
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.#timer);
+    this.#tracker.stop();
+    this.#limiter.stop();
+    await this.#sender.close();
+  }
+
+  #begin(begun: {
+    readonly open: OpenRequest;
+    readonly port: HttpCallerPort | RelayPort;
+    readonly timeLeftMs: number;
+    readonly relay?: {
+      readonly entryIncarnation: string;
+      readonly number: number;
+      readonly supersedes: readonly number[];
+    };
+  }): void {
+    const { open, port, timeLeftMs, relay } = begun;
+    const callerId = open.requestId;
+    this.#requests.add(open);
+    this.#callers.add(callerId, { port, requestId: open.requestId });
+    if (open.keyText !== undefined) this.#options.onKeyedRequest();
+    port.onAbandoned(() => this.#leave(callerId));
+    port.onDrained(() => this.#sender.resume(open.requestId));
+    this.#tracker.post({
+      type: "requestArrived",
+      callerId,
+      request: {
+        requestId: open.requestId,
+        organisation: open.organisation,
+        pool: open.pool,
+        fingerprint: open.fingerprint,
+        idempotent: open.idempotent,
+        resumable: open.resumable,
+        timeLeftMs,
+        ...(open.keyText === undefined || open.ticket === undefined ? {} : {
+          key: {
+            keyId: keyIdOf(open.organisation, open.keyText),
+            homeIncarnation: open.ticket.incarnation,
+          },
+        }),
+        ...(relay === undefined ? {} : { relay }),
+      },
+    });
+    this.#options.metrics.setInFlight(this.inFlight);
+  }
+
+  #leave(callerId: string): void {
+    this.#callers.remove(callerId);
+    this.#tracker.post({ type: "callerLeft", callerId });
+  }
+
+  #perform(effect: TrackEffect): void {
+    switch (effect.type) {
+      case "findHome":
+        return this.#findHome(effect);
+      case "pickTarget":
+        return this.#pick(effect);
+      case "dispatch":
+        return this.#sender.dispatch(
+          effect,
+          this.#requests.get(effect.requestId),
+        );
+      case "passToHome":
+        return this.#sender.passToHome(
+          effect,
+          this.#requests.get(effect.requestId),
+        );
+      case "askAbout":
+        return this.#sender.askAbout(effect);
+      case "cancelAttempt":
+        return this.#sender.cancel(effect.attemptId);
+      case "sendHead":
+        return this.#sendHead(effect);
+      case "sendData":
+        return this.#sendData(effect.callerId, effect.data);
+      case "sendEnd":
+        return this.#sendEnd(effect);
+      case "answer":
+        this.#callers.take(effect.callerId)?.port.giveUp(effect.outcome);
+        return;
+      case "attemptCrashed":
+        this.#options.logger.log("attemptCrashed", {
+          requestId: effect.requestId,
+          organisation: effect.organisation,
+          fingerprint: effect.fingerprint,
+          target: effect.target,
+        });
+        return;
+      case "frameDropped":
+        return this.#options.metrics.countDrop(effect.reason);
+      case "requestEnded":
+        return this.#endRequest(effect);
+      case "violation":
+        return this.#reportViolation(effect);
+    }
+  }
+
+  #findHome(
+    wanted: { readonly requestId: string; readonly keyId: string },
+  ): void {
+    const { requestId, keyId } = wanted;
+    const open = this.#requests.get(requestId);
+    if (open?.ticket === undefined) return;
+    const { pool, ticket } = open;
+    const found = this.#options.findHome({ keyId, pool, ticket });
+    const home = found.kind === "pending" ? { kind: "lost" } as const : found;
+    this.#tracker.post({ type: "homeFound", requestId, home });
+  }
+
+  #pick(wanted: {
+    readonly requestId: string;
+    readonly pool: string;
+    readonly avoid: readonly string[];
+  }): void {
+    const { requestId, pool, avoid } = wanted;
+    const promptPrefix = this.#requests.get(requestId)?.promptPrefix ?? "";
+    const picked = this.#placer.pick({ requestId, pool, avoid, promptPrefix });
+    if (picked.kind === "refused") {
+      const code = picked.code === "DANDELIONBANK_POOL_BUSY"
+        ? "overloaded"
+        : "noTarget";
+      const { retryAfterMs } = picked;
+      this.#tracker.post({ type: "noTarget", requestId, code, retryAfterMs });
+      return;
+    }
+    const { target } = picked;
+    const agentIncarnation = this.#sender.agentIncarnationOf(target) ?? "";
+    this.#tracker.post({
+      type: "targetPicked",
+      requestId,
+      target,
+      agentIncarnation,
+    });
+  }
+
+  #sendHead(head: {
+    readonly callerId: string;
+    readonly status: number;
+    readonly contentType: string;
+    readonly encoding: "utf8" | "base64";
+  }): void {
+    const caller = this.#callers.get(head.callerId);
+    if (caller === undefined) return;
+    const open = this.#requests.get(caller.requestId);
+    const target = this.#sender.targetOf(caller.requestId) ?? "";
+    caller.port.sendHead({ ...head, target });
+    if (open === undefined) return;
+    const elapsedMs = this.#options.readNowMs() - open.arrivedMs;
+    this.#options.metrics.observeFirstByte(elapsedMs);
+  }
+
+  #sendData(callerId: string, data: string): void {
+    const caller = this.#callers.get(callerId);
+    if (caller === undefined || caller.port.sendData(data)) return;
+    this.#sender.pause(caller.requestId);
+  }
+
+  #sendEnd(end: {
+    readonly callerId: string;
+    readonly lengthBytes: number;
+    readonly digest: string;
+  }): void {
+    const caller = this.#callers.take(end.callerId);
+    const open = this.#requests.get(caller?.requestId ?? "");
+    caller?.port.sendEnd(end);
+    if (open === undefined) return;
+    const elapsedMs = this.#options.readNowMs() - open.arrivedMs;
+    this.#options.metrics.observeAnswered(elapsedMs);
+  }
+
+  #endRequest(ended: Extract<TrackEffect, { type: "requestEnded" }>): void {
+    const { requestId, outcome, target } = ended;
+    const { metrics, logger } = this.#options;
+    const open = this.#requests.take(requestId);
+    this.#sender.forget(requestId);
+    metrics.countEnd(outcome);
+    metrics.setInFlight(this.inFlight);
+    if (open === undefined) return;
+    const { organisation } = open;
+    logger.log("requestEnded", { requestId, organisation, outcome, target });
+    if (!open.isLimited) return;
+    this.#limiter.post({ type: "requestEnded", requestId, actualTokens: 0 });
+  }
+
+  #admit(
+    request: CallerRequest,
+  ): { readonly code: string; readonly retryAfterMs: number } | undefined {
+    this.#lastRefusal = undefined;
+    this.#limiter.post({
+      type: "requestArrived",
+      requestId: request.requestId,
+      organisation: request.contract.organisation,
+      pool: request.call.pool,
+      estimatedTokens: request.call.estimatedTokens,
+    });
+    return this.#lastRefusal;
+  }
+
+  #takeLimit(effect: LimitEffect): void {
+    if (effect.type === "refuse") this.#lastRefusal = effect;
+    if (effect.type === "invariantViolated") this.#reportViolation(effect);
+  }
+
+  #takeEntries(view: View): void {
+    const entries = [...view.entries.values()].map(({ value }) => value);
+    this.#limiter.post({
+      type: "entriesChanged",
+      entry: this.#options.entry,
+      entries: entries.map(({ name }) => name).sort(),
+    });
+    this.#sender.replaceEntries(
+      entries.map(({ incarnation, peerUrl }) => ({
+        name: incarnation,
+        incarnation,
+        peerUrl,
+      })),
+    );
+  }
+
+  #takeAgents(view: View): void {
+    const agents = [...view.agents.values()].map(({ value }) => value);
+    this.#sender.replaceAgents(
+      agents.map(({ target, incarnation, peerUrl }) => ({
+        name: target.name,
+        incarnation,
+        peerUrl,
+      })),
+    );
+    this.#placer.replaceTargets(
+      agents.map(({ target }) => ({
+        name: target.name,
+        pool: target.pool,
+        state: view.stops.has(target.name) ? "closed" : "open",
+      })),
+    );
+  }
+
+  #reportViolation(
+    { invariant, detail }: {
+      readonly invariant: string;
+      readonly detail: string;
+    },
+  ): void {
+    this.#options.metrics.countViolation(invariant);
+    this.#options.logger.log("invariantViolated", { invariant, detail });
+  }
+
+  #tick(): void {
+    this.#ticks += 1;
+    this.#tracker.post({ type: "tick" });
+    this.#limiter.post({ type: "tick" });
+    if (this.#ticks % TICKS_PER_BEAT === 0) this.#callers.beat();
+  }
+}
--- a/daemon/run-attempts/src/attempt_task.ts
+++ b/daemon/run-attempts/src/attempt_task.ts
@@ -105,9 +105,12 @@
   }
 
   take(request: AttemptRequest, responder: AttemptResponder): void {
-    const attemptId = attemptIdOf(request.message);
+    const { message } = request;
+    // Relays are for entries; an agent says nothing, and the sender asks again.
+    if (message.kind === "relay") return responder.end();
+    const attemptId = attemptIdOf(message);
     this.#arrivals.set(attemptId, { request, responder });
-    this.#runner.post(toEvent(request.message));
+    this.#runner.post(toEvent(message));
   }
 
   /** Takes in what an entry shows of its view; an older one changes nothing. */
--- a/foundation/log-events/src/entry_events.ts
+++ b/foundation/log-events/src/entry_events.ts
@@ -9,4 +9,12 @@
     text: "Request {requestId} of {organisation} ended {outcome} on {target}",
     help: "None needed",
   },
+  attemptCrashed: {
+    id: 2001,
+    level: "warn",
+    text:
+      "Target {target} was lost while it ran request {requestId} of {organisation}, fingerprint {fingerprint}",
+    help:
+      "Look at the target; the same fingerprint twice points at the request",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -25,7 +25,8 @@
 export interface HttpPoolOptions {
   /** Such as `http://10.0.0.1:7000`. */
   readonly origin: string;
-  readonly connections: number;
+  /** Most connections at a time; any number if left out. */
+  readonly connections?: number;
   readonly connectTimeoutMs?: number;
   readonly connector?: HttpConnector;
 }
@@ -63,7 +64,7 @@
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
     this.#pool = new Pool(options.origin, {
-      connections: options.connections,
+      connections: options.connections ?? null,
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -94,6 +95,11 @@
     return running;
   }
 
+  /** Takes no more requests, and resolves when those under way have ended. */
+  async drain(): Promise<void> {
+    await this.#pool.close();
+  }
+
   /** Ends every connection; requests under way fail. */
   async close(): Promise<void> {
     await this.#pool.destroy();
--- a/foundation/types/src/attempt.ts
+++ b/foundation/types/src/attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt at a request: what an entry sends an agent, and what comes back. */
 
+import type { Outcome } from "./outcome.ts";
 import type { TargetLoad } from "./target.ts";
 
 /** The head of an attempt. Its body follows as bytes. */
@@ -32,6 +33,17 @@
   readonly head: AttemptHead;
 }
 
+/** Passes a request to the entry that arbitrates its key. The body follows. */
+export interface RelayMessage {
+  readonly kind: "relay";
+  readonly homeIncarnation: string;
+  readonly pool: string;
+  readonly resumable: boolean;
+  /** Numbers of the relaying entry's earlier attempts of the same request. */
+  readonly supersedes: readonly number[];
+  readonly head: AttemptHead;
+}
+
 /**
  * Asks an agent what became of an attempt. One that never arrived is refused
  * from then on.
@@ -113,3 +125,16 @@
   readonly mayHaveRun: boolean;
   readonly load: TargetLoad;
 }
+
+/** The home entry's outcome of a request that was passed to it. */
+export interface RelayOutcome {
+  readonly type: "outcome";
+  readonly attemptId: string;
+  readonly outcome: Outcome;
+}
+
+/** The first line of what a peer sends to `/attempts`. */
+export type PeerMessage = AttemptMessage | AttemptQuestion | RelayMessage;
+
+/** A line of what comes back. */
+export type PeerFrame = AttemptFrame | RelayOutcome;
--- a/peers/exchange-attempts/src/exchange_attempts_test.ts
+++ b/peers/exchange-attempts/src/exchange_attempts_test.ts
@@ -1,8 +1,8 @@
 import type {
-  AttemptFrame,
   AttemptHead,
   AttemptMessage,
   AttemptQuestion,
+  PeerFrame,
 } from "@dandelionbank/types";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -16,7 +16,7 @@
 } from "./mod.ts";
 
 const LOAD = { inFlight: 1, queued: 0, cachedTokens: 7 };
-const FRAMES: readonly AttemptFrame[] = [
+const FRAMES: readonly PeerFrame[] = [
   { type: "admitted", attemptId: "a", answeredBy: "b" },
   {
     type: "refused",
@@ -36,6 +36,11 @@
   { type: "heartbeat", attemptId: "a" },
   { type: "end", attemptId: "a", lengthBytes: 3, digest: "00", load: LOAD },
   { type: "failed", attemptId: "a", code: "X", mayHaveRun: true, load: LOAD },
+  {
+    type: "outcome",
+    attemptId: "a",
+    outcome: { kind: "unknown", code: "attemptLost" },
+  },
 ];
 
 test("Frames survive any split of the bytes between them", () => {
--- a/peers/exchange-attempts/src/frame_codec.ts
+++ b/peers/exchange-attempts/src/frame_codec.ts
@@ -3,11 +3,11 @@
  * their few fields are checked by hand; the others go through a schema.
  */
 
-import type { AttemptData, AttemptFrame } from "@dandelionbank/types";
+import type { AttemptData, PeerFrame } from "@dandelionbank/types";
 import * as v from "valibot";
 
 export type FrameResult =
-  | { readonly kind: "ok"; readonly frame: AttemptFrame }
+  | { readonly kind: "ok"; readonly frame: PeerFrame }
   | { readonly kind: "invalid"; readonly problem: string };
 
 const COUNT = v.pipe(v.number(), v.integer(), v.minValue(0));
@@ -16,6 +16,24 @@
   queued: COUNT,
   cachedTokens: COUNT,
 });
+const OUTCOME = v.variant("kind", [
+  v.object({ kind: v.literal("answered"), lengthBytes: COUNT }),
+  v.object({
+    kind: v.literal("notRun"),
+    proof: v.variant("kind", [
+      v.object({ kind: v.literal("neverDispatched") }),
+      v.object({ kind: v.literal("refusedByAgent"), attemptId: v.string() }),
+    ]),
+    code: v.string(),
+    retryAfterMs: v.pipe(v.number(), v.minValue(0)),
+  }),
+  v.object({ kind: v.literal("unknown"), code: v.string() }),
+  v.object({
+    kind: v.literal("failed"),
+    code: v.string(),
+    retryAfterMs: v.optional(v.pipe(v.number(), v.minValue(0))),
+  }),
+]);
 const FRAME_SCHEMA = v.variant("type", [
   v.object({
     type: v.literal("admitted"),
@@ -51,9 +69,14 @@
     mayHaveRun: v.boolean(),
     load: LOAD,
   }),
+  v.object({
+    type: v.literal("outcome"),
+    attemptId: v.string(),
+    outcome: OUTCOME,
+  }),
 ]);
 
-export function encodeFrame(frame: AttemptFrame): string {
+export function encodeFrame(frame: PeerFrame): string {
   return JSON.stringify(frame) + "\n";
 }
 
--- a/peers/exchange-attempts/src/message_codec.ts
+++ b/peers/exchange-attempts/src/message_codec.ts
@@ -1,10 +1,10 @@
 /** The first line of a request to an agent, in JSON. */
 
-import type { AttemptMessage, AttemptQuestion } from "@dandelionbank/types";
+import type { PeerMessage } from "@dandelionbank/types";
 import * as v from "valibot";
 
 export type MessageResult =
-  | { readonly kind: "ok"; readonly message: AttemptMessage | AttemptQuestion }
+  | { readonly kind: "ok"; readonly message: PeerMessage }
   | { readonly kind: "invalid"; readonly problem: string };
 
 const HEAD_SCHEMA = v.object({
@@ -30,6 +30,14 @@
     agentIncarnation: v.string(),
     head: HEAD_SCHEMA,
   }),
+  v.object({
+    kind: v.literal("relay"),
+    homeIncarnation: v.string(),
+    pool: v.pipe(v.string(), v.minLength(1)),
+    resumable: v.boolean(),
+    supersedes: v.array(v.pipe(v.number(), v.integer(), v.minValue(1))),
+    head: HEAD_SCHEMA,
+  }),
   v.object({
     kind: v.literal("question"),
     agentIncarnation: v.string(),
@@ -40,7 +48,7 @@
 ]);
 
 export function encodeMessage(
-  message: AttemptMessage | AttemptQuestion,
+  message: PeerMessage,
 ): string {
   return JSON.stringify(message) + "\n";
 }
--- a/peers/send-attempts/src/mod.ts
+++ b/peers/send-attempts/src/mod.ts
@@ -1,7 +1,7 @@
 /** The entry's end of an attempt. */
 
-export { AgentConnection } from "./agent_connection.ts";
+export { PeerConnection } from "./peer_connection.ts";
 export type {
-  AgentConnectionOptions,
   AttemptListener,
-} from "./agent_connection.ts";
+  PeerConnectionOptions,
+} from "./peer_connection.ts";
--- a/peers/send-attempts/src/agent_connection.ts
+++ b/peers/send-attempts/src/peer_connection.ts
@@ -1,5 +1,5 @@
 /**
- * An entry's connections to one agent. Each attempt is one HTTP request whose
+ * An entry's connections to one agent, or to another entry. Each attempt is one HTTP request whose
  * answer is a stream of frames; a connection that goes silent is dropped with
  * its attempt, and the next attempt opens a new one.
  */
@@ -16,48 +16,42 @@
   HttpPool,
   type RunningRequest,
 } from "@dandelionbank/open-http";
-import type {
-  AttemptFrame,
-  AttemptMessage,
-  AttemptQuestion,
-} from "@dandelionbank/types";
+import type { PeerFrame, PeerMessage } from "@dandelionbank/types";
 import { StringDecoder } from "node:string_decoder";
 
-export interface AgentConnectionOptions {
+export interface PeerConnectionOptions {
   readonly peerUrl: string;
   readonly peerSecret: string;
-  readonly connections: number;
   readonly connector?: HttpConnector;
 }
 
 /** Receives an attempt's frames, and the loss of its connection. */
 export interface AttemptListener {
-  onFrame(frame: AttemptFrame): void;
+  onFrame(frame: PeerFrame): void;
   /** The stream ended; `wasSent` is false if the agent cannot have seen it. */
   onClosed(reason: string, wasSent: boolean): void;
 }
 
-export class AgentConnection {
+export class PeerConnection {
   readonly #pool: HttpPool;
   readonly #peerSecret: string;
 
-  private constructor(options: AgentConnectionOptions) {
+  private constructor(options: PeerConnectionOptions) {
     this.#peerSecret = options.peerSecret;
     this.#pool = HttpPool.create({
       origin: options.peerUrl,
-      connections: options.connections,
       ...(options.connector === undefined
         ? {}
         : { connector: options.connector }),
     });
   }
 
-  static create(options: AgentConnectionOptions): AgentConnection {
-    return new AgentConnection(options);
+  static create(options: PeerConnectionOptions): PeerConnection {
+    return new PeerConnection(options);
   }
 
   send(
-    message: AttemptMessage | AttemptQuestion,
+    message: PeerMessage,
     body: Uint8Array,
     listener: AttemptListener,
   ): RunningRequest {
@@ -75,6 +69,11 @@
     );
   }
 
+  /** Takes no more attempts, and resolves when those under way have ended. */
+  drain(): Promise<void> {
+    return this.#pool.drain();
+  }
+
   close(): Promise<void> {
     return this.#pool.close();
   }
--- a/peers/serve-peers/src/peer_server.ts
+++ b/peers/serve-peers/src/peer_server.ts
@@ -6,11 +6,7 @@
 import { encodeFrame, parseMessage } from "@dandelionbank/exchange-attempts";
 import { isSameSecret, readBearerKey } from "@dandelionbank/check-credential";
 import type { TlsMaterial } from "@dandelionbank/load-tls";
-import type {
-  AttemptFrame,
-  AttemptMessage,
-  AttemptQuestion,
-} from "@dandelionbank/types";
+import type { PeerFrame, PeerMessage } from "@dandelionbank/types";
 import type { AnyRouter } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import {
@@ -30,9 +26,9 @@
 /** Longest body of an attempt: the callers' limit and the head. */
 const ATTEMPT_LIMIT_BYTES = 64 * 1024 * 1024;
 
-/** One attempt, or a question about one, as it arrived. */
+/** One message as it arrived. */
 export interface AttemptRequest {
-  readonly message: AttemptMessage | AttemptQuestion;
+  readonly message: PeerMessage;
   readonly body: Buffer;
 }
 
@@ -40,7 +36,7 @@
 export interface AttemptResponder {
   /** False while the peer reads more slowly than frames come. */
   write(line: string): boolean;
-  send(frame: AttemptFrame): void;
+  send(frame: PeerFrame): void;
   end(): void;
   onDrained(listener: () => void): void;
   /** The peer went away before `end`. */
