--- a/foundation/log-events/src/platform_events.ts
+++ b/foundation/log-events/src/platform_events.ts
@@ -9,4 +9,24 @@
     text: "The platform does not answer: {message}",
     help: "Traffic goes on with the last view; see docs/operations.md",
   },
+  platformReachable: {
+    id: 4001,
+    level: "info",
+    text: "The platform answers again",
+    help: "None needed",
+  },
+  objectRefused: {
+    id: 4002,
+    level: "error",
+    text:
+      "Object {kind}/{name} at revision {revision} is malformed: {problems}",
+    help: "The last good value stays in force; write a correct one",
+  },
+  olderStateIgnored: {
+    id: 4003,
+    level: "warn",
+    text:
+      "The platform showed revision {revision} after revision {viewRevision}",
+    help: "If it lasts, the platform's store was set back; restart the entries",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
