Compose entry, agent and daemon from their tasks

Cause: the thin path needs processes. An agent listens, registers and then reads the closings; an entry shows its view to agents chosen by rendezvous hashing, asks few other entries whether they answer, and probes a home that went silent before it closes its incarnation.

--- a/daemon/call-target/src/call_target_test.ts
+++ b/daemon/call-target/src/call_target_test.ts
@@ -98,7 +98,7 @@
 }
 
 async function callOnce(kind: TargetKind, targetUrl: string): Promise<Ended> {
-  const adapter = createTargetAdapter(kind, { targetUrl, connections: 1 });
+  const adapter = createTargetAdapter(kind, { targetUrl });
   const ended = await new Promise<Ended>((resolve) => {
     const chunks: Buffer[] = [];
     const body = (): string => Buffer.concat(chunks).toString("utf8");
--- a/daemon/call-target/src/create_target_adapter.ts
+++ b/daemon/call-target/src/create_target_adapter.ts
@@ -8,11 +8,10 @@
 
 export function createTargetAdapter(
   kind: TargetKind,
-  options: { readonly targetUrl: string; readonly connections: number },
+  options: { readonly targetUrl: string },
 ): TargetAdapter {
   const pool = HttpPool.create({
     origin: options.targetUrl,
-    connections: options.connections,
   });
   if (kind === "plain") return PlainAdapter.create(pool);
   return EngineAdapter.create(pool);
--- /dev/null
+++ b/daemon/dandelionbankd/src/main.ts
@@ -0,0 +1,12 @@
+#!/usr/bin/env -S node --max-semi-space-size=2
+/** Runs the daemon with this process's arguments, variables and streams. */
+
+import process from "node:process";
+import { runDaemon } from "./run_daemon.ts";
+
+process.exitCode = await runDaemon({
+  args: process.argv.slice(2),
+  environment: process.env,
+  output: process.stdout,
+  errors: process.stderr,
+});
--- /dev/null
+++ b/daemon/dandelionbankd/src/mod.ts
@@ -0,0 +1,4 @@
+/** The daemon, started with arguments and variables. */
+
+export { runDaemon } from "./run_daemon.ts";
+export type { DaemonOptions } from "./run_daemon.ts";
--- /dev/null
+++ b/daemon/follow-peers/src/agent_follower.ts
@@ -0,0 +1,167 @@
+/**
+ * Shows agents this entry's view: their planned stop, closings and timeouts.
+ * Each agent is shown the view by a few entries only, chosen by rendezvous
+ * hashing, at once when something for it changed and else once an interval.
+ */
+
+import type { TextHash } from "@dandelionbank/hash-text";
+import { type AgentClient, createAgentClient } from "@dandelionbank/peer-api";
+import type {
+  AgentRegistration,
+  AgentStatus,
+  AgentView,
+  View,
+} from "@dandelionbank/types";
+import type { PeerAccess } from "./peer_access.ts";
+import { pickNearest } from "./pick_nearest.ts";
+
+const INTERVAL_MS = 1_000;
+/** Entries that show the view to one agent. */
+const ENTRIES_PER_AGENT = 3;
+/** Failures in a row after which an agent counts as unreachable. */
+const FAILURES_TO_SUSPECT = 2;
+
+export interface AgentFollowerOptions {
+  readonly entry: string;
+  readonly incarnation: string;
+  readonly access: PeerAccess;
+  readonly hash: TextHash;
+  readonly isLeaving: (target: string) => boolean;
+}
+
+interface FollowedAgent {
+  readonly registration: AgentRegistration;
+  readonly client: AgentClient;
+  status: AgentStatus | undefined;
+  failures: number;
+  isAsking: boolean;
+  isChanged: boolean;
+}
+
+export class AgentFollower {
+  readonly #options: AgentFollowerOptions;
+  readonly #agents = new Map<string, FollowedAgent>();
+  readonly #timer: NodeJS.Timeout;
+  #view: View | undefined;
+  #shown = new Set<string>();
+
+  private constructor(options: AgentFollowerOptions) {
+    this.#options = options;
+    this.#timer = setInterval(() => this.#showAll(), INTERVAL_MS);
+  }
+
+  static create(options: AgentFollowerOptions): AgentFollower {
+    return new AgentFollower(options);
+  }
+
+  applyView(view: View): void {
+    const before = this.#view;
+    this.#view = view;
+    if (before?.agents !== view.agents) this.#takeAgents(view);
+    if (before?.agents !== view.agents || before?.entries !== view.entries) {
+      this.#chooseShown(view);
+    }
+    if (isSameForAgents(before, view)) return;
+    for (const agent of this.#agents.values()) agent.isChanged = true;
+    this.#showAll();
+  }
+
+  find(target: string, incarnation: string): AgentClient | undefined {
+    const agent = this.#agents.get(target);
+    return agent?.registration.incarnation === incarnation
+      ? agent.client
+      : undefined;
+  }
+
+  /** The agent's last word, if this entry asks it and it answers. */
+  statusOf(target: string): AgentStatus | undefined {
+    return this.#agents.get(target)?.status;
+  }
+
+  isUnreachable(target: string): boolean {
+    return (this.#agents.get(target)?.failures ?? 0) >= FAILURES_TO_SUSPECT;
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  #takeAgents(view: View): void {
+    for (const [name, { registration }] of this.#agents) {
+      const now = view.agents.get(name)?.value;
+      if (now?.incarnation === registration.incarnation) continue;
+      this.#agents.delete(name);
+    }
+    for (const { name, value } of view.agents.values()) {
+      if (this.#agents.has(name)) continue;
+      const { peerUrl } = value;
+      this.#agents.set(name, {
+        registration: value,
+        client: createAgentClient({ ...this.#options.access, peerUrl }),
+        status: undefined,
+        failures: 0,
+        isAsking: false,
+        isChanged: true,
+      });
+    }
+  }
+
+  #chooseShown(view: View): void {
+    const { entry, hash } = this.#options;
+    const entries = [...view.entries.keys()];
+    const shown = [...view.agents.keys()].filter((key) =>
+      pickNearest(entries, { key, count: ENTRIES_PER_AGENT, hash })
+        .includes(entry)
+    );
+    this.#shown = new Set(shown);
+  }
+
+  #showAll(): void {
+    if (this.#view === undefined) return;
+    for (const [name, agent] of this.#agents) {
+      if (this.#shown.has(name)) void this.#show(agent, this.#view);
+    }
+  }
+
+  async #show(agent: FollowedAgent, view: View): Promise<void> {
+    if (agent.isAsking) return;
+    agent.isAsking = true;
+    agent.isChanged = false;
+    try {
+      const shown = this.#viewFor(agent.registration, view);
+      agent.status = await agent.client.applyView.mutate({
+        ...shown,
+        closings: [...shown.closings],
+      });
+      agent.failures = 0;
+    } catch {
+      agent.failures += 1;
+    }
+    agent.isAsking = false;
+    if (agent.isChanged && this.#view !== undefined) {
+      await this.#show(agent, this.#view);
+    }
+  }
+
+  #viewFor(registration: AgentRegistration, view: View): AgentView {
+    const { entry, incarnation, isLeaving } = this.#options;
+    const { name } = registration.target;
+    const stop = view.stops.get(name)?.value;
+    const config = view.config?.value;
+    return {
+      entry,
+      entryIncarnation: incarnation,
+      revision: view.revision,
+      ...(stop === undefined ? {} : { stop }),
+      isLeaving: isLeaving(name),
+      closings: [...view.closings.values()].map(({ value }) => value),
+      progressTimeoutMs: config?.progressTimeoutMs ?? 2_000,
+      drainTimeoutMs: config?.drainTimeoutMs ?? 30_000,
+    };
+  }
+}
+
+function isSameForAgents(before: View | undefined, after: View): boolean {
+  return before?.agents === after.agents && before?.stops === after.stops &&
+    before?.closings === after.closings && before?.config === after.config;
+}
--- /dev/null
+++ b/daemon/follow-peers/src/mod.ts
@@ -0,0 +1,6 @@
+/** The tasks in which an entry follows agents and other entries. */
+
+export { AgentFollower } from "./agent_follower.ts";
+export { EntryFollower } from "./entry_follower.ts";
+export { pickNearest } from "./pick_nearest.ts";
+export type { PeerAccess } from "./peer_access.ts";
--- /dev/null
+++ b/daemon/keep-view/src/view_keeper.ts
@@ -0,0 +1,108 @@
+/**
+ * Folds the platform's watch into a view and passes each new one on. The last
+ * view stays in force through an outage.
+ */
+
+import type { PlatformClient } from "@dandelionbank/call-platform";
+import {
+  createViewState,
+  type ParsedObject,
+  stepView,
+  type ViewEffect,
+  type ViewState,
+} from "@dandelionbank/fold-view";
+import type { Logger } from "@dandelionbank/log-events";
+import { checkName, parseValue } from "@dandelionbank/parse-objects";
+import { CoreRunner } from "@dandelionbank/run-core";
+import type { StoredObject, View } from "@dandelionbank/types";
+import { type WatchEvent, watchObjects } from "@dandelionbank/watch-objects";
+
+export interface ViewKeeperOptions {
+  readonly client: PlatformClient;
+  readonly logger: Logger;
+  readonly onView: (view: View) => void;
+  /** Each event of the watch, after the view took it in. */
+  readonly onWatchEvent: (event: WatchEvent) => void;
+}
+
+export class ViewKeeper {
+  readonly #options: ViewKeeperOptions;
+  readonly #runner: CoreRunner<ViewState, WatchEvent, ViewEffect>;
+  #isReachable = false;
+
+  private constructor(options: ViewKeeperOptions) {
+    this.#options = options;
+    this.#runner = CoreRunner.create({
+      initial: createViewState(parseObject),
+      step: stepView,
+      perform: (effect) => this.#perform(effect),
+      readNowMs: () => performance.now(),
+    });
+  }
+
+  static create(options: ViewKeeperOptions): ViewKeeper {
+    return new ViewKeeper(options);
+  }
+
+  get view(): View | undefined {
+    return this.#runner.state.view;
+  }
+
+  /** Whether the platform's last word was not a failure. */
+  get isPlatformReachable(): boolean {
+    return this.#isReachable;
+  }
+
+  /** Follows the watch until `stop` is called. */
+  start(): () => void {
+    const { client } = this.#options;
+    const subscription = watchObjects({ client, random: Math.random })
+      .subscribe({
+        next: (event) => this.#take(event),
+        error: (error) => {
+          throw error;
+        },
+        complete: () => {},
+      });
+    return () => subscription.unsubscribe();
+  }
+
+  #take(event: WatchEvent): void {
+    this.#isReachable = event.type !== "unreachable";
+    this.#runner.post(event);
+    this.#options.onWatchEvent(event);
+  }
+
+  #perform(effect: ViewEffect): void {
+    const { logger, onView } = this.#options;
+    switch (effect.type) {
+      case "viewChanged":
+        logger.log("viewAdvanced", { revision: effect.view.revision });
+        return onView(effect.view);
+      case "viewConfirmed":
+        return;
+      case "objectRefused":
+        return logger.log("objectRefused", {
+          kind: effect.kind,
+          name: effect.name,
+          revision: effect.revision,
+          problems: effect.problems.join("; "),
+        });
+      case "olderStateIgnored":
+        return logger.log("olderStateIgnored", {
+          revision: effect.revision,
+          viewRevision: effect.viewRevision,
+        });
+      case "platformUnreachable":
+        return;
+    }
+  }
+}
+
+function parseObject(object: StoredObject): ParsedObject {
+  const { kind, name } = object;
+  const parsed = parseValue(kind, object.value);
+  if (parsed.kind === "invalid") return parsed;
+  const problems = checkName(kind, { name, value: parsed.value });
+  return problems.length === 0 ? parsed : { kind: "invalid", problems };
+}
--- a/daemon/route-requests/src/attempt_sender.ts
+++ b/daemon/route-requests/src/attempt_sender.ts
@@ -31,6 +31,8 @@
   readonly logger: Logger;
   readonly placer: Placer;
   readonly post: (event: TrackEvent) => void;
+  /** A request could not be passed to this home. */
+  readonly onHomeSilent: (incarnation: string) => void;
 }
 
 interface SentAttempt {
@@ -108,6 +110,7 @@
     const { attemptId, incarnation } = effect;
     const connection = this.#homes.find(incarnation, incarnation);
     if (open === undefined || connection === undefined) {
+      this.#options.onHomeSilent(incarnation);
       return this.#options.post({ type: "dispatchFailed", attemptId });
     }
     this.#remember(attemptId, open, incarnation);
@@ -123,7 +126,10 @@
         head: this.#headOf(open, effect),
       },
       open.body,
-      this.#listen(attemptId, { isFirst: true }),
+      this.#listen(attemptId, {
+        isFirst: true,
+        onSilent: () => this.#options.onHomeSilent(incarnation),
+      }),
     );
   }
 
@@ -198,7 +204,10 @@
 
   #listen(
     attemptId: string,
-    { isFirst }: { readonly isFirst: boolean },
+    { isFirst, onSilent }: {
+      readonly isFirst: boolean;
+      readonly onSilent?: () => void;
+    },
   ): AttemptListener {
     const { post } = this.#options;
     const listener: AttemptListener = {
@@ -209,6 +218,7 @@
       },
       onClosed: (_reason, wasSent) => {
         if (!this.#isCurrent(attemptId, listener)) return;
+        onSilent?.();
         if (!isFirst || wasSent) {
           return post({ type: "connectionLost", attemptId });
         }
--- a/daemon/route-requests/src/request_task.ts
+++ b/daemon/route-requests/src/request_task.ts
@@ -65,7 +65,8 @@
   readonly metrics: RequestMetrics;
   /** Who arbitrates a key, as far as this entry knows. */
   readonly findHome: (question: HomeQuestion) => FoundHome;
-  /** An attempt's target was lost while it ran this request. */
+  /** The home entry did not answer, or is not known. */
+  readonly onHomeSilent: (incarnation: string) => void;
   readonly onKeyedRequest: () => void;
   /** A monotonic clock in milliseconds. */
   readonly readNowMs: () => number;
@@ -112,6 +113,7 @@
     this.#sender = AttemptSender.create({
       ...options,
       post: (event) => this.#tracker.post(event),
+      onHomeSilent: options.onHomeSilent,
       placer: this.#placer,
     });
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
@@ -348,6 +350,11 @@
     if (open?.ticket === undefined) return;
     const { pool, ticket } = open;
     const found = this.#options.findHome({ keyId, pool, ticket });
+    const isTriedAgain = found.kind === "elsewhere" &&
+      this.#sender.targetOf(requestId) === found.incarnation;
+    if (found.kind === "lost" || isTriedAgain) {
+      this.#options.onHomeSilent(ticket.incarnation);
+    }
     const home = found.kind === "pending" ? { kind: "lost" } as const : found;
     this.#tracker.post({ type: "homeFound", requestId, home });
   }
--- /dev/null
+++ b/daemon/serve-entry/src/entry_process.ts
@@ -0,0 +1,355 @@
+/** An entry: starts its tasks, joins them, and stops them in order. */
+
+import { PlatformClient } from "@dandelionbank/call-platform";
+import { findOrganisation } from "@dandelionbank/check-credential";
+import {
+  AgentFollower,
+  EntryFollower,
+  type PeerAccess,
+} from "@dandelionbank/follow-peers";
+import { createTextHash, type TextHash } from "@dandelionbank/hash-text";
+import { ViewKeeper } from "@dandelionbank/keep-view";
+import { createConnector, TlsMaterial } from "@dandelionbank/load-tls";
+import type { Logger } from "@dandelionbank/log-events";
+import type { Registry } from "@dandelionbank/metrics";
+import { createOperatorHandler } from "@dandelionbank/operator-api";
+import { createEntryRouter } from "@dandelionbank/peer-api";
+import { deriveUrl, type EntrySettings } from "@dandelionbank/read-settings";
+import { ProcessRegistration } from "@dandelionbank/register-process";
+import {
+  RequestMetrics,
+  RequestTask,
+  TicketOffice,
+} from "@dandelionbank/route-requests";
+import {
+  type AddressAnswer,
+  type CallerGate,
+  CallerServer,
+} from "@dandelionbank/serve-callers";
+import { ObservabilityServer } from "@dandelionbank/serve-observability";
+import {
+  type AttemptRequest,
+  type AttemptResponder,
+  PeerServer,
+} from "@dandelionbank/serve-peers";
+import { TakeOverTask } from "@dandelionbank/take-over-entries";
+import type {
+  Contract,
+  EntryRegistration,
+  StatusReport,
+  TlsSource,
+  View,
+} from "@dandelionbank/types";
+import { randomUUID } from "node:crypto";
+import { ArbiterLease } from "./arbiter_lease.ts";
+import { createStatusReport } from "./status_report.ts";
+
+const PEER_TIMEOUT_MS = 1_000;
+/** Longest time that an entry trusts not to have been closed. */
+const ARBITER_LEASE_MS = 1_800;
+const STOP_TIMEOUT_MS = 60_000;
+const STOP_POLL_MS = 20;
+
+export interface EntryProcessOptions {
+  readonly settings: EntrySettings;
+  readonly logger: Logger;
+  readonly registry: Registry;
+  readonly version: string;
+}
+
+interface EntryTls {
+  readonly callers: TlsMaterial | undefined;
+  readonly peers: TlsMaterial | undefined;
+}
+
+export class EntryProcess {
+  readonly #options: EntryProcessOptions;
+  readonly #incarnation = randomUUID();
+  readonly #store: PlatformClient;
+  readonly #tickets: TicketOffice;
+  readonly #metrics: RequestMetrics;
+  readonly #views: ViewKeeper;
+  readonly #agents: AgentFollower;
+  readonly #entries: EntryFollower;
+  readonly #requests: RequestTask;
+  readonly #takeOvers: TakeOverTask;
+  readonly #lease: ArbiterLease;
+  readonly #tls: EntryTls;
+  #callers: CallerServer | undefined;
+  #peers: PeerServer | undefined;
+  #observability: ObservabilityServer | undefined;
+  #registration: ProcessRegistration | undefined;
+  #stopWatching: () => void = () => {};
+  #callerUrl = "";
+  #isStopping = false;
+
+  private constructor(
+    options: EntryProcessOptions,
+    parts: { readonly hash: TextHash; readonly tls: EntryTls },
+  ) {
+    this.#options = options;
+    this.#tls = parts.tls;
+    const { settings, logger, registry } = options;
+    const incarnation = this.#incarnation;
+    const { peerSecret, name: entry } = settings;
+    const store = this.#store = createStore(options);
+    const connector = parts.tls.peers && createConnector(parts.tls.peers);
+    const peer = { peerSecret, ...(connector && { connector }) };
+    const access: PeerAccess = { ...peer, timeoutMs: PEER_TIMEOUT_MS };
+    const { hash } = parts;
+    this.#tickets = TicketOffice.create({ incarnation, secret: peerSecret });
+    this.#metrics = RequestMetrics.create(registry);
+    this.#agents = AgentFollower.create({
+      entry,
+      incarnation,
+      access,
+      hash,
+      isLeaving: () => false,
+    });
+    this.#entries = EntryFollower.create({
+      entry,
+      access,
+      hash,
+      onLost: (lost) => this.#takeOvers.loseEntry(lost),
+    });
+    this.#takeOvers = TakeOverTask.create({
+      incarnation,
+      leaseMs: ARBITER_LEASE_MS,
+      store,
+      logger,
+      findAgent: (target, agent) => this.#agents.find(target, agent),
+    });
+    this.#requests = RequestTask.create({
+      ...peer,
+      entry,
+      incarnation,
+      hash,
+      logger,
+      tickets: this.#tickets,
+      metrics: this.#metrics,
+      findHome: (question) => this.#takeOvers.findHome(question),
+      onHomeSilent: (home) =>
+        this.#entries.probe(this.#takeOvers.arbiterOf(home)),
+      onKeyedRequest: () => this.#lease.use(),
+      readNowMs: () => performance.now(),
+    });
+    this.#lease = ArbiterLease.create({
+      incarnation,
+      leaseMs: ARBITER_LEASE_MS,
+      store,
+      onConfirmed: (untilMs) => this.#requests.confirmArbiter(untilMs),
+      onClosed: () => this.#requests.closeArbiter(),
+    });
+    this.#views = ViewKeeper.create({
+      client: store,
+      logger,
+      onView: (view) => this.#applyView(view),
+      onWatchEvent: (event) => this.#takeOvers.takeWatchEvent(event),
+    });
+  }
+
+  static async create(options: EntryProcessOptions): Promise<EntryProcess> {
+    const { callerTls, peerTls } = options.settings;
+    const [hash, callers, peers] = await Promise.all([
+      createTextHash(),
+      loadTls(callerTls, options.logger),
+      loadTls(peerTls, options.logger),
+    ]);
+    return new EntryProcess(options, { hash, tls: { callers, peers } });
+  }
+
+  /** Resolves when the entry listens; it takes requests once it has a view. */
+  async start(): Promise<void> {
+    const { settings, registry } = this.#options;
+    this.#observability = await ObservabilityServer.create({
+      ...settings.observeListen,
+      registry,
+      readReadiness: () => this.#readReadiness(),
+    });
+    const peerUrl = await this.#listenForPeers();
+    this.#callerUrl = await this.#listenForCallers();
+    this.#stopWatching = this.#views.start();
+    void this.#register(peerUrl);
+  }
+
+  /** Takes no new requests, waits for those in flight, and ends. */
+  async stop(): Promise<void> {
+    this.#isStopping = true;
+    await this.#registration?.withdraw();
+    const deadlineMs = performance.now() + STOP_TIMEOUT_MS;
+    while (this.#requests.inFlight > 0 && performance.now() < deadlineMs) {
+      await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS));
+    }
+    await this.#callers?.close();
+    this.#stopWatching();
+    this.#lease.stop();
+    this.#entries.stop();
+    this.#agents.stop();
+    this.#takeOvers.stop();
+    await this.#requests.stop();
+    await this.#peers?.close();
+    await this.#observability?.close();
+    await this.#store.close();
+  }
+
+  async #listenForPeers(): Promise<string> {
+    const { peerListen, peerSecret, peerUrl } = this.#options.settings;
+    const tls = this.#tls.peers;
+    this.#peers = PeerServer.create({
+      ...peerListen,
+      peerSecret,
+      router: createEntryRouter({
+        readStatus: () => this.#readStatus(),
+        ping: () => ({
+          incarnation: this.#incarnation,
+          viewRevision: this.#views.view?.revision ?? 0,
+        }),
+      }),
+      onAttempt: (request, responder) => this.#takeRelay(request, responder),
+      ...(tls === undefined ? {} : { tls }),
+    });
+    const port = await this.#peers.listen();
+    const isTls = tls !== undefined;
+    return peerUrl ?? deriveUrl({ host: peerListen.host, port, isTls });
+  }
+
+  async #listenForCallers(): Promise<string> {
+    const { settings, logger } = this.#options;
+    const { callerListen, callerUrl, operatorKeyDigest } = settings;
+    const tls = this.#tls.callers;
+    const handleOperator = createOperatorHandler({
+      store: this.#store,
+      readView: () => this.#views.view,
+      readStatus: () => this.#readStatus(),
+      logger,
+      ...(operatorKeyDigest && { bootstrapKeyDigest: operatorKeyDigest }),
+    });
+    this.#callers = CallerServer.create({
+      ...callerListen,
+      entry: settings.name,
+      gate: this.#createGate(),
+      operatorListener: (request, response) =>
+        void handleOperator(request, response),
+      ...(tls === undefined ? {} : { tls }),
+    });
+    const port = await this.#callers.listen();
+    const isTls = tls !== undefined;
+    return callerUrl ?? deriveUrl({ host: callerListen.host, port, isTls });
+  }
+
+  async #register(peerUrl: string): Promise<void> {
+    const { settings, logger } = this.#options;
+    const { name, dataCentre } = settings;
+    const value: EntryRegistration = {
+      name,
+      incarnation: this.#incarnation,
+      callerUrl: this.#callerUrl,
+      peerUrl,
+      dataCentre,
+    };
+    this.#registration = ProcessRegistration.create({
+      store: this.#store,
+      kind: "entry",
+      name,
+      value,
+      logger,
+    });
+    await this.#registration.write();
+  }
+
+  #createGate(): CallerGate {
+    return {
+      readRefusal: () => this.#isStopping ? "STOPPING" : undefined,
+      readConfig: () => {
+        const view = this.#views.view;
+        if (view?.config === undefined) return undefined;
+        return { revision: view.revision, config: view.config.value };
+      },
+      findContract: (key) => {
+        const view = this.#views.view;
+        return view && findOrganisation(view, key)?.value;
+      },
+      answerAddresses: (contract) => this.#answerAddresses(contract),
+      handle: (request, answer) => this.#requests.handle(request, answer),
+    };
+  }
+
+  #answerAddresses({ organisation }: Contract): AddressAnswer {
+    const view = this.#views.view;
+    const validityMs = view?.config?.value.ticketValidityMs ?? 0;
+    return {
+      addresses: [this.#callerUrl, ...this.#entries.listAnswering()],
+      validityMs,
+      ticket: this.#tickets.issue(organisation, {
+        revision: view?.revision ?? 0,
+        nowMs: performance.now(),
+        validityMs,
+      }),
+    };
+  }
+
+  #takeRelay(request: AttemptRequest, responder: AttemptResponder): void {
+    const { message, body } = request;
+    const isHome = message.kind === "relay" &&
+      message.homeIncarnation === this.#incarnation;
+    // Without a word, the sender finds out who the home is and asks there.
+    if (!isHome) return responder.end();
+    this.#requests.takeRelay(message, body, responder);
+  }
+
+  #applyView(view: View): void {
+    this.#requests.applyView(view);
+    this.#agents.applyView(view);
+    this.#entries.applyView(view);
+    this.#takeOvers.applyView(view);
+  }
+
+  #readReadiness(): {
+    readonly isReady: boolean;
+    readonly reasons: readonly string[];
+  } {
+    const reasons: string[] = [];
+    if (this.#views.view === undefined) reasons.push("No view of the platform");
+    else if (this.#views.view.config === undefined) {
+      reasons.push("No configuration");
+    }
+    if (this.#isStopping) reasons.push("Stopping");
+    return { isReady: reasons.length === 0, reasons };
+  }
+
+  #readStatus(): StatusReport {
+    const { settings, version } = this.#options;
+    const { name, dataCentre } = settings;
+    const readiness = this.#readReadiness();
+    return createStatusReport({
+      entry: { name, dataCentre, callerUrl: this.#callerUrl },
+      version,
+      incarnation: this.#incarnation,
+      readiness,
+      view: this.#views.view,
+      isPlatformReachable: this.#views.isPlatformReachable,
+      agents: this.#agents,
+      outcomes: this.#metrics.readOutcomes(),
+    });
+  }
+}
+
+function createStore(
+  { settings, logger }: EntryProcessOptions,
+): PlatformClient {
+  const { platformUrl, platformToken: token, platformTimeoutMs } = settings;
+  return PlatformClient.create({
+    platformUrl,
+    timeoutMs: platformTimeoutMs,
+    logger,
+    ...(token === undefined ? {} : { token }),
+  });
+}
+
+function loadTls(
+  source: TlsSource | undefined,
+  logger: Logger,
+): Promise<TlsMaterial | undefined> {
+  if (source === undefined) return Promise.resolve(undefined);
+  return TlsMaterial.create({ source, logger });
+}
--- /dev/null
+++ b/daemon/take-over-entries/src/take_over_task.ts
@@ -0,0 +1,214 @@
+/**
+ * Owns the takeover core. It closes an incarnation in the platform's objects,
+ * lists the agents after that, and asks each for the keys it knows.
+ */
+
+import type { PlatformClient } from "@dandelionbank/call-platform";
+import type { Logger } from "@dandelionbank/log-events";
+import type { AgentClient } from "@dandelionbank/peer-api";
+import { CoreRunner } from "@dandelionbank/run-core";
+import {
+  createTakeOverState,
+  findArbiter,
+  findHome,
+  type FoundHome,
+  type HomeQuestion,
+  step,
+  type TakeOverEffect,
+  type TakeOverEvent,
+  type TakeOverState,
+} from "@dandelionbank/take-over-keys";
+import type { IncarnationClosing, View } from "@dandelionbank/types";
+import type { WatchEvent } from "@dandelionbank/watch-objects";
+import { randomUUID } from "node:crypto";
+import { readSightings, toTakeOverEvents } from "./watch_to_events.ts";
+
+const TICK_MS = 200;
+const RETRY_MS = 500;
+
+export interface TakeOverTaskOptions {
+  readonly incarnation: string;
+  /** Longest time that an entry trusts not to have been closed. */
+  readonly leaseMs: number;
+  readonly store: PlatformClient;
+  readonly logger: Logger;
+  readonly findAgent: (
+    target: string,
+    incarnation: string,
+  ) => AgentClient | undefined;
+}
+
+const TIMING = {
+  askTimeoutMs: 500,
+  decideAfterMs: 1_500,
+  keyLifeMs: 600_000,
+  maxAsks: 64,
+} as const;
+
+export class TakeOverTask {
+  readonly #options: TakeOverTaskOptions;
+  readonly #runner: CoreRunner<TakeOverState, TakeOverEvent, TakeOverEffect>;
+  readonly #timer: NodeJS.Timeout;
+  readonly #entryNames = new Map<string, string>();
+  #seenClosings = new Set<string>();
+  #isStopped = false;
+
+  private constructor(options: TakeOverTaskOptions) {
+    this.#options = options;
+    const { incarnation, leaseMs } = options;
+    this.#runner = CoreRunner.create({
+      initial: createTakeOverState({ ...TIMING, incarnation, leaseMs }),
+      step,
+      perform: (effect) => this.#perform(effect),
+      readNowMs: () => performance.now(),
+    });
+    this.#timer = setInterval(
+      () => this.#runner.post({ type: "tick" }),
+      TICK_MS,
+    );
+  }
+
+  static create(options: TakeOverTaskOptions): TakeOverTask {
+    return new TakeOverTask(options);
+  }
+
+  findHome(question: HomeQuestion): FoundHome {
+    return findHome(this.#runner.state, question);
+  }
+
+  /** The incarnation that answers for another's keys, as far as is known. */
+  arbiterOf(incarnation: string): string {
+    return findArbiter(this.#runner.state.closings, incarnation);
+  }
+
+  takeWatchEvent(event: WatchEvent): void {
+    for (const each of toTakeOverEvents(event)) this.#runner.post(each);
+  }
+
+  applyView(view: View): void {
+    const entries = [...view.entries.values()].map(({ value }) => value);
+    for (const { name, incarnation } of entries) {
+      this.#entryNames.set(incarnation, name);
+    }
+    this.#runner.post({
+      type: "entriesChanged",
+      incarnations: entries.map(({ incarnation }) => incarnation),
+    });
+    for (const { value } of view.closings.values()) this.#seeClosing(value);
+  }
+
+  /** The entry does not answer, on new connections either. */
+  loseEntry(incarnation: string): void {
+    this.#runner.post({ type: "entryLost", incarnation });
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    clearInterval(this.#timer);
+    this.#runner.stop();
+  }
+
+  #seeClosing({ entry, incarnation, successor }: IncarnationClosing): void {
+    if (this.#seenClosings.has(incarnation)) return;
+    this.#seenClosings.add(incarnation);
+    this.#options.logger.log("incarnationClosed", {
+      entry,
+      incarnation,
+      successor,
+    });
+    this.#runner.post({ type: "closingSeen", incarnation, successor });
+  }
+
+  #perform(effect: TakeOverEffect): void {
+    switch (effect.type) {
+      case "writeClosing":
+        return void this.#untilDone(() => this.#writeClosing(effect));
+      case "listAgents":
+        return void this.#untilDone(() => this.#listAgents(effect.incarnation));
+      case "askKeys":
+        return void this.#askKeys(effect);
+      case "tookOver":
+        return this.#options.logger.log("keysTakenOver", {
+          incarnation: effect.incarnation,
+          heldKeys: effect.heldKeys,
+          unreachableAgents: effect.unreachableAgents,
+          elapsedMs: Math.round(effect.elapsedMs),
+        });
+    }
+  }
+
+  async #writeClosing(closing: {
+    readonly incarnation: string;
+    readonly successor: string;
+  }): Promise<void> {
+    const { incarnation, successor } = closing;
+    const value: IncarnationClosing = {
+      entry: this.#entryNames.get(incarnation) ?? "unknown",
+      incarnation,
+      successor,
+    };
+    const written = await this.#options.store.put(
+      { kind: "closing", name: incarnation },
+      value,
+      { expectedRevision: undefined, changeId: randomUUID() },
+    );
+    if (written.kind === "written") {
+      this.#seenClosings.add(incarnation);
+      this.#runner.post({ type: "closingWritten", incarnation });
+      return;
+    }
+    if (written.current === undefined) throw new Error("Closing was withdrawn");
+    this.#seeClosing(written.current.value as IncarnationClosing);
+  }
+
+  async #listAgents(incarnation: string): Promise<void> {
+    const list = await this.#options.store.list("agent");
+    this.#runner.post({
+      type: "agentsListed",
+      incarnation,
+      revision: list.revision,
+      agents: readSightings(list.items),
+    });
+  }
+
+  async #askKeys(ask: {
+    readonly askId: string;
+    readonly target: string;
+    readonly agentIncarnation: string;
+    readonly incarnations: readonly string[];
+  }): Promise<void> {
+    const { askId, target, agentIncarnation, incarnations } = ask;
+    const agent = this.#options.findAgent(target, agentIncarnation);
+    try {
+      if (agent === undefined) throw new Error("Agent is not known");
+      const answer = await agent.askKeys.mutate({
+        incarnations: [...incarnations],
+      });
+      this.#runner.post({
+        type: "keysAnswered",
+        askId,
+        agentIncarnation: answer.agentIncarnation,
+        homes: answer.homes,
+      });
+    } catch {
+      this.#runner.post({ type: "keysUnanswered", askId });
+    }
+  }
+
+  /** The platform may be out for long; the takeover waits for it. */
+  async #untilDone(act: () => Promise<void>): Promise<void> {
+    while (!this.#isStopped) {
+      try {
+        return await act();
+      } catch (error) {
+        const message = (error as Error).message;
+        this.#options.logger.log("takeOverRetried", { message });
+        await wait(RETRY_MS * (0.5 + Math.random()));
+      }
+    }
+  }
+}
+
+function wait(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- a/foundation/log-events/src/platform_events.ts
+++ b/foundation/log-events/src/platform_events.ts
@@ -29,4 +29,16 @@
       "The platform showed revision {revision} after revision {viewRevision}",
     help: "If it lasts, the platform's store was set back; restart the entries",
   },
+  registrationRetried: {
+    id: 4010,
+    level: "warn",
+    text: "Registration {kind}/{name} is not written yet: {message}",
+    help: "It is tried again; look at the platform if it lasts",
+  },
+  registrationKept: {
+    id: 4011,
+    level: "warn",
+    text: "Registration {kind}/{name} could not be withdrawn: {message}",
+    help: "Delete the object when the platform answers again",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
--- a/peers/peer-api/src/agent_router.ts
+++ b/peers/peer-api/src/agent_router.ts
@@ -1,5 +1,6 @@
 /** What an agent answers its entries. */
 
+import type { AnswerKeys } from "@dandelionbank/admit-attempts";
 import type { AgentStatus, AgentView } from "@dandelionbank/types";
 import { initTRPC } from "@trpc/server";
 import * as v from "valibot";
@@ -8,6 +9,8 @@
   /** Takes in a view if it is newer than the one known. */
   applyView(view: AgentView): AgentStatus;
   readStatus(): AgentStatus;
+  /** What the agent knows of keys whose home entries were closed. */
+  askKeys(incarnations: readonly string[]): Promise<AnswerKeys>;
 }
 
 export type AgentRouter = ReturnType<typeof createAgentRouter>;
@@ -36,5 +39,8 @@
       .input(AGENT_VIEW_SCHEMA)
       .mutation(({ input }) => handlers.applyView(input)),
     readStatus: trpc.procedure.query(() => handlers.readStatus()),
+    askKeys: trpc.procedure
+      .input(v.object({ incarnations: v.array(TEXT) }))
+      .mutation(({ input }) => handlers.askKeys(input.incarnations)),
   });
 }
--- a/peers/peer-api/src/mod.ts
+++ b/peers/peer-api/src/mod.ts
@@ -3,7 +3,7 @@
 export { createAgentRouter } from "./agent_router.ts";
 export type { AgentHandlers, AgentRouter } from "./agent_router.ts";
 export { createEntryRouter } from "./entry_router.ts";
-export type { EntryHandlers, EntryRouter } from "./entry_router.ts";
+export type { EntryHandlers, EntryPing, EntryRouter } from "./entry_router.ts";
 export { createAgentClient, createEntryClient } from "./peer_client.ts";
 export type {
   AgentClient,
