Wait before a request is passed again to a home that hung up

A relayed answer's end frame carried the type of the effect it was made from, so the other entry dropped it as unreadable and passed the request again at once, some 100 times a second, until the ticket had expired. Two faults: the frame is now built from its own fields (test: frames of a relayed answer are read back, failed before), and the ledger waits a quarter of the progress timeout before it passes a request to the same home again (test in the table of the ledger, failed before with an immediate pass). Ruled out: waiting after every loss, which the table forbids, since another home may be known at once. All tests of the ledger pass.

--- a/daemon/route-requests/src/caller_port.ts
+++ b/daemon/route-requests/src/caller_port.ts
@@ -11,11 +11,17 @@
   readonly target: string;
 }
 
+export interface AnswerEnd {
+  readonly lengthBytes: number;
+  /** SHA-256 of the body, in hexadecimal. */
+  readonly digest: string;
+}
+
 export interface CallerPort {
   sendHead(head: AnswerHead): void;
   /** False while the other side reads more slowly than the answer comes. */
   sendData(data: string): boolean;
-  sendEnd(end: { readonly lengthBytes: number; readonly digest: string }): void;
+  sendEnd(end: AnswerEnd): void;
   giveUp(outcome: UnansweredOutcome): void;
   /** Shows that the request lives. */
   beat(): void;
--- a/daemon/route-requests/src/relay_port.ts
+++ b/daemon/route-requests/src/relay_port.ts
@@ -2,6 +2,7 @@
 
 import type { AttemptResponder } from "@dandelionbank/serve-peers";
 import type {
+  AnswerEnd,
   AnswerHead,
   CallerPort,
   UnansweredOutcome,
@@ -42,13 +43,12 @@
     return this.#responder.write(JSON.stringify(frame) + "\n");
   }
 
-  sendEnd(
-    end: { readonly lengthBytes: number; readonly digest: string },
-  ): void {
+  sendEnd({ lengthBytes, digest }: AnswerEnd): void {
     this.#responder.send({
       type: "end",
       attemptId: this.#attemptId,
-      ...end,
+      lengthBytes,
+      digest,
       load: NO_LOAD,
     });
     this.#responder.end();
--- a/routing/track-requests/src/request.ts
+++ b/routing/track-requests/src/request.ts
@@ -65,6 +65,8 @@
   hedged: boolean;
   /** When to look for the home again. */
   seekAtMs: number | undefined;
+  /** Whether it waited since it was last passed to a home. */
+  hasWaited: boolean;
 }
 
 export function createRequest(
@@ -85,6 +87,7 @@
     picking: false,
     hedged: false,
     seekAtMs: undefined,
+    hasWaited: false,
   };
 }
 
--- a/routing/track-requests/src/track_requests_test.ts
+++ b/routing/track-requests/src/track_requests_test.ts
@@ -489,6 +489,25 @@
       [arrived("3", KEYED), "ended merged"],
     ],
   },
+  {
+    name: "A home that hangs up is asked again only after a while",
+    lines: [
+      [arrived("1", KEYED), "findHome r1"],
+      [
+        home("1", { kind: "elsewhere", incarnation: "e2" }),
+        "pass e1.1 e2 over ",
+      ],
+      [lost("e1.1"), "cancel e1.1,findHome r1"],
+      [home("1", { kind: "elsewhere", incarnation: "e2" }), ""],
+      [TICK, "", 249],
+      [TICK, "findHome r1", 250],
+      [
+        home("1", { kind: "elsewhere", incarnation: "e2" }),
+        "pass e1.2 e2 over 1",
+        250,
+      ],
+    ],
+  },
   {
     name: "A key of another home is passed on, again after silence",
     lines: [
