Add the quickstart: a whole site as separate processes

Cause: the path has to run for real. npm run quickstart starts three stand-ins, two entries, four rank agents and a plain agent as processes on loopback, applies configuration and contract by the command-line tool, sends streamed, whole and plain requests through both entries, repeats a keyed call, shows the status and stops everything.

--- a/daemon/serve-entry/src/entry_process.ts
+++ b/daemon/serve-entry/src/entry_process.ts
@@ -168,6 +168,11 @@
     });
     const peerUrl = await this.#listenForPeers();
     this.#callerUrl = await this.#listenForCallers();
+    this.#options.logger.log("entryListens", {
+      entry: settings.name,
+      callerUrl: this.#callerUrl,
+      peerUrl,
+    });
     this.#stopWatching = this.#views.start();
     void this.#register(peerUrl);
   }
--- a/foundation/log-events/src/entry_events.ts
+++ b/foundation/log-events/src/entry_events.ts
@@ -17,4 +17,10 @@
     help:
       "Look at the target; the same fingerprint twice points at the request",
   },
+  entryListens: {
+    id: 2002,
+    level: "info",
+    text: "Callers reach entry {entry} at {callerUrl}, peers at {peerUrl}",
+    help: "None needed",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
--- /dev/null
+++ b/testing/quickstart/src/mod.ts
@@ -0,0 +1,3 @@
+/** Shows the whole path: callers, entries, agents, targets and operators. */
+
+export { runQuickstart } from "./run_quickstart.ts";
--- /dev/null
+++ b/testing/run-site/src/call_entry.ts
@@ -0,0 +1,71 @@
+/** Calls an entry as a caller would, over a connection of its own. */
+
+import { type IncomingHttpHeaders, request } from "node:http";
+
+export interface CallerReply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the body came to its end. */
+  readonly isWhole: boolean;
+}
+
+export interface CallerCall {
+  readonly key: string;
+  readonly method?: string;
+  readonly path: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly onData?: (text: string) => void;
+}
+
+/** Rejects only if the connection fails before a status came. */
+export function callEntry(
+  entryUrl: string,
+  call: CallerCall,
+): Promise<CallerReply> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request(new URL(call.path, entryUrl), {
+      method: call.method ?? (call.body === undefined ? "GET" : "POST"),
+      agent: false,
+      headers: {
+        "authorization": `Bearer ${call.key}`,
+        "content-type": "application/json",
+        ...call.headers,
+      },
+    });
+    outgoing.on("error", reject);
+    outgoing.on("response", (response) => {
+      let body = "";
+      response.setEncoding("utf8");
+      response.on("data", (text: string) => {
+        body += text;
+        call.onData?.(text);
+      });
+      response.on("error", () => {});
+      response.on("close", () =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body,
+          isWhole: response.complete,
+        }));
+    });
+    outgoing.end(call.body);
+  });
+}
+
+export interface AddressReply {
+  readonly addresses: readonly string[];
+  readonly validityMs: number;
+  readonly ticket: string;
+}
+
+export async function readTicket(
+  entryUrl: string,
+  key: string,
+): Promise<AddressReply> {
+  const reply = await callEntry(entryUrl, { key, path: "/v1/addresses" });
+  if (reply.status !== 200) throw new Error(`No addresses: ${reply.body}`);
+  return JSON.parse(reply.body) as AddressReply;
+}
--- /dev/null
+++ b/testing/run-site/src/child_program.ts
@@ -0,0 +1,102 @@
+/** One program of the workspace as a child process, read line by line. */
+
+import { type ChildProcess, spawn } from "node:child_process";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+
+const START_TIMEOUT_MS = 20_000;
+const ROOT = new URL("../../../", import.meta.url);
+
+export interface JsonLine {
+  readonly [field: string]: unknown;
+}
+
+export interface ChildProgramOptions {
+  /** Path below the workspace's root. */
+  readonly script: string;
+  readonly args: readonly string[];
+  readonly nodeArgs?: readonly string[];
+}
+
+export class ChildProgram {
+  readonly name: string;
+  readonly lines: string[] = [];
+  readonly #child: ChildProcess;
+  readonly #waiting = new Set<(line: JsonLine) => void>();
+  readonly #exited: Promise<number | null>;
+
+  private constructor(name: string, options: ChildProgramOptions) {
+    this.name = name;
+    const { script, args, nodeArgs = [] } = options;
+    const path = fileURLToPath(new URL(script, ROOT));
+    this.#child = spawn(process.execPath, [...nodeArgs, path, ...args], {
+      stdio: ["ignore", "pipe", "pipe"],
+    });
+    this.#exited = new Promise((resolve) =>
+      this.#child.once("exit", (code) => resolve(code))
+    );
+    for (const stream of [this.#child.stdout, this.#child.stderr]) {
+      if (stream === null) continue;
+      createInterface({ input: stream }).on("line", (line) => this.#take(line));
+    }
+  }
+
+  static start(name: string, options: ChildProgramOptions): ChildProgram {
+    return new ChildProgram(name, options);
+  }
+
+  get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
+  get exited(): Promise<number | null> {
+    return this.#exited;
+  }
+
+  /** The first line of JSON, past or to come, that `matches`. */
+  waitFor(matches: (line: JsonLine) => boolean): Promise<JsonLine> {
+    const past = this.lines.map(parseLine).find((line) =>
+      line !== undefined && matches(line)
+    );
+    if (past !== undefined) return Promise.resolve(past);
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(() => {
+        const last = this.lines.slice(-5).join("\n");
+        reject(new Error(`${this.name} did not say so in time:\n${last}`));
+      }, START_TIMEOUT_MS);
+      const take = (line: JsonLine): void => {
+        if (!matches(line)) return;
+        clearTimeout(timer);
+        this.#waiting.delete(take);
+        resolve(line);
+      };
+      this.#waiting.add(take);
+    });
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.#child.kill(signal);
+  }
+
+  /** Ends the process and waits for it. */
+  async stop(signal: NodeJS.Signals = "SIGTERM"): Promise<number | null> {
+    this.#child.kill("SIGCONT");
+    this.#child.kill(signal);
+    return await this.#exited;
+  }
+
+  #take(text: string): void {
+    this.lines.push(text);
+    const line = parseLine(text);
+    if (line === undefined) return;
+    for (const take of [...this.#waiting]) take(line);
+  }
+}
+
+function parseLine(text: string): JsonLine | undefined {
+  try {
+    return JSON.parse(text) as JsonLine;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/testing/run-site/src/site.ts
@@ -0,0 +1,291 @@
+/**
+ * A small site: the platform, one group of ranks, one plain service, their
+ * agents and some entries, each a process of its own on loopback.
+ */
+
+import { digestKey } from "@dandelionbank/check-credential";
+import type { Contract } from "@dandelionbank/types";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { callEntry } from "./call_entry.ts";
+import { ChildProgram } from "./child_program.ts";
+
+const DAEMON = "daemon/dandelionbankd/dist/main.js";
+const TOOL = "cli/dandelionbank/dist/main.js";
+const DAEMON_NODE_ARGS = ["--max-semi-space-size=2"];
+const LOOPBACK = "127.0.0.1:0";
+const READY_TIMEOUT_MS = 15_000;
+const READY_POLL_MS = 25;
+
+export interface SiteOptions {
+  readonly entries: number;
+  readonly ranks: number;
+  /** Settings of the stand-ins, as flags. */
+  readonly groupArgs?: readonly string[];
+  readonly plainArgs?: readonly string[];
+  /** Further settings of every agent and entry, as flags. */
+  readonly agentArgs?: readonly string[];
+  readonly entryArgs?: readonly string[];
+}
+
+export interface ToolResult {
+  readonly exitCode: number | null;
+  readonly lines: readonly string[];
+}
+
+export class Site {
+  readonly operatorKey = "operator-key-of-the-site";
+  readonly callerKey = "caller-key-of-the-site";
+  readonly peerSecret = "peer-secret-of-the-site";
+  readonly entries = new Map<string, ChildProgram>();
+  readonly agents = new Map<string, ChildProgram>();
+  readonly entryUrls = new Map<string, string>();
+  readonly #options: SiteOptions;
+  readonly #folder = mkdtempSync(join(tmpdir(), "dandelionbank-site-"));
+  readonly #standins: ChildProgram[] = [];
+  readonly #files: string[] = [];
+  platformUrl = "";
+  plainUrl = "";
+  groupUrls: readonly string[] = [];
+
+  private constructor(options: SiteOptions) {
+    this.#options = options;
+  }
+
+  /** Starts every process, and waits until each entry takes requests. */
+  static async start(options: SiteOptions): Promise<Site> {
+    const site = new Site(options);
+    try {
+      await site.#startAll();
+    } catch (error) {
+      await site.stop();
+      throw error;
+    }
+    return site;
+  }
+
+  urlOf(entry: string): string {
+    const url = this.entryUrls.get(entry);
+    if (url === undefined) throw new Error(`There is no entry ${entry}`);
+    return url;
+  }
+
+  async startEntry(name: string): Promise<void> {
+    const entry = this.#startDaemon(name, [
+      "--role=entry",
+      `--caller-listen=${LOOPBACK}`,
+      `--operator-key-digest=${digestKey(this.operatorKey)}`,
+      ...(this.#options.entryArgs ?? []),
+    ]);
+    this.entries.set(name, entry);
+    const { fields } = await entry.waitFor(({ name }) =>
+      name === "entryListens"
+    );
+    const { callerUrl } = fields as { readonly callerUrl: string };
+    this.entryUrls.set(name, callerUrl);
+  }
+
+  async startAgent(name: string, targetArgs: readonly string[]): Promise<void> {
+    const agent = this.#startDaemon(name, [
+      "--role=agent",
+      ...targetArgs,
+      ...(this.#options.agentArgs ?? []),
+    ]);
+    this.agents.set(name, agent);
+    await agent.waitFor(({ name }) => name === "admissionOpened");
+  }
+
+  /** Runs the command-line tool against the named entry. */
+  async runTool(
+    args: readonly string[],
+    entry = "entry-1",
+  ): Promise<ToolResult> {
+    const tool = ChildProgram.start("dandelionbank", {
+      script: TOOL,
+      args: [
+        ...args,
+        `--entry-url=${this.urlOf(entry)}`,
+        `--key=${this.operatorKey}`,
+      ],
+    });
+    const exitCode = await tool.exited;
+    return { exitCode, lines: tool.lines };
+  }
+
+  /** Writes a value to a file that the tool can read. */
+  writeFile(name: string, value: unknown): string {
+    const path = join(this.#folder, name);
+    writeFileSync(path, JSON.stringify(value));
+    this.#files.push(path);
+    return path;
+  }
+
+  createContract(organisation: string, callerKey: string): Contract {
+    return {
+      organisation,
+      keyDigests: [digestKey(callerKey)],
+      requestsPerSecond: 1_000,
+      concurrentRequests: 1_000,
+      tokensPerMinute: 60_000_000,
+      shareWeight: 1,
+      priority: 5,
+      objective: {
+        firstTokenMs: 1_100,
+        betweenTokensMs: 72,
+        answeredMs: 10_000,
+      },
+    };
+  }
+
+  /** Waits until a caller with this key gets addresses from every entry. */
+  async waitUntilServed(key = this.callerKey): Promise<void> {
+    for (const url of this.entryUrls.values()) {
+      await waitUntil(async () => {
+        const call = { key, path: "/v1/addresses" };
+        const reply = await callEntry(url, call).catch(() => undefined);
+        return reply?.status === 200;
+      });
+    }
+  }
+
+  /** Sets faults of a stand-in. */
+  async setFaults(url: string, faults: object): Promise<void> {
+    const reply = await callEntry(url, {
+      key: "none",
+      path: "/faults",
+      body: JSON.stringify(faults),
+    });
+    if (reply.status !== 200) throw new Error(`Faults: ${reply.body}`);
+  }
+
+  async stop(): Promise<void> {
+    const daemons = [...this.entries.values(), ...this.agents.values()];
+    await Promise.all(daemons.map((daemon) => daemon.stop("SIGKILL")));
+    await Promise.all(this.#standins.map((standin) => standin.stop("SIGKILL")));
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  async #startAll(): Promise<void> {
+    const { entries, ranks, groupArgs = [], plainArgs = [] } = this.#options;
+    const [platform, plain, group] = await Promise.all([
+      this.#startStandin("platform", []),
+      this.#startStandin("plain", plainArgs),
+      this.#startStandin("group", [`--ranks=${ranks}`, ...groupArgs]),
+    ]);
+    this.platformUrl = String(platform);
+    this.plainUrl = String(plain);
+    this.groupUrls = group as readonly string[];
+    const names = Array.from(
+      { length: entries },
+      (_, index) => `entry-${index + 1}`,
+    );
+    await Promise.all([
+      ...names.map((name) => this.startEntry(name)),
+      ...this.groupUrls.map((_, rank) => this.startRankAgent(rank)),
+      this.startPlainAgent("parts-0"),
+    ]);
+    await this.#writeObjects();
+    await this.waitUntilServed();
+    await this.#waitForTargets();
+  }
+
+  startRankAgent(rank: number): Promise<void> {
+    return this.startAgent(`review-${rank}`, [
+      "--target-kind=rank",
+      `--target-url=${this.groupUrls[rank]}`,
+      "--pool=review",
+      "--group=group-1",
+      `--rank=${rank}`,
+      `--group-size=${this.groupUrls.length}`,
+    ]);
+  }
+
+  startPlainAgent(name: string): Promise<void> {
+    return this.startAgent(name, [
+      "--target-kind=plain",
+      `--target-url=${this.plainUrl}`,
+      "--pool=parts",
+    ]);
+  }
+
+  async #writeObjects(): Promise<void> {
+    const config = {
+      pools: [
+        { name: "review", kind: "rank", models: ["plaque-7b"], routes: [] },
+        {
+          name: "parts",
+          kind: "plain",
+          models: [],
+          routes: [{ method: "GET", pathPrefix: "/", idempotent: true }],
+        },
+      ],
+    };
+    const contract = this.createContract("malabar", this.callerKey);
+    await this.#setObject(["config", "set"], "config.json", config);
+    await this.#setObject(
+      ["contract", "set", "malabar"],
+      "contract.json",
+      contract,
+    );
+  }
+
+  async #setObject(
+    command: readonly string[],
+    file: string,
+    value: unknown,
+  ): Promise<void> {
+    const path = this.writeFile(file, value);
+    const result = await this.runTool([...command, path]);
+    if (result.exitCode !== 0) throw new Error(result.lines.join("\n"));
+  }
+
+  /** Every entry sees every target. */
+  async #waitForTargets(): Promise<void> {
+    const wanted = this.agents.size;
+    for (const entry of this.entries.keys()) {
+      await waitUntil(async () => {
+        const { lines } = await this.runTool(["status", "--json"], entry);
+        const status = JSON.parse(lines.join("\n")) as {
+          readonly targets: readonly unknown[];
+        };
+        return status.targets.length === wanted;
+      });
+    }
+  }
+
+  async #startStandin(name: string, args: readonly string[]): Promise<unknown> {
+    const standin = ChildProgram.start(name, {
+      script: `testing/standin-${name}/dist/main.js`,
+      args: [`--listen=${LOOPBACK}`, ...args],
+    });
+    this.#standins.push(standin);
+    const line = await standin.waitFor((each) => "listening" in each);
+    return line["listening"];
+  }
+
+  #startDaemon(name: string, args: readonly string[]): ChildProgram {
+    return ChildProgram.start(name, {
+      script: DAEMON,
+      nodeArgs: DAEMON_NODE_ARGS,
+      args: [
+        `--name=${name}`,
+        "--data-centre=kochi-1",
+        `--peer-listen=${LOOPBACK}`,
+        `--observe-listen=${LOOPBACK}`,
+        `--platform-url=${this.platformUrl}`,
+        `--peer-secret=${this.peerSecret}`,
+        "--log-format=json",
+        ...args,
+      ],
+    });
+  }
+}
+
+async function waitUntil(isTrue: () => Promise<boolean>): Promise<void> {
+  const deadlineMs = Date.now() + READY_TIMEOUT_MS;
+  while (!(await isTrue())) {
+    if (Date.now() > deadlineMs) throw new Error("The site did not get ready");
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+  }
+}
