Take only a failed connect as proof that nothing was sent

Cause: ETIMEDOUT, EHOSTUNREACH and ENETUNREACH were taken to mean that no connection was made, but the kernel reports them on established connections too, after a request was written; a notRun could have been false. Now only the connect call itself or undici's connect timeout proves it. Ruled out: dropping the codes and trusting ECONNREFUSED alone, which would call every unreachable host an unknown outcome. Tests now have a timeout a file, since the failing test hung a run.

--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -10,15 +10,6 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
 
-/** Codes of undici and Node.js for a connection that was never made. */
-const NOT_CONNECTED_CODES: ReadonlySet<string> = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "ETIMEDOUT",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
 /** Makes connections in place of undici's own way, such as with TLS. */
 export type HttpConnector = buildConnector.connector;
 
@@ -47,7 +38,7 @@
   onHead(head: HttpAnswerHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
-  /** `wasSent` is false only if no connection was made. */
+  /** `wasSent` is false only if it is proved that no connection was made. */
   onError(error: Error, wasSent: boolean): void;
 }
 
@@ -159,7 +150,11 @@
   }
 }
 
+/**
+ * A connection that was made may fail with the same codes as one that was not,
+ * so only the failed call itself proves that nothing was sent.
+ */
 function wasSent(error: Error): boolean {
-  const code = (error as NodeJS.ErrnoException).code;
-  return code === undefined || !NOT_CONNECTED_CODES.has(code);
+  const { code, syscall } = error as NodeJS.ErrnoException;
+  return syscall !== "connect" && code !== "UND_ERR_CONNECT_TIMEOUT";
 }
--- /dev/null
+++ b/foundation/open-http/src/http_pool_test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { type HttpConnector, HttpPool } from "./mod.ts";
+
+interface Loss {
+  readonly code: string | undefined;
+  readonly wasSent: boolean;
+}
+
+test("A refused connection proves that nothing was sent", async () => {
+  const server = await listen((_, response) => response.end());
+  const origin = urlOf(server);
+  await new Promise((resolve) => server.close(resolve));
+  const loss = await lose(HttpPool.create({ origin }));
+  assert.deepEqual(loss, { code: "ECONNREFUSED", wasSent: false });
+});
+
+test("A connection that fails after the request was written proves nothing", async (t) => {
+  for (const code of ["ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH"]) {
+    const server = await listen((request) => request.socket.pause());
+    t.after(() => server.closeAllConnections());
+    t.after(() => server.close());
+    const pool = HttpPool.create({
+      origin: urlOf(server),
+      connector: await createFailingConnector(server, code),
+    });
+    assert.deepEqual(await lose(pool), { code, wasSent: true });
+  }
+});
+
+async function lose(pool: HttpPool): Promise<Loss> {
+  const loss = await new Promise<Loss>((resolve) =>
+    pool.send({ method: "POST", path: "/", headers: {}, body: "x" }, {
+      onHead: () => {},
+      onData: () => {},
+      onEnd: () => resolve({ code: "none", wasSent: true }),
+      onError: (error, wasSent) =>
+        resolve({ code: (error as NodeJS.ErrnoException).code, wasSent }),
+    })
+  );
+  await pool.close();
+  return loss;
+}
+
+/** Connections that fail with `code` as the kernel would, once written to. */
+async function createFailingConnector(
+  server: Server,
+  code: string,
+): Promise<HttpConnector> {
+  const { connect } = await import("node:net");
+  return (_options, callback) => {
+    const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+    socket.once("connect", () => callback(null, socket));
+    server.once(
+      "request",
+      () =>
+        socket.destroy(
+          Object.assign(new Error("read"), { code, syscall: "read" }),
+        ),
+    );
+    return socket;
+  };
+}
+
+function listen(answer: RequestListener): Promise<Server> {
+  const server = createServer(answer);
+  return new Promise((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve(server))
+  );
+}
+
+function urlOf(server: Server): string {
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -7,6 +7,9 @@
 import { join } from "node:path";
 import { listFiles, readPackages } from "./workspace.mjs";
 
+/** A file that hangs fails instead of holding up the run. */
+const FILE_TIMEOUT_MS = 180_000;
+
 const wanted = process.argv.slice(2);
 const files = readPackages()
   .flatMap((pkg) => listFiles(join(pkg.folder, "src"), "_test.ts"))
@@ -27,6 +30,7 @@
     "--test-reporter=./scripts/count_reporter.mjs",
     "--test-reporter-destination=stdout",
     "--test-concurrency=6",
+    `--test-timeout=${FILE_TIMEOUT_MS}`,
     ...files,
   ],
   { stdio: "inherit" },
