--- a/testing/standin-common/src/reply.ts
+++ b/testing/standin-common/src/reply.ts
@@ -63,6 +63,7 @@
 
   /** Breaks the connection off after what was written so far. */
   cut(): void {
+    this.#isSilent = true;
     this.#response.uncork();
     this.#response.socket?.destroySoon();
   }
--- a/testing/standin-weights/src/weights_test.ts
+++ b/testing/standin-weights/src/weights_test.ts
@@ -10,7 +10,8 @@
     settings: { sizeBytes: 30_000, bytesPerSecond: 1_000_000, ...settings },
   });
   context.after(() => weights.close());
-  const read = () => fetch(`${weights.listening}/v1/weights/expert-3`);
+  const read = (signal?: AbortSignal) =>
+    fetch(`${weights.listening}/v1/weights/expert-3`, signal && { signal });
   return { weights, read };
 }
 
@@ -36,15 +37,22 @@
 });
 
 const SPOILT = [
-  { fault: { cutAfterBytes: 10_000 }, what: "cut" },
-  { fault: { outage: true }, what: "out" },
+  { fault: { cutAfterBytes: 10_000 }, ends: "cut" },
+  { fault: { bytesPerSecond: 100 }, ends: "late" },
+  { fault: { outage: true }, ends: "503" },
+  { fault: { silent: true }, ends: "late" },
+  { fault: { rateLimitPerSecond: 0.5 }, ends: "429" },
 ];
-for (const { fault, what } of SPOILT) {
-  test(`A store that is ${what} never gives a whole file`, async (context) => {
+
+for (const { fault, ends } of SPOILT) {
+  test(`${JSON.stringify(fault)} ends a read as ${ends}`, async (context) => {
     const { read } = await startSmallStore(context, fault);
-    const answer = await read();
-    if (answer.ok) await assert.rejects(answer.arrayBuffer());
-    else assert.equal(answer.status, 503);
-    await answer.text().catch(() => {});
+    const ended = await read(AbortSignal.timeout(300)).then(
+      async (answer) => {
+        await answer.arrayBuffer();
+        return String(answer.status);
+      },
+    ).catch(({ name }: Error) => name === "TimeoutError" ? "late" : "cut");
+    assert.equal(ended, ends);
   });
 }
