--- /dev/null
+++ b/testing/standin-platform/src/object_routes.ts
@@ -0,0 +1,79 @@
+/** Reads and conditional writes of the stand-in's objects. */
+
+import {
+  type Call,
+  parseJson,
+  type Reply,
+} from "@dandelionbank/standin-common";
+import type { ObjectKind, StoredObject } from "@dandelionbank/types";
+import type { ObjectId, ObjectTable } from "./object_table.ts";
+
+export interface ObjectExchange {
+  readonly objects: ObjectTable;
+  readonly call: Call;
+  readonly reply: Reply;
+}
+
+export function answerRead({ objects, call, reply }: ObjectExchange): void {
+  const path = parsePath(call.path);
+  if (path === undefined) return refusePath(reply);
+  const { kind, name } = path;
+  if (kind === undefined || name === undefined) {
+    return reply.sendJson(200, objects.list(kind));
+  }
+  const object = objects.get({ kind, name });
+  if (object === undefined) reply.sendJson(404, { message: "No such object" });
+  else reply.sendJson(200, object);
+}
+
+export function answerWrite(
+  exchange: ObjectExchange,
+  options: { readonly valueLimitBytes: number },
+): void {
+  const { objects, call, reply } = exchange;
+  const { kind, name } = parsePath(call.path) ?? {};
+  if (kind === undefined || name === undefined) return refusePath(reply);
+  if (call.body.length > options.valueLimitBytes) {
+    return reply.sendJson(413, { message: "Value is too large" });
+  }
+  const current = objects.get({ kind, name });
+  if (!meetsCondition(call, current)) {
+    return reply.sendJson(412, { current: current ?? null });
+  }
+  if (call.method === "PUT") return put({ kind, name }, exchange);
+  reply.sendJson(200, { revision: objects.delete({ kind, name }) });
+}
+
+function put(id: ObjectId, { objects, call, reply }: ObjectExchange): void {
+  const { changeId, value } = Object(parseJson(call));
+  if (typeof changeId !== "string" || value === undefined) {
+    return reply.sendJson(400, { message: "No change id or value" });
+  }
+  reply.sendJson(200, objects.put({ ...id, changeId, value }));
+}
+
+function parsePath(
+  path: string,
+): { readonly kind?: ObjectKind; readonly name?: string } | undefined {
+  const match = path.match(/^\/v1\/objects(?:\/([^/]+)(?:\/([^/]+))?)?$/);
+  if (match === null) return undefined;
+  const [, kind, name] = match;
+  return {
+    ...(kind === undefined ? {} : { kind: kind as ObjectKind }),
+    ...(name === undefined ? {} : { name: decodeURIComponent(name) }),
+  };
+}
+
+function refusePath(reply: Reply): void {
+  reply.sendJson(400, { message: "No such path" });
+}
+
+/** A write without a condition is refused too. */
+function meetsCondition(
+  call: Call,
+  current: StoredObject | undefined,
+): boolean {
+  if (call.headers["if-none-match"] === "*") return current === undefined;
+  return current !== undefined &&
+    call.headers["if-match"] === String(current.revision);
+}
--- a/testing/standin-platform/src/object_table.ts
+++ b/testing/standin-platform/src/object_table.ts
@@ -17,22 +17,30 @@
   readonly value: unknown;
 }
 
+export type ChangeListener = (change: ObjectChange) => void;
+
 export class ObjectTable {
+  readonly #onChange: ChangeListener;
   readonly #objects = new Map<string, StoredObject>();
   #history: ObjectChange[] = [];
   #revision = 0;
   #lastUid = 0;
 
-  static create(): ObjectTable {
-    return new ObjectTable();
+  static create(onChange: ChangeListener): ObjectTable {
+    return new ObjectTable(onChange);
+  }
+
+  private constructor(onChange: ChangeListener) {
+    this.#onChange = onChange;
   }
 
   get revision(): number {
     return this.#revision;
   }
 
+  /** The state of now, for reading. */
   copy(): ObjectTable {
-    const copy = new ObjectTable();
+    const copy = new ObjectTable(() => {});
     for (const [id, object] of this.#objects) copy.#objects.set(id, object);
     copy.#revision = this.#revision;
     return copy;
@@ -55,16 +63,18 @@
     const revision = this.#revision;
     const object = { kind, name, uid, revision, changeId, value };
     this.#objects.set(toKey(write), object);
-    this.#history.push({ type: "put", object });
+    this.#record({ type: "put", object });
     return object;
   }
 
-  delete(object: StoredObject): number {
+  /** The store's revision after the deletion. */
+  delete(id: ObjectId): number {
     this.#revision += 1;
-    this.#objects.delete(toKey(object));
-    const { kind, name, uid } = object;
+    const { kind, name } = id;
+    const uid = this.get(id)?.uid ?? "";
     const revision = this.#revision;
-    this.#history.push({ type: "delete", kind, name, uid, revision });
+    this.#objects.delete(toKey(id));
+    this.#record({ type: "delete", kind, name, uid, revision });
     return revision;
   }
 
@@ -79,6 +89,11 @@
     return this.#history.slice(revision - oldest);
   }
 
+  #record(change: ObjectChange): void {
+    this.#history.push(change);
+    this.#onChange(change);
+  }
+
   #nextUid(): string {
     this.#lastUid += 1;
     return `uid-${this.#lastUid}`;
--- a/testing/standin-platform/src/platform.ts
+++ b/testing/standin-platform/src/platform.ts
@@ -9,7 +9,8 @@
   type RunningStandin,
   StandinServer,
 } from "@dandelionbank/standin-common";
-import type { ObjectKind, StoredObject, VmListing } from "@dandelionbank/types";
+import type { StoredObject, VmListing } from "@dandelionbank/types";
+import { answerRead, answerWrite } from "./object_routes.ts";
 import { type ObjectId, ObjectTable } from "./object_table.ts";
 import { PLATFORM_SETTINGS, type PlatformSettings } from "./settings.ts";
 import { VmList } from "./vm_list.ts";
@@ -38,9 +39,11 @@
 }
 
 export class StandinPlatform implements RunningStandin {
-  readonly objects = ObjectTable.create();
   readonly #vms = VmList.create();
   readonly #watchers = Watchers.create();
+  readonly objects = ObjectTable.create((change) =>
+    this.#watchers.publish(change)
+  );
   readonly #writeLimit = RateLimit.create();
   readonly #readLimit = RateLimit.create();
   #server!: StandinServer<PlatformSettings>;
@@ -83,9 +86,7 @@
   /** Writes without a call or a condition. */
   seed(id: ObjectId, value: unknown): StoredObject {
     const changeId = `seed-${this.objects.revision + 1}`;
-    const object = this.objects.put({ ...id, changeId, value });
-    this.#watchers.publish({ type: "put", object });
-    return object;
+    return this.objects.put({ ...id, changeId, value });
   }
 
   async close(): Promise<void> {
@@ -121,11 +122,15 @@
       this.#counts.refused += 1;
       return refuseForRate(reply);
     }
-    if (isWrite) return this.#handleWrite(call, reply);
+    const { objects } = this;
+    if (isWrite) {
+      this.#counts.writes += 1;
+      return answerWrite({ objects, call, reply }, this.#server.settings);
+    }
     if (call.path === "/v1/vms") return this.#listVms(reply);
     if (call.path === "/v1/watch") return this.#watch(call, reply);
     this.#counts.reads += 1;
-    this.#read(call, reply);
+    answerRead({ objects: this.#stale ?? objects, call, reply });
   }
 
   #admit(isWrite: boolean): boolean {
@@ -151,80 +156,4 @@
     }
     this.#watchers.add({ reply, kinds: call.query.getAll("kind") }, missed);
   }
-
-  #read(call: Call, reply: Reply): void {
-    const objects = this.#stale ?? this.objects;
-    const id = parsePath(call.path);
-    if (id === undefined) return refusePath(reply);
-    if (id.name === undefined) {
-      return reply.sendJson(200, objects.list(id.kind));
-    }
-    const object = objects.get(id as ObjectId);
-    if (object === undefined) {
-      reply.sendJson(404, { message: "No such object" });
-    } else reply.sendJson(200, object);
-  }
-
-  #handleWrite(call: Call, reply: Reply): void {
-    this.#counts.writes += 1;
-    const id = parsePath(call.path);
-    if (id?.name === undefined) return refusePath(reply);
-    if (call.body.length > this.#server.settings.valueLimitBytes) {
-      return reply.sendJson(413, { message: "Value is too large" });
-    }
-    const current = this.objects.get(id as ObjectId);
-    if (!meetsCondition(call, current)) {
-      return reply.sendJson(412, { current: current ?? null });
-    }
-    if (call.method === "PUT") this.#put(id as ObjectId, { call, reply });
-    else this.#delete(current as StoredObject, reply);
-  }
-
-  #put(id: ObjectId, exchange: { call: Call; reply: Reply }): void {
-    const body = parseJson(exchange.call) as
-      | { changeId?: unknown; value?: unknown }
-      | undefined;
-    if (typeof body?.changeId !== "string" || body.value === undefined) {
-      return exchange.reply.sendJson(400, { message: "No change id or value" });
-    }
-    const { changeId, value } = body;
-    const object = this.objects.put({ ...id, changeId, value });
-    this.#watchers.publish({ type: "put", object });
-    exchange.reply.sendJson(200, object);
-  }
-
-  #delete(object: StoredObject, reply: Reply): void {
-    const { kind, name, uid } = object;
-    const revision = this.objects.delete(object);
-    this.#watchers.publish({ type: "delete", kind, name, uid, revision });
-    reply.sendJson(200, { revision });
-  }
-}
-
-function parsePath(
-  path: string,
-): { kind?: ObjectKind; name?: string } | undefined {
-  const [empty, version, objects, kind, name, ...rest] = path.split("/");
-  if (empty !== "" || version !== "v1" || objects !== "objects") {
-    return undefined;
-  }
-  if (rest.length > 0) return undefined;
-  return {
-    ...(kind === undefined ? {} : { kind: kind as ObjectKind }),
-    ...(name === undefined ? {} : { name: decodeURIComponent(name) }),
-  };
-}
-
-function refusePath(reply: Reply): void {
-  reply.sendJson(400, { message: "No such path" });
-}
-
-/** A write without a condition is refused too. */
-function meetsCondition(
-  call: Call,
-  current: StoredObject | undefined,
-): boolean {
-  if (call.headers["if-none-match"] === "*") return current === undefined;
-  return current !== undefined &&
-    call.headers["if-match"] === String(current.revision);
 }
--- a/testing/standin-platform/src/platform_test.ts
+++ b/testing/standin-platform/src/platform_test.ts
@@ -4,7 +4,10 @@
 
 const STOP = { kind: "stop", name: "engine-1" } as const;
 
-function write(url: string, headers: Record<string, string>, value: unknown) {
+function write(
+  url: string,
+  { headers, value }: { headers: Record<string, string>; value: unknown },
+) {
   const body = JSON.stringify({ changeId: "change", value });
   const path = `${url}/v1/objects/stop/engine-1`;
   return fetch(path, { method: "PUT", headers, body });
@@ -26,7 +29,7 @@
       [{ "if-match": "2" }, "x".repeat(1_000_000)],
     ] as const
   ) {
-    const answer = await write(url, headers, value);
+    const answer = await write(url, { headers, value });
     await answer.text();
     statuses.push(answer.status);
   }
