--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -4,7 +4,7 @@
  * reader is slow.
  */
 
-import type { Dispatcher } from "undici";
+import type { buildConnector, Dispatcher } from "undici";
 import Pool from "undici/lib/dispatcher/pool.js";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -19,18 +19,16 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-export interface TlsOptions {
-  readonly key?: string;
-  readonly cert?: string;
-  readonly ca?: string;
-}
+/** Makes connections in place of undici's own way, such as with TLS. */
+export type HttpConnector = buildConnector.connector;
 
 export interface HttpPoolOptions {
   /** Such as `http://10.0.0.1:7000`. */
   readonly origin: string;
-  readonly connections: number;
+  /** Most connections at a time; any number if left out. */
+  readonly connections?: number;
   readonly connectTimeoutMs?: number;
-  readonly tls?: TlsOptions;
+  readonly connector?: HttpConnector;
 }
 
 export interface HttpRequest {
@@ -66,14 +64,13 @@
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
     this.#pool = new Pool(options.origin, {
-      connections: options.connections,
+      connections: options.connections ?? null,
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: {
+      connect: options.connector ?? {
         timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-        ...options.tls,
       },
     });
   }
@@ -98,6 +95,11 @@
     return running;
   }
 
+  /** Takes no more requests, and resolves when those under way have ended. */
+  async drain(): Promise<void> {
+    await this.#pool.close();
+  }
+
   /** Ends every connection; requests under way fail. */
   async close(): Promise<void> {
     await this.#pool.destroy();
--- a/peers/serve-peers/src/peer_server.ts
+++ b/peers/serve-peers/src/peer_server.ts
@@ -4,14 +4,11 @@
  */
 
 import { encodeFrame, parseMessage } from "@dandelionbank/exchange-attempts";
-import type {
-  AttemptFrame,
-  AttemptMessage,
-  AttemptQuestion,
-} from "@dandelionbank/types";
+import { isSameSecret, readBearerKey } from "@dandelionbank/check-credential";
+import type { TlsMaterial } from "@dandelionbank/load-tls";
+import type { PeerFrame, PeerMessage } from "@dandelionbank/types";
 import type { AnyRouter } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
-import { createHash, timingSafeEqual } from "node:crypto";
 import {
   createServer,
   type IncomingMessage,
@@ -21,7 +18,6 @@
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
-import type { TlsOptions } from "node:tls";
 
 const TRPC_PREFIX = "/trpc/";
 const ATTEMPTS_PATH = "/attempts";
@@ -30,9 +26,9 @@
 /** Longest body of an attempt: the callers' limit and the head. */
 const ATTEMPT_LIMIT_BYTES = 64 * 1024 * 1024;
 
-/** One attempt, or a question about one, as it arrived. */
+/** One message as it arrived. */
 export interface AttemptRequest {
-  readonly message: AttemptMessage | AttemptQuestion;
+  readonly message: PeerMessage;
   readonly body: Buffer;
 }
 
@@ -40,7 +36,7 @@
 export interface AttemptResponder {
   /** False while the peer reads more slowly than frames come. */
   write(line: string): boolean;
-  send(frame: AttemptFrame): void;
+  send(frame: PeerFrame): void;
   end(): void;
   onDrained(listener: () => void): void;
   /** The peer went away before `end`. */
@@ -56,19 +52,17 @@
     request: AttemptRequest,
     responder: AttemptResponder,
   ) => void;
-  /** With `requestCert`, TLS is mutual. */
-  readonly tls?: TlsOptions;
+  /** Makes TLS mutual if it holds an authority. */
+  readonly tls?: TlsMaterial;
 }
 
 export class PeerServer {
   readonly #options: PeerServerOptions;
   readonly #server: Server;
   readonly #trpcListener: RequestListener;
-  readonly #secretDigest: Buffer;
 
   private constructor(options: PeerServerOptions) {
     this.#options = options;
-    this.#secretDigest = digest(options.peerSecret);
     this.#trpcListener = createHTTPHandler({
       router: options.router,
       basePath: TRPC_PREFIX,
@@ -77,7 +71,7 @@
       this.#serve(request, response);
     this.#server = options.tls === undefined
       ? createServer(listener)
-      : createTlsServer(options.tls, listener);
+      : createMutualTlsServer(options.tls, listener);
     this.#server.keepAliveTimeout = 60_000;
   }
 
@@ -125,8 +119,8 @@
   }
 
   #isPeer(request: IncomingMessage): boolean {
-    const given = (request.headers.authorization ?? "").replace(/^Bearer /, "");
-    return timingSafeEqual(digest(given), this.#secretDigest);
+    const given = readBearerKey(request.headers.authorization);
+    return isSameSecret(given ?? "", this.#options.peerSecret);
   }
 
   #readAttempt(request: IncomingMessage, response: ServerResponse): void {
@@ -177,6 +171,11 @@
   };
 }
 
-function digest(text: string): Buffer {
-  return createHash("sha256").update(text).digest();
+function createMutualTlsServer(
+  tls: TlsMaterial,
+  listener: RequestListener,
+): Server {
+  const server = createTlsServer(tls.serverOptions(), listener);
+  tls.follow(server);
+  return server;
 }
