--- a/foundation/read-settings/src/process_settings.ts
+++ b/foundation/read-settings/src/process_settings.ts
@@ -53,7 +53,8 @@
   peerSecret: {
     presence: "optional",
     schema: secretSetting(),
-    help: "Secret that all processes of the system share",
+    help:
+      "Secret that all processes of the system share; needed unless peer-secret-file is given",
     secret: true,
   },
   peerSecretFile: {
--- /dev/null
+++ b/scripts/markdown_table.mjs
@@ -0,0 +1,20 @@
+/** Renders a table in the form that the formatter gives it. */
+
+export function renderTable(titles, rows) {
+  const cells = [titles, ...rows].map((row) => row.map(escapeCell));
+  const widths = titles.map((_, column) =>
+    Math.max(3, ...cells.map((row) => row[column].length))
+  );
+  const [head, ...body] = cells.map((row) => renderRow(row, widths));
+  const rule = renderRow(widths.map((width) => "-".repeat(width)), widths);
+  return [head, rule, ...body].join("\n");
+}
+
+function renderRow(row, widths) {
+  const padded = row.map((cell, column) => cell.padEnd(widths[column]));
+  return `| ${padded.join(" | ")} |`;
+}
+
+function escapeCell(cell) {
+  return String(cell ?? "").replaceAll("|", "\\|");
+}
