--- a/cli/dandelionbank/src/main.ts
+++ b/cli/dandelionbank/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** Runs the tool with this process's arguments, variables and streams. */
 
 import { runTool } from "./run_tool.ts";
