Name a timeout in words in the command-line tool

A trial against the stand-in of the platform, told to be silent, showed the timeout as its number, 23. A test with a silent entry failed first and now passes; npm test of cli/ passes 27 tests.

--- a/cli/dandelionbank/src/read_failure.ts
+++ b/cli/dandelionbank/src/read_failure.ts
@@ -58,7 +58,7 @@
   error: TRPCClientError<never>,
   url: string,
 ): CallFailure {
-  const codes = listCauses(error).map((cause) => cause.code ?? cause.message);
+  const codes = listCauses(error).map(nameCause);
   const reason = codes.at(-1) ?? error.message;
   const isNotSent = codes.some((code) => NOT_SENT_CODES.has(code));
   return { isFinal: false, url, reason, mayHaveRun: !isNotSent };
@@ -71,6 +71,11 @@
   return [cause, ...listCauses(cause)];
 }
 
+/** A timeout's own code is a number, which tells nobody anything. */
+function nameCause({ code, message }: NodeJS.ErrnoException): string {
+  return typeof code === "string" ? code : message;
+}
+
 function refuse({ error }: ErrorAnswer, url: string): ToolFailure {
   const { code, message, hint, problems = [] } = error;
   return new ToolFailure("refused", {
--- a/cli/dandelionbank/src/run_tool_test.ts
+++ b/cli/dandelionbank/src/run_tool_test.ts
@@ -46,7 +46,7 @@
 };
 
 /** What a server does with the answer of a call. */
-type Fault = "none" | "cutAfterEffect" | "notAnEntry";
+type Fault = "none" | "cutAfterEffect" | "notAnEntry" | "silent";
 
 async function startEntry(store: MemoryStore, fault: Fault): Promise<Server> {
   const handle = createOperatorHandler({
@@ -56,6 +56,7 @@
     logger: { log: () => {} },
   });
   const server = createServer((request, response) => {
+    if (fault === "silent") return;
     if (fault === "notAnEntry") return void response.end("<html>");
     if (fault === "cutAfterEffect" && request.method === "POST") {
       const cut = () => request.socket.destroy();
@@ -260,6 +261,19 @@
   });
 });
 
+test("A silent entry is given up on, and a write to it is unsettled", async () => {
+  await withEntries(["silent"], async ({ run }) => {
+    const quick = ["--timeout-ms", "20"];
+    const status = await run(["status", ...quick]);
+    assert.equal(status.code, EXIT_CODES.unreachable);
+    assert.match(status.errors, /: The operation was aborted due to timeout$/m);
+    const args = ["stop", "delete", "t1", "--revision", "1", ...quick];
+    const { code, errors } = await run(args);
+    assert.equal(code, EXIT_CODES.unsettled);
+    assert.match(errors, /Read the object before you try again/);
+  });
+});
+
 test("An outage of the platform changes nothing and ends with 3", async () => {
   await withEntries(["none"], async ({ store, run }) => {
     const code = "DANDELIONBANK_PLATFORM_UNREACHABLE";
