Sort the tool's tables by name

A trial of the quickstart showed ranks in the order of their registration. Numbers within names count as numbers. npm test of cli/ passes 27 tests.

--- a/cli/dandelionbank/src/describe_objects.ts
+++ b/cli/dandelionbank/src/describe_objects.ts
@@ -1,17 +1,20 @@
 /** Shows objects, lost races and status to people. */
 
-import type { ConflictReport } from "@dandelionbank/operator-api";
-import { writerOf } from "@dandelionbank/operator-api";
+import {
+  type ConflictReport,
+  type OperatedKind,
+  writerOf,
+} from "@dandelionbank/operator-api";
 import type {
   Config,
   Contract,
+  EntryStatus,
   Operator,
   PlannedStop,
   StatusReport,
   StoredObject,
 } from "@dandelionbank/types";
-import type { OperatedKind } from "@dandelionbank/operator-api";
-import { renderTable, type Row } from "./render_table.ts";
+import { renderTable, type Row, sortRows } from "./render_table.ts";
 
 /** `contract trust, revision 12, written by asha`. */
 export function describeObject(object: StoredObject): string {
@@ -50,11 +53,12 @@
   kind: OperatedKind,
   objects: readonly StoredObject[],
 ): string {
-  return renderTable(objects.map((object) => ({
+  const rows = objects.map((object) => ({
     name: object.name,
     revision: object.revision,
     ...COLUMNS[kind](object.value),
-  })));
+  }));
+  return renderTable(sortRows(rows, "name"));
 }
 
 /** Both sides of a lost race, one below the other. */
@@ -86,19 +90,16 @@
       Object.entries(outcomes).map((pair) => pair.join(" ")).join(", ")
     }`,
     "",
-    renderTable(
-      status.entries.map((each) => ({ entry: each.name, ...each }))
-        .map(({ entry, dataCentre, callerUrl }) => ({
-          entry,
-          "data centre": dataCentre,
-          url: callerUrl,
-        })),
-    ),
+    renderTable(sortRows(status.entries.map(describeEntry), "entry")),
     "",
-    renderTable(status.targets.map(describeTarget)),
+    renderTable(sortRows(status.targets.map(describeTarget), "target")),
   ].join("\n");
 }
 
+function describeEntry({ name, dataCentre, callerUrl }: EntryStatus): Row {
+  return { entry: name, "data centre": dataCentre, url: callerUrl };
+}
+
 function describeTarget(
   { target, state, load }: StatusReport["targets"][number],
 ): Row {
--- a/cli/dandelionbank/src/render_table.ts
+++ b/cli/dandelionbank/src/render_table.ts
@@ -15,6 +15,14 @@
   return [titles, ...cells].map((line) => alignLine(line, widths)).join("\n");
 }
 
+/** Sorted by one column; numbers within names count as numbers. */
+export function sortRows(rows: readonly Row[], title: string): readonly Row[] {
+  const { compare } = new Intl.Collator("en", { numeric: true });
+  return rows.toSorted((one, other) =>
+    compare(String(one[title]), String(other[title]))
+  );
+}
+
 function alignLine(line: readonly string[], widths: readonly number[]): string {
   return line
     .map((cell, column) => cell.padEnd(widths[column] ?? 0))
