Run the request cores against seeded faults, and mend what that found

Cause: the randomised run over the real cores (npm run soak -- requests) found, each with a test that fails on the commit before: - an ask by key got another call's answer when the key had been reused (seed 1, run 28): asks carry the fingerprint, and a reused key is left to its owner; - a repeat that joined while its home was sought left its caller behind (run 198); - a repeatable key that had run was called not run after a failure (run 1): what ran is remembered as long as its ticket, or not called not run; - an attempt that had joined another was denied once that was forgotten (run 764); - a successor took an agent's late answer to an earlier, smaller ask and ran a key twice (run 1414).

--- a/routing/admit-attempts/src/admit_attempts_test.ts
+++ b/routing/admit-attempts/src/admit_attempts_test.ts
@@ -15,6 +15,8 @@
   retryAfterMs: 250,
 };
 
+const FINGERPRINT = "0123456789abcdef";
+
 interface Agent {
   /** Steps the core and shows its effects shortly. */
   readonly feed: (event: AdmitEvent, nowMs?: number) => readonly string[];
@@ -76,7 +78,7 @@
       attemptId: `${entryIncarnation}.${number}`,
       requestId: "r",
       organisation: "acme",
-      fingerprint: "0123456789abcdef",
+      fingerprint: FINGERPRINT,
       entry: "entry",
       entryIncarnation,
       idempotent: false,
@@ -96,10 +98,15 @@
   return `${formatTicket(ticket, "s")}/${suffix}`;
 }
 
-function asked(number: number, key?: string): AdmitEvent {
+function asked(
+  number: number,
+  key?: string,
+  fingerprint = FINGERPRINT,
+): AdmitEvent {
   return {
     type: "attemptAsked",
     attemptId: `e1.${number}`,
+    fingerprint,
     agentIncarnation: "agent1",
     ...(key === undefined ? {} : { keyId: key }),
   };
@@ -138,6 +145,25 @@
       ],
     ],
   },
+  {
+    name: "An attempt that joined another is not denied when that is forgotten",
+    events: [
+      [arrival({ number: 1, key: KEY, idempotent: true }), "run e1.1"],
+      [
+        arrival({ number: 1, key: KEY, entryIncarnation: "e2" }),
+        "join e2.1 e1.1",
+      ],
+      [asked(7, KEY), "join e1.7 e1.1"],
+      [ended(1), ""],
+      [TICK, "forget e1.1", 6_000],
+      [asked(7, KEY), "fail e1.7 attemptForgotten"],
+      [asked(6, KEY), "refuse e1.6 neverArrived 0"],
+      [
+        arrival({ number: 1, key: KEY, entryIncarnation: "e2" }),
+        "fail e2.1 attemptForgotten",
+      ],
+    ],
+  },
   {
     name: "A key with another fingerprint is an error, running or ended",
     events: [
@@ -146,6 +172,7 @@
         arrival({ number: 2, key: KEY, fingerprint: "0123456789abddef" }),
         "refuse e1.2 keyReused 0",
       ],
+      [asked(9, KEY, "1123456789abcdef"), "refuse e1.9 keyReused 0"],
       [ended(1), ""],
       [
         arrival({ number: 3, key: KEY, fingerprint: "1123456789abcdef" }),
@@ -197,6 +224,7 @@
         {
           type: "attemptAsked",
           attemptId: "e1.1",
+          fingerprint: FINGERPRINT,
           agentIncarnation: "agent0",
         },
         "fail e1.1 wrongIncarnation",
--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -74,12 +74,17 @@
     return fail(context, { attemptId, code: "wrongIncarnation" });
   }
   const record = state.keys.find(event.keyId ?? unkeyedId(attemptId));
-  if (record !== undefined) return repeat(context, { attemptId, record });
   const entry = state.incarnations.recordOf(id.entryIncarnation);
-  if (id.number <= entry.forgottenNumber) {
+  const { number } = id;
+  if (record !== undefined) {
+    return matchesFingerprint(record, event.fingerprint)
+      ? repeat(context, { attemptId, record, entry, number })
+      : refuse(context, { attemptId, code: "keyReused" });
+  }
+  if (entry.mayHaveForgotten(number)) {
     return fail(context, { attemptId, code: "attemptForgotten" });
   }
-  entry.decided.add(id.number);
+  entry.decided.add(number);
   refuse(context, { attemptId, code: "neverArrived" });
 }
 
@@ -98,7 +103,7 @@
     if (entry.closed) return { kind: "fail", code: "incarnationClosed" };
     return { kind: "take" };
   }
-  if (arrival.number <= entry.forgottenNumber) {
+  if (entry.mayHaveForgotten(arrival.number)) {
     return { kind: "fail", code: "attemptForgotten" };
   }
   const code = findRefusal(context, arrival);
@@ -127,7 +132,7 @@
   const record = context.state.keys.find(arrival.keyId);
   if (record !== undefined) {
     arrival.entry.decided.add(arrival.number);
-    return repeat(context, { attemptId, record });
+    return repeat(context, { ...arrival, attemptId, record });
   }
   if (checkRun(context, { ...arrival, attemptId })) run(context, arrival);
   else refuse(context, { attemptId, code: "invariantViolated" });
@@ -136,10 +141,16 @@
 /** Answers from what is known of a key, and runs nothing. */
 function repeat(
   context: AdmitContext,
-  asked: { readonly attemptId: string; readonly record: KeyRecord },
+  asked: {
+    readonly attemptId: string;
+    readonly entry: IncarnationRecord;
+    readonly number: number;
+    readonly record: KeyRecord;
+  },
 ): void {
-  const { attemptId, record } = asked;
+  const { attemptId, record, entry, number } = asked;
   const answeredBy = attemptIdOf(record);
+  if (attemptId !== answeredBy) entry.joined.add(number);
   switch (record.standing) {
     case "running":
       return join(context, { attemptId, answeredBy });
--- a/routing/admit-attempts/src/events.ts
+++ b/routing/admit-attempts/src/events.ts
@@ -96,6 +96,7 @@
   readonly type: "attemptAsked";
   readonly attemptId: string;
   readonly keyId?: string;
+  readonly fingerprint: string;
   readonly agentIncarnation: string;
 }
 
--- a/routing/admit-attempts/src/incarnation_table.ts
+++ b/routing/admit-attempts/src/incarnation_table.ts
@@ -8,6 +8,8 @@
 export class IncarnationRecord {
   readonly incarnation: string;
   readonly decided = DecidedNumbers.create();
+  /** Attempts that were answered from another attempt under their key. */
+  readonly joined = DecidedNumbers.create();
   closed = false;
   /** Attempts up to this number may have run and been forgotten. */
   forgottenNumber = 0;
@@ -17,6 +19,11 @@
   constructor(incarnation: string) {
     this.incarnation = incarnation;
   }
+
+  /** Whether the attempt, or another under its key, may have run. */
+  mayHaveForgotten(number: number): boolean {
+    return number <= this.forgottenNumber || this.joined.has(number);
+  }
 }
 
 export class IncarnationTable {
--- a/routing/take-over-keys/src/take_over_keys.ts
+++ b/routing/take-over-keys/src/take_over_keys.ts
@@ -112,7 +112,7 @@
   const { takeover, agent } = found;
   if (event.agentIncarnation !== agent.sighting.incarnation) {
     agent.answer = "replaced";
-  } else {
+  } else if (takeover.isCoveredBy(event.homes)) {
     takeover.takeAnswer(agent, event.homes);
   }
   askWaiting(context, takeover);
--- /dev/null
+++ b/routing/take-over-keys/src/take_over_keys_test.ts
@@ -0,0 +1,276 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createTakeOverState, findHome, step } from "./mod.ts";
+import type {
+  AgentSighting,
+  HomeQuestion,
+  TakeOverEffect,
+  TakeOverEvent,
+  TakeOverOptions,
+} from "./mod.ts";
+
+const OPTIONS: TakeOverOptions = {
+  incarnation: "me",
+  leaseMs: 100,
+  askTimeoutMs: 200,
+  decideAfterMs: 1_000,
+  keyLifeMs: 5_000,
+  maxAsks: 2,
+};
+
+const A: AgentSighting = { target: "A", pool: "p", incarnation: "A1" };
+const B: AgentSighting = { target: "B", pool: "p", incarnation: "B1" };
+const C: AgentSighting = { target: "C", pool: "q", incarnation: "C1" };
+
+interface Entry {
+  /** Steps the core and shows its effects shortly. */
+  readonly feed: (event: TakeOverEvent, nowMs?: number) => string;
+  /** Who arbitrates a key, and what is known of it. */
+  readonly home: (question?: Partial<Question>) => string;
+}
+
+interface Question {
+  readonly keyId: string;
+  readonly pool: string;
+  readonly incarnation: string;
+  readonly revision: number;
+  readonly issuedAtMs: number;
+}
+
+function createEntry(): Entry {
+  const state = createTakeOverState(OPTIONS);
+  const feed = (event: TakeOverEvent, nowMs = 0) =>
+    step(state, event, nowMs).effects.map(show).join();
+  feed({ type: "viewBegan", revision: 10, agents: [A, B, C] });
+  feed({ type: "entriesChanged", incarnations: ["me", "x", "y"] });
+  const home = (question: Partial<Question> = {}) => {
+    const found = findHome(state, toQuestion(question));
+    if (found.kind === "elsewhere") return `elsewhere ${found.incarnation}`;
+    return found.kind === "held" ? `held ${found.target}` : found.kind;
+  };
+  return { feed, home };
+}
+
+function toQuestion(question: Partial<Question>): HomeQuestion {
+  const { keyId = "k", pool = "p", ...ticket } = question;
+  return {
+    keyId,
+    pool,
+    ticket: {
+      incarnation: "x",
+      revision: 12,
+      issuedAtMs: 7,
+      expiresAtMs: 9_999,
+      ...ticket,
+    },
+  };
+}
+
+function show(effect: TakeOverEffect): string {
+  switch (effect.type) {
+    case "writeClosing":
+      return `close ${effect.incarnation}`;
+    case "listAgents":
+      return `list ${effect.incarnation}`;
+    case "askKeys":
+      return `ask ${effect.target} ${effect.incarnations.join("+")}`;
+    case "tookOver":
+      return `tookOver ${effect.heldKeys} ${effect.unreachableAgents}`;
+  }
+}
+
+const LOST: TakeOverEvent = { type: "entryLost", incarnation: "x" };
+const CLOSED: TakeOverEvent = { type: "closingWritten", incarnation: "x" };
+const TICK: TakeOverEvent = { type: "tick" };
+
+function listed(
+  agents: readonly AgentSighting[] = [A, B, C],
+  incarnation = "x",
+): TakeOverEvent {
+  return { type: "agentsListed", incarnation, revision: 20, agents };
+}
+
+function answered(
+  target: string,
+  told: {
+    readonly keys?: readonly string[];
+    readonly forgottenIssuedAtMs?: number;
+    readonly agentIncarnation?: string;
+    readonly incarnations?: readonly string[];
+  } = {},
+): TakeOverEvent {
+  const { keys = [], forgottenIssuedAtMs = -1, incarnations = ["x"] } = told;
+  return {
+    type: "keysAnswered",
+    askId: `x\n${target}`,
+    agentIncarnation: told.agentIncarnation ?? `${target}1`,
+    homes: incarnations.map((incarnation) => ({
+      incarnation,
+      forgottenIssuedAtMs,
+      keys: keys.map((keyId) => ({ keyId, standing: "kept" })),
+    })),
+  };
+}
+
+/** An entry that closed x, listed the agents and saw the view that far. */
+function createSuccessor(): Entry {
+  const entry = createEntry();
+  entry.feed(LOST);
+  entry.feed(CLOSED);
+  entry.feed(listed());
+  entry.feed({ type: "viewReached", revision: 20 });
+  return entry;
+}
+
+function waitForLease(entry: Entry): string {
+  return entry.feed(TICK, 100);
+}
+
+test("The closing is written first, agents are listed after it and asked", () => {
+  const entry = createEntry();
+  assert.equal(entry.home(), "elsewhere x");
+  assert.equal(entry.feed(LOST), "close x");
+  assert.equal(entry.feed(CLOSED), "list x");
+  assert.equal(entry.feed(listed()), "ask A x,ask B x");
+  assert.equal(entry.feed(answered("A")), "ask C x");
+  assert.equal(entry.feed(LOST), "");
+  assert.equal(entry.feed({ type: "entryLost", incarnation: "me" }), "");
+});
+
+test("A key that every agent denies is free, after the lease and the view", () => {
+  const entry = createEntry();
+  entry.feed(LOST);
+  entry.feed(CLOSED);
+  entry.feed(listed());
+  for (const target of ["A", "B", "C"]) entry.feed(answered(target));
+  assert.equal(entry.home(), "pending");
+  assert.equal(waitForLease(entry), "tookOver 0 0");
+  assert.equal(entry.home(), "pending");
+  entry.feed({ type: "viewReached", revision: 20 });
+  assert.equal(entry.home(), "free");
+});
+
+test("A clock that jumps does not end the lease early", () => {
+  const entry = createSuccessor();
+  for (const target of ["A", "B", "C"]) entry.feed(answered(target));
+  assert.equal(entry.feed(TICK, 50), "");
+  assert.equal(entry.home(), "pending");
+  assert.equal(entry.feed(TICK, 60_000), "tookOver 0 0");
+});
+
+test("A key that an agent has is asked for there, at once", () => {
+  const entry = createSuccessor();
+  entry.feed(answered("B", { keys: ["k"] }));
+  assert.equal(entry.home(), "held B");
+  assert.equal(entry.home({ keyId: "other" }), "pending");
+});
+
+test("An unreachable agent makes the keys of its pool unknown, until it answers", () => {
+  const entry = createSuccessor();
+  entry.feed(answered("A"));
+  entry.feed(answered("C"));
+  waitForLease(entry);
+  assert.equal(entry.home({ pool: "q" }), "free");
+  assert.equal(entry.home(), "pending");
+  assert.equal(entry.feed(TICK, 200), "ask B x");
+  assert.match(entry.feed(TICK, 1_000), /tookOver 0 1/);
+  assert.equal(entry.home(), "unknown");
+  assert.equal(entry.feed(answered("B"), 1_100), "");
+  assert.equal(entry.home(), "free");
+});
+
+test("Agents lost since the ticket was issued may have taken its keys", () => {
+  const lossesAtRevision: readonly (readonly [number, string])[] = [
+    [11, "free"],
+    [12, "free"],
+    [13, "unknown"],
+    [20, "unknown"],
+  ];
+  for (const [revision, expected] of lossesAtRevision) {
+    const entry = createEntry();
+    const agent = { ...B, incarnation: "B2" };
+    entry.feed({ type: "agentChanged", agent, revision });
+    entry.feed(LOST);
+    entry.feed(CLOSED);
+    entry.feed(listed([A, agent, C]));
+    entry.feed({ type: "viewReached", revision: 20 });
+    entry.feed(answered("A"));
+    entry.feed(answered("B", { agentIncarnation: "B2" }));
+    entry.feed(answered("C"));
+    waitForLease(entry);
+    assert.equal(entry.home(), expected, `lost at revision ${revision}`);
+    assert.equal(entry.home({ pool: "q" }), "free");
+  }
+});
+
+test("A key is unknown if the view does not reach back to its ticket", () => {
+  const entry = createSuccessor();
+  for (const target of ["A", "B", "C"]) entry.feed(answered(target));
+  waitForLease(entry);
+  assert.equal(entry.home({ revision: 9 }), "unknown");
+  assert.equal(entry.home({ revision: 10 }), "free");
+});
+
+test("An agent that was removed, or replaced before it answered, denies nothing", () => {
+  const removed = createEntry();
+  removed.feed({ type: "agentRemoved", target: "B", revision: 15 });
+  removed.feed(LOST);
+  removed.feed(CLOSED);
+  removed.feed(listed([A]));
+  removed.feed({ type: "viewReached", revision: 20 });
+  removed.feed(answered("A"));
+  waitForLease(removed);
+  assert.equal(removed.home(), "unknown");
+
+  const replaced = createSuccessor();
+  replaced.feed(answered("A"));
+  replaced.feed(answered("B", { agentIncarnation: "B2" }));
+  waitForLease(replaced);
+  assert.equal(replaced.home(), "unknown");
+});
+
+test("Keys that an agent may have forgotten are unknown", () => {
+  const entry = createSuccessor();
+  entry.feed(answered("A", { forgottenIssuedAtMs: 7 }));
+  entry.feed(answered("B"));
+  waitForLease(entry);
+  assert.equal(entry.home({ issuedAtMs: 7 }), "unknown");
+  assert.equal(entry.home({ issuedAtMs: 8 }), "free");
+});
+
+test("The keys that a lost entry had inherited are inherited too", () => {
+  const entry = createEntry();
+  entry.feed({ type: "closingSeen", incarnation: "w", successor: "x" });
+  assert.equal(entry.home({ incarnation: "w" }), "elsewhere x");
+  entry.feed(LOST);
+  assert.equal(entry.feed(CLOSED), "list w");
+  assert.equal(entry.feed(listed([A], "w")), "ask A w+x");
+  const askId = "w\nA";
+  const both = { incarnations: ["w", "x"], keys: ["k"] };
+  assert.equal(entry.feed({ ...answered("A"), askId } as TakeOverEvent), "");
+  assert.equal(entry.home({ incarnation: "w" }), "pending");
+  entry.feed({ ...answered("A", both), askId } as TakeOverEvent);
+  assert.equal(entry.home({ incarnation: "w" }), "held A");
+  assert.equal(entry.home(), "held A");
+});
+
+test("A closing seen late, of keys inherited here, starts their takeover", () => {
+  const entry = createSuccessor();
+  const late = {
+    type: "closingSeen",
+    incarnation: "w",
+    successor: "x",
+  } as const;
+  assert.equal(entry.feed(late), "list w");
+  assert.equal(entry.home({ incarnation: "w" }), "pending");
+});
+
+test("Homes elsewhere, lost and here are told apart", () => {
+  const entry = createEntry();
+  assert.equal(entry.home({ incarnation: "me" }), "here");
+  assert.equal(entry.home({ incarnation: "gone" }), "lost");
+  entry.feed({ type: "closingSeen", incarnation: "gone", successor: "y" });
+  assert.equal(entry.home({ incarnation: "gone" }), "elsewhere y");
+  entry.feed({ type: "entriesChanged", incarnations: ["me"] });
+  assert.equal(entry.home({ incarnation: "gone" }), "lost");
+});
--- a/routing/take-over-keys/src/takeover.ts
+++ b/routing/take-over-keys/src/takeover.ts
@@ -78,6 +78,12 @@
     }
   }
 
+  /** Whether an answer is about every incarnation, not that to a smaller ask. */
+  isCoveredBy(homes: readonly HomeReport[]): boolean {
+    const told = new Set(homes.map(({ incarnation }) => incarnation));
+    return this.incarnations.every((incarnation) => told.has(incarnation));
+  }
+
   takeAnswer(agent: AskedAgent, homes: readonly HomeReport[]): void {
     const { target, pool, incarnation } = agent.sighting;
     agent.answer = "answered";
--- a/routing/track-requests/src/attempts.ts
+++ b/routing/track-requests/src/attempts.ts
@@ -90,7 +90,7 @@
   }
   if (request.callers.size === 0) return giveUp(context, next);
   const { maxAttempts } = context.state.options;
-  const proven = proveNotRun(request.attempts) !== undefined;
+  const proven = proveNotRun(request) !== undefined;
   if (!proven && !canStartAgain(request)) {
     return giveUp(context, next);
   }
@@ -125,9 +125,8 @@
 }
 
 /**
- * Takes up an inherited key at the agent that has it. The attempt of the
- * earlier home counts as lost, so that nothing proves the call not run; the
- * agent is only asked, so that it runs nothing.
+ * Takes up an inherited key at the agent that has it. The agent is only asked,
+ * so that it runs nothing.
  */
 export function takeUpHeld(
   context: TrackContext,
@@ -138,11 +137,11 @@
   },
 ): void {
   const { request, target, agentIncarnation } = held;
-  const place = { request, peer: target, agentIncarnation };
-  const earlier = createAttempt(context, place);
-  earlier.state = "lost";
-  request.attempts.push(earlier);
-  const attempt = createAttempt(context, place);
+  const attempt = createAttempt(context, {
+    request,
+    peer: target,
+    agentIncarnation,
+  });
   register(context, attempt);
   sendAsk(context, attempt);
 }
@@ -161,16 +160,20 @@
 /** Asks at once, unless that was just done. */
 export function askSoon(context: TrackContext, attempt: Attempt): void {
   const gapMs = context.state.options.progressTimeoutMs / 4;
-  if (context.nowMs - attempt.askedAtMs >= gapMs) followUp(context, attempt);
+  const relayed = attempt.agentIncarnation === undefined;
+  const sinceMs = relayed ? attempt.startedAtMs : attempt.askedAtMs;
+  if (context.nowMs - sinceMs >= gapMs) followUp(context, attempt);
 }
 
 function sendAsk(context: TrackContext, attempt: Attempt): void {
   attempt.asks += 1;
   attempt.askedAtMs = context.nowMs;
+  const { key, fingerprint } = attempt.request.info;
   context.effects.push({
     type: "askAbout",
     attemptId: attempt.attemptId,
-    keyId: attempt.request.info.key?.keyId,
+    keyId: key?.keyId,
+    fingerprint,
     target: attempt.peer,
     agentIncarnation: attempt.agentIncarnation ?? "",
   });
@@ -210,7 +213,7 @@
   const holds = [
     check(context, {
       invariant: "unrepeatableDispatchedOnce",
-      holds: idempotent || proveNotRun(attempts) !== undefined,
+      holds: idempotent || proveNotRun(request) !== undefined,
       detail: attempt.attemptId,
     }),
     check(context, {
--- a/routing/track-requests/src/callers.ts
+++ b/routing/track-requests/src/callers.ts
@@ -115,7 +115,7 @@
   const { request, callerId, outcome } = ending;
   const { requestId } = request.info;
   const proven = outcome.kind !== "notRun" || request.stage !== "here" ||
-    proveNotRun(request.attempts) !== undefined;
+    proveNotRun(request) !== undefined;
   const holds = check(context, {
     invariant: "notRunIsProven",
     holds: proven,
--- a/routing/track-requests/src/effects.ts
+++ b/routing/track-requests/src/effects.ts
@@ -76,6 +76,7 @@
   readonly type: "askAbout";
   readonly attemptId: string;
   readonly keyId: string | undefined;
+  readonly fingerprint: string;
   readonly target: string;
   readonly agentIncarnation: string;
 }
--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -12,7 +12,13 @@
 import type { FrameDropped } from "./effects.ts";
 import type { FrameArrived, OutcomeFrame } from "./events.ts";
 import { acceptFromHome } from "./not_run.ts";
-import { abandon, endAnswered, endWith, giveUp } from "./outcomes.ts";
+import {
+  abandon,
+  endAnswered,
+  endWith,
+  giveUp,
+  releaseKey,
+} from "./outcomes.ts";
 import { type Attempt, isOpen, keepsAnswer } from "./request.ts";
 import { seekHomeLater } from "./seek_home.ts";
 import { SentAnswer } from "./sent_answer.ts";
@@ -76,6 +82,7 @@
   const { code, retryAfterMs } = frame;
   if (code === "incarnationClosed") context.state.arbiterClosed = true;
   if (code === "keyReused") {
+    releaseKey(context, request);
     return giveUp(context, { request, reason: { code: "keyReused" } });
   }
   const charged = OVERLOAD_CODES.has(code);
--- a/routing/track-requests/src/homes.ts
+++ b/routing/track-requests/src/homes.ts
@@ -1,6 +1,7 @@
 /** What follows when the arbiter of a request's key is found. */
 
 import { passOn, pickTarget, takeUpHeld } from "./attempts.ts";
+import { addCaller, removeCaller } from "./callers.ts";
 import type { HomeFound, KeyHome, KeyInfo } from "./events.ts";
 import { endWith, giveUp, removeRequest } from "./outcomes.ts";
 import { repeatKey } from "./repeats.ts";
@@ -72,7 +73,11 @@
     removeRequest(context, { request, outcome: "abandoned" });
     return true;
   }
-  if (!repeatKey(context, { callerId, info, keyId })) return false;
+  removeCaller(context, callerId);
+  if (!repeatKey(context, { callerId, info, keyId })) {
+    addCaller(context, { request, callerId });
+    return false;
+  }
   removeRequest(context, { request, outcome: "merged" });
   return true;
 }
@@ -87,7 +92,12 @@
     const outcome = { kind: "unknown", code: "ticketExpired" } as const;
     return endWith(context, { request, outcome });
   }
-  request.claimed = !expired && context.state.keys.claim(key.keyId, request);
+  const { keys } = context.state;
+  const known = idempotent &&
+    (expired || keys.mayHaveRun(key.keyId, home.expiresAtMs));
+  request.mayHaveRunBefore = known || home.kind === "held" ||
+    home.kind === "unknown";
+  request.claimed = !expired && keys.claim(key.keyId, request);
   request.stage = "here";
   begin(context, charge);
 }
--- a/routing/track-requests/src/key_results.ts
+++ b/routing/track-requests/src/key_results.ts
@@ -22,10 +22,12 @@
   readonly organisation: string;
   readonly fingerprint: string;
   readonly idempotent: boolean;
+  /** Whether the key may have run before, also for another call. */
+  readonly mayHaveRunBefore: boolean;
   readonly expiresAtMs: number;
-  /** Absent if the call was answered. */
+  /** Absent if the call was answered or may run again. */
   readonly outcome: FailedOutcome | UnknownOutcome | undefined;
-  /** Absent if there was no room for it. */
+  /** Absent if there is none, or was no room for it. */
   readonly answer: KeptAnswer | undefined;
 }
 
@@ -39,6 +41,8 @@
   readonly #active = new Map<string, Request>();
   readonly #results = new Map<string, KeyResult>();
   #keptBytes = 0;
+  /** Keys whose tickets expire by then may have run and been forgotten. */
+  #forgottenExpiresAtMs = -1;
 
   private constructor(limits: KeyResultLimits) {
     this.#limits = limits;
@@ -66,6 +70,7 @@
 
   /** Registers a key under way; false if there is no room for it. */
   claim(keyId: string, request: Request): boolean {
+    this.#removeResult(keyId);
     if (this.size >= this.#limits.maxKeys) {
       this.#dropIdempotent(() => this.size < this.#limits.maxKeys);
     }
@@ -74,19 +79,17 @@
     return true;
   }
 
+  /** Whether a key that is not under way may have run. */
+  mayHaveRun(keyId: string, expiresAtMs: number): boolean {
+    return this.#results.has(keyId) ||
+      expiresAtMs <= this.#forgottenExpiresAtMs;
+  }
+
   /** Forgets a key under way, which never ran or may run again. */
   release(keyId: string): void {
     this.#active.delete(keyId);
   }
 
-  /** Forgets the result of a call that may run again. */
-  forgetResult(keyId: string): void {
-    const result = this.#results.get(keyId);
-    if (result === undefined) return;
-    this.#results.delete(keyId);
-    this.#keptBytes -= bytesOf(result);
-  }
-
   /** Ends a key under way; its answer is kept if there is room. */
   end(keyId: string, result: KeyResult): void {
     this.#active.delete(keyId);
@@ -102,16 +105,28 @@
   expire(nowMs: number): void {
     for (const [keyId, result] of this.#results) {
       if (result.expiresAtMs > nowMs) return;
-      this.forgetResult(keyId);
+      this.#removeResult(keyId);
     }
   }
 
   #dropIdempotent(isEnough: () => boolean): void {
     for (const [keyId, result] of this.#results) {
       if (isEnough()) return;
-      if (result.idempotent) this.forgetResult(keyId);
+      if (!result.idempotent) continue;
+      this.#removeResult(keyId);
+      this.#forgottenExpiresAtMs = Math.max(
+        this.#forgottenExpiresAtMs,
+        result.expiresAtMs,
+      );
     }
   }
+
+  #removeResult(keyId: string): void {
+    const result = this.#results.get(keyId);
+    if (result === undefined) return;
+    this.#results.delete(keyId);
+    this.#keptBytes -= bytesOf(result);
+  }
 }
 
 function bytesOf(result: KeyResult): number {
--- a/routing/track-requests/src/not_run.ts
+++ b/routing/track-requests/src/not_run.ts
@@ -17,12 +17,18 @@
   readonly retryAfterMs: number;
 }
 
-/** Proof that none of a request's attempts ran, if there is one. */
-export function proveNotRun(
-  attempts: readonly Attempt[],
-): NotRunProof | undefined {
+/** What is known of a request's runs. */
+export interface RunHistory {
+  readonly attempts: readonly Attempt[];
+  /** Whether its key may have run before these attempts. */
+  readonly mayHaveRunBefore: boolean;
+}
+
+/** Proof that a request never ran, if there is one. */
+export function proveNotRun(history: RunHistory): NotRunProof | undefined {
+  if (history.mayHaveRunBefore) return undefined;
   let proof: NotRunProof = { kind: "neverDispatched" };
-  for (const { attemptId, state } of attempts) {
+  for (const { attemptId, state } of history.attempts) {
     if (state === "unsent") continue;
     if (state !== "refused") return undefined;
     proof = { kind: "refusedByAgent", attemptId };
@@ -31,10 +37,10 @@
 }
 
 export function createNotRun(
-  attempts: readonly Attempt[],
+  history: RunHistory,
   reason: NotRunReason,
 ): ProvenNotRun | undefined {
-  const proof = proveNotRun(attempts);
+  const proof = proveNotRun(history);
   if (proof === undefined) return undefined;
   return { kind: "notRun", proof, ...reason } as ProvenNotRun;
 }
--- a/routing/track-requests/src/outcomes.ts
+++ b/routing/track-requests/src/outcomes.ts
@@ -38,9 +38,11 @@
   closeAttempts(context, request);
   const { key, idempotent } = request.info;
   if (request.claimed && key !== undefined) {
-    const mayRunAgain = idempotent || outcome.kind === "notRun";
-    if (mayRunAgain) context.state.keys.release(key.keyId);
-    else keepResult(context, { request, result: { outcome } });
+    if (outcome.kind === "notRun") context.state.keys.release(key.keyId);
+    else {keepResult(context, {
+        request,
+        result: idempotent ? {} : { outcome },
+      });}
   }
   removeRequest(context, { request, outcome: outcome.kind });
 }
@@ -62,6 +64,15 @@
   removeRequest(context, { request, outcome: "answered" });
 }
 
+/** Leaves a key to another call that has it already. */
+export function releaseKey(context: TrackContext, request: Request): void {
+  const { key } = request.info;
+  if (request.claimed && key !== undefined) {
+    context.state.keys.release(key.keyId);
+  }
+  request.claimed = false;
+}
+
 /** Ends the open attempts of a request that needs them no longer. */
 export function closeAttempts(context: TrackContext, request: Request): void {
   for (const attempt of request.attempts) {
@@ -110,7 +121,7 @@
     context.state.options.retryAfterMs;
   const { key, idempotent } = request.info;
   if (request.stage === "here") {
-    const notRun = createNotRun(request.attempts, { code, retryAfterMs });
+    const notRun = createNotRun(request, { code, retryAfterMs });
     const sure = key === undefined || isSureArbiter(context);
     if (notRun !== undefined && sure) return notRun;
     if (notRun !== undefined && !idempotent) {
@@ -148,13 +159,14 @@
     };
   },
 ): void {
-  const { info, keyExpiresAtMs } = kept.request;
+  const { info, keyExpiresAtMs, mayHaveRunBefore } = kept.request;
   const { outcome, answer } = kept.result;
   if (info.key === undefined || outcome?.kind === "notRun") return;
   context.state.keys.end(info.key.keyId, {
     organisation: info.organisation,
     fingerprint: info.fingerprint,
     idempotent: info.idempotent,
+    mayHaveRunBefore,
     expiresAtMs: keyExpiresAtMs,
     outcome,
     answer,
--- a/routing/track-requests/src/passing_time.ts
+++ b/routing/track-requests/src/passing_time.ts
@@ -1,11 +1,11 @@
 /** What time and lost connections bring about. */
 
-import { followUp, pickTarget, proceed } from "./attempts.ts";
+import { askSoon, followUp, pickTarget, proceed } from "./attempts.ts";
 import type { AgentLost, ConnectionLost, DispatchFailed } from "./events.ts";
 import { reportCrash } from "./frames.ts";
 import { closeAttempts, giveUp, removeRequest } from "./outcomes.ts";
 import { type Attempt, isOpen, type Request } from "./request.ts";
-import { seekHome } from "./seek_home.ts";
+import { seekHome, seekHomeLater } from "./seek_home.ts";
 import type { TrackContext } from "./state.ts";
 
 /** Longest wait between two asks, in progress timeouts. */
@@ -28,8 +28,7 @@
   const relayed = attempt.agentIncarnation === undefined;
   attempt.state = relayed ? "abandoned" : "unsent";
   const reason = { code: "noTarget", charged: false } as const;
-  if (relayed) request.seekAtMs = waitUntil(context);
-  if (relayed) request.stage = "seeking";
+  if (relayed) seekHomeLater(context, request);
   else proceed(context, { request, reason });
 }
 
@@ -39,8 +38,7 @@
 ): void {
   const attempt = context.state.attempts.get(event.attemptId);
   if (attempt === undefined || !isOpen(attempt)) return;
-  if (context.nowMs - attempt.askedAtMs < gapMs(context)) return;
-  followUp(context, attempt);
+  askSoon(context, attempt);
 }
 
 export function loseAgent(context: TrackContext, event: AgentLost): void {
@@ -103,11 +101,3 @@
   request.hedged = true;
   pickTarget(context, request);
 }
-
-function waitUntil(context: TrackContext): number {
-  return context.nowMs + gapMs(context);
-}
-
-function gapMs(context: TrackContext): number {
-  return context.state.options.progressTimeoutMs / 4;
-}
--- a/routing/track-requests/src/repeats.ts
+++ b/routing/track-requests/src/repeats.ts
@@ -36,7 +36,7 @@
 ): void {
   const { repeat, request } = joined;
   if (!isSameCall(context, { repeat, known: request.info })) {
-    return answerReused(context, repeat);
+    return answerReused(context, { repeat, known: request });
   }
   const deadlineMs = context.nowMs + repeat.info.timeLeftMs;
   request.deadlineMs = request.background
@@ -53,7 +53,7 @@
   const { repeat, result } = repeated;
   const { callerId } = repeat;
   if (!isSameCall(context, { repeat, known: result })) {
-    answerReused(context, repeat);
+    answerReused(context, { repeat, known: result });
     return true;
   }
   const { answer, outcome } = result;
@@ -61,10 +61,7 @@
     replayAnswer(context, { callerId, answer });
     return true;
   }
-  if (result.idempotent) {
-    context.state.keys.forgetResult(repeat.keyId);
-    return false;
-  }
+  if (result.idempotent) return false;
   const lost = { kind: "failed", code: "answerNotKept" } as const;
   answerRepeat(context, { repeat, outcome: outcome ?? lost });
   return true;
@@ -74,7 +71,7 @@
   context: TrackContext,
   compared: {
     readonly repeat: Repeat;
-    readonly known: { organisation: string; fingerprint: string };
+    readonly known: Pick<KeyResult, "organisation" | "fingerprint">;
   },
 ): boolean {
   const { repeat, known } = compared;
@@ -86,14 +83,21 @@
   return own && repeat.info.fingerprint === known.fingerprint;
 }
 
-/** The key was used for another call; this one was never dispatched. */
-function answerReused(context: TrackContext, repeat: Repeat): void {
+/** The key is another call's; this one was never dispatched. */
+function answerReused(
+  context: TrackContext,
+  reused: {
+    readonly repeat: Repeat;
+    readonly known: Pick<KeyResult, "mayHaveRunBefore">;
+  },
+): void {
+  const { mayHaveRunBefore } = reused.known;
   const reason = { code: "keyReused", retryAfterMs: 0 };
-  const notRun = createNotRun([], reason);
+  const notRun = createNotRun({ attempts: [], mayHaveRunBefore }, reason);
   const outcome = notRun !== undefined && isSureArbiter(context)
     ? notRun
     : { kind: "unknown", code: "keyReused" } as const;
-  answerRepeat(context, { repeat, outcome });
+  answerRepeat(context, { repeat: reused.repeat, outcome });
 }
 
 function answerRepeat(
--- a/routing/track-requests/src/request.ts
+++ b/routing/track-requests/src/request.ts
@@ -54,6 +54,8 @@
   stage: RequestStage;
   /** Whether the table of keys holds this request. */
   claimed: boolean;
+  /** Whether the key may have run before the attempts of this request. */
+  mayHaveRunBefore: boolean;
   keyExpiresAtMs: number;
   deadlineMs: number;
   /** The callers were told `unknown`; the open attempt is still followed. */
@@ -77,6 +79,7 @@
     attempts: [],
     stage: info.key === undefined ? "here" : "seeking",
     claimed: false,
+    mayHaveRunBefore: false,
     keyExpiresAtMs: 0,
     deadlineMs,
     background: false,
--- a/routing/track-requests/src/track_requests_test.ts
+++ b/routing/track-requests/src/track_requests_test.ts
@@ -541,7 +541,8 @@
         home("2", { kind: "elsewhere", incarnation: "e2" }),
         "pass e1.2 e2 over ",
       ],
-      [lost("e1.2"), "cancel e1.2,findHome r2"],
+      [lost("e1.2"), ""],
+      [lost("e1.2"), "cancel e1.2,findHome r2", 250],
       [TICK, "2<unknown deadlineExceeded,ended unknown", 10_000],
     ],
   },
@@ -582,9 +583,54 @@
           agentIncarnation: "Ai",
           expiresAtMs: 50_000,
         }),
-        "ask e1.2 A",
+        "ask e1.1 A",
       ],
-      [refused("e1.2", "neverArrived"), "1<unknown noTarget,ended unknown"],
+      [refused("e1.1", "neverArrived"), "1<unknown noTarget,ended unknown"],
+    ],
+  },
+  {
+    name: "An inherited key that turns out to be another call's is left to it",
+    lines: [
+      [arrived("1", KEYED), "findHome r1"],
+      [
+        home("1", {
+          kind: "held",
+          target: "A",
+          agentIncarnation: "Ai",
+          expiresAtMs: 50_000,
+        }),
+        "ask e1.1 A",
+      ],
+      [refused("e1.1", "keyReused"), "1<unknown keyReused,ended unknown"],
+      [arrived("2", { ...KEYED, fingerprint: "g" }), "findHome r2"],
+    ],
+  },
+  {
+    name: "A key that may have run is not called not run, though repeatable",
+    lines: [
+      ...keyedToA(IDEMPOTENT),
+      [failed("e1.1", true), "pick r1 not A"],
+      [noTarget("1"), "1<failed noTarget,ended failed"],
+      [arrived("2", { ...KEYED, ...IDEMPOTENT }), "findHome r2"],
+      [home("2", HERE), "pick r2"],
+      [noTarget("2"), "2<failed noTarget,ended failed"],
+      [
+        arrived("3", { ...KEYED, ...IDEMPOTENT, fingerprint: "g" }),
+        "3<unknown keyReused,ended merged",
+      ],
+    ],
+  },
+  {
+    name: "A request that joins another when its home is found leaves nothing",
+    lines: [
+      [arrived("1", KEYED), "findHome r1"],
+      [arrived("2", KEYED), "findHome r2"],
+      [home("1", HERE), "pick r1"],
+      [picked("1", "A"), "dispatch e1.1 A"],
+      [headed("e1.1"), "1<200"],
+      [ended("e1.1", ""), "1<end,ended answered"],
+      [home("2", HERE), "2<200,2<end,ended merged"],
+      [{ type: "callerLeft", callerId: "2" }, ""],
     ],
   },
   {
@@ -645,6 +691,8 @@
     for (const [event, effects, nowMs] of lines) {
       assert.equal(entry.feed(event, nowMs), effects);
     }
+    const { callers, requests } = entry.figures();
+    assert.ok(callers <= requests * 2, `${callers} callers are left`);
   });
 }
 
--- /dev/null
+++ b/testing/soak/src/requests/settings.ts
@@ -0,0 +1,26 @@
+/** Times and bounds of the soak `requests`. */
+
+export const ENTRIES = ["entry1", "entry2", "entry3"] as const;
+export const AGENTS = [
+  { target: "plain1", pool: "plain" },
+  { target: "plain2", pool: "plain" },
+  { target: "plain3", pool: "plain" },
+  { target: "engine1", pool: "engine" },
+  { target: "engine2", pool: "engine" },
+] as const;
+export const CALLERS = ["caller1", "caller2", "caller3"] as const;
+
+export const TICK_MS = 50;
+export const BEAT_MS = 150;
+export const SILENCE_MS = 500;
+export const LEASE_MS = 400;
+export const TICKET_VALIDITY_MS = 3_000;
+export const PROGRESS_TIMEOUT_MS = 200;
+export const HEARTBEAT_MS = 70;
+export const REQUEST_TIMEOUT_MS = 1_500;
+export const KEY_LIFE_MS = 8_000;
+
+/** Work begins and faults happen until then. */
+export const FAULTS_END_MS = 4_000;
+/** Everything must be over by then. */
+export const RUN_END_MS = 15_000;
--- /dev/null
+++ b/testing/soak/src/requests/store_fake.ts
@@ -0,0 +1,106 @@
+/**
+ * The platform's objects, as far as the soak `requests` needs them. A call
+ * takes effect at one moment between its sending and its answer; in an outage
+ * it has no effect, and an answer can be lost after the effect.
+ */
+
+import type { AgentSighting } from "@dandelionbank/take-over-keys";
+import type { World } from "./world.ts";
+
+export interface StoredAgent extends AgentSighting {
+  readonly revision: number;
+}
+
+export type StoreChange =
+  | { readonly kind: "agent"; readonly agent: AgentSighting }
+  | { readonly kind: "agentRemoved"; readonly target: string }
+  | {
+    readonly kind: "entry";
+    readonly name: string;
+    readonly incarnation: string;
+  }
+  | {
+    readonly kind: "closing";
+    readonly incarnation: string;
+    readonly successor: string;
+  };
+
+const MAX_WAY_MS = 15;
+const RETRY_MS = 100;
+
+export class StoreFake {
+  readonly agents = new Map<string, AgentSighting>();
+  readonly entries = new Map<string, string>();
+  readonly closings = new Map<string, string>();
+  readonly #world: World;
+  readonly #changes: StoreChange[] = [];
+  out = false;
+  lostAnswerShare = 0;
+
+  constructor(world: World) {
+    this.#world = world;
+  }
+
+  get revision(): number {
+    return this.#changes.length;
+  }
+
+  /**
+   * Makes a call on behalf of a node, again until it has an answer. `effect`
+   * may therefore take place more than once.
+   */
+  call<Result>(
+    node: string,
+    work: { effect: () => Result; then: (result: Result) => void },
+  ): void {
+    const { queue, random } = this.#world;
+    queue.startTimer(node, {
+      delayMs: random.int(0, MAX_WAY_MS),
+      run: () => {
+        const delayMs = random.int(0, MAX_WAY_MS);
+        const retry = () => this.call(node, work);
+        if (this.out) {
+          return void queue.startTimer(node, { delayMs: RETRY_MS, run: retry });
+        }
+        const result = work.effect();
+        if (random.chance(this.lostAnswerShare)) {
+          this.#world.fault("storeAnswerLost");
+          return void queue.startTimer(node, { delayMs: RETRY_MS, run: retry });
+        }
+        queue.startTimer(node, { delayMs, run: () => work.then(result) });
+      },
+    });
+  }
+
+  changesSince(revision: number): readonly StoreChange[] {
+    return this.#changes.slice(revision);
+  }
+
+  registerAgent(agent: AgentSighting): void {
+    if (this.agents.get(agent.target)?.incarnation === agent.incarnation) {
+      return;
+    }
+    this.agents.set(agent.target, agent);
+    this.#changes.push({ kind: "agent", agent });
+  }
+
+  removeAgent(target: string): void {
+    if (!this.agents.delete(target)) return;
+    this.#changes.push({ kind: "agentRemoved", target });
+  }
+
+  registerEntry(name: string, incarnation: string): void {
+    if (this.entries.get(name) === incarnation) return;
+    this.entries.set(name, incarnation);
+    this.#changes.push({ kind: "entry", name, incarnation });
+  }
+
+  /** Closes an incarnation once; returns whether it names this successor. */
+  close(incarnation: string, successor: string): boolean {
+    const known = this.closings.get(incarnation);
+    if (known !== undefined) return known === successor;
+    this.closings.set(incarnation, successor);
+    this.#changes.push({ kind: "closing", incarnation, successor });
+    return true;
+  }
+}
