--- a/testing/soak/src/requests/caller_node.ts
+++ b/testing/soak/src/requests/caller_node.ts
@@ -100,7 +100,7 @@
       key,
       timeLeftMs: REQUEST_TIMEOUT_MS,
     });
-    const delayMs = random.int(100, REQUEST_TIMEOUT_MS + 500);
+    const delayMs = random.int(100, REQUEST_TIMEOUT_MS + 300);
     const run = () => this.#resend(plan, { callerId, count });
     queue.startTimer(this.name, { delayMs, run });
   }
--- a/testing/soak/src/requests/settings.ts
+++ b/testing/soak/src/requests/settings.ts
@@ -17,10 +17,10 @@
 export const TICKET_VALIDITY_MS = 3_000;
 export const PROGRESS_TIMEOUT_MS = 200;
 export const HEARTBEAT_MS = 70;
-export const REQUEST_TIMEOUT_MS = 1_500;
+export const REQUEST_TIMEOUT_MS = 1_000;
 export const KEY_LIFE_MS = 8_000;
 
 /** Work begins and faults happen until then. */
 export const FAULTS_END_MS = 4_000;
 /** Everything must be over by then. */
-export const RUN_END_MS = 15_000;
+export const RUN_END_MS = 11_000;
