Do not deny a forgotten attempt whose key another call has taken

Ruled out: keeping repeatable answers for the key's whole life. Before: the new case of admit_attempts_test.ts fails.

--- a/routing/admit-attempts/src/admit_attempts_test.ts
+++ b/routing/admit-attempts/src/admit_attempts_test.ts
@@ -164,6 +164,21 @@
       ],
     ],
   },
+  {
+    name: "An attempt that was forgotten is not denied when its key is reused",
+    events: [
+      [arrival({ number: 1, key: KEY, idempotent: true }), "run e1.1"],
+      [ended(1), ""],
+      [TICK, "forget e1.1", 6_000],
+      [
+        arrival({ number: 2, key: KEY, fingerprint: "1123456789abcdef" }),
+        "run e1.2",
+      ],
+      [asked(1, KEY), "fail e1.1 attemptForgotten"],
+      [arrival({ number: 1, key: KEY }), "fail e1.1 attemptForgotten"],
+      [asked(3, KEY), "refuse e1.3 keyReused 0"],
+    ],
+  },
   {
     name: "A key with another fingerprint is an error, running or ended",
     events: [
--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -76,14 +76,15 @@
   const record = state.keys.find(event.keyId ?? unkeyedId(attemptId));
   const entry = state.incarnations.recordOf(id.entryIncarnation);
   const { number } = id;
-  if (record !== undefined) {
-    return matchesFingerprint(record, event.fingerprint)
-      ? repeat(context, { attemptId, record, entry, number })
-      : refuse(context, { attemptId, code: "keyReused" });
+  if (record !== undefined && matchesFingerprint(record, event.fingerprint)) {
+    return repeat(context, { attemptId, record, entry, number });
   }
   if (entry.mayHaveForgotten(number)) {
     return fail(context, { attemptId, code: "attemptForgotten" });
   }
+  if (record !== undefined) {
+    return refuse(context, { attemptId, code: "keyReused" });
+  }
   entry.decided.add(number);
   refuse(context, { attemptId, code: "neverArrived" });
 }
@@ -96,16 +97,14 @@
 function judge(context: AdmitContext, arrival: Arrival): Verdict {
   const { entry, head, keyId } = arrival;
   const record = context.state.keys.find(keyId);
-  if (record !== undefined) {
-    if (!matchesFingerprint(record, head.fingerprint)) {
-      return { kind: "refuse", code: "keyReused" };
-    }
+  if (record !== undefined && matchesFingerprint(record, head.fingerprint)) {
     if (entry.closed) return { kind: "fail", code: "incarnationClosed" };
     return { kind: "take" };
   }
   if (entry.mayHaveForgotten(arrival.number)) {
     return { kind: "fail", code: "attemptForgotten" };
   }
+  if (record !== undefined) return { kind: "refuse", code: "keyReused" };
   const code = findRefusal(context, arrival);
   return code === undefined ? { kind: "take" } : { kind: "refuse", code };
 }
--- a/testing/soak/src/requests/agent_node.ts
+++ b/testing/soak/src/requests/agent_node.ts
@@ -358,7 +358,8 @@
     const { random, queue } = this.#world;
     const stalls = random.chance(STALLS / 5);
     if (stalls) this.#world.fault("targetStalls");
-    const delayMs = stalls ? STALL_MS : random.int(1, 30);
+    const { slowestPartMs } = this.#world;
+    const delayMs = stalls ? STALL_MS : random.int(1, slowestPartMs);
     queue.startTimer(this.name, { delayMs, run });
   }
 
--- a/testing/soak/src/requests/caller_node.ts
+++ b/testing/soak/src/requests/caller_node.ts
@@ -142,7 +142,14 @@
   }
 
   #take(sending: Sending, part: ReplyMessage["part"]): void {
-    if (part.kind === "data") sending.text += part.data;
+    const expected = answerParts(sending.operation, 1).join("");
+    if (part.kind === "data") {
+      sending.text += part.data;
+      this.#world.check("partsOfItsOwnInOrder", {
+        holds: expected.startsWith(sending.text),
+        detail: `${sending.operation.id} got ${sending.text}`,
+      });
+    }
     if (part.kind === "outcome") {
       const { outcome } = part;
       sending.outcome = outcome.kind;
@@ -152,7 +159,7 @@
     if (part.kind !== "end") return;
     sending.outcome = "answered";
     this.#world.check("wholeAnswerOfItsOwn", {
-      holds: sending.text === answerParts(sending.operation, 1).join(""),
+      holds: sending.text === expected,
       detail: `${sending.operation.id} got ${sending.text}`,
     });
   }
--- a/testing/soak/src/requests/entry_node.ts
+++ b/testing/soak/src/requests/entry_node.ts
@@ -19,6 +19,8 @@
 
 /** How soon a pending takeover is looked at again. */
 const PENDING_MS = 25;
+/** Share of choices of a target that find the pool overloaded. */
+const OVERLOADED = 0.03;
 
 interface KnownRequest {
   readonly operation: Operation;
@@ -262,8 +264,10 @@
     const { requestId, pool, avoid } = effect;
     const agents = this.#view.listAgents(pool)
       .filter(({ target }) => !avoid.includes(target));
-    if (agents.length === 0) {
-      const code = "noTarget";
+    const overloaded = this.#world.random.chance(OVERLOADED);
+    if (overloaded) this.#world.fault("poolOverloaded");
+    if (agents.length === 0 || overloaded) {
+      const code = overloaded ? "overloaded" : "noTarget";
       return this.#feed({
         type: "noTarget",
         requestId,
--- a/testing/soak/src/requests/fault_plan.ts
+++ b/testing/soak/src/requests/fault_plan.ts
@@ -29,6 +29,7 @@
   const { random, queue } = world;
   if (random.chance(QUIET_SHARE)) return;
   queue.setFaults(drawMessageFaults(world));
+  world.slowestPartMs = random.pick([30, 30, 200]);
   world.store.lostAnswerShare = random.chance(0.5) ? 0.1 : 0;
   const count = random.int(0, MAX_FAULTS);
   for (let fault = 0; fault < count; fault++) {
@@ -62,7 +63,7 @@
   const { kind, site } = fault;
   const entry = random.pick(ENTRIES);
   const agent = random.pick(AGENTS);
-  const soonMs = random.int(50, 1_500);
+  const soonMs = random.chance(0.3) ? random.int(5, 60) : random.int(50, 1_500);
   switch (kind) {
     case "entryKilled":
       return site.killEntry(entry, soonMs);
--- a/testing/soak/src/requests/world.ts
+++ b/testing/soak/src/requests/world.ts
@@ -30,6 +30,8 @@
   readonly outcomes: Tally = {};
   readonly invariants: Tally = {};
   readonly violations: string[] = [];
+  /** Longest time that a target takes for one part of an answer. */
+  slowestPartMs = 30;
   readonly #executions = new Map<string, number>();
   readonly #keyExecutions = new Map<string, number>();
   #lastId = 0;
