Add the benches' registry and the bench of the request cores

Cause: the cores' cost is bounded: requests a second, bytes a key, time of a takeover. Ruled out: timing single steps (the cost is in whole requests). Before: none.

--- /dev/null
+++ b/testing/bench/src/ledger/fixtures.ts
@@ -0,0 +1,44 @@
+/** Keys and attempt heads for the bench `ledger`. */
+
+import { createHash } from "node:crypto";
+import type { AttemptHead } from "@dandelionbank/types";
+import { formatTicket } from "@dandelionbank/read-ticket";
+
+export const FINGERPRINT = createHash("sha256").update("body").digest("hex");
+
+/** A request key as a caller sends it. */
+export function createKey(number: number, incarnation = "entry"): string {
+  const ticket = {
+    incarnation,
+    revision: 41_234,
+    issuedAtMs: number,
+    expiresAtMs: number + 60_000,
+  };
+  const suffix = number.toString(36).padStart(12, "0");
+  return `${formatTicket(ticket, "Zm9vYmFyZm9vYmFyZm9vYg")}/${suffix}`;
+}
+
+/** Stands for organisation and key in the cores, as in the product. */
+export function digestKey(key: string): string {
+  return createHash("sha256").update(`acme\n${key}`).digest("base64url")
+    .slice(0, 22);
+}
+
+export function createHead(key: string): AttemptHead {
+  return {
+    attemptId: "",
+    requestId: "",
+    organisation: "acme",
+    key,
+    fingerprint: FINGERPRINT,
+    entry: "entry",
+    entryIncarnation: "entry",
+    idempotent: false,
+    method: "POST",
+    path: "/services/parts/book",
+    contentType: "application/json",
+    priority: 5,
+    timeLeftMs: 10_000,
+    viewRevision: 41_234,
+  };
+}
--- /dev/null
+++ b/testing/bench/src/ledger/ledger_bench.ts
@@ -0,0 +1,64 @@
+/** The bench `ledger`: what the request cores cost. */
+
+import { atLeast, atMost, type Bench, unbounded } from "../bench.ts";
+import { measureKeyBytes } from "./key_bytes.ts";
+import { measureMapOnly, measureThroughput } from "./throughput.ts";
+import { measureTakeover } from "./takeover.ts";
+
+const MIN_REQUESTS_PER_SECOND = 50_000;
+const MAX_BYTES_PER_KEY = 200;
+const MAX_TAKEOVER_MS = 2_000;
+const AGENTS = 1_700;
+const ASKS_AT_A_TIME = 256;
+
+export const LEDGER_BENCH: Bench = { name: "ledger", run };
+
+function run(options: { readonly seed: number }) {
+  const throughput = measureThroughput();
+  const mapOnly = measureMapOnly();
+  const keyBytes = measureKeyBytes();
+  const takeover = measureTakeover({
+    ...options,
+    agents: AGENTS,
+    maxAsks: ASKS_AT_A_TIME,
+  });
+  const slow = measureTakeover({ ...options, agents: AGENTS, maxAsks: 8 });
+  return Promise.resolve({
+    figures: [
+      atLeast({
+        name: "keyedRequestsPerSecond",
+        value: throughput,
+        unit: "requests/s",
+      }, MIN_REQUESTS_PER_SECOND),
+      atMost({
+        name: "agentTableBytesPerKey",
+        value: keyBytes,
+        unit: "bytes",
+      }, MAX_BYTES_PER_KEY),
+      atMost({
+        name: "takeoverVirtualMs",
+        value: takeover.decidedMs,
+        unit: "ms",
+      }, MAX_TAKEOVER_MS),
+      unbounded({
+        name: "takeoverMessages",
+        value: takeover.messages,
+        unit: "messages",
+      }),
+      unbounded({
+        name: "takeoverBytes",
+        value: takeover.bytes,
+        unit: "bytes",
+      }),
+      unbounded({
+        name: "takeoverHeldKeys",
+        value: takeover.heldKeys,
+        unit: "keys",
+      }),
+    ],
+    baselines: {
+      mapLookupRequestsPerSecond: Math.round(mapOnly),
+      takeoverEightAsksAtATimeVirtualMs: slow.decidedMs,
+    },
+  });
+}
--- /dev/null
+++ b/testing/bench/src/registry.ts
@@ -0,0 +1,8 @@
+/** Every bench, one line each. */
+
+import type { Bench } from "./bench.ts";
+import { LEDGER_BENCH } from "./ledger/ledger_bench.ts";
+
+export const BENCHES: readonly Bench[] = [
+  LEDGER_BENCH,
+];
