Quarantine requests that crash their targets

Cause: now and then one request crashes each target that runs it, and its caller sends it again under a new key. Ruled out: blaming every request that was lost with a target; counting two losses alone (an innocent that was retried beside it would be blamed); a third target to be sure. Conclusion: suspects run apart from each other, which the agent enforces (suspectRunning), so that the second loss tells.

--- a/routing/admit-attempts/src/admit_attempts_test.ts
+++ b/routing/admit-attempts/src/admit_attempts_test.ts
@@ -368,6 +368,19 @@
       [TICK, "cancel e1.3", 10_000],
     ],
   },
+  {
+    name: "Of calls that may crash the target one runs at a time",
+    events: [
+      [{ ...arrival({ number: 1 }), suspect: true } as AdmitEvent, "run e1.1"],
+      [
+        { ...arrival({ number: 2 }), suspect: true } as AdmitEvent,
+        "refuse e1.2 suspectRunning 250",
+      ],
+      [arrival({ number: 3 }), "run e1.3"],
+      [ended(1), ""],
+      [{ ...arrival({ number: 4 }), suspect: true } as AdmitEvent, "run e1.4"],
+    ],
+  },
   {
     name: "No attempt is taken out of time or without its parts",
     events: [
--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -31,6 +31,7 @@
   readonly entry: IncarnationRecord;
   /** Whether it is a keyed call that may not be repeated. */
   readonly once: boolean;
+  readonly suspect: boolean;
 }
 
 type Verdict =
@@ -55,6 +56,7 @@
     number: id.number,
     entry: context.state.incarnations.recordOf(id.entryIncarnation),
     once: event.keyId !== undefined && !head.idempotent,
+    suspect: event.suspect === true,
   };
   const verdict = judge(context, arrival);
   if (verdict.kind === "take") return runOrRepeat(context, arrival);
@@ -122,10 +124,18 @@
   if (state.stopReasons.size > 0) return "agentStopping";
   if (head.timeLeftMs <= 0) return "tooLate";
   if (state.running.size >= state.options.maxInFlight) return "targetBusy";
+  if (arrival.suspect && runsSuspect(context)) return "suspectRunning";
   if (arrival.once && state.keys.isFull) return "tableFull";
   return undefined;
 }
 
+function runsSuspect(context: AdmitContext): boolean {
+  for (const call of context.state.running.values()) {
+    if (call.suspect) return true;
+  }
+  return false;
+}
+
 function runOrRepeat(context: AdmitContext, arrival: Arrival): void {
   const { attemptId } = arrival.head;
   const { keyId, number, entry, once } = arrival;
@@ -187,6 +197,7 @@
     keyId,
     record,
     idempotent: head.idempotent,
+    suspect: arrival.suspect,
     keyed: head.key !== undefined,
     deadlineMs: nowMs + head.timeLeftMs,
     listeners: new Set([head.attemptId]),
--- a/routing/admit-attempts/src/events.ts
+++ b/routing/admit-attempts/src/events.ts
@@ -31,6 +31,7 @@
   | "invariantViolated"
   | "keyReused"
   | "neverArrived"
+  | "suspectRunning"
   | "tableFull"
   | "targetBusy"
   | "tooLate";
@@ -86,6 +87,8 @@
   readonly keyId?: string;
   /** The incarnation of this agent that the entry meant. */
   readonly agentIncarnation: string;
+  /** Whether the call may crash the target: one such call runs at a time. */
+  readonly suspect?: boolean;
 }
 
 /**
--- a/routing/admit-attempts/src/state.ts
+++ b/routing/admit-attempts/src/state.ts
@@ -10,6 +10,13 @@
 import { IncarnationTable } from "./incarnation_table.ts";
 import { endOfTimeUnit, type KeyRecord, KeyTable } from "./key_table.ts";
 
+/** Refusals after which the same target may take the work a while later. */
+const WAITING_CODES: ReadonlySet<RefusalCode> = new Set([
+  "suspectRunning",
+  "tableFull",
+  "targetBusy",
+]);
+
 /** One call that runs on the target. */
 export interface RunningCall {
   readonly attemptId: string;
@@ -18,6 +25,8 @@
   /** Whether the call may be cancelled and run again. */
   readonly idempotent: boolean;
   readonly keyed: boolean;
+  /** Whether it may crash the target. */
+  readonly suspect: boolean;
   readonly deadlineMs: number;
   readonly listeners: Set<string>;
   /** Since when nobody listens. */
@@ -65,7 +74,7 @@
   context: AdmitContext,
   refusal: { readonly attemptId: string; readonly code: RefusalCode },
 ): void {
-  const waits = refusal.code === "tableFull" || refusal.code === "targetBusy";
+  const waits = WAITING_CODES.has(refusal.code);
   context.effects.push({
     type: "refuse",
     attemptId: refusal.attemptId,
--- /dev/null
+++ b/routing/quarantine-requests/src/events.ts
@@ -0,0 +1,44 @@
+/** What the quarantine takes in and what it asks to be done. */
+
+export interface QuarantineOptions {
+  /** How long a fingerprint is refused. */
+  readonly quarantineMs: number;
+  /** How long a lost target is remembered against what it ran. */
+  readonly memoryMs: number;
+  /** Most fingerprints that are remembered. */
+  readonly maxFingerprints: number;
+}
+
+/** A target was lost while it ran a request. */
+export interface Loss {
+  readonly fingerprint: string;
+  readonly target: string;
+  /** Whether no other suspect ran on the target at that time. */
+  readonly alone: boolean;
+}
+
+export type QuarantineEvent =
+  | { readonly type: "targetLost"; readonly losses: readonly Loss[] }
+  /** What other entries saw. */
+  | { readonly type: "lossesTold"; readonly losses: readonly Loss[] }
+  | { readonly type: "quarantineTold"; readonly fingerprint: string }
+  | { readonly type: "tick" };
+
+export type QuarantineEffect =
+  /** Tell every other entry what was lost. */
+  | { readonly type: "tellLosses"; readonly losses: readonly Loss[] }
+  /** Refuse the fingerprint from now on, and tell every other entry. */
+  | {
+    readonly type: "quarantine";
+    readonly fingerprint: string;
+    readonly targets: readonly string[];
+  };
+
+/**
+ * `suspect`: to be run only where no other suspect runs, and never hedged.
+ * `quarantined`: to be refused at once, for that long.
+ */
+export type Verdict =
+  | { readonly kind: "clear" }
+  | { readonly kind: "suspect" }
+  | { readonly kind: "quarantined"; readonly retryAfterMs: number };
--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -26,8 +26,9 @@
 
 /** Refusals after which another attempt would be extra work for the pool. */
 const OVERLOAD_CODES: ReadonlySet<string> = new Set([
-  "targetBusy",
+  "suspectRunning",
   "tableFull",
+  "targetBusy",
 ]);
 
 interface Received<Frame> {
