--- a/routing/track-requests/src/events.ts
+++ b/routing/track-requests/src/events.ts
@@ -186,7 +186,6 @@
   | "noTarget"
   | "overloaded"
   | "quarantined"
-  | "retriesExhausted"
   | "tableFull"
   | "targetFailed"
   | "ticketExpired";
--- a/testing/bench/src/bench_test.ts
+++ b/testing/bench/src/bench_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { atLeast, atMost, BENCHES, unbounded } from "./mod.ts";
+import { measureEntryKill } from "@dandelionbank/soak";
 import { measureTakeover } from "./ledger/takeover.ts";
 
 test("A figure says whether its bound holds", () => {
@@ -24,3 +25,10 @@
   assert.equal(once.messages, 200);
   assert.deepEqual(measureTakeover(options), once);
 });
+
+test("The loss of one entry leaves the sendings to others answered", () => {
+  const figures = measureEntryKill({ seed: 1, calls: 300 });
+  assert.deepEqual(figures.violations, []);
+  assert.ok(figures.sendingsElsewhere > 100);
+  assert.ok(figures.answeredElsewherePercent >= 99.9);
+});
--- a/testing/bench/src/ledger/ledger_bench.ts
+++ b/testing/bench/src/ledger/ledger_bench.ts
@@ -1,5 +1,6 @@
 /** The bench `ledger`: what the request cores cost. */
 
+import { measureEntryKill } from "@dandelionbank/soak";
 import { atLeast, atMost, type Bench, unbounded } from "../bench.ts";
 import { measureKeyBytes } from "./key_bytes.ts";
 import { measureMapOnly, measureThroughput } from "./throughput.ts";
@@ -10,6 +11,8 @@
 const MAX_TAKEOVER_MS = 2_000;
 const AGENTS = 1_700;
 const ASKS_AT_A_TIME = 256;
+const MIN_ANSWERED_PERCENT = 99.9;
+const CALLS = 6_000;
 
 export const LEDGER_BENCH: Bench = { name: "ledger", run };
 
@@ -23,6 +26,8 @@
     maxAsks: ASKS_AT_A_TIME,
   });
   const slow = measureTakeover({ ...options, agents: AGENTS, maxAsks: 8 });
+  const kill = measureEntryKill({ ...options, calls: CALLS });
+  if (kill.violations.length > 0) throw new Error(kill.violations[0]);
   return Promise.resolve({
     figures: [
       atLeast({
@@ -55,6 +60,21 @@
         value: takeover.heldKeys,
         unit: "keys",
       }),
+      atLeast({
+        name: "answeredBesideKilledEntryPercent",
+        value: kill.answeredElsewherePercent,
+        unit: "%",
+      }, MIN_ANSWERED_PERCENT),
+      unbounded({
+        name: "unknownAfterEntryKillPercent",
+        value: kill.unknownPercent,
+        unit: "%",
+      }),
+      unbounded({
+        name: "unansweredAfterEntryKillPercent",
+        value: kill.unansweredPercent,
+        unit: "%",
+      }),
     ],
     baselines: {
       mapLookupRequestsPerSecond: Math.round(mapOnly),
--- a/testing/soak/src/mod.ts
+++ b/testing/soak/src/mod.ts
@@ -1,5 +1,7 @@
 /** Long randomised runs over the real cores. */
 
+export { measureEntryKill } from "./requests/kill_run.ts";
+export type { KillFigures, KillOptions } from "./requests/kill_run.ts";
 export { SOAKS } from "./registry.ts";
 export { addTally, runSoak } from "./soak.ts";
 export type {
--- a/testing/soak/src/requests/agent_node.ts
+++ b/testing/soak/src/requests/agent_node.ts
@@ -55,15 +55,16 @@
     options: { place: AgentPlace; onDrained: () => void },
   ) {
     const { target } = options.place;
+    const { room } = world.plan;
     this.#world = world;
     this.#place = options.place;
     this.#onDrained = options.onDrained;
     this.incarnation = world.nextId(`${target}-`);
     this.#state = admit.createAdmitState({
       incarnation: this.incarnation,
-      maxInFlight: 6,
-      maxKeys: 30,
-      maxKeptBytes: 1_500,
+      maxInFlight: 6 * room,
+      maxKeys: 30 * room,
+      maxKeptBytes: 1_500 * room,
       keyLifeMs: KEY_LIFE_MS,
       lingerMs: 400,
       retryAfterMs: 50,
@@ -281,9 +282,9 @@
     begun: { attemptId: string; operation: Operation; scope: string },
   ): void {
     const { attemptId, operation, scope } = begun;
-    const { random } = this.#world;
+    const { random, plan: { targetsFail } } = this.#world;
     if (this.#calls.get(attemptId)?.open !== true) return;
-    if (random.chance(FAILS_BEFORE)) {
+    if (targetsFail && random.chance(FAILS_BEFORE)) {
       this.#world.fault("targetFailsBefore");
       return this.#endCall(attemptId, failedBody("targetFailed", false));
     }
@@ -306,7 +307,8 @@
     const [body, ...rest] = bodies;
     const call = this.#calls.get(attemptId);
     if (body === undefined || call?.open !== true) return;
-    if (this.#world.random.chance(FAILS_MIDWAY / 5)) {
+    const { random, plan: { targetsFail } } = this.#world;
+    if (targetsFail && random.chance(FAILS_MIDWAY / 5)) {
       this.#world.fault("targetFailsMidway");
       return this.#endCall(attemptId, failedBody("targetFailed", true));
     }
@@ -355,8 +357,8 @@
   }
 
   #later(run: () => void): void {
-    const { random, queue } = this.#world;
-    const stalls = random.chance(STALLS / 5);
+    const { random, queue, plan: { targetsFail } } = this.#world;
+    const stalls = targetsFail && random.chance(STALLS / 5);
     if (stalls) this.#world.fault("targetStalls");
     const { slowestPartMs } = this.#world;
     const delayMs = stalls ? STALL_MS : random.int(1, slowestPartMs);
--- a/testing/soak/src/requests/caller_node.ts
+++ b/testing/soak/src/requests/caller_node.ts
@@ -17,9 +17,21 @@
   readonly entry: string;
   readonly incarnation: string;
   readonly parts: Map<number, ReplyMessage["part"]>;
+  readonly sentAtMs: number;
   nextOrder: number;
   text: string;
   outcome: string | undefined;
+  endedAtMs: number;
+}
+
+/** How one sending of a call ended. */
+export interface SendingEnd {
+  readonly operation: Operation;
+  readonly entry: string;
+  readonly sentAtMs: number;
+  /** Absent if nothing was heard. */
+  readonly outcome: string | undefined;
+  readonly tookMs: number;
 }
 
 export interface CallPlan {
@@ -45,6 +57,14 @@
     });
   }
 
+  listSendings(): readonly SendingEnd[] {
+    return [...this.#sendings.values()].map((sending) => {
+      const { operation, entry, sentAtMs, outcome } = sending;
+      const tookMs = sending.endedAtMs - sentAtMs;
+      return { operation, entry, sentAtMs, outcome, tookMs };
+    });
+  }
+
   begin(plan: CallPlan): void {
     this.#send(plan, 1);
   }
@@ -88,9 +108,11 @@
       entry: to,
       incarnation,
       parts: new Map(),
+      sentAtMs: queue.nowMs,
       nextOrder: 0,
       text: "",
       outcome: undefined,
+      endedAtMs: Infinity,
     });
     queue.post({ from: this.name, to }, {
       type: "call",
@@ -100,7 +122,9 @@
       key,
       timeLeftMs: REQUEST_TIMEOUT_MS,
     });
-    const delayMs = random.int(100, REQUEST_TIMEOUT_MS + 300);
+    const { callersWait } = this.#world.plan;
+    const least = callersWait ? REQUEST_TIMEOUT_MS : 100;
+    const delayMs = random.int(least, REQUEST_TIMEOUT_MS + 300);
     const run = () => this.#resend(plan, { callerId, count });
     queue.startTimer(this.name, { delayMs, run });
   }
@@ -153,11 +177,13 @@
     if (part.kind === "outcome") {
       const { outcome } = part;
       sending.outcome = outcome.kind;
+      sending.endedAtMs = this.#world.queue.nowMs;
       if (outcome.kind === "answered") return;
       this.#world.outcome(`${outcome.kind} ${outcome.code}`);
     }
     if (part.kind !== "end") return;
     sending.outcome = "answered";
+    sending.endedAtMs = this.#world.queue.nowMs;
     this.#world.check("wholeAnswerOfItsOwn", {
       holds: sending.text === expected,
       detail: `${sending.operation.id} got ${sending.text}`,
--- a/testing/soak/src/requests/entry_node.ts
+++ b/testing/soak/src/requests/entry_node.ts
@@ -46,16 +46,17 @@
     this.name = name;
     this.incarnation = world.nextId(`${name}-`);
     this.#world = world;
+    const { room } = world.plan;
     this.#tracker = track.createTrackState({
       incarnation: this.incarnation,
       progressTimeoutMs: PROGRESS_TIMEOUT_MS,
       hedgeAfterMs: 120,
       maxAttempts: 4,
       retryShare: 0.5,
-      retryBurst: 5,
+      retryBurst: 5 * room,
       retryAfterMs: 100,
-      maxKeys: 40,
-      maxKeptBytes: 4_000,
+      maxKeys: 40 * room,
+      maxKeptBytes: 4_000 * room,
       createDigest: createTextDigest,
     });
     this.#view = new EntryView(world, {
@@ -264,7 +265,8 @@
     const { requestId, pool, avoid } = effect;
     const agents = this.#view.listAgents(pool)
       .filter(({ target }) => !avoid.includes(target));
-    const overloaded = this.#world.random.chance(OVERLOADED);
+    const overloaded = this.#world.plan.targetsFail &&
+      this.#world.random.chance(OVERLOADED);
     if (overloaded) this.#world.fault("poolOverloaded");
     if (agents.length === 0 || overloaded) {
       const code = overloaded ? "overloaded" : "noTarget";
--- a/testing/soak/src/requests/entry_view.ts
+++ b/testing/soak/src/requests/entry_view.ts
@@ -10,13 +10,7 @@
   TakeOverEvent,
 } from "@dandelionbank/take-over-keys";
 import type { Message } from "./messages.ts";
-import {
-  BEAT_MS,
-  ENTRIES,
-  KEY_LIFE_MS,
-  LEASE_MS,
-  SILENCE_MS,
-} from "./settings.ts";
+import { BEAT_MS, KEY_LIFE_MS, LEASE_MS, SILENCE_MS } from "./settings.ts";
 import type { StoreChange } from "./store_fake.ts";
 import type { World } from "./world.ts";
 
@@ -107,7 +101,7 @@
 
   #beat(): void {
     const { name: from, incarnation } = this.#options;
-    for (const to of ENTRIES) {
+    for (const to of this.#world.plan.entries) {
       if (to === from) continue;
       this.#world.queue.post({ from, to }, { type: "beat", incarnation });
     }
--- a/testing/soak/src/requests/fault_plan.ts
+++ b/testing/soak/src/requests/fault_plan.ts
@@ -2,7 +2,7 @@
 
 import type { MessageFaults } from "@dandelionbank/message-queue";
 import type { Site } from "./site.ts";
-import { AGENTS, ENTRIES, FAULTS_END_MS } from "./settings.ts";
+import { FAULTS_END_MS } from "./settings.ts";
 import type { World } from "./world.ts";
 
 const KINDS = [
@@ -61,8 +61,8 @@
 ): void {
   const { random, queue } = world;
   const { kind, site } = fault;
-  const entry = random.pick(ENTRIES);
-  const agent = random.pick(AGENTS);
+  const entry = random.pick(world.plan.entries);
+  const agent = random.pick(world.plan.agents);
   const soonMs = random.chance(0.3) ? random.int(5, 60) : random.int(50, 1_500);
   switch (kind) {
     case "entryKilled":
@@ -134,7 +134,8 @@
   world: World,
   node: { readonly name: string; readonly forMs: number },
 ): void {
-  const others = [...ENTRIES, ...AGENTS.map(({ target }) => target)];
+  const { entries, agents } = world.plan;
+  const others = [...entries, ...agents.map(({ target }) => target)];
   for (const other of others) {
     if (other === node.name) continue;
     cut(world, { from: node.name, to: other, forMs: node.forMs });
--- a/testing/soak/src/requests/requests_soak.ts
+++ b/testing/soak/src/requests/requests_soak.ts
@@ -46,7 +46,8 @@
   if (reuse) random.pick(site.callers).begin(reuseKey(world, plan));
 }
 
-function drawCall(world: World, site: Site): CallPlan {
+/** A call as callers of this soak make it. */
+export function drawCall(world: World, site: Site): CallPlan {
   const { random, queue } = world;
   const homes = site.listServing().filter(({ name }) => !queue.isFrozen(name));
   const keyed = homes.length > 0 && random.chance(0.75);
--- a/testing/soak/src/requests/settings.ts
+++ b/testing/soak/src/requests/settings.ts
@@ -1,14 +1,33 @@
 /** Times and bounds of the soak `requests`. */
 
-export const ENTRIES = ["entry1", "entry2", "entry3"] as const;
-export const AGENTS = [
-  { target: "plain1", pool: "plain" },
-  { target: "plain2", pool: "plain" },
-  { target: "plain3", pool: "plain" },
-  { target: "engine1", pool: "engine" },
-  { target: "engine2", pool: "engine" },
-] as const;
-export const CALLERS = ["caller1", "caller2", "caller3"] as const;
+import type { AgentPlace } from "./agent_node.ts";
+
+/** Which nodes a run has, and whether targets fail by themselves. */
+export interface SitePlan {
+  readonly entries: readonly string[];
+  readonly agents: readonly AgentPlace[];
+  readonly callers: readonly string[];
+  readonly targetsFail: boolean;
+  /** Whether callers wait for their whole time before they send again. */
+  readonly callersWait: boolean;
+  /** Multiplies the bounds of the nodes' tables. */
+  readonly room: number;
+}
+
+export const SMALL_SITE: SitePlan = {
+  entries: ["entry1", "entry2", "entry3"],
+  agents: [
+    { target: "plain1", pool: "plain" },
+    { target: "plain2", pool: "plain" },
+    { target: "plain3", pool: "plain" },
+    { target: "engine1", pool: "engine" },
+    { target: "engine2", pool: "engine" },
+  ],
+  callers: ["caller1", "caller2", "caller3"],
+  targetsFail: true,
+  callersWait: false,
+  room: 1,
+};
 
 export const TICK_MS = 50;
 export const BEAT_MS = 150;
--- a/testing/soak/src/requests/site.ts
+++ b/testing/soak/src/requests/site.ts
@@ -4,7 +4,6 @@
 import { AgentNode, type AgentPlace } from "./agent_node.ts";
 import { CallerNode } from "./caller_node.ts";
 import { EntryNode } from "./entry_node.ts";
-import { AGENTS, CALLERS, ENTRIES } from "./settings.ts";
 import type { World } from "./world.ts";
 import { addTally } from "../soak.ts";
 
@@ -16,10 +15,11 @@
 
   constructor(world: World) {
     this.#world = world;
-    for (const place of AGENTS) this.#startAgent(place);
-    for (const name of ENTRIES) this.#startEntry(name);
+    const { entries, agents, callers } = world.plan;
+    for (const place of agents) this.#startAgent(place);
+    for (const name of entries) this.#startEntry(name);
     const findEntries = () => this.listServing();
-    this.callers = CALLERS.map((name) =>
+    this.callers = callers.map((name) =>
       new CallerNode(world, { name, findEntries })
     );
   }
--- a/testing/soak/src/requests/world.ts
+++ b/testing/soak/src/requests/world.ts
@@ -6,6 +6,7 @@
 import { MessageQueue, type Random } from "@dandelionbank/message-queue";
 import type { Tally } from "../soak.ts";
 import type { Message } from "./messages.ts";
+import { type SitePlan, SMALL_SITE } from "./settings.ts";
 import { StoreFake } from "./store_fake.ts";
 
 /** One call that a caller wants made. */
@@ -23,6 +24,7 @@
 export const POOLS = ["plain", "engine"] as const;
 
 export class World {
+  readonly plan: SitePlan;
   readonly queue: MessageQueue<Message>;
   readonly store: StoreFake;
   readonly operations = new Map<string, Operation>();
@@ -36,7 +38,8 @@
   readonly #keyExecutions = new Map<string, number>();
   #lastId = 0;
 
-  constructor(seed: number) {
+  constructor(seed: number, plan: SitePlan = SMALL_SITE) {
+    this.plan = plan;
     this.queue = MessageQueue.create({ seed });
     this.store = new StoreFake(this);
   }
