Try suspects on other targets, and judge them when all entries have told

Thinking it through showed another fault: entries tell of one crash one after the other, and an innocent could be judged before the culprit's loss was known. Ruled out: counting the same target twice (a target that crashes by itself would put its requests into quarantine).

--- a/routing/quarantine-requests/src/events.ts
+++ b/routing/quarantine-requests/src/events.ts
@@ -3,6 +3,8 @@
 export interface QuarantineOptions {
   /** How long a fingerprint is refused. */
   readonly quarantineMs: number;
+  /** Time in which every entry tells what it lost with a target. */
+  readonly settleMs: number;
   /** How long a lost target is remembered against what it ran. */
   readonly memoryMs: number;
   /** Most fingerprints that are remembered. */
@@ -35,10 +37,11 @@
   };
 
 /**
- * `suspect`: to be run only where no other suspect runs, and never hedged.
+ * `suspect`: to be run only where no other suspect runs, on another target than
+ * those that were lost with it, and never hedged.
  * `quarantined`: to be refused at once, for that long.
  */
 export type Verdict =
   | { readonly kind: "clear" }
-  | { readonly kind: "suspect" }
+  | { readonly kind: "suspect"; readonly avoid: readonly string[] }
   | { readonly kind: "quarantined"; readonly retryAfterMs: number };
--- a/routing/quarantine-requests/src/quarantine_requests.ts
+++ b/routing/quarantine-requests/src/quarantine_requests.ts
@@ -2,10 +2,11 @@
  * Finds the request that crashes its targets.
  *
  * A dying target takes down whatever it ran, so one loss blames nobody. A
- * fingerprint is quarantined after the loss of two different targets, if it ran
- * on one of them as the only suspect, or if no other fingerprint was lost with
- * both. Whatever else was lost with the second target has one loss, and what
- * was lost with the first is tried elsewhere, apart from other suspects.
+ * fingerprint with two lost targets is held at once, and judged a while later,
+ * when every entry has told what it lost. It is to blame if no other one was
+ * lost with two of the same targets, or if it ran on one of them as the only
+ * suspect and nothing else that is suspected of two was lost there. What merely
+ * ran beside it has one loss, and is tried elsewhere, apart from suspects.
  *
  * The state is changed in place and returned. The time never goes back.
  */
@@ -28,6 +29,8 @@
   /** By target. */
   readonly losses: Map<string, RememberedLoss>;
   quarantinedUntilMs: number;
+  /** When its latest loss may be judged; `undefined` if that is done. */
+  judgeAtMs: number | undefined;
 }
 
 /** Opaque to callers. */
@@ -64,10 +67,13 @@
 export function judge(state: QuarantineState, fingerprint: string): Verdict {
   const suspicion = state.suspicions.get(fingerprint);
   if (suspicion === undefined) return { kind: "clear" };
-  const leftMs = suspicion.quarantinedUntilMs - state.nowMs;
+  const { judgeAtMs, quarantinedUntilMs, losses } = suspicion;
+  const held = judgeAtMs !== undefined && losses.size > 1;
+  const untilMs = Math.max(quarantinedUntilMs, held ? judgeAtMs : 0);
+  const leftMs = untilMs - state.nowMs;
   return leftMs > 0
     ? { kind: "quarantined", retryAfterMs: leftMs }
-    : { kind: "suspect" };
+    : { kind: "suspect", avoid: [...losses.keys()] };
 }
 
 function handle(context: Context, event: QuarantineEvent): void {
@@ -80,52 +86,62 @@
     case "quarantineTold":
       return hold(context, suspicionOf(context, event.fingerprint));
     case "tick":
+      judgeSettled(context);
       return forgetOld(context);
   }
 }
 
-/** All are remembered before any is judged, since they are compared. */
 function addLosses(context: Context, losses: readonly Loss[]): void {
+  const { nowMs, state } = context;
   for (const { fingerprint, target, alone } of losses) {
-    const known = suspicionOf(context, fingerprint).losses;
-    if (!known.has(target)) known.set(target, { atMs: context.nowMs, alone });
+    const suspicion = suspicionOf(context, fingerprint);
+    if (suspicion.losses.has(target)) continue;
+    suspicion.losses.set(target, { atMs: nowMs, alone });
+    suspicion.judgeAtMs = nowMs + state.options.settleMs;
   }
-  const fingerprints = new Set(losses.map(({ fingerprint }) => fingerprint));
-  for (const fingerprint of fingerprints) {
-    const suspicion = context.state.suspicions.get(fingerprint);
-    if (suspicion === undefined) continue;
-    if (suspicion.quarantinedUntilMs > context.nowMs) continue;
+}
+
+function judgeSettled(context: Context): void {
+  const { state, nowMs, effects } = context;
+  for (const [fingerprint, suspicion] of state.suspicions) {
+    const { judgeAtMs } = suspicion;
+    if (judgeAtMs === undefined || judgeAtMs > nowMs) continue;
+    suspicion.judgeAtMs = undefined;
+    if (suspicion.quarantinedUntilMs > nowMs) continue;
     if (!isToBlame(context, { fingerprint, suspicion })) continue;
     hold(context, suspicion);
     const targets = [...suspicion.losses.keys()];
-    context.effects.push({ type: "quarantine", fingerprint, targets });
+    effects.push({ type: "quarantine", fingerprint, targets });
   }
 }
 
-function isToBlame(
-  context: Context,
-  suspect: { readonly fingerprint: string; readonly suspicion: Suspicion },
-): boolean {
+interface Suspect {
+  readonly fingerprint: string;
+  readonly suspicion: Suspicion;
+}
+
+function isToBlame(context: Context, suspect: Suspect): boolean {
   const { losses } = suspect.suspicion;
   if (losses.size < 2) return false;
-  const ranAlone = [...losses.values()].some(({ alone }) => alone);
-  return ranAlone || isOnlyOne(context, suspect);
-}
-
-/** Whether no other fingerprint was lost with two of the same targets. */
-function isOnlyOne(
-  context: Context,
-  suspect: { readonly fingerprint: string; readonly suspicion: Suspicion },
-): boolean {
-  for (const [fingerprint, other] of context.state.suspicions) {
-    if (fingerprint === suspect.fingerprint) continue;
-    let shared = 0;
-    for (const target of other.losses.keys()) {
-      if (suspect.suspicion.losses.has(target)) shared += 1;
-    }
-    if (shared >= 2) return false;
+  const others = [...context.state.suspicions]
+    .filter(([fingerprint]) => fingerprint !== suspect.fingerprint)
+    .map(([, suspicion]) => suspicion)
+    .filter((other) => other.losses.size > 1);
+  const ranAlone = [...losses].some(([target, { alone }]) =>
+    alone && !others.some((other) => other.losses.has(target))
+  );
+  return ranAlone || !others.some((other) => countShared(losses, other) > 1);
+}
+
+function countShared(
+  losses: ReadonlyMap<string, RememberedLoss>,
+  other: Suspicion,
+): number {
+  let shared = 0;
+  for (const target of other.losses.keys()) {
+    if (losses.has(target)) shared += 1;
   }
-  return true;
+  return shared;
 }
 
 function hold(context: Context, suspicion: Suspicion): void {
@@ -142,7 +158,9 @@
   const { suspicions, options } = state;
   for (const [fingerprint, suspicion] of suspicions) {
     const { losses, quarantinedUntilMs } = suspicion;
-    if (quarantinedUntilMs > nowMs) continue;
+    if (quarantinedUntilMs > nowMs || suspicion.judgeAtMs !== undefined) {
+      continue;
+    }
     for (const target of [...losses.keys()].slice(1)) {
       if (quarantinedUntilMs > 0) losses.delete(target);
     }
@@ -160,7 +178,11 @@
   const known = suspicions.get(fingerprint);
   if (known !== undefined) return known;
   if (suspicions.size >= options.maxFingerprints) dropOldest(context);
-  const suspicion: Suspicion = { losses: new Map(), quarantinedUntilMs: 0 };
+  const suspicion: Suspicion = {
+    losses: new Map(),
+    quarantinedUntilMs: 0,
+    judgeAtMs: undefined,
+  };
   suspicions.set(fingerprint, suspicion);
   return suspicion;
 }
--- a/routing/quarantine-requests/src/quarantine_requests_test.ts
+++ b/routing/quarantine-requests/src/quarantine_requests_test.ts
@@ -3,7 +3,6 @@
 import fc from "fast-check";
 import { createQuarantineState, judge, step } from "./mod.ts";
 import type {
-  Loss,
   QuarantineEffect,
   QuarantineEvent,
   QuarantineOptions,
@@ -12,25 +11,30 @@
 
 const OPTIONS: QuarantineOptions = {
   quarantineMs: 10_000,
+  settleMs: 200,
   memoryMs: 60_000,
   maxFingerprints: 100,
 };
 
 interface Entry {
   readonly state: QuarantineState;
-  /** Fingerprints that the event puts into quarantine. */
-  readonly feed: (event: QuarantineEvent, nowMs?: number) => readonly string[];
+  readonly feed: (event: QuarantineEvent, nowMs?: number) => void;
+  /** Fingerprints that are quarantined when their losses have settled. */
+  readonly settle: (nowMs?: number) => readonly string[];
   readonly kind: (fingerprint: string) => string;
 }
 
 function createEntry(options: Partial<QuarantineOptions> = {}): Entry {
   const state = createQuarantineState({ ...OPTIONS, ...options });
-  const feed = (event: QuarantineEvent, nowMs = 0) =>
-    step(state, event, nowMs).effects.flatMap((effect) =>
+  const feed = (event: QuarantineEvent, nowMs = 0) => {
+    step(state, event, nowMs);
+  };
+  const settle = (nowMs = 200) =>
+    step(state, { type: "tick" }, nowMs).effects.flatMap((effect) =>
       effect.type === "quarantine" ? [effect.fingerprint] : []
     );
   const kind = (fingerprint: string) => judge(state, fingerprint).kind;
-  return { state, feed, kind };
+  return { state, feed, settle, kind };
 }
 
 function lost(
@@ -48,64 +52,119 @@
 
 test("One lost target makes suspects of what it ran and blames nobody", () => {
   const entry = createEntry();
-  assert.deepEqual(entry.feed(lost("A", ["killer", "innocent"])), []);
+  entry.feed(lost("A", ["killer", "innocent"]));
+  assert.equal(entry.kind("killer"), "suspect");
+  assert.deepEqual(entry.settle(), []);
   assert.equal(entry.kind("killer"), "suspect");
   assert.equal(entry.kind("innocent"), "suspect");
+  assert.deepEqual(judge(entry.state, "innocent"), {
+    kind: "suspect",
+    avoid: ["A"],
+  });
   assert.equal(entry.kind("other"), "clear");
 });
 
-test("The same target lost twice blames nobody", () => {
-  const entry = createEntry();
-  entry.feed(lost("A", ["killer"], true));
-  assert.deepEqual(entry.feed(lost("A", ["killer"], true)), []);
-});
+interface Case {
+  readonly name: string;
+  readonly losses: readonly QuarantineEvent[];
+  readonly blamed: readonly string[];
+}
 
-test("The only one that was lost with two targets is quarantined", () => {
-  const entry = createEntry();
-  entry.feed(lost("A", ["killer", "innocent1", "innocent2"]));
-  assert.deepEqual(entry.feed(lost("B", ["innocent3", "killer"])), ["killer"]);
-  assert.equal(entry.kind("killer"), "quarantined");
-  for (const innocent of ["innocent1", "innocent2", "innocent3"]) {
-    assert.equal(entry.kind(innocent), "suspect");
-  }
-});
+const CASES: readonly Case[] = [
+  {
+    name: "The same target lost twice blames nobody",
+    losses: [lost("A", ["killer"], true), lost("A", ["killer"], true)],
+    blamed: [],
+  },
+  {
+    name: "The only one that was lost with two targets is quarantined",
+    losses: [
+      lost("A", ["killer", "innocent1", "innocent2"]),
+      lost("B", ["innocent3", "killer"]),
+    ],
+    blamed: ["killer"],
+  },
+  {
+    name: "Two that were lost with the same two targets are not blamed",
+    losses: [lost("A", ["killer", "innocent"]), lost("B", ["innocent"])].concat(
+      lost("B", ["killer"]),
+    ),
+    blamed: [],
+  },
+  {
+    name: "They are told apart by the one that loses a target alone",
+    losses: [
+      lost("A", ["killer", "innocent"]),
+      lost("B", ["killer", "innocent"]),
+      lost("C", ["killer"], true),
+    ],
+    blamed: ["killer"],
+  },
+  {
+    name:
+      "One that ran as a suspect beside a culprit not yet known is not blamed",
+    losses: [
+      lost("A", ["innocent"]),
+      lost("B", ["innocent"], true),
+      lost("B", ["killer"]),
+      lost("A", ["killer"]),
+    ],
+    blamed: [],
+  },
+  {
+    name: "What other entries saw counts, whichever comes first",
+    losses: [
+      lost("B", ["killer"], true),
+      {
+        type: "lossesTold",
+        losses: [{ fingerprint: "killer", target: "A", alone: false }],
+      },
+    ],
+    blamed: ["killer"],
+  },
+];
+
+for (const { name, losses, blamed } of CASES) {
+  test(name, () => {
+    const entry = createEntry();
+    losses.forEach((event) => entry.feed(event));
+    assert.deepEqual(entry.settle(), blamed);
+    const kind = blamed.length > 0 ? "quarantined" : "suspect";
+    assert.equal(entry.kind("killer"), kind);
+    assert.notEqual(entry.kind("innocent"), "quarantined");
+  });
+}
 
-test("Two that were lost with the same two targets are told apart by a run alone", () => {
+test("A fingerprint with two losses is held while it is judged", () => {
   const entry = createEntry();
-  entry.feed(lost("A", ["killer", "innocent"]));
-  assert.deepEqual(entry.feed(lost("B", ["killer", "innocent"])), []);
-  assert.deepEqual(entry.feed(lost("C", ["killer"], true)), ["killer"]);
-  assert.equal(entry.kind("innocent"), "suspect");
+  entry.feed(lost("A", ["killer"]));
+  entry.feed(lost("B", ["killer"], true));
+  assert.deepEqual(judge(entry.state, "killer"), {
+    kind: "quarantined",
+    retryAfterMs: 200,
+  });
 });
 
-test("Losses that other entries saw count, whichever comes first", () => {
+test("A quarantine that another entry tells of holds here", () => {
   const entry = createEntry();
-  const told: Loss = { fingerprint: "killer", target: "A", alone: false };
-  entry.feed({ type: "lossesTold", losses: [told] });
-  assert.deepEqual(entry.feed(lost("B", ["killer"], true)), ["killer"]);
-  const late = createEntry();
-  late.feed(lost("B", ["killer", "innocent"], true));
-  assert.deepEqual(late.feed({ type: "lossesTold", losses: [told] }), [
-    "killer",
-  ]);
-  const other = createEntry();
-  other.feed({ type: "quarantineTold", fingerprint: "killer" });
-  assert.equal(other.kind("killer"), "quarantined");
+  entry.feed({ type: "quarantineTold", fingerprint: "killer" });
+  assert.equal(entry.kind("killer"), "quarantined");
 });
 
 test("A quarantine ends, and one more lost target begins it again", () => {
   const entry = createEntry();
   entry.feed(lost("A", ["killer"]));
   entry.feed(lost("B", ["killer"], true));
-  entry.feed({ type: "tick" }, 9_999);
+  entry.settle(200);
+  entry.feed({ type: "tick" }, 10_199);
   assert.deepEqual(judge(entry.state, "killer"), {
     kind: "quarantined",
     retryAfterMs: 1,
   });
-  entry.feed({ type: "tick" }, 10_000);
+  entry.feed({ type: "tick" }, 10_200);
   assert.equal(entry.kind("killer"), "suspect");
-  const again = entry.feed(lost("C", ["killer"], true), 10_001);
-  assert.deepEqual(again, ["killer"]);
+  entry.feed(lost("C", ["killer"], true), 10_201);
+  assert.deepEqual(entry.settle(10_401), ["killer"]);
   entry.feed({ type: "tick" }, 90_000);
   assert.equal(entry.kind("killer"), "clear");
 });
@@ -114,6 +173,7 @@
   const entry = createEntry({ maxFingerprints: 3 });
   entry.feed(lost("A", ["killer"]));
   entry.feed(lost("B", ["killer"], true));
+  entry.settle();
   for (let at = 0; at < 10; at++) entry.feed(lost("C", [`innocent${at}`]));
   assert.ok(entry.state.suspicions.size <= 3);
   assert.equal(entry.kind("killer"), "quarantined");
@@ -136,7 +196,7 @@
 function countLostTargets(resends: readonly Resend[]): number {
   const entries = [createEntry(), createEntry(), createEntry()];
   let lostTargets = 0;
-  for (const { entry: at, beside } of resends) {
+  for (const [round, { entry: at, beside }] of resends.entries()) {
     const entry = entries[at]!;
     const kind = entry.kind("killer");
     if (kind === "quarantined") continue;
@@ -146,10 +206,11 @@
     const target = `target${lostTargets}`;
     lostTargets += 1;
     const event = lost(target, ["killer", ...others], alone);
-    const { effects } = step(entry.state, event, 0);
+    const { effects } = step(entry.state, event, round);
     for (const other of entries) tell(other, effects);
   }
-  for (const { state } of entries) {
+  for (const { settle, state } of entries) {
+    settle(1_000);
     for (const fingerprint of state.suspicions.keys()) {
       const kind = judge(state, fingerprint).kind;
       assert.equal(kind === "quarantined", fingerprint === "killer");
@@ -160,12 +221,8 @@
 
 function tell(entry: Entry, effects: readonly QuarantineEffect[]): void {
   for (const effect of effects) {
-    if (effect.type === "tellLosses") {
-      entry.feed({ type: "lossesTold", losses: effect.losses });
-    } else {
-      const { fingerprint } = effect;
-      entry.feed({ type: "quarantineTold", fingerprint });
-    }
+    if (effect.type !== "tellLosses") continue;
+    entry.feed({ type: "lossesTold", losses: effect.losses });
   }
 }
 
--- a/routing/track-requests/src/effects.ts
+++ b/routing/track-requests/src/effects.ts
@@ -124,6 +124,7 @@
 /** A target was lost, or lost its process, while it ran this request. */
 export interface AttemptCrashed {
   readonly type: "attemptCrashed";
+  readonly attemptId: string;
   readonly requestId: string;
   readonly organisation: string;
   readonly fingerprint: string;
--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -200,6 +200,7 @@
   const { requestId, organisation, fingerprint } = attempt.request.info;
   context.effects.push({
     type: "attemptCrashed",
+    attemptId: attempt.attemptId,
     requestId,
     organisation,
     fingerprint,
--- a/testing/soak/src/requests/agent_node.ts
+++ b/testing/soak/src/requests/agent_node.ts
@@ -165,12 +165,13 @@
   }
 
   #takeAttempt(message: AttemptMessage, from: string): void {
-    const { head, keyId, agentIncarnation, operationId } = message;
+    const { head, keyId, agentIncarnation, operationId, suspect } = message;
     this.#senders.set(head.attemptId, from);
     const event: AdmitEvent = {
       type: "attemptArrived",
       head,
       agentIncarnation,
+      suspect,
       ...(keyId === undefined ? {} : { keyId }),
     };
     const scope = keyId ?? head.requestId;
@@ -289,6 +290,7 @@
       return this.#endCall(attemptId, failedBody("targetFailed", false));
     }
     const execution = this.#world.execute(operation, scope);
+    if (operation.kills) return this.#crashTarget();
     const parts = answerParts(operation, execution);
     const digest = createTextDigest();
     parts.forEach((part) => digest.add(part, "utf8"));
@@ -303,6 +305,14 @@
     this.#stream(attemptId, [...bodies, { type: "end", ...end }]);
   }
 
+  /** The target's process dies with all that it runs, and is started again. */
+  #crashTarget(): void {
+    this.#world.fault("targetCrashed");
+    for (const attemptId of [...this.#calls.keys()]) {
+      this.#endCall(attemptId, failedBody("targetDied", true));
+    }
+  }
+
   #stream(attemptId: string, bodies: readonly Body[]): void {
     const [body, ...rest] = bodies;
     const call = this.#calls.get(attemptId);
--- a/testing/soak/src/requests/entry_node.ts
+++ b/testing/soak/src/requests/entry_node.ts
@@ -2,6 +2,7 @@
 
 import type { Ticket } from "@dandelionbank/read-ticket";
 import { formatTicket, type RequestKey } from "@dandelionbank/read-ticket";
+import * as quarantine from "@dandelionbank/quarantine-requests";
 import { findHome } from "@dandelionbank/take-over-keys";
 import * as track from "@dandelionbank/track-requests";
 import type { TrackEffect, TrackEvent } from "@dandelionbank/track-requests";
@@ -33,6 +34,9 @@
   readonly incarnation: string;
   readonly #world: World;
   readonly #tracker: track.TrackState;
+  readonly #quarantine: quarantine.QuarantineState;
+  /** Attempts that run apart from other suspects. */
+  readonly #suspects = new Set<string>();
   readonly #view: EntryView;
   readonly #requests = new Map<string, KnownRequest>();
   readonly #callerIds = new Set<string>();
@@ -59,6 +63,12 @@
       maxKeptBytes: 4_000 * room,
       createDigest: createTextDigest,
     });
+    this.#quarantine = quarantine.createQuarantineState({
+      quarantineMs: 60_000,
+      settleMs: 100,
+      memoryMs: 30_000,
+      maxFingerprints: 1_000,
+    });
     this.#view = new EntryView(world, {
       name,
       incarnation: this.incarnation,
@@ -113,6 +123,7 @@
   #tick(): void {
     this.#view.passTime();
     this.#feed({ type: "tick" });
+    this.#feedQuarantine({ type: "tick" });
     this.#world.queue.startTimer(this.name, {
       delayMs: TICK_MS,
       run: () => this.#tick(),
@@ -140,6 +151,10 @@
       case "cancel":
         this.#channels.delete(message.attemptId);
         return this.#feed({ type: "callerLeft", callerId: message.attemptId });
+      case "losses": {
+        const { losses } = message;
+        return this.#feedQuarantine({ type: "lossesTold", losses });
+      }
       case "frame":
         return this.#feed({ type: "frameArrived", frame: message.frame });
       default:
@@ -228,8 +243,15 @@
         return this.#world.violate(effect.invariant, effect.detail);
       case "frameDropped":
         return this.#world.outcome(`dropped ${effect.reason}`);
-      case "attemptCrashed":
-        return this.#world.outcome("crashed");
+      case "attemptCrashed": {
+        const { fingerprint, target, attemptId } = effect;
+        const alone = this.#suspects.has(attemptId);
+        this.#world.outcome("crashed");
+        return this.#feedQuarantine({
+          type: "targetLost",
+          losses: [{ fingerprint, target, alone }],
+        });
+      }
     }
   }
 
@@ -262,9 +284,17 @@
   }
 
   #pickTarget(effect: Extract<TrackEffect, { type: "pickTarget" }>): void {
-    const { requestId, pool, avoid } = effect;
+    const { requestId, pool, avoid, fingerprint } = effect;
+    const verdict = quarantine.judge(this.#quarantine, fingerprint);
+    if (verdict.kind === "quarantined") {
+      const { retryAfterMs } = verdict;
+      const code = "quarantined";
+      return this.#feed({ type: "noTarget", requestId, code, retryAfterMs });
+    }
+    const lost = verdict.kind === "suspect" ? verdict.avoid : [];
     const agents = this.#view.listAgents(pool)
-      .filter(({ target }) => !avoid.includes(target));
+      .filter(({ target }) => !avoid.includes(target))
+      .filter(({ target }) => !lost.includes(target));
     const overloaded = this.#world.plan.targetsFail &&
       this.#world.random.chance(OVERLOADED);
     if (overloaded) this.#world.fault("poolOverloaded");
@@ -297,12 +327,16 @@
       return this.#feed({ type: "dispatchFailed", attemptId });
     }
     this.#attempts.set(attemptId, target);
+    const verdict = quarantine.judge(this.#quarantine, operation.fingerprint);
+    const suspect = verdict.kind !== "clear";
+    if (suspect) this.#suspects.add(attemptId);
     if (operation.key !== undefined) this.#dispatchedKeys.add(operation.key);
     this.#post(target, {
       type: "attempt",
       operationId: operation.id,
       keyId: key && operation.key,
       agentIncarnation,
+      suspect,
       head: {
         attemptId,
         requestId,
@@ -360,6 +394,21 @@
     });
   }
 
+  #feedQuarantine(event: quarantine.QuarantineEvent): void {
+    const nowMs = this.#nowMs;
+    const { effects } = quarantine.step(this.#quarantine, event, nowMs);
+    for (const effect of effects) {
+      if (effect.type === "quarantine") {
+        this.#world.quarantined.add(effect.fingerprint);
+        continue;
+      }
+      const { losses } = effect;
+      for (const to of this.#world.plan.entries) {
+        if (to !== this.name) this.#post(to, { type: "losses", losses });
+      }
+    }
+  }
+
   #post(to: string, message: Message): void {
     this.#world.queue.post({ from: this.name, to }, message);
   }
--- a/testing/soak/src/requests/messages.ts
+++ b/testing/soak/src/requests/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between callers, entries and agents of the soak `requests`. */
 
 import type { HomeReport } from "@dandelionbank/admit-attempts";
+import type { Loss } from "@dandelionbank/quarantine-requests";
 import type { OutcomeFrame, RelayInfo } from "@dandelionbank/track-requests";
 import type { AttemptFrame, AttemptHead, Outcome } from "@dandelionbank/types";
 import type { RequestKey } from "@dandelionbank/read-ticket";
@@ -16,6 +17,7 @@
   | FrameMessage
   | KeysMessage
   | KeysReply
+  | LossesMessage
   | Beat;
 
 /** A caller's request, on a connection to one life of an entry. */
@@ -58,6 +60,7 @@
   readonly operationId: string;
   readonly keyId: string | undefined;
   readonly agentIncarnation: string;
+  readonly suspect: boolean;
 }
 
 export interface AskMessage {
@@ -92,6 +95,12 @@
   readonly homes: readonly HomeReport[];
 }
 
+/** An entry tells another which requests lost a target. */
+export interface LossesMessage {
+  readonly type: "losses";
+  readonly losses: readonly Loss[];
+}
+
 /** An entry tells another that it lives. */
 export interface Beat {
   readonly type: "beat";
--- a/testing/soak/src/requests/requests_soak.ts
+++ b/testing/soak/src/requests/requests_soak.ts
@@ -63,6 +63,7 @@
     key: ticket && `${organisation}/${id}`,
     fingerprint: drawFingerprint(world),
     partCount: random.int(0, 5),
+    kills: false,
   });
   const key = ticket && { ticket, signature: "s", suffix: id };
   return { operation, key };
--- a/testing/soak/src/requests/world.ts
+++ b/testing/soak/src/requests/world.ts
@@ -19,6 +19,8 @@
   readonly key: string | undefined;
   readonly fingerprint: string;
   readonly partCount: number;
+  /** Whether it crashes each target that runs it. */
+  readonly kills: boolean;
 }
 
 export const POOLS = ["plain", "engine"] as const;
@@ -32,6 +34,8 @@
   readonly outcomes: Tally = {};
   readonly invariants: Tally = {};
   readonly violations: string[] = [];
+  /** Fingerprints that some entry quarantined. */
+  readonly quarantined = new Set<string>();
   /** Longest time that a target takes for one part of an answer. */
   slowestPartMs = 30;
   readonly #executions = new Map<string, number>();
