--- a/testing/message-queue/src/message_queue.ts
+++ b/testing/message-queue/src/message_queue.ts
@@ -10,52 +10,14 @@
 
 import { EventHeap } from "./event_heap.ts";
 import { Random } from "./random.ts";
-
-/** What a node does with a message. */
-export interface QueueNode<Message> {
-  receive(message: Message, from: string): void;
-}
-
-export interface Link {
-  readonly from: string;
-  readonly to: string;
-}
-
-/** Faults of every message; the shares go from 0 to 1. */
-export interface MessageFaults {
-  readonly minDelayMs: number;
-  readonly maxDelayMs: number;
-  readonly lossShare: number;
-  readonly doublingShare: number;
-  /** Share of messages that are held back by up to `crossingDelayMs`. */
-  readonly crossingShare: number;
-  readonly crossingDelayMs: number;
-}
-
-export interface MessageQueueOptions {
-  readonly seed: number;
-  readonly faults?: Partial<MessageFaults>;
-}
-
-export interface TimerOptions {
-  readonly delayMs: number;
-  readonly run: () => void;
-}
-
-/** How often each thing happened. */
-export type QueueCounts = Record<
-  | "posted"
-  | "delivered"
-  | "lost"
-  | "doubled"
-  | "crossed"
-  | "cut"
-  | "undeliverable"
-  | "freezes"
-  | "stops"
-  | "clockJumps",
-  number
->;
+import type {
+  Link,
+  MessageFaults,
+  MessageQueueOptions,
+  QueueCounts,
+  QueueNode,
+  TimerOptions,
+} from "./types.ts";
 
 interface QueueEvent {
   readonly atMs: number;
--- a/testing/message-queue/src/mod.ts
+++ b/testing/message-queue/src/mod.ts
@@ -8,5 +8,5 @@
   QueueCounts,
   QueueNode,
   TimerOptions,
-} from "./message_queue.ts";
+} from "./types.ts";
 export { Random } from "./random.ts";
--- a/testing/soak/src/requests/agent_node.ts
+++ b/testing/soak/src/requests/agent_node.ts
@@ -10,27 +10,13 @@
   Message,
 } from "./messages.ts";
 import { HEARTBEAT_MS, KEY_LIFE_MS, TICK_MS } from "./settings.ts";
-import { createTextDigest } from "./text_digest.ts";
-import { answerParts, type Operation, type World } from "./world.ts";
-
-const LOAD = { inFlight: 0, queued: 0, cachedTokens: 0 };
-
-/** Share of calls that a target fails before it begins, midway, or stalls in. */
-const FAILS_BEFORE = 0.03;
-const FAILS_MIDWAY = 0.03;
-const STALLS = 0.04;
-const STALL_MS = 2_500;
-
-type Body = AttemptFrame extends infer Frame
-  ? Frame extends AttemptFrame ? Omit<Frame, "attemptId"> : never
-  : never;
-
-/** One call on the target, and who gets its frames. */
-interface Call {
-  readonly frames: Body[];
-  readonly listeners: Map<string, string>;
-  open: boolean;
-}
+import {
+  type FrameBody,
+  LOAD,
+  TargetCalls,
+  type Work,
+} from "./target_calls.ts";
+import type { World } from "./world.ts";
 
 export interface AgentPlace {
   readonly target: string;
@@ -43,7 +29,7 @@
   readonly #world: World;
   readonly #place: AgentPlace;
   readonly #state: admit.AdmitState;
-  readonly #calls = new Map<string, Call>();
+  readonly #calls: TargetCalls;
   /** The arrivals that wait for the core's word, by attempt. */
   readonly #senders = new Map<string, string>();
   #revision = 0;
@@ -69,6 +55,11 @@
       lingerMs: 400,
       retryAfterMs: 50,
     });
+    this.#calls = new TargetCalls(world, {
+      name: target,
+      answer: (attemptId, body) => this.#answer(attemptId, body),
+      feed: (event) => this.#feed(event),
+    });
     world.queue.start(target, {
       receive: (message, from) => this.#receive(message, from),
     });
@@ -141,9 +132,7 @@
   }
 
   #beat(): void {
-    for (const call of this.#calls.values()) {
-      if (call.open) this.#sendFrame(call, { type: "heartbeat" });
-    }
+    this.#calls.beat();
     const run = () => this.#beat();
     this.#world.queue.startTimer(this.name, { delayMs: HEARTBEAT_MS, run });
   }
@@ -156,7 +145,7 @@
         this.#senders.set(message.attemptId, from);
         return this.#feed(toAsked(message));
       case "cancel":
-        return this.#takeCancel(message.attemptId);
+        return this.#calls.leave(message.attemptId);
       case "keys":
         return this.#takeKeys(message, from);
       default:
@@ -178,13 +167,6 @@
     this.#feed(event, { operationId, scope });
   }
 
-  #takeCancel(attemptId: string): void {
-    for (const [answeredBy, call] of this.#calls) {
-      if (!call.listeners.delete(attemptId)) continue;
-      this.#feed({ type: "listenerLeft", attemptId, answeredBy });
-    }
-  }
-
   #takeKeys(message: KeysMessage, from: string): void {
     const { askId, incarnations, agentIncarnation } = message;
     if (agentIncarnation !== this.incarnation) {
@@ -197,7 +179,7 @@
 
   #feed(
     event: AdmitEvent,
-    work?: { readonly operationId: string; readonly scope: string },
+    work?: Work,
   ): void {
     const nowMs = this.#world.queue.clockMs(this.name);
     const { effects } = admit.step(this.#state, event, nowMs);
@@ -206,14 +188,18 @@
 
   #apply(
     effect: AdmitEffect,
-    work: { readonly operationId: string; readonly scope: string } | undefined,
+    work: Work | undefined,
   ): void {
     switch (effect.type) {
       case "run":
-        return this.#run(effect.attemptId, work);
+        this.#world.check("stopTakesNothingNew", {
+          holds: !this.#stopping,
+          detail: effect.attemptId,
+        });
+        return this.#calls.run(effect.attemptId, work);
       case "join":
       case "replay":
-        return this.#listen(effect);
+        return this.#calls.listen(effect);
       case "refuse": {
         const { attemptId, code, retryAfterMs } = effect;
         this.#world.outcome(`refused ${code}`);
@@ -233,10 +219,9 @@
           load: LOAD,
         });
       case "forget":
-        this.#calls.delete(effect.attemptId);
-        return;
+        return this.#calls.forget(effect.attemptId);
       case "cancel":
-        return this.#endCall(effect.attemptId, failedBody("cancelled", true));
+        return this.#calls.cancel(effect.attemptId);
       case "answerKeys": {
         const { askId, agentIncarnation, homes } = effect;
         const reply = { askId, agentIncarnation, homes };
@@ -247,7 +232,7 @@
       }
       case "drained":
         this.#world.check("drainCutsNothing", {
-          holds: ![...this.#calls.values()].some(({ open }) => open),
+          holds: this.#calls.isIdle,
           detail: this.incarnation,
         });
         return this.#onDrained();
@@ -256,125 +241,12 @@
     }
   }
 
-  #run(
-    attemptId: string,
-    work: { readonly operationId: string; readonly scope: string } | undefined,
-  ): void {
-    const operation = this.#world.operations.get(work?.operationId ?? "");
-    if (operation === undefined || work === undefined) {
-      return this.#world.violate("runHasOperation", attemptId);
-    }
-    this.#world.check("stopTakesNothingNew", {
-      holds: !this.#stopping,
-      detail: attemptId,
-    });
-    const to = this.#senders.get(attemptId) ?? "";
-    const call: Call = {
-      frames: [{ type: "admitted", answeredBy: attemptId }],
-      listeners: new Map([[attemptId, to]]),
-      open: true,
-    };
-    this.#calls.set(attemptId, call);
-    this.#sendFrame(call, call.frames[0]!);
-    this.#later(() => this.#begin({ attemptId, operation, scope: work.scope }));
-  }
-
-  #begin(
-    begun: { attemptId: string; operation: Operation; scope: string },
-  ): void {
-    const { attemptId, operation, scope } = begun;
-    const { random, plan: { targetsFail } } = this.#world;
-    if (this.#calls.get(attemptId)?.open !== true) return;
-    if (targetsFail && random.chance(FAILS_BEFORE)) {
-      this.#world.fault("targetFailsBefore");
-      return this.#endCall(attemptId, failedBody("targetFailed", false));
-    }
-    const execution = this.#world.execute(operation, scope);
-    if (operation.kills) return this.#crashTarget();
-    const parts = answerParts(operation, execution);
-    const digest = createTextDigest();
-    parts.forEach((part) => digest.add(part, "utf8"));
-    const bodies: Body[] = [
-      { type: "head", status: 200, contentType: "t", encoding: "utf8" },
-      ...parts.map((data, sequence) =>
-        ({ type: "data", sequence, data }) as const
-      ),
-    ];
-    const { lengthBytes } = digest;
-    const end = { lengthBytes, digest: digest.finish(), load: LOAD };
-    this.#stream(attemptId, [...bodies, { type: "end", ...end }]);
-  }
-
-  /** The target's process dies with all that it runs, and is started again. */
-  #crashTarget(): void {
-    this.#world.fault("targetCrashed");
-    for (const attemptId of [...this.#calls.keys()]) {
-      this.#endCall(attemptId, failedBody("targetDied", true));
-    }
-  }
-
-  #stream(attemptId: string, bodies: readonly Body[]): void {
-    const [body, ...rest] = bodies;
-    const call = this.#calls.get(attemptId);
-    if (body === undefined || call?.open !== true) return;
-    const { random, plan: { targetsFail } } = this.#world;
-    if (targetsFail && random.chance(FAILS_MIDWAY / 5)) {
-      this.#world.fault("targetFailsMidway");
-      return this.#endCall(attemptId, failedBody("targetFailed", true));
-    }
-    if (body.type === "end") return this.#endCall(attemptId, body);
-    call.frames.push(body);
-    this.#sendFrame(call, body);
-    this.#later(() => this.#stream(attemptId, rest));
-  }
-
-  #endCall(attemptId: string, body: Body): void {
-    const call = this.#calls.get(attemptId);
-    if (call?.open !== true) return;
-    call.open = false;
-    call.frames.push(body);
-    this.#sendFrame(call, body);
-    if (body.type === "end") {
-      const answerBytes = body.lengthBytes;
-      return this.#feed({ type: "runEnded", attemptId, answerBytes });
-    }
-    const mayHaveRun = body.type !== "failed" || body.mayHaveRun;
-    this.#calls.delete(attemptId);
-    this.#feed({ type: "runFailed", attemptId, mayHaveRun });
-  }
-
-  #listen(effect: { attemptId: string; answeredBy: string }): void {
-    const { attemptId, answeredBy } = effect;
-    const call = this.#calls.get(answeredBy);
-    if (call === undefined) {
-      return this.#world.violate("answerIsKept", `${attemptId} ${answeredBy}`);
-    }
-    const to = this.#senders.get(attemptId) ?? "";
-    call.listeners.set(attemptId, to);
-    for (const body of call.frames) this.#answer(attemptId, body);
-  }
-
-  #sendFrame(call: Call, body: Body): void {
-    for (const attemptId of call.listeners.keys()) {
-      this.#answer(attemptId, body);
-    }
-  }
-
-  #answer(attemptId: string, body: Body): void {
+  #answer(attemptId: string, body: FrameBody): void {
     const to = this.#senders.get(attemptId) ?? "";
     const frame = { ...body, attemptId } as AttemptFrame;
     this.#post(to, { type: "frame", frame });
   }
 
-  #later(run: () => void): void {
-    const { random, queue, plan: { targetsFail } } = this.#world;
-    const stalls = targetsFail && random.chance(STALLS / 5);
-    if (stalls) this.#world.fault("targetStalls");
-    const { slowestPartMs } = this.#world;
-    const delayMs = stalls ? STALL_MS : random.int(1, slowestPartMs);
-    queue.startTimer(this.name, { delayMs, run });
-  }
-
   #post(to: string, message: Message): void {
     this.#world.queue.post({ from: this.name, to }, message);
   }
@@ -386,7 +258,3 @@
   const keyed = keyId === undefined ? asked : { ...asked, keyId };
   return { type: "attemptAsked", ...keyed };
 }
-
-function failedBody(code: string, mayHaveRun: boolean): Body {
-  return { type: "failed", code, mayHaveRun, load: LOAD };
-}
--- a/testing/soak/src/requests/entry_node.ts
+++ b/testing/soak/src/requests/entry_node.ts
@@ -1,12 +1,15 @@
 /** An entry of the soak `requests`: the real cores, wired to messages. */
 
 import type { Ticket } from "@dandelionbank/read-ticket";
-import { formatTicket, type RequestKey } from "@dandelionbank/read-ticket";
-import * as quarantine from "@dandelionbank/quarantine-requests";
-import { findHome } from "@dandelionbank/take-over-keys";
 import * as track from "@dandelionbank/track-requests";
-import type { TrackEffect, TrackEvent } from "@dandelionbank/track-requests";
+import type {
+  IncomingRequest,
+  TrackEffect,
+  TrackEvent,
+} from "@dandelionbank/track-requests";
 import { AnswerChannel } from "./answer_channel.ts";
+import { EntrySender, type KnownRequest } from "./entry_sender.ts";
+import { EntrySuspects } from "./entry_suspects.ts";
 import { EntryView } from "./entry_view.ts";
 import type { CallMessage, Message, PassMessage } from "./messages.ts";
 import {
@@ -18,33 +21,18 @@
 import { createTextDigest } from "./text_digest.ts";
 import type { Operation, World } from "./world.ts";
 
-/** How soon a pending takeover is looked at again. */
-const PENDING_MS = 25;
-/** Share of choices of a target that find the pool overloaded. */
-const OVERLOADED = 0.03;
-
-interface KnownRequest {
-  readonly operation: Operation;
-  readonly key: RequestKey | undefined;
-}
-
 /** One life of an entry's process. */
 export class EntryNode {
   readonly name: string;
   readonly incarnation: string;
   readonly #world: World;
   readonly #tracker: track.TrackState;
-  readonly #quarantine: quarantine.QuarantineState;
-  /** Attempts that run apart from other suspects. */
-  readonly #suspects = new Set<string>();
+  readonly #suspects: EntrySuspects;
   readonly #view: EntryView;
   readonly #requests = new Map<string, KnownRequest>();
   readonly #callerIds = new Set<string>();
   readonly #channels = new Map<string, AnswerChannel>();
-  /** Keys that this life of the entry has dispatched itself. */
-  readonly #dispatchedKeys = new Set<string>();
-  /** Where each open attempt was sent. */
-  readonly #attempts = new Map<string, string>();
+  readonly #sender: EntrySender;
 
   constructor(world: World, name: string) {
     this.name = name;
@@ -63,12 +51,7 @@
       maxKeptBytes: 4_000 * room,
       createDigest: createTextDigest,
     });
-    this.#quarantine = quarantine.createQuarantineState({
-      quarantineMs: 60_000,
-      settleMs: 100,
-      memoryMs: 30_000,
-      maxFingerprints: 1_000,
-    });
+    this.#suspects = new EntrySuspects(world, name);
     this.#view = new EntryView(world, {
       name,
       incarnation: this.incarnation,
@@ -78,6 +61,14 @@
       onAgentLost: (target, agentIncarnation) =>
         this.#feed({ type: "agentLost", target, agentIncarnation }),
     });
+    this.#sender = new EntrySender(world, {
+      name,
+      incarnation: this.incarnation,
+      requests: this.#requests,
+      view: this.#view,
+      suspects: this.#suspects,
+      feed: (event) => this.#feed(event),
+    });
     world.queue.start(name, {
       receive: (message, from) => this.#receive(message, from),
     });
@@ -106,10 +97,7 @@
 
   /** Some of its connections to a node break, others go silent. */
   breakConnections(peer: string): void {
-    for (const [attemptId, to] of this.#attempts) {
-      if (to !== peer || this.#world.random.chance(0.3)) continue;
-      this.#feed({ type: "connectionLost", attemptId });
-    }
+    this.#sender.breakConnections(peer);
   }
 
   countChecks(): Readonly<Record<string, number>> {
@@ -123,7 +111,7 @@
   #tick(): void {
     this.#view.passTime();
     this.#feed({ type: "tick" });
-    this.#feedQuarantine({ type: "tick" });
+    this.#suspects.passTime();
     this.#world.queue.startTimer(this.name, {
       delayMs: TICK_MS,
       run: () => this.#tick(),
@@ -151,10 +139,8 @@
       case "cancel":
         this.#channels.delete(message.attemptId);
         return this.#feed({ type: "callerLeft", callerId: message.attemptId });
-      case "losses": {
-        const { losses } = message;
-        return this.#feedQuarantine({ type: "lossesTold", losses });
-      }
+      case "losses":
+        return this.#suspects.hear(message.losses);
       case "frame":
         return this.#feed({ type: "frameArrived", frame: message.frame });
       default:
@@ -183,28 +169,8 @@
       );
     }
     this.#requests.set(requestId, { operation, key });
-    this.#feed({
-      type: "requestArrived",
-      callerId,
-      request: {
-        requestId,
-        organisation: operation.organisation,
-        pool: operation.pool,
-        fingerprint: operation.fingerprint,
-        idempotent: operation.idempotent,
-        resumable: operation.idempotent,
-        timeLeftMs: message.timeLeftMs,
-        ...(key && operation.key !== undefined
-          ? {
-            key: {
-              keyId: operation.key,
-              homeIncarnation: key.ticket.incarnation,
-            },
-          }
-          : {}),
-        ...(message.type === "pass" ? { relay: message.relay } : {}),
-      },
-    });
+    const request = toRequest(message, { requestId, operation });
+    this.#feed({ type: "requestArrived", callerId, request });
   }
 
   #feed(event: TrackEvent): void {
@@ -215,20 +181,17 @@
   #apply(effect: TrackEffect): void {
     switch (effect.type) {
       case "findHome":
-        return this.#findHome(effect.requestId);
+        return this.#sender.findHome(effect.requestId);
       case "pickTarget":
-        return this.#pickTarget(effect);
+        return this.#sender.pickTarget(effect);
       case "dispatch":
-        return this.#dispatch(effect);
+        return this.#sender.dispatch(effect);
       case "passToHome":
-        return this.#passToHome(effect);
-      case "askAbout": {
-        const { type: _, target, ...ask } = effect;
-        this.#attempts.set(ask.attemptId, target);
-        return this.#post(target, { type: "ask", ...ask });
-      }
+        return this.#sender.passToHome(effect);
+      case "askAbout":
+        return this.#sender.askAbout(effect);
       case "cancelAttempt":
-        return this.#cancel(effect.attemptId);
+        return this.#sender.cancel(effect.attemptId);
       case "sendHead":
       case "sendData":
       case "sendEnd":
@@ -243,145 +206,12 @@
         return this.#world.violate(effect.invariant, effect.detail);
       case "frameDropped":
         return this.#world.outcome(`dropped ${effect.reason}`);
-      case "attemptCrashed": {
-        const { fingerprint, target, attemptId } = effect;
-        const alone = this.#suspects.has(attemptId);
+      case "attemptCrashed":
         this.#world.outcome("crashed");
-        return this.#feedQuarantine({
-          type: "targetLost",
-          losses: [{ fingerprint, target, alone }],
-        });
-      }
+        return this.#suspects.lose(effect);
     }
   }
 
-  #findHome(requestId: string): void {
-    const { operation, key } = this.#requests.get(requestId) ?? {};
-    if (operation?.key === undefined || key === undefined) return;
-    const { ticket } = key;
-    const home = findHome(this.#view.takeOver, {
-      keyId: operation.key,
-      pool: operation.pool,
-      ticket,
-    });
-    if (home.kind === "lost") this.#view.suspect(ticket.incarnation);
-    if (home.kind === "pending") {
-      const run = () => this.#findHome(requestId);
-      this.#world.queue.startTimer(this.name, { delayMs: PENDING_MS, run });
-      return;
-    }
-    const trusted = !this.#world.store.closings.has(this.incarnation) &&
-      !this.#dispatchedKeys.has(operation.key);
-    if (home.kind === "free" && trusted) {
-      const executions = this.#world.executionsOfKey(operation.key);
-      this.#world.check("freeKeyNeverRan", {
-        holds: executions === 0 || operation.idempotent,
-        detail: `${operation.key} at ${this.incarnation}`,
-      });
-    }
-    this.#world.outcome(`home ${home.kind}`);
-    this.#feed({ type: "homeFound", requestId, home });
-  }
-
-  #pickTarget(effect: Extract<TrackEffect, { type: "pickTarget" }>): void {
-    const { requestId, pool, avoid, fingerprint } = effect;
-    const verdict = quarantine.judge(this.#quarantine, fingerprint);
-    if (verdict.kind === "quarantined") {
-      const { retryAfterMs } = verdict;
-      const code = "quarantined";
-      return this.#feed({ type: "noTarget", requestId, code, retryAfterMs });
-    }
-    const lost = verdict.kind === "suspect" ? verdict.avoid : [];
-    const agents = this.#view.listAgents(pool)
-      .filter(({ target }) => !avoid.includes(target))
-      .filter(({ target }) => !lost.includes(target));
-    const overloaded = this.#world.plan.targetsFail &&
-      this.#world.random.chance(OVERLOADED);
-    if (overloaded) this.#world.fault("poolOverloaded");
-    if (agents.length === 0 || overloaded) {
-      const code = overloaded ? "overloaded" : "noTarget";
-      return this.#feed({
-        type: "noTarget",
-        requestId,
-        code,
-        retryAfterMs: 50,
-      });
-    }
-    const { target, incarnation } = this.#world.random.pick(agents);
-    this.#feed({
-      type: "targetPicked",
-      requestId,
-      target,
-      agentIncarnation: incarnation,
-    });
-  }
-
-  #dispatch(effect: Extract<TrackEffect, { type: "dispatch" }>): void {
-    const { requestId, attemptId, target, agentIncarnation } = effect;
-    const { operation, key } = this.#requests.get(requestId) ?? {};
-    if (operation === undefined) {
-      return this.#world.violate("dispatchHasRequest", attemptId);
-    }
-    const refused = !this.#world.queue.isRunning(target);
-    if (refused && this.#world.random.chance(0.5)) {
-      return this.#feed({ type: "dispatchFailed", attemptId });
-    }
-    this.#attempts.set(attemptId, target);
-    const verdict = quarantine.judge(this.#quarantine, operation.fingerprint);
-    const suspect = verdict.kind !== "clear";
-    if (suspect) this.#suspects.add(attemptId);
-    if (operation.key !== undefined) this.#dispatchedKeys.add(operation.key);
-    this.#post(target, {
-      type: "attempt",
-      operationId: operation.id,
-      keyId: key && operation.key,
-      agentIncarnation,
-      suspect,
-      head: {
-        attemptId,
-        requestId,
-        organisation: operation.organisation,
-        ...(key === undefined ? {} : { key: formatKey(key) }),
-        fingerprint: operation.fingerprint,
-        entry: this.name,
-        entryIncarnation: this.incarnation,
-        idempotent: operation.idempotent,
-        method: "POST",
-        path: "/",
-        contentType: "text/plain",
-        priority: 0,
-        timeLeftMs: effect.timeLeftMs,
-        viewRevision: this.#view.revision,
-      },
-    });
-  }
-
-  #passToHome(effect: Extract<TrackEffect, { type: "passToHome" }>): void {
-    const { requestId, attemptId, incarnation, supersedes } = effect;
-    const { operation, key } = this.#requests.get(requestId) ?? {};
-    const home = this.#view.nameOf(incarnation);
-    if (operation === undefined || home === undefined) {
-      return this.#feed({ type: "dispatchFailed", attemptId });
-    }
-    this.#attempts.set(attemptId, home);
-    const number = Number(attemptId.slice(attemptId.lastIndexOf(".") + 1));
-    this.#post(home, {
-      type: "pass",
-      incarnation,
-      callerId: attemptId,
-      operationId: operation.id,
-      key,
-      timeLeftMs: effect.timeLeftMs,
-      relay: { entryIncarnation: this.incarnation, number, supersedes },
-    });
-  }
-
-  #cancel(attemptId: string): void {
-    const to = this.#attempts.get(attemptId);
-    this.#attempts.delete(attemptId);
-    if (to !== undefined) this.#post(to, { type: "cancel", attemptId });
-  }
-
   /** What the arbiter calls not run must not have run up to now. */
   #checkAnswer(effect: Extract<TrackEffect, { type: "answer" }>): void {
     if (effect.outcome.kind !== "notRun") return;
@@ -393,27 +223,26 @@
       detail: `${operation.id} ${effect.outcome.code} at ${this.incarnation}`,
     });
   }
-
-  #feedQuarantine(event: quarantine.QuarantineEvent): void {
-    const nowMs = this.#nowMs;
-    const { effects } = quarantine.step(this.#quarantine, event, nowMs);
-    for (const effect of effects) {
-      if (effect.type === "quarantine") {
-        this.#world.quarantined.add(effect.fingerprint);
-        continue;
-      }
-      const { losses } = effect;
-      for (const to of this.#world.plan.entries) {
-        if (to !== this.name) this.#post(to, { type: "losses", losses });
-      }
-    }
-  }
-
-  #post(to: string, message: Message): void {
-    this.#world.queue.post({ from: this.name, to }, message);
-  }
 }
 
-function formatKey(key: RequestKey): string {
-  return `${formatTicket(key.ticket, key.signature)}/${key.suffix}`;
+function toRequest(
+  message: CallMessage | PassMessage,
+  known: { readonly requestId: string; readonly operation: Operation },
+): IncomingRequest {
+  const { requestId, operation } = known;
+  const homeIncarnation = message.key?.ticket.incarnation;
+  const keyId = operation.key;
+  return {
+    requestId,
+    organisation: operation.organisation,
+    pool: operation.pool,
+    fingerprint: operation.fingerprint,
+    idempotent: operation.idempotent,
+    resumable: operation.idempotent,
+    timeLeftMs: message.timeLeftMs,
+    ...(homeIncarnation !== undefined && keyId !== undefined
+      ? { key: { keyId, homeIncarnation } }
+      : {}),
+    ...(message.type === "pass" ? { relay: message.relay } : {}),
+  };
 }
