--- a/foundation/log-events/src/ledger_events.ts
+++ b/foundation/log-events/src/ledger_events.ts
@@ -14,13 +14,37 @@
     id: 7001,
     level: "info",
     text:
-      "Took over incarnation {incarnation} after {elapsedMs} ms: {heldKeys} keys are held by agents, {unreachableAgents} agents could not be asked",
-    help:
-      "Keys that an agent which could not be asked may have taken are answered unknown",
+      "Took over the keys of incarnation {incarnation} in {elapsedMs} ms: {heldKeys} held, {unreachableAgents} agents unreachable",
+    help: "Bring back unreachable agents: keys of their pools end unknown",
   },
-  takeOverRetried: {
+  ownIncarnationClosed: {
     id: 7002,
     level: "warn",
+    text: "This entry's incarnation {incarnation} was closed by {successor}",
+    help: "Look for a pause of the VM, or links between the entries",
+  },
+  requestQuarantined: {
+    id: 7003,
+    level: "warn",
+    text:
+      "Requests with fingerprint {fingerprint} are refused for {quarantineMs} ms; they crashed {targets}",
+    help: "Look at what the caller sends; see docs/outcomes.md",
+  },
+  frameDropped: {
+    id: 7004,
+    level: "debug",
+    text: "Dropped a frame of attempt {attemptId}: {reason}",
+    help: "None needed; many show a slow link to the agent",
+  },
+  requestEndedUnknown: {
+    id: 7005,
+    level: "info",
+    text: "Request {requestId} of {organisation} ended unknown: {code}",
+    help: "See docs/outcomes.md",
+  },
+  takeOverRetried: {
+    id: 7006,
+    level: "warn",
     text: "A step of a takeover is tried again: {message}",
     help: "Look at the platform if it lasts",
   },
--- /dev/null
+++ b/testing/soak/src/requests/entry_node.ts
@@ -0,0 +1,248 @@
+/** An entry of the soak `requests`: the real cores, wired to messages. */
+
+import type { Ticket } from "@dandelionbank/read-ticket";
+import * as track from "@dandelionbank/track-requests";
+import type {
+  IncomingRequest,
+  TrackEffect,
+  TrackEvent,
+} from "@dandelionbank/track-requests";
+import { AnswerChannel } from "./answer_channel.ts";
+import { EntrySender, type KnownRequest } from "./entry_sender.ts";
+import { EntrySuspects } from "./entry_suspects.ts";
+import { EntryView } from "./entry_view.ts";
+import type { CallMessage, Message, PassMessage } from "./messages.ts";
+import {
+  HEARTBEAT_MS,
+  PROGRESS_TIMEOUT_MS,
+  TICK_MS,
+  TICKET_VALIDITY_MS,
+} from "./settings.ts";
+import { createTextDigest } from "./text_digest.ts";
+import type { Operation, World } from "./world.ts";
+
+/** One life of an entry's process. */
+export class EntryNode {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly #world: World;
+  readonly #tracker: track.TrackState;
+  readonly #suspects: EntrySuspects;
+  readonly #view: EntryView;
+  readonly #requests = new Map<string, KnownRequest>();
+  readonly #callerIds = new Set<string>();
+  readonly #channels = new Map<string, AnswerChannel>();
+  readonly #sender: EntrySender;
+
+  constructor(world: World, name: string) {
+    this.name = name;
+    this.incarnation = world.nextId(`${name}-`);
+    this.#world = world;
+    const { room } = world.plan;
+    this.#tracker = track.createTrackState({
+      incarnation: this.incarnation,
+      progressTimeoutMs: PROGRESS_TIMEOUT_MS,
+      hedgeAfterMs: 120,
+      maxAttempts: 4,
+      retryShare: 0.5,
+      retryBurst: 5 * room,
+      retryAfterMs: 100,
+      maxKeys: 40 * room,
+      maxKeptBytes: 4_000 * room,
+      createDigest: createTextDigest,
+    });
+    this.#suspects = new EntrySuspects(world, name);
+    this.#view = new EntryView(world, {
+      name,
+      incarnation: this.incarnation,
+      onArbiterConfirmed: (untilMs) =>
+        this.#feed({ type: "arbiterConfirmed", untilMs }),
+      onArbiterClosed: () => this.#feed({ type: "arbiterClosed" }),
+      onAgentLost: (target, agentIncarnation) =>
+        this.#feed({ type: "agentLost", target, agentIncarnation }),
+    });
+    this.#sender = new EntrySender(world, {
+      name,
+      incarnation: this.incarnation,
+      requests: this.#requests,
+      view: this.#view,
+      suspects: this.#suspects,
+      feed: (event) => this.#feed(event),
+    });
+    world.queue.start(name, {
+      receive: (message, from) => this.#receive(message, from),
+    });
+    this.#view.start();
+    this.#tick();
+    this.#beat();
+  }
+
+  get isServing(): boolean {
+    return this.#view.isReady;
+  }
+
+  get openCallers(): number {
+    return track.readFigures(this.#tracker).callers;
+  }
+
+  issueTicket(): Ticket {
+    const issuedAtMs = this.#nowMs;
+    return {
+      incarnation: this.incarnation,
+      revision: this.#view.revision,
+      issuedAtMs,
+      expiresAtMs: issuedAtMs + TICKET_VALIDITY_MS,
+    };
+  }
+
+  /** Some of its connections to a node break, others go silent. */
+  breakConnections(peer: string): void {
+    this.#sender.breakConnections(peer);
+  }
+
+  countChecks(): Readonly<Record<string, number>> {
+    return track.countChecks(this.#tracker);
+  }
+
+  get #nowMs(): number {
+    return this.#world.queue.clockMs(this.name);
+  }
+
+  #tick(): void {
+    this.#view.passTime();
+    this.#feed({ type: "tick" });
+    this.#suspects.passTime();
+    this.#world.queue.startTimer(this.name, {
+      delayMs: TICK_MS,
+      run: () => this.#tick(),
+    });
+  }
+
+  /** Heartbeats to the entries that wait for an answer from here. */
+  #beat(): void {
+    for (const channel of this.#channels.values()) channel.beat();
+    this.#world.queue.startTimer(this.name, {
+      delayMs: HEARTBEAT_MS,
+      run: () => this.#beat(),
+    });
+  }
+
+  #receive(message: Message, from: string): void {
+    switch (message.type) {
+      case "call":
+      case "pass":
+        return this.#takeCall(message, from);
+      case "callerGone":
+        if (message.incarnation !== this.incarnation) return;
+        this.#channels.delete(message.callerId);
+        return this.#feed({ type: "callerLeft", callerId: message.callerId });
+      case "cancel":
+        this.#channels.delete(message.attemptId);
+        return this.#feed({ type: "callerLeft", callerId: message.attemptId });
+      case "losses":
+        return this.#suspects.hear(message.losses);
+      case "frame":
+        return this.#feed({ type: "frameArrived", frame: message.frame });
+      default:
+        return this.#view.receive(message, from);
+    }
+  }
+
+  #takeCall(message: CallMessage | PassMessage, from: string): void {
+    const { callerId, key } = message;
+    const operation = this.#world.operations.get(message.operationId);
+    if (message.incarnation !== this.incarnation || !operation) return;
+    if (message.type === "call" && this.#callerIds.has(callerId)) return;
+    this.#callerIds.add(callerId);
+    const requestId = this.#world.nextId("request");
+    const known = this.#channels.has(callerId);
+    if (!known) {
+      const relayed = message.type === "pass";
+      this.#channels.set(
+        callerId,
+        new AnswerChannel(this.#world, {
+          callerId,
+          from: this.name,
+          to: from,
+          relayed,
+        }),
+      );
+    }
+    this.#requests.set(requestId, { operation, key });
+    const request = toRequest(message, { requestId, operation });
+    this.#feed({ type: "requestArrived", callerId, request });
+  }
+
+  #feed(event: TrackEvent): void {
+    const { effects } = track.step(this.#tracker, event, this.#nowMs);
+    for (const effect of effects) this.#apply(effect);
+  }
+
+  #apply(effect: TrackEffect): void {
+    switch (effect.type) {
+      case "findHome":
+        return this.#sender.findHome(effect.requestId);
+      case "pickTarget":
+        return this.#sender.pickTarget(effect);
+      case "dispatch":
+        return this.#sender.dispatch(effect);
+      case "passToHome":
+        return this.#sender.passToHome(effect);
+      case "askAbout":
+        return this.#sender.askAbout(effect);
+      case "cancelAttempt":
+        return this.#sender.cancel(effect.attemptId);
+      case "sendHead":
+      case "sendData":
+      case "sendEnd":
+        return this.#channels.get(effect.callerId)?.send(effect);
+      case "answer":
+        this.#checkAnswer(effect);
+        return this.#channels.get(effect.callerId)?.send(effect);
+      case "requestEnded":
+        this.#requests.delete(effect.requestId);
+        return;
+      case "violation":
+        return this.#world.violate(effect.invariant, effect.detail);
+      case "frameDropped":
+        return this.#world.outcome(`dropped ${effect.reason}`);
+      case "attemptCrashed":
+        this.#world.outcome("crashed");
+        return this.#suspects.lose(effect);
+    }
+  }
+
+  /** What the arbiter calls not run must not have run up to now. */
+  #checkAnswer(effect: Extract<TrackEffect, { type: "answer" }>): void {
+    if (effect.outcome.kind !== "notRun") return;
+    const { operation } = this.#requests.get(effect.requestId) ?? {};
+    if (operation === undefined) return;
+    const scope = operation.key ?? effect.requestId;
+    this.#world.check("notRunIsTrue", {
+      holds: this.#world.executionsOf(operation, scope) === 0,
+      detail: `${operation.id} ${effect.outcome.code} at ${this.incarnation}`,
+    });
+  }
+}
+
+function toRequest(
+  message: CallMessage | PassMessage,
+  known: { readonly requestId: string; readonly operation: Operation },
+): IncomingRequest {
+  const { requestId, operation } = known;
+  const homeIncarnation = message.key?.ticket.incarnation;
+  const keyId = operation.key;
+  return {
+    requestId,
+    organisation: operation.organisation,
+    pool: operation.pool,
+    fingerprint: operation.fingerprint,
+    idempotent: operation.idempotent,
+    resumable: operation.idempotent,
+    timeLeftMs: message.timeLeftMs,
+    ...(homeIncarnation !== undefined && keyId !== undefined
+      ? { key: { keyId, homeIncarnation } }
+      : {}),
+    ...(message.type === "pass" ? { relay: message.relay } : {}),
+  };
+}
