Wire quarantine, suspects and the merged cores into the daemon

Questions now carry the fingerprint, attempts say whether they must run apart from other suspects, losses and quarantines are told to the entries that this one follows, and the arbiter's lease reaches the takeover too.

--- a/daemon/follow-peers/src/entry_follower.ts
+++ b/daemon/follow-peers/src/entry_follower.ts
@@ -5,6 +5,7 @@
 
 import type { TextHash } from "@dandelionbank/hash-text";
 import { createEntryClient, type EntryClient } from "@dandelionbank/peer-api";
+import type { Loss } from "@dandelionbank/quarantine-requests";
 import type { EntryRegistration, View } from "@dandelionbank/types";
 import type { PeerAccess } from "./peer_access.ts";
 import { pickNearest } from "./pick_nearest.ts";
@@ -61,6 +62,16 @@
       .map(({ registration }) => registration.callerUrl);
   }
 
+  /** Tells other entries what this one lost with a target. */
+  tellLosses(losses: readonly Loss[]): void {
+    this.#tell((client) => client.takeLosses.mutate([...losses]));
+  }
+
+  /** Tells other entries what this one refuses. */
+  tellQuarantine(fingerprint: string): void {
+    this.#tell((client) => client.takeQuarantine.mutate(fingerprint));
+  }
+
   /** Asks an entry that seems gone, and reports it if it is. */
   probe(incarnation: string): void {
     if (this.#probed.has(incarnation)) return;
@@ -121,6 +132,13 @@
     this.#followed.set(name, { registration, client, failures: 0 });
   }
 
+  /** An entry that does not hear it finds out by a loss of its own. */
+  #tell(call: (client: EntryClient) => Promise<unknown>): void {
+    for (const { client } of this.#followed.values()) {
+      call(client).catch(() => {});
+    }
+  }
+
   #askAll(): void {
     for (const entry of this.#followed.values()) void this.#ask(entry);
   }
--- a/daemon/route-requests/src/attempt_sender.ts
+++ b/daemon/route-requests/src/attempt_sender.ts
@@ -19,6 +19,7 @@
 } from "@dandelionbank/types";
 import { type PeerAddress, PeerLinks } from "./peer_links.ts";
 import type { Placer } from "./placer.ts";
+import type { SuspectTask } from "./suspect_task.ts";
 import type { OpenRequest } from "./request_table.ts";
 
 const NO_BODY = new Uint8Array(0);
@@ -30,6 +31,7 @@
   readonly connector?: HttpConnector;
   readonly logger: Logger;
   readonly placer: Placer;
+  readonly suspects: SuspectTask;
   readonly post: (event: TrackEvent) => void;
   /** A request could not be passed to this home. */
   readonly onHomeSilent: (incarnation: string) => void;
@@ -96,7 +98,12 @@
     }
     this.#remember(attemptId, open, target);
     const head = this.#headOf(open, effect);
-    const message = { kind: "attempt", agentIncarnation, head } as const;
+    const suspect = this.#options.suspects.noteAttempt(
+      attemptId,
+      open.fingerprint,
+    );
+    const kind = "attempt" as const;
+    const message = { kind, agentIncarnation, suspect, head };
     const sent = this.#sent.get(attemptId);
     if (sent === undefined) return;
     sent.running = connection.send(
@@ -148,6 +155,7 @@
       agentIncarnation,
       attemptId,
       organisation: sent.organisation,
+      fingerprint: effect.fingerprint,
       ...(sent.keyText === undefined ? {} : { key: sent.keyText }),
     };
     const listener = this.#listen(attemptId, { isFirst: false });
@@ -173,6 +181,7 @@
   forget(requestId: string): void {
     for (const attemptId of this.#attemptsOf.get(requestId) ?? []) {
       this.#sent.delete(attemptId);
+      this.#options.suspects.forgetAttempt(attemptId);
     }
     this.#attemptsOf.delete(requestId);
   }
--- a/daemon/route-requests/src/request_task.ts
+++ b/daemon/route-requests/src/request_task.ts
@@ -13,6 +13,7 @@
 } from "@dandelionbank/limit-requests";
 import type { Logger } from "@dandelionbank/log-events";
 import type { HttpConnector } from "@dandelionbank/open-http";
+import type { Loss } from "@dandelionbank/quarantine-requests";
 import { CoreRunner } from "@dandelionbank/run-core";
 import type { CallerAnswer, CallerRequest } from "@dandelionbank/serve-callers";
 import type { AttemptResponder } from "@dandelionbank/serve-peers";
@@ -32,6 +33,7 @@
 import { CallerTable } from "./caller_table.ts";
 import { HttpCallerPort } from "./http_caller_port.ts";
 import { Placer } from "./placer.ts";
+import { SuspectTask } from "./suspect_task.ts";
 import { RelayPort } from "./relay_port.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 import { type OpenRequest, RequestTable } from "./request_table.ts";
@@ -40,6 +42,8 @@
 import { contractEvents } from "./contract_events.ts";
 
 const TICK_MS = 50;
+/** Between two looks at a takeover that is not decided. */
+const PENDING_HOME_MS = 50;
 /** Ticks between two heartbeats to an entry that passed a request on. */
 const TICKS_PER_BEAT = 10;
 
@@ -68,6 +72,10 @@
   /** The home entry did not answer, or is not known. */
   readonly onHomeSilent: (incarnation: string) => void;
   readonly onKeyedRequest: () => void;
+  /** Tells other entries what was lost with a target. */
+  readonly tellLosses: (losses: readonly Loss[]) => void;
+  /** Tells other entries which fingerprint is refused. */
+  readonly tellQuarantine: (fingerprint: string) => void;
   /** A monotonic clock in milliseconds. */
   readonly readNowMs: () => number;
 }
@@ -77,6 +85,7 @@
   readonly #tracker: CoreRunner<TrackState, TrackEvent, TrackEffect>;
   readonly #limiter: CoreRunner<LimitState, LimitEvent, LimitEffect>;
   readonly #placer: Placer;
+  readonly #suspects: SuspectTask;
   readonly #sender: AttemptSender;
   readonly #requests = RequestTable.create();
   readonly #callers = CallerTable.create();
@@ -110,8 +119,10 @@
       ...options,
       onViolation: (violation) => this.#reportViolation(violation),
     });
+    this.#suspects = SuspectTask.create(options);
     this.#sender = AttemptSender.create({
       ...options,
+      suspects: this.#suspects,
       post: (event) => this.#tracker.post(event),
       onHomeSilent: options.onHomeSilent,
       placer: this.#placer,
@@ -236,6 +247,14 @@
     });
   }
 
+  takeLosses(losses: readonly Loss[]): void {
+    this.#suspects.takeLosses(losses);
+  }
+
+  takeQuarantine(fingerprint: string): void {
+    this.#suspects.takeQuarantine(fingerprint);
+  }
+
   confirmArbiter(untilMs: number): void {
     this.#tracker.post({ type: "arbiterConfirmed", untilMs });
   }
@@ -326,6 +345,7 @@
         this.#callers.take(effect.callerId)?.port.giveUp(effect.outcome);
         return;
       case "attemptCrashed":
+        this.#suspects.lose(effect);
         this.#options.logger.log("attemptCrashed", {
           requestId: effect.requestId,
           organisation: effect.organisation,
@@ -355,16 +375,29 @@
     if (found.kind === "lost" || isTriedAgain) {
       this.#options.onHomeSilent(ticket.incarnation);
     }
-    const home = found.kind === "pending" ? { kind: "lost" } as const : found;
-    this.#tracker.post({ type: "homeFound", requestId, home });
+    if (found.kind === "pending") {
+      setTimeout(() => this.#findHome(wanted), PENDING_HOME_MS);
+      return;
+    }
+    this.#tracker.post({ type: "homeFound", requestId, home: found });
   }
 
   #pick(wanted: {
     readonly requestId: string;
     readonly pool: string;
+    readonly fingerprint: string;
     readonly avoid: readonly string[];
   }): void {
-    const { requestId, pool, avoid } = wanted;
+    const { requestId, pool, fingerprint } = wanted;
+    const verdict = this.#suspects.judge(fingerprint);
+    if (verdict.kind === "quarantined") {
+      const { retryAfterMs } = verdict;
+      const code = "quarantined";
+      this.#tracker.post({ type: "noTarget", requestId, code, retryAfterMs });
+      return;
+    }
+    const suspected = verdict.kind === "suspect" ? verdict.avoid : [];
+    const avoid = [...wanted.avoid, ...suspected];
     const promptPrefix = this.#requests.get(requestId)?.promptPrefix ?? "";
     const picked = this.#placer.pick({ requestId, pool, avoid, promptPrefix });
     if (picked.kind === "refused") {
@@ -501,6 +534,7 @@
     this.#ticks += 1;
     this.#tracker.post({ type: "tick" });
     this.#limiter.post({ type: "tick" });
+    this.#suspects.tick();
     if (this.#ticks % TICKS_PER_BEAT === 0) this.#callers.beat();
   }
 }
--- /dev/null
+++ b/daemon/route-requests/src/suspect_task.ts
@@ -0,0 +1,107 @@
+/** Owns the quarantine core: which requests crash the targets that run them. */
+
+import type { Logger } from "@dandelionbank/log-events";
+import {
+  createQuarantineState,
+  judge,
+  type Loss,
+  type QuarantineEffect,
+  type QuarantineEvent,
+  type QuarantineState,
+  step,
+  type Verdict,
+} from "@dandelionbank/quarantine-requests";
+import { CoreRunner } from "@dandelionbank/run-core";
+
+const QUARANTINE_OPTIONS = {
+  quarantineMs: 600_000,
+  settleMs: 1_000,
+  memoryMs: 300_000,
+  maxFingerprints: 10_000,
+} as const;
+
+export interface SuspectTaskOptions {
+  readonly logger: Logger;
+  readonly readNowMs: () => number;
+  /** Tells every other entry what was lost. */
+  readonly tellLosses: (losses: readonly Loss[]) => void;
+  /** Tells every other entry what is refused. */
+  readonly tellQuarantine: (fingerprint: string) => void;
+}
+
+export class SuspectTask {
+  readonly #options: SuspectTaskOptions;
+  readonly #runner: CoreRunner<
+    QuarantineState,
+    QuarantineEvent,
+    QuarantineEffect
+  >;
+  /** Attempts that run apart from other suspects. */
+  readonly #apart = new Set<string>();
+
+  private constructor(options: SuspectTaskOptions) {
+    this.#options = options;
+    this.#runner = CoreRunner.create({
+      initial: createQuarantineState(QUARANTINE_OPTIONS),
+      step,
+      perform: (effect) => this.#perform(effect),
+      readNowMs: options.readNowMs,
+    });
+  }
+
+  static create(options: SuspectTaskOptions): SuspectTask {
+    return new SuspectTask(options);
+  }
+
+  judge(fingerprint: string): Verdict {
+    return judge(this.#runner.state, fingerprint);
+  }
+
+  /** Whether an attempt that is about to be sent has to run apart. */
+  noteAttempt(attemptId: string, fingerprint: string): boolean {
+    const isSuspect = this.judge(fingerprint).kind !== "clear";
+    if (isSuspect) this.#apart.add(attemptId);
+    return isSuspect;
+  }
+
+  forgetAttempt(attemptId: string): void {
+    this.#apart.delete(attemptId);
+  }
+
+  /** A target was lost while it ran the attempt. */
+  lose(lost: {
+    readonly attemptId: string;
+    readonly fingerprint: string;
+    readonly target: string;
+  }): void {
+    const { attemptId, fingerprint, target } = lost;
+    const alone = this.#apart.has(attemptId);
+    const losses = [{ fingerprint, target, alone }];
+    this.#runner.post({ type: "targetLost", losses });
+  }
+
+  takeLosses(losses: readonly Loss[]): void {
+    this.#runner.post({ type: "lossesTold", losses });
+  }
+
+  takeQuarantine(fingerprint: string): void {
+    this.#runner.post({ type: "quarantineTold", fingerprint });
+  }
+
+  tick(): void {
+    this.#runner.post({ type: "tick" });
+  }
+
+  #perform(effect: QuarantineEffect): void {
+    if (effect.type === "tellLosses") {
+      return this.#options.tellLosses(effect.losses);
+    }
+    const { fingerprint, targets } = effect;
+    this.#options.logger.log("requestQuarantined", {
+      fingerprint,
+      quarantineMs: QUARANTINE_OPTIONS.quarantineMs,
+      targets: targets.join(", "),
+    });
+    this.#options.tellQuarantine(fingerprint);
+  }
+}
--- a/daemon/run-attempts/src/attempt_task.ts
+++ b/daemon/run-attempts/src/attempt_task.ts
@@ -338,12 +338,14 @@
       type: "attemptArrived",
       head,
       agentIncarnation,
+      suspect: message.suspect,
       ...withKeyId(head.organisation, head.key),
     };
   }
   return {
     type: "attemptAsked",
     attemptId: message.attemptId,
+    fingerprint: message.fingerprint,
     agentIncarnation,
     ...withKeyId(message.organisation, message.key),
   };
--- a/daemon/serve-entry/src/entry_process.ts
+++ b/daemon/serve-entry/src/entry_process.ts
@@ -128,8 +128,10 @@
       tickets: this.#tickets,
       metrics: this.#metrics,
       findHome: (question) => this.#takeOvers.findHome(question),
-      onHomeSilent: (home) =>
-        this.#entries.probe(this.#takeOvers.arbiterOf(home)),
+      onHomeSilent: (home) => this.#probeHome(home),
+      tellLosses: (losses) => this.#entries.tellLosses(losses),
+      tellQuarantine: (fingerprint) =>
+        this.#entries.tellQuarantine(fingerprint),
       onKeyedRequest: () => this.#lease.use(),
       readNowMs: () => performance.now(),
     });
@@ -137,7 +139,10 @@
       incarnation,
       leaseMs: ARBITER_LEASE_MS,
       store,
-      onConfirmed: (untilMs) => this.#requests.confirmArbiter(untilMs),
+      onConfirmed: (untilMs) => {
+        this.#requests.confirmArbiter(untilMs);
+        this.#takeOvers.confirmOwn(untilMs);
+      },
       onClosed: () => this.#requests.closeArbiter(),
     });
     this.#views = ViewKeeper.create({
@@ -209,6 +214,9 @@
           incarnation: this.#incarnation,
           viewRevision: this.#views.view?.revision ?? 0,
         }),
+        takeLosses: (losses) => this.#requests.takeLosses(losses),
+        takeQuarantine: (fingerprint) =>
+          this.#requests.takeQuarantine(fingerprint),
       }),
       onAttempt: (request, responder) => this.#takeRelay(request, responder),
       ...(tls === undefined ? {} : { tls }),
@@ -302,6 +310,11 @@
     this.#requests.takeRelay(message, body, responder);
   }
 
+  #probeHome(home: string): void {
+    const arbiter = this.#takeOvers.arbiterOf(home);
+    if (arbiter !== undefined) this.#entries.probe(arbiter);
+  }
+
   #applyView(view: View): void {
     this.#requests.applyView(view);
     this.#agents.applyView(view);
--- a/daemon/take-over-entries/src/take_over_task.ts
+++ b/daemon/take-over-entries/src/take_over_task.ts
@@ -77,7 +77,7 @@
   }
 
   /** The incarnation that answers for another's keys, as far as is known. */
-  arbiterOf(incarnation: string): string {
+  arbiterOf(incarnation: string): string | undefined {
     return findArbiter(this.#runner.state.closings, incarnation);
   }
 
@@ -97,6 +97,11 @@
     for (const { value } of view.closings.values()) this.#seeClosing(value);
   }
 
+  /** This entry's own incarnation is not closed before that time. */
+  confirmOwn(untilMs: number): void {
+    this.#runner.post({ type: "ownConfirmed", untilMs });
+  }
+
   /** The entry does not answer, on new connections either. */
   loseEntry(incarnation: string): void {
     this.#runner.post({ type: "entryLost", incarnation });
--- a/foundation/types/src/attempt.ts
+++ b/foundation/types/src/attempt.ts
@@ -30,6 +30,8 @@
   readonly kind: "attempt";
   /** Incarnation of the agent that the entry means. */
   readonly agentIncarnation: string;
+  /** Whether the call may crash the target: one such call runs at a time. */
+  readonly suspect: boolean;
   readonly head: AttemptHead;
 }
 
@@ -53,6 +55,7 @@
   readonly agentIncarnation: string;
   readonly attemptId: string;
   readonly organisation: string;
+  readonly fingerprint: string;
   readonly key?: string;
 }
 
--- a/peers/exchange-attempts/src/exchange_attempts_test.ts
+++ b/peers/exchange-attempts/src/exchange_attempts_test.ts
@@ -84,6 +84,7 @@
   const message: AttemptMessage = {
     kind: "attempt",
     agentIncarnation: "g1",
+    suspect: false,
     head: createHead(),
   };
   const question: AttemptQuestion = {
@@ -91,6 +92,7 @@
     agentIncarnation: "g1",
     attemptId: "e1.1",
     organisation: "acme",
+    fingerprint: "f",
   };
   for (const each of [message, question]) {
     const line = encodeMessage(each).trimEnd();
--- a/peers/exchange-attempts/src/message_codec.ts
+++ b/peers/exchange-attempts/src/message_codec.ts
@@ -28,6 +28,7 @@
   v.object({
     kind: v.literal("attempt"),
     agentIncarnation: v.string(),
+    suspect: v.boolean(),
     head: HEAD_SCHEMA,
   }),
   v.object({
@@ -43,6 +44,7 @@
     agentIncarnation: v.string(),
     attemptId: v.pipe(v.string(), v.minLength(1), v.maxLength(200)),
     organisation: v.pipe(v.string(), v.minLength(1)),
+    fingerprint: v.pipe(v.string(), v.minLength(1)),
     key: v.optional(v.pipe(v.string(), v.minLength(1), v.maxLength(600))),
   }),
 ]);
--- a/routing/track-requests/src/homes.ts
+++ b/routing/track-requests/src/homes.ts
@@ -42,13 +42,6 @@
     const reason = { code: "homeUnreachable" } as const;
     return giveUp(context, { request, reason });
   }
-  // A home that just hung up or fell silent is not asked again at once.
-  const isSame = request.attempts.at(-1)?.peer === going.incarnation;
-  if (isSame && !request.hasWaited) {
-    request.hasWaited = true;
-    return seekHomeLater(context, request);
-  }
-  request.hasWaited = false;
   request.stage = "relaying";
   passOn(context, going);
 }
--- a/routing/track-requests/src/request.ts
+++ b/routing/track-requests/src/request.ts
@@ -67,8 +67,6 @@
   hedged: boolean;
   /** When to look for the home again. */
   seekAtMs: number | undefined;
-  /** Whether it waited since it was last passed to a home. */
-  hasWaited: boolean;
 }
 
 export function createRequest(
@@ -90,7 +88,6 @@
     picking: false,
     hedged: false,
     seekAtMs: undefined,
-    hasWaited: false,
   };
 }
 
