Spread the platform's objects from a few watchers, and show freshness

Cause: 340 processes can't each watch the platform, and a process must know whether its view is the latest. Three entries watch; others pull from a parent each second and are told of changes at once. A push shows no freshness, since its time on the way isn't known; a reply does, counted from before the question. Ruled out: gossip to random peers, whose freshness reaches 340 nodes only after many rounds.

--- /dev/null
+++ b/agreement/spread-configuration/src/events.ts
@@ -0,0 +1,53 @@
+/** What the spreading of views is told and what it asks for. */
+
+import type {
+  ObjectChange,
+  ViewDelta,
+  ViewMessage,
+} from "@dandelionbank/types";
+
+export type SpreadEvent =
+  | { readonly type: "received"; readonly message: ViewMessage }
+  | {
+    /** The entries in an order that all agree on; empty until any is known. */
+    readonly type: "entriesChanged";
+    readonly entries: readonly string[];
+  }
+  | {
+    /** The platform answered a read that was begun at `askedAtMs`. */
+    readonly type: "platformRead";
+    readonly askedAtMs: number;
+    readonly delta: ViewDelta;
+  }
+  | {
+    /** The platform's revision was read without its objects. */
+    readonly type: "revisionRead";
+    readonly askedAtMs: number;
+    readonly revision: number;
+  }
+  | { readonly type: "readFailed" }
+  | { readonly type: "watched"; readonly delta: ViewDelta }
+  | { readonly type: "tick" };
+
+export type SpreadEffect =
+  | {
+    readonly type: "send";
+    readonly to: string;
+    readonly message: ViewMessage;
+  }
+  | {
+    /** List the platform's objects, or only their revision if `known` is it. */
+    readonly type: "readPlatform";
+    readonly known: number;
+  }
+  | { readonly type: "watchChanged"; readonly watching: boolean }
+  | {
+    readonly type: "viewAdvanced";
+    readonly revision: number;
+    readonly changes: readonly ObjectChange[];
+  }
+  | {
+    readonly type: "invariantViolated";
+    readonly invariant: string;
+    readonly detail: string;
+  };
--- /dev/null
+++ b/agreement/spread-configuration/src/mod.ts
@@ -0,0 +1,8 @@
+/** Spreading of the platform's objects, and the freshness of a view. */
+
+export { ObjectTable } from "./object_table.ts";
+export type { SpreadEffect, SpreadEvent } from "./events.ts";
+export { createSpreadState } from "./spread_state.ts";
+export type { SpreadOptions, SpreadState } from "./spread_state.ts";
+export { freshUntilMs, mayTakeWork, spreadView } from "./spread_view.ts";
+export { FRESH_MS, WATCHER_COUNT } from "./timing.ts";
--- /dev/null
+++ b/agreement/spread-configuration/src/spread_state.ts
@@ -0,0 +1,48 @@
+/** The state of the spreading of views at one process. */
+
+import { Freshness } from "./freshness.ts";
+import { ObjectTable } from "./object_table.ts";
+import { WATCHER_COUNT } from "./timing.ts";
+
+export interface SpreadOptions {
+  readonly name: string;
+  /** A number from the name, by which processes take different turns. */
+  readonly turn: number;
+}
+
+/** Opaque; made by `createSpreadState`. */
+export interface SpreadState {
+  readonly options: SpreadOptions;
+  readonly table: ObjectTable;
+  readonly freshness: Freshness;
+  readonly subscribers: Map<string, number>;
+  readonly sentAtMs: Map<number, number>;
+  entries: readonly string[];
+  watching: boolean;
+  sequence: number;
+  pulledAtMs: number;
+  readAtMs: number;
+  /** The known revision when the platform was read last. */
+  knownAtRead: number;
+}
+
+export function createSpreadState(options: SpreadOptions): SpreadState {
+  return {
+    options,
+    table: ObjectTable.create(),
+    freshness: Freshness.create(),
+    subscribers: new Map(),
+    sentAtMs: new Map(),
+    entries: [],
+    watching: false,
+    sequence: 0,
+    pulledAtMs: -Infinity,
+    readAtMs: -Infinity,
+    knownAtRead: 0,
+  };
+}
+
+/** The entries that watch the platform. */
+export function watchersOf(state: SpreadState): readonly string[] {
+  return state.entries.slice(0, WATCHER_COUNT);
+}
--- /dev/null
+++ b/agreement/spread-configuration/src/spread_view.ts
@@ -0,0 +1,227 @@
+/**
+ * Spreads the platform's objects. The first few entries of the list watch the
+ * platform; every other process pulls from a parent, entries in a tree below
+ * the watchers and agents from any entry, and is told of changes at once by
+ * whom it pulls from. Who learns nothing for a while asks others, and at last
+ * reads the platform itself. A higher revision wins and none ever goes down.
+ *
+ * A process whose view isn't fresh takes no new work, unless the platform is
+ * out for all, since then nothing can have been accepted.
+ */
+
+import type {
+  Step,
+  ViewDelta,
+  ViewMessage,
+  ViewPull,
+  ViewReply,
+} from "@dandelionbank/types";
+import type { SpreadEffect, SpreadEvent } from "./events.ts";
+import type { SpreadState } from "./spread_state.ts";
+import { watchersOf } from "./spread_state.ts";
+import { pullFrom, readPlatform, takeTurn } from "./take_turn.ts";
+import { FRESH_MS, SUBSCRIBED_MS } from "./timing.ts";
+
+/** Whether new work may be taken, by the clock at this moment. */
+export function mayTakeWork(state: SpreadState, nowMs: number): boolean {
+  if (state.table.revision === 0) return false;
+  return state.freshness.isFresh(nowMs) ||
+    state.freshness.isOutForAll(watchersOf(state), nowMs);
+}
+
+/** Until when the view counts as fresh, if nothing more is heard. */
+export function freshUntilMs(state: SpreadState): number {
+  return state.freshness.freshAtMs + FRESH_MS;
+}
+
+export function spreadView(
+  state: SpreadState,
+  event: SpreadEvent,
+  nowMs: number,
+): Step<SpreadState, SpreadEffect> {
+  const before = state.table.revision;
+  const effects = applyEvent(state, event, nowMs);
+  if (state.table.revision >= before) return { state, effects };
+  const detail = `${before} to ${state.table.revision}`;
+  const invariant = "revisionNeverDown";
+  return {
+    state,
+    effects: [{ type: "invariantViolated", invariant, detail }],
+  };
+}
+
+function applyEvent(
+  state: SpreadState,
+  event: SpreadEvent,
+  nowMs: number,
+): readonly SpreadEffect[] {
+  switch (event.type) {
+    case "received":
+      return receive(state, event.message, nowMs);
+    case "entriesChanged":
+      state.entries = event.entries;
+      return changeWatching(state);
+    case "platformRead":
+      return takeRead(state, event, nowMs);
+    case "revisionRead":
+      return readRevision(state, event, nowMs);
+    case "readFailed":
+      state.freshness.noteReadFailed(nowMs);
+      if (state.watching) {
+        state.freshness.noteClaim(state.options.name, nowMs);
+      }
+      return [];
+    case "watched":
+      return advance(state, event.delta, nowMs);
+    case "tick":
+      return takeTurn(state, nowMs);
+  }
+}
+
+function receive(
+  state: SpreadState,
+  message: ViewMessage,
+  nowMs: number,
+): readonly SpreadEffect[] {
+  switch (message.type) {
+    case "viewPull":
+      return reply(state, message, nowMs);
+    case "viewReply":
+      return takeReply(state, message, nowMs);
+    case "viewPush":
+      return advance(state, message.delta, nowMs, message.from);
+  }
+}
+
+function reply(
+  state: SpreadState,
+  pull: ViewPull,
+  nowMs: number,
+): readonly SpreadEffect[] {
+  const { table, freshness } = state;
+  state.subscribers.set(pull.from, nowMs);
+  const outage = freshness.claimsAt(nowMs).map(({ watcher, asOfMs }) => ({
+    watcher,
+    ageMs: nowMs - asOfMs,
+  }));
+  const isKnown = freshness.freshAtMs > -Infinity;
+  const message: ViewReply = {
+    type: "viewReply",
+    from: state.options.name,
+    sequence: pull.sequence,
+    revision: table.revision,
+    outage,
+    ...(isKnown ? { ageMs: nowMs - freshness.freshAtMs } : {}),
+    ...(pull.revision < table.revision
+      ? { delta: table.deltaSince(pull.revision) }
+      : {}),
+  };
+  return [{ type: "send", to: pull.from, message }];
+}
+
+function takeReply(
+  state: SpreadState,
+  message: ViewReply,
+  nowMs: number,
+): readonly SpreadEffect[] {
+  const sentAtMs = state.sentAtMs.get(message.sequence);
+  if (sentAtMs === undefined) return [];
+  state.sentAtMs.delete(message.sequence);
+  const effects = message.delta === undefined
+    ? []
+    : advance(state, message.delta, nowMs, message.from);
+  for (const { watcher, ageMs } of message.outage) {
+    state.freshness.noteClaim(watcher, sentAtMs - ageMs);
+  }
+  if (message.ageMs === undefined) return effects;
+  const asOfMs = sentAtMs - message.ageMs;
+  noteEvidence(state, { asOfMs, revision: message.revision });
+  return effects;
+}
+
+/** Takes a delta over and passes it on; asks its sender across a gap. */
+function advance(
+  state: SpreadState,
+  delta: ViewDelta,
+  nowMs: number,
+  from?: string,
+): readonly SpreadEffect[] {
+  const since = state.table.revision;
+  const changes = state.table.apply(delta);
+  if (changes === undefined) {
+    return from === undefined
+      ? [readPlatform(state, nowMs)]
+      : [pullFrom(state, from, nowMs)];
+  }
+  if (state.table.revision === since) return [];
+  state.freshness.noteRevision(state.table.revision);
+  const { revision } = state.table;
+  const passedOn = { since: since === 0 ? undefined : since, revision };
+  return [
+    { type: "viewAdvanced", revision, changes },
+    ...push(state, { ...passedOn, changes }, { from, nowMs }),
+  ];
+}
+
+function push(
+  state: SpreadState,
+  delta: ViewDelta,
+  { from, nowMs }: {
+    readonly from: string | undefined;
+    readonly nowMs: number;
+  },
+): readonly SpreadEffect[] {
+  const message: ViewMessage = {
+    type: "viewPush",
+    from: state.options.name,
+    delta,
+  };
+  return [...state.subscribers]
+    .filter(([name, pulledAtMs]) =>
+      name !== from && nowMs < pulledAtMs + SUBSCRIBED_MS
+    )
+    .map(([to]) => ({ type: "send", to, message }));
+}
+
+/** A read that shows less than was known when it began is a stale one. */
+function takeRead(
+  state: SpreadState,
+  { askedAtMs, delta }: {
+    readonly askedAtMs: number;
+    readonly delta: ViewDelta;
+  },
+  nowMs: number,
+): readonly SpreadEffect[] {
+  if (delta.revision < state.knownAtRead) return [];
+  const effects = advance(state, delta, nowMs);
+  noteEvidence(state, { asOfMs: askedAtMs, revision: delta.revision });
+  return effects;
+}
+
+function readRevision(
+  state: SpreadState,
+  { askedAtMs, revision }: {
+    readonly askedAtMs: number;
+    readonly revision: number;
+  },
+  nowMs: number,
+): readonly SpreadEffect[] {
+  if (revision < state.knownAtRead) return [];
+  noteEvidence(state, { asOfMs: askedAtMs, revision });
+  if (revision <= state.table.revision) return [];
+  return [readPlatform(state, nowMs)];
+}
+
+function noteEvidence(
+  state: SpreadState,
+  evidence: { readonly asOfMs: number; readonly revision: number },
+): void {
+  state.freshness.note(evidence, state.table.revision);
+}
+
+function changeWatching(state: SpreadState): readonly SpreadEffect[] {
+  const watching = watchersOf(state).includes(state.options.name);
+  if (watching === state.watching) return [];
+  state.watching = watching;
+  return [{ type: "watchChanged", watching }];
+}
--- /dev/null
+++ b/agreement/spread-configuration/src/timing.ts
@@ -0,0 +1,31 @@
+/** Times of the spreading of views. */
+
+/** How many entries watch the platform. */
+export const WATCHER_COUNT = 3;
+
+/** How many entries pull from one, where all is well. */
+export const FAN_OUT = 6;
+
+/** Time between the pulls of a process, and between a watcher's reads. */
+export const PULL_MS = 1_000;
+
+/** How long a view counts as fresh after it was known to be the latest. */
+export const FRESH_MS = 6_000;
+
+/** A view that is no fresher than this makes its process ask elsewhere too. */
+export const ASK_ELSEWHERE_MS = 3_500;
+
+/** A view that is no fresher than this makes its process read the platform. */
+export const READ_DIRECTLY_MS = 4_500;
+
+/** Time between two reads by a process that isn't a watcher. */
+export const DIRECT_READ_MS = 2_000;
+
+/** Time between such reads while the platform is known to be out. */
+export const OUTAGE_READ_MS = 8_000;
+
+/** For how long a failed read counts as an outage seen by the process itself. */
+export const READ_FAILED_MS = 20_000;
+
+/** Who pulled within this time is told of changes at once. */
+export const SUBSCRIBED_MS = 3_000;
--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -12,3 +12,4 @@
 export type * from "./stored_object.ts";
 export type * from "./target.ts";
 export type * from "./view.ts";
+export type * from "./view_exchange.ts";
