--- a/routing/admit-attempts/src/events.ts
+++ b/routing/admit-attempts/src/events.ts
@@ -40,6 +40,7 @@
   | "answerNotKept"
   | "attemptForgotten"
   | "earlierAttemptFailed"
+  | "incarnationClosed"
   | "wrongIncarnation";
 
 /** Why the agent takes no new work. */
@@ -95,6 +96,7 @@
   readonly type: "attemptAsked";
   readonly attemptId: string;
   readonly keyId?: string;
+  readonly fingerprint: string;
   readonly agentIncarnation: string;
 }
 
