Run the spreading of configuration under random faults

Up to 12 entries and 4 agents, with freezes, replacement, cuts, outages, stale reads and watches with gaps. What the runs found, and what was changed: a whole list hid deletions from those between two revisions, so deltas from before one are no longer made from it; a deletion of an object unknown here wasn't passed on; a reply to a predecessor of the same name was believed; a read that failed counted from its end; and in an outage a process worked on though its view had not been the latest shortly before. Each has a test. The runs assume that the platform's reads are the latest; a read older than what is known is refused. The soak of limits moved into the runner's package.

--- a/agreement/spread-configuration/src/events.ts
+++ b/agreement/spread-configuration/src/events.ts
@@ -25,7 +25,11 @@
     readonly askedAtMs: number;
     readonly revision: number;
   }
-  | { readonly type: "readFailed" }
+  | {
+    /** The platform did not answer a read that was begun at `askedAtMs`. */
+    readonly type: "readFailed";
+    readonly askedAtMs: number;
+  }
   | { readonly type: "watched"; readonly delta: ViewDelta }
   | { readonly type: "tick" };
 
@@ -36,9 +40,9 @@
     readonly message: ViewMessage;
   }
   | {
-    /** List the platform's objects, or only their revision if `known` is it. */
+    /** Read the platform's revision, or list all objects. */
     readonly type: "readPlatform";
-    readonly known: number;
+    readonly whole: boolean;
   }
   | { readonly type: "watchChanged"; readonly watching: boolean }
   | {
--- a/agreement/spread-configuration/src/freshness.ts
+++ b/agreement/spread-configuration/src/freshness.ts
@@ -5,7 +5,7 @@
  * revision that isn't known here yet waits until it is.
  */
 
-import { FRESH_MS, READ_FAILED_MS } from "./timing.ts";
+import { FRESH_MS, READ_FAILED_MS, UNSEEN_MS } from "./timing.ts";
 
 export interface Evidence {
   readonly revision: number;
@@ -13,7 +13,7 @@
 }
 
 export class Freshness {
-  readonly #claims = new Map<string, number>();
+  readonly #claims = new Map<string, Claim>();
   #freshAtMs = -Infinity;
   #readFailedAtMs = -Infinity;
   #waiting: Evidence | undefined;
@@ -43,22 +43,37 @@
     this.note(waiting, knownRevision);
   }
 
-  noteReadFailed(nowMs: number): void {
-    this.#readFailedAtMs = nowMs;
+  noteReadFailed(askedAtMs: number): void {
+    this.#readFailedAtMs = Math.max(this.#readFailedAtMs, askedAtMs);
   }
 
-  noteClaim(watcher: string, asOfMs: number): void {
-    const known = this.#claims.get(watcher) ?? -Infinity;
-    this.#claims.set(watcher, Math.max(known, asOfMs));
+  /** Claims an outage oneself, from the beginning that most others claim. */
+  claim(
+    watcher: string,
+    { askedAtMs, watchers }: {
+      readonly askedAtMs: number;
+      readonly watchers: readonly string[];
+    },
+  ): void {
+    const own = this.#claims.get(watcher);
+    const isGoingOn = own !== undefined && own.asOfMs > this.#freshAtMs;
+    const sinceMs = isGoingOn
+      ? own.sinceMs
+      : this.#majoritySinceMs(watchers, askedAtMs) ?? askedAtMs;
+    this.noteClaim({ watcher, asOfMs: askedAtMs, sinceMs });
+  }
+
+  noteClaim(claim: Claim): void {
+    const known = this.#claims.get(claim.watcher);
+    if (known !== undefined && known.asOfMs >= claim.asOfMs) return;
+    this.#claims.set(claim.watcher, claim);
   }
 
   /** Claims of an outage that are recent, and later than the last success. */
   claimsAt(nowMs: number): readonly Claim[] {
-    return [...this.#claims]
-      .map(([watcher, asOfMs]) => ({ watcher, asOfMs }))
-      .filter(({ asOfMs }) =>
-        asOfMs > this.#freshAtMs && nowMs < asOfMs + FRESH_MS
-      );
+    return [...this.#claims.values()].filter(({ asOfMs }) =>
+      asOfMs > this.#freshAtMs && nowMs < asOfMs + FRESH_MS
+    );
   }
 
   isFresh(nowMs: number): boolean {
@@ -66,23 +81,38 @@
   }
 
   /**
-   * Whether nothing can have been accepted: most watchers say that the
-   * platform is out, and the process itself could not reach it.
+   * Whether nothing can have been accepted that isn't known here: most
+   * watchers say that the platform is out, the process itself could not reach
+   * it, and the view was the latest shortly before the outage began.
    */
   isOutForAll(watchers: readonly string[], nowMs: number): boolean {
     if (nowMs >= this.#readFailedAtMs + READ_FAILED_MS) return false;
     if (this.#readFailedAtMs < this.#freshAtMs) return false;
-    return this.isClaimedOut(watchers, nowMs);
+    const sinceMs = this.#majoritySinceMs(watchers, nowMs);
+    return sinceMs !== undefined && this.#freshAtMs >= sinceMs - UNSEEN_MS;
   }
 
   isClaimedOut(watchers: readonly string[], nowMs: number): boolean {
-    const claiming = this.claimsAt(nowMs)
-      .filter(({ watcher }) => watchers.includes(watcher));
-    return claiming.length > watchers.length / 2;
+    return this.#majoritySinceMs(watchers, nowMs) !== undefined;
+  }
+
+  /** Since when most watchers say that the platform is out, if they do. */
+  #majoritySinceMs(
+    watchers: readonly string[],
+    nowMs: number,
+  ): number | undefined {
+    return this.claimsAt(nowMs)
+      .filter(({ watcher }) => watchers.includes(watcher))
+      .map(({ sinceMs }) => sinceMs)
+      .sort((left, right) => left - right)
+      .at(Math.floor(watchers.length / 2));
   }
 }
 
 export interface Claim {
   readonly watcher: string;
+  /** When its last failed read began. */
   readonly asOfMs: number;
+  /** When the first failed read since a success began. */
+  readonly sinceMs: number;
 }
--- a/agreement/spread-configuration/src/mod.ts
+++ b/agreement/spread-configuration/src/mod.ts
@@ -5,4 +5,4 @@
 export { createSpreadState } from "./spread_state.ts";
 export type { SpreadOptions, SpreadState } from "./spread_state.ts";
 export { freshUntilMs, mayTakeWork, spreadView } from "./spread_view.ts";
-export { FRESH_MS, WATCHER_COUNT } from "./timing.ts";
+export { FRESH_MS, UNSEEN_MS, WATCHER_COUNT } from "./timing.ts";
--- a/agreement/spread-configuration/src/object_table.ts
+++ b/agreement/spread-configuration/src/object_table.ts
@@ -19,7 +19,10 @@
 export class ObjectTable {
   readonly #objects = new Map<string, StoredObject>();
   readonly #deletions = new Map<string, Deletion>();
-  /** Deltas from before this revision would lack deletions. */
+  /**
+   * Deltas from before this revision would lack deletions: a whole list
+   * doesn't tell of what was made and deleted since any earlier revision.
+   */
   #deletionsFrom = 0;
   #revision = 0;
 
@@ -56,8 +59,9 @@
   }
 
   /**
-   * Applies a delta and returns the changes that it made, or `undefined` if
-   * changes between what is known and the delta are missing.
+   * Applies a delta and returns the changes that were new, or `undefined` if
+   * changes between what is known and the delta are missing. The deletion of
+   * an object that was never known here is new too: others may know the object.
    */
   apply(delta: ViewDelta): readonly ObjectChange[] | undefined {
     if (delta.revision <= this.#revision) return [];
@@ -69,6 +73,7 @@
       : delta.changes;
     const applied = changes.filter((change) => this.#applyChange(change));
     this.#revision = delta.revision;
+    if (delta.since === undefined) this.#deletionsFrom = delta.revision;
     return applied;
   }
 
@@ -107,8 +112,9 @@
     }
     this.#deletions.delete(key);
     this.#deletions.set(key, change);
+    this.#objects.delete(key);
     this.#forgetOldDeletions();
-    return this.#objects.delete(key);
+    return true;
   }
 
   #forgetOldDeletions(): void {
--- a/agreement/spread-configuration/src/spread_state.ts
+++ b/agreement/spread-configuration/src/spread_state.ts
@@ -6,6 +6,7 @@
 
 export interface SpreadOptions {
   readonly name: string;
+  readonly incarnation: string;
   /** A number from the name, by which processes take different turns. */
   readonly turn: number;
 }
@@ -24,6 +25,8 @@
   readAtMs: number;
   /** The known revision when the platform was read last. */
   knownAtRead: number;
+  /** Since when a later revision is known of than the objects show. */
+  behindSinceMs: number;
 }
 
 export function createSpreadState(options: SpreadOptions): SpreadState {
@@ -39,6 +42,7 @@
     pulledAtMs: -Infinity,
     readAtMs: -Infinity,
     knownAtRead: 0,
+    behindSinceMs: Infinity,
   };
 }
 
--- a/agreement/spread-configuration/src/spread_view.ts
+++ b/agreement/spread-configuration/src/spread_view.ts
@@ -19,7 +19,7 @@
 import type { SpreadEffect, SpreadEvent } from "./events.ts";
 import type { SpreadState } from "./spread_state.ts";
 import { watchersOf } from "./spread_state.ts";
-import { pullFrom, readPlatform, takeTurn } from "./take_turn.ts";
+import { pullFrom, takeTurn } from "./take_turn.ts";
 import { FRESH_MS, SUBSCRIBED_MS } from "./timing.ts";
 
 /** Whether new work may be taken, by the clock at this moment. */
@@ -66,9 +66,11 @@
     case "revisionRead":
       return readRevision(state, event, nowMs);
     case "readFailed":
-      state.freshness.noteReadFailed(nowMs);
+      state.freshness.noteReadFailed(event.askedAtMs);
       if (state.watching) {
-        state.freshness.noteClaim(state.options.name, nowMs);
+        const { askedAtMs } = event;
+        const watchers = watchersOf(state);
+        state.freshness.claim(state.options.name, { askedAtMs, watchers });
       }
       return [];
     case "watched":
@@ -100,14 +102,16 @@
 ): readonly SpreadEffect[] {
   const { table, freshness } = state;
   state.subscribers.set(pull.from, nowMs);
-  const outage = freshness.claimsAt(nowMs).map(({ watcher, asOfMs }) => ({
-    watcher,
-    ageMs: nowMs - asOfMs,
+  const outage = freshness.claimsAt(nowMs).map((claim) => ({
+    watcher: claim.watcher,
+    ageMs: nowMs - claim.asOfMs,
+    sinceAgeMs: nowMs - claim.sinceMs,
   }));
   const isKnown = freshness.freshAtMs > -Infinity;
   const message: ViewReply = {
     type: "viewReply",
     from: state.options.name,
+    incarnation: pull.incarnation,
     sequence: pull.sequence,
     revision: table.revision,
     outage,
@@ -124,14 +128,17 @@
   message: ViewReply,
   nowMs: number,
 ): readonly SpreadEffect[] {
+  if (message.incarnation !== state.options.incarnation) return [];
   const sentAtMs = state.sentAtMs.get(message.sequence);
   if (sentAtMs === undefined) return [];
   state.sentAtMs.delete(message.sequence);
   const effects = message.delta === undefined
     ? []
     : advance(state, message.delta, nowMs, message.from);
-  for (const { watcher, ageMs } of message.outage) {
-    state.freshness.noteClaim(watcher, sentAtMs - ageMs);
+  for (const { watcher, ageMs, sinceAgeMs } of message.outage) {
+    const asOfMs = sentAtMs - ageMs;
+    const sinceMs = sentAtMs - sinceAgeMs;
+    state.freshness.noteClaim({ watcher, asOfMs, sinceMs });
   }
   if (message.ageMs === undefined) return effects;
   const asOfMs = sentAtMs - message.ageMs;
@@ -139,7 +146,10 @@
   return effects;
 }
 
-/** Takes a delta over and passes it on; asks its sender across a gap. */
+/**
+ * Takes a delta over and passes it on; asks its sender across a gap. A whole
+ * list isn't passed on: who needs it pulls it.
+ */
 function advance(
   state: SpreadState,
   delta: ViewDelta,
@@ -149,18 +159,18 @@
   const since = state.table.revision;
   const changes = state.table.apply(delta);
   if (changes === undefined) {
-    return from === undefined
-      ? [readPlatform(state, nowMs)]
-      : [pullFrom(state, from, nowMs)];
+    if (from !== undefined) return [pullFrom(state, from, nowMs)];
+    state.behindSinceMs = Math.min(state.behindSinceMs, nowMs);
+    return [];
   }
   if (state.table.revision === since) return [];
   state.freshness.noteRevision(state.table.revision);
+  state.behindSinceMs = Infinity;
   const { revision } = state.table;
-  const passedOn = { since: since === 0 ? undefined : since, revision };
-  return [
-    { type: "viewAdvanced", revision, changes },
-    ...push(state, { ...passedOn, changes }, { from, nowMs }),
-  ];
+  const advanced: SpreadEffect = { type: "viewAdvanced", revision, changes };
+  if (delta.since === undefined) return [advanced];
+  const passedOn = { since, revision, changes };
+  return [advanced, ...push(state, passedOn, { from, nowMs })];
 }
 
 function push(
@@ -209,7 +219,8 @@
   if (revision < state.knownAtRead) return [];
   noteEvidence(state, { asOfMs: askedAtMs, revision });
   if (revision <= state.table.revision) return [];
-  return [readPlatform(state, nowMs)];
+  state.behindSinceMs = Math.min(state.behindSinceMs, nowMs);
+  return [];
 }
 
 function noteEvidence(
--- a/agreement/spread-configuration/src/spread_view_test.ts
+++ b/agreement/spread-configuration/src/spread_view_test.ts
@@ -51,7 +51,11 @@
 }
 
 function createNode(name: string, entries: readonly string[] = ENTRIES) {
-  const state = createSpreadState({ name, turn: ENTRIES.indexOf(name) + 1 });
+  const state = createSpreadState({
+    name,
+    incarnation: "i1",
+    turn: ENTRIES.indexOf(name) + 1,
+  });
   const send = (event: SpreadEvent, nowMs = 0): readonly SpreadEffect[] =>
     spreadView(state, event, nowMs).effects;
   send({ type: "entriesChanged", entries });
@@ -139,6 +143,24 @@
   assert.deepEqual([...peer.list()], [...table.list()]);
 });
 
+test("A deletion of what was never known here is passed on", () => {
+  const table = ObjectTable.create();
+  table.apply(createDelta(undefined, 3, [put("x", 3)]));
+  const applied = table.apply(createDelta(3, 5, [remove("y", 5)]));
+  assert.deepEqual(applied, [remove("y", 5)]);
+});
+
+test("A whole list leaves no delta that would lack a deletion", () => {
+  const table = ObjectTable.create();
+  const peer = ObjectTable.create();
+  table.apply(createDelta(undefined, 3, [put("x", 1)]));
+  peer.apply(createDelta(undefined, 3, [put("x", 1)]));
+  peer.apply(createDelta(3, 4, [put("y", 4)]));
+  table.apply(createDelta(undefined, 6, [put("x", 1)]));
+  peer.apply(table.deltaSince(peer.revision));
+  assert.deepEqual([...peer.list()], [...table.list()]);
+});
+
 test("Whoever pulled is told of a change at once", () => {
   const { send } = createNode("a");
   send({
@@ -149,6 +171,7 @@
   const pull = {
     type: "viewPull",
     from: "d",
+    incarnation: "i1",
     sequence: 1,
     revision: 5,
   } as const;
@@ -181,6 +204,7 @@
     message: {
       type: "viewReply",
       from: "a",
+      incarnation: "i1",
       sequence: 0,
       revision: 5,
       outage: [],
@@ -191,8 +215,8 @@
 }
 
 const TWO_CLAIMS = [
-  { watcher: "a", ageMs: 0 },
-  { watcher: "b", ageMs: 0 },
+  { watcher: "a", ageMs: 0, sinceAgeMs: 0 },
+  { watcher: "b", ageMs: 0, sinceAgeMs: 0 },
 ];
 
 const WORK_CASES: readonly {
@@ -228,29 +252,40 @@
   },
   {
     title: "most watchers and its own read say the platform is out",
-    event: createReply({ outage: TWO_CLAIMS }),
+    event: createReply({ ageMs: 2_500, outage: TWO_CLAIMS }),
     readFails: true,
-    atMs: 300,
+    atMs: 5_000,
     may: true,
   },
+  {
+    title: "the view wasn't fresh any more when the outage began",
+    event: createReply({ ageMs: 3_500, outage: TWO_CLAIMS }),
+    readFails: true,
+    atMs: 5_000,
+    may: false,
+  },
   {
     title: "its own read didn't fail",
-    event: createReply({ outage: TWO_CLAIMS }),
-    atMs: 300,
+    event: createReply({ ageMs: 2_500, outage: TWO_CLAIMS }),
+    atMs: 5_000,
     may: false,
   },
   {
     title: "one watcher of three says the platform is out",
-    event: createReply({ outage: TWO_CLAIMS.slice(1) }),
+    event: createReply({ ageMs: 2_500, outage: TWO_CLAIMS.slice(1) }),
     readFails: true,
-    atMs: 300,
+    atMs: 5_000,
     may: false,
   },
   {
     title: "the claims are from before the view was last fresh",
     event: createReply({
       ageMs: 0,
-      outage: TWO_CLAIMS.map((claim) => ({ ...claim, ageMs: 500 })),
+      outage: TWO_CLAIMS.map((claim) => ({
+        ...claim,
+        ageMs: 500,
+        sinceAgeMs: 500,
+      })),
     }),
     readFails: true,
     atMs: 100 + FRESH_MS,
@@ -273,7 +308,7 @@
   test(`A process ${may ? "takes" : "takes no"} new work when ${title}`, () => {
     const { state, send } = createNode("d");
     send({ type: "tick" }, 100);
-    if (readFails) send({ type: "readFailed" }, 150);
+    if (readFails) send({ type: "readFailed", askedAtMs: 150 }, 150);
     send(event, 200);
     assert.equal(mayTakeWork(state, atMs), may);
   });
@@ -285,6 +320,13 @@
   assert.equal(mayTakeWork(state, 200), false);
 });
 
+test("A reply to a predecessor under the same name shows nothing", () => {
+  const { state, send } = createNode("d");
+  send({ type: "tick" }, 100);
+  send(createReply({ ageMs: 0, incarnation: "i0" }), 200);
+  assert.equal(mayTakeWork(state, 200), false);
+});
+
 test("A stale read of the platform shows nothing", () => {
   const { state, send } = createNode("a");
   send({ type: "watched", delta: createDelta(undefined, 9) }, 0);
--- a/agreement/spread-configuration/src/take_turn.ts
+++ b/agreement/spread-configuration/src/take_turn.ts
@@ -12,6 +12,7 @@
   PULL_MS,
   READ_DIRECTLY_MS,
   SUBSCRIBED_MS,
+  WATCH_LAG_MS,
   WATCHER_COUNT,
 } from "./timing.ts";
 
@@ -49,10 +50,16 @@
   return ageMs >= READ_DIRECTLY_MS && sinceReadMs >= DIRECT_READ_MS;
 }
 
-export function readPlatform(state: SpreadState, nowMs: number): SpreadEffect {
+/**
+ * Reads the platform's revision, or all objects if there are none yet or if
+ * a watch hasn't brought a revision that was read a while ago.
+ */
+function readPlatform(state: SpreadState, nowMs: number): SpreadEffect {
+  const isBehind = nowMs >= state.behindSinceMs + WATCH_LAG_MS;
   state.readAtMs = nowMs;
   state.knownAtRead = state.table.revision;
-  return { type: "readPlatform", known: state.table.revision };
+  const whole = isBehind || state.table.revision === 0;
+  return { type: "readPlatform", whole };
 }
 
 export function pullFrom(
@@ -63,11 +70,11 @@
   const sequence = state.sequence++;
   state.sentAtMs.set(sequence, nowMs);
   const { revision } = state.table;
-  const from = state.options.name;
+  const { name: from, incarnation } = state.options;
   return {
     type: "send",
     to,
-    message: { type: "viewPull", from, sequence, revision },
+    message: { type: "viewPull", from, incarnation, sequence, revision },
   };
 }
 
--- a/agreement/spread-configuration/src/timing.ts
+++ b/agreement/spread-configuration/src/timing.ts
@@ -29,3 +29,12 @@
 
 /** Who pulled within this time is told of changes at once. */
 export const SUBSCRIBED_MS = 3_000;
+
+/** For how long a watch may lag behind a revision that was read. */
+export const WATCH_LAG_MS = 800;
+
+/**
+ * What was accepted so shortly before an outage may be known to nobody, and
+ * isn't waited for while the outage lasts.
+ */
+export const UNSEEN_MS = 3_000;
--- a/foundation/types/src/view_exchange.ts
+++ b/foundation/types/src/view_exchange.ts
@@ -13,14 +13,17 @@
 /** A watcher's word that it cannot reach the platform. */
 export interface OutageClaim {
   readonly watcher: string;
-  /** How long before the message it held. */
+  /** How long before the message its last failed read began. */
   readonly ageMs: number;
+  /** How long before the message its first one since a success began. */
+  readonly sinceAgeMs: number;
 }
 
 /** Asks a peer for what it knows beyond a revision. */
 export interface ViewPull {
   readonly type: "viewPull";
   readonly from: string;
+  readonly incarnation: string;
   readonly sequence: number;
   readonly revision: number;
 }
@@ -28,6 +31,8 @@
 export interface ViewReply {
   readonly type: "viewReply";
   readonly from: string;
+  /** Incarnation and sequence of the pull that it answers. */
+  readonly incarnation: string;
   readonly sequence: number;
   readonly revision: number;
   /** How long before the reply the view was known to be the latest, if ever. */
--- /dev/null
+++ b/testing/soak/src/config/config_node.ts
@@ -0,0 +1,124 @@
+/** One process of the randomised runs: the spreading core and its platform client. */
+
+import {
+  createSpreadState,
+  mayTakeWork,
+  spreadView,
+} from "@dandelionbank/spread-configuration";
+import type {
+  SpreadEffect,
+  SpreadEvent,
+  SpreadState,
+} from "@dandelionbank/spread-configuration";
+import type { ViewDelta } from "@dandelionbank/types";
+import type { ConfigMessage } from "./store_node.ts";
+
+export interface ConfigNodeOptions {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly turn: number;
+  readonly entries: readonly string[];
+  readonly clockMs: () => number;
+  readonly post: (to: string, message: ConfigMessage) => void;
+  /** Answers later, with nothing if the platform did not. */
+  readonly readStore: (answer: (delta?: ViewDelta) => void) => void;
+  readonly violate: (what: string) => void;
+}
+
+export class ConfigNode {
+  readonly #options: ConfigNodeOptions;
+  readonly #state: SpreadState;
+
+  private constructor(options: ConfigNodeOptions) {
+    this.#options = options;
+    this.#state = createSpreadState({
+      name: options.name,
+      incarnation: options.incarnation,
+      turn: options.turn,
+    });
+  }
+
+  static create(options: ConfigNodeOptions): ConfigNode {
+    return new ConfigNode(options);
+  }
+
+  get revision(): number {
+    return this.#state.table.revision;
+  }
+
+  get mayTakeWork(): boolean {
+    return mayTakeWork(this.#state, this.#options.clockMs());
+  }
+
+  /** Every object with its identity and revision, in order of names. */
+  describeObjects(): string {
+    return [...this.#state.table.list()]
+      .map(({ name, uid, revision }) => `${name} ${uid} ${revision}`)
+      .sort()
+      .join(", ");
+  }
+
+  start(): void {
+    const { entries } = this.#options;
+    this.#step({ type: "entriesChanged", entries });
+  }
+
+  tick(): void {
+    this.#step({ type: "tick" });
+  }
+
+  receive(message: ConfigMessage): void {
+    switch (message.type) {
+      case "watchStore":
+        return;
+      case "watchedChange":
+        return this.#step({ type: "watched", delta: message.delta });
+      default:
+        return this.#step({ type: "received", message });
+    }
+  }
+
+  #step(event: SpreadEvent): void {
+    const before = this.revision;
+    const { effects } = spreadView(
+      this.#state,
+      event,
+      this.#options.clockMs(),
+    );
+    if (this.revision < before) {
+      this.#options.violate(`revision fell from ${before}`);
+    }
+    for (const effect of effects) this.#perform(effect);
+  }
+
+  #perform(effect: SpreadEffect): void {
+    const { name, post } = this.#options;
+    switch (effect.type) {
+      case "send":
+        return post(effect.to, effect.message);
+      case "readPlatform":
+        return this.#readStore(effect.whole);
+      case "watchChanged":
+        return post("store", {
+          type: "watchStore",
+          node: name,
+          watching: effect.watching,
+        });
+      case "invariantViolated":
+        return this.#options.violate(`${effect.invariant}: ${effect.detail}`);
+    }
+  }
+
+  #readStore(whole: boolean): void {
+    const { clockMs, readStore } = this.#options;
+    const askedAtMs = clockMs();
+    readStore((delta) => {
+      if (delta === undefined) {
+        return this.#step({ type: "readFailed", askedAtMs });
+      }
+      const { revision } = delta;
+      if (whole) this.#step({ type: "platformRead", askedAtMs, delta });
+      else this.#step({ type: "revisionRead", askedAtMs, revision });
+    });
+  }
+}
--- /dev/null
+++ b/testing/soak/src/config/config_soak.ts
@@ -0,0 +1,259 @@
+/**
+ * A randomised run of the spreading of configuration: entries and agents that
+ * freeze, are replaced and cut off from each other, a platform that is out,
+ * slow, unreachable for one process or answers from an old state, and watches
+ * with gaps. A process that may take work must know what was accepted longer
+ * ago than a view counts as fresh.
+ */
+
+import { MessageQueue } from "@dandelionbank/message-queue";
+import { FRESH_MS, UNSEEN_MS } from "@dandelionbank/spread-configuration";
+import type { ViewDelta } from "@dandelionbank/types";
+import { count, createRunTally } from "../run_tally.ts";
+import type { RunReport, Soak } from "../soak.ts";
+import { ConfigNode } from "./config_node.ts";
+import { StoreNode } from "./store_node.ts";
+import type { ConfigMessage } from "./store_node.ts";
+
+const STORE = "store";
+const TICK_MS = 250;
+const CHECK_MS = 100;
+const FAULTS_UNTIL_MS = 60_000;
+const QUIET_MS = 12_000;
+const END_MS = FAULTS_UNTIL_MS + QUIET_MS;
+const READ_TIMEOUT_MS = 1_500;
+const MAX_READ_MS = 1_200;
+const MAX_FREEZE_MS = 20_000;
+const MAX_CUT_MS = 15_000;
+const MAX_OUTAGE_MS = 25_000;
+const OBJECT_NAMES = ["config", "malabar", "harnessa", "stop", "duty"];
+
+export const CONFIG_SOAK: Soak = {
+  name: "config",
+  run: (seed) => ConfigRun.create(seed).run(),
+};
+
+class ConfigRun {
+  readonly #queue: MessageQueue<ConfigMessage>;
+  readonly #store: StoreNode;
+  readonly #tally = createRunTally();
+  readonly #nodes = new Map<string, ConfigNode>();
+  readonly #entries: readonly string[];
+  readonly #names: readonly string[];
+  #started = 0;
+  #cutFromStore: string | undefined;
+  #outage = { sinceMs: -Infinity, untilMs: -Infinity };
+
+  private constructor(seed: number) {
+    this.#queue = MessageQueue.create<ConfigMessage>({
+      seed,
+      faults: {
+        minDelayMs: 1,
+        maxDelayMs: 40,
+        lossShare: 0.03,
+        doublingShare: 0.05,
+        crossingShare: 0.05,
+        crossingDelayMs: 4_000,
+      },
+    });
+    const { random } = this.#queue;
+    this.#store = StoreNode.create({
+      nowMs: () => this.#queue.nowMs,
+      post: (to, message) => this.#queue.post({ from: STORE, to }, message),
+      isStale: () => random.chance(0.05),
+    });
+    this.#entries = createNames("e", random.int(3, 12));
+    this.#names = [...this.#entries, ...createNames("a", random.int(1, 4))];
+  }
+
+  static create(seed: number): ConfigRun {
+    return new ConfigRun(seed);
+  }
+
+  run(): RunReport {
+    this.#queue.start(STORE, this.#store);
+    this.#store.write("config", false);
+    for (const name of this.#names) this.#start(name);
+    this.#every(CHECK_MS, END_MS, () => this.#check());
+    this.#every(600, FAULTS_UNTIL_MS, () => this.#write());
+    this.#every(800, FAULTS_UNTIL_MS, () => this.#bringAboutFault());
+    this.#queue.runAt(FAULTS_UNTIL_MS, () => this.#endFaults());
+    this.#queue.runUntilQuiet({ limitMs: END_MS });
+    this.#checkEnd();
+    const { lost, doubled, crossed } = this.#queue.counts;
+    Object.assign(this.#tally.faults, { lost, doubled, crossed });
+    return this.#tally;
+  }
+
+  #every(periodMs: number, untilMs: number, run: () => void): void {
+    const again = () => {
+      run();
+      const nextMs = this.#queue.nowMs + periodMs;
+      if (nextMs < untilMs) this.#queue.runAt(nextMs, again);
+    };
+    this.#queue.runAt(periodMs, again);
+  }
+
+  #start(name: string): void {
+    const queue = this.#queue;
+    queue.jumpClock(name, queue.random.int(-20_000, 20_000));
+    const node = ConfigNode.create({
+      name,
+      incarnation: `${name}-${this.#started++}`,
+      turn: this.#names.indexOf(name),
+      entries: this.#entries,
+      clockMs: () => queue.clockMs(name),
+      post: (to, message) => queue.post({ from: name, to }, message),
+      readStore: (answer) => this.#readStore(name, answer),
+      violate: (what) => this.#violate(`${name}: ${what}`),
+    });
+    this.#nodes.set(name, node);
+    queue.start(name, node);
+    node.start();
+    const tick = () => {
+      node.tick();
+      queue.startTimer(name, { delayMs: TICK_MS, run: tick });
+    };
+    queue.startTimer(name, {
+      delayMs: queue.random.int(0, TICK_MS),
+      run: tick,
+    });
+  }
+
+  /** Reads aren't lost, unlike messages: they are answered, or time out. */
+  #readStore(name: string, answer: (delta?: ViewDelta) => void): void {
+    const delta = this.#cutFromStore === name
+      ? undefined
+      : this.#store.read(this.#nodes.get(name)?.revision ?? 0);
+    const delayMs = delta === undefined
+      ? READ_TIMEOUT_MS
+      : this.#queue.random.int(2, MAX_READ_MS);
+    this.#queue.startTimer(name, { delayMs, run: () => answer(delta) });
+  }
+
+  #check(): void {
+    const { nowMs } = this.#queue;
+    const oldestMs = nowMs - FRESH_MS;
+    const accepted = this.#store.revisionAt(this.#knownByMs(oldestMs));
+    const isOut = this.#store.out && this.#outage.sinceMs < oldestMs;
+    for (const [name, node] of this.#nodes) {
+      const works = node.mayTakeWork;
+      if (isOut) {
+        count(this.#tally.outcomes, works ? "workInOutage" : "idleInOutage");
+      } else count(this.#tally.outcomes, works ? "work" : "idle");
+      if (!works) continue;
+      count(this.#tally.invariants, "acceptedIsInForce");
+      if (node.revision >= accepted) continue;
+      this.#violate(`${name} works at ${node.revision}, not ${accepted}`);
+    }
+  }
+
+  /** What was accepted by then must be known to whoever works. */
+  #knownByMs(oldestMs: number): number {
+    const { sinceMs, untilMs } = this.#outage;
+    return oldestMs < untilMs
+      ? Math.min(oldestMs, sinceMs - UNSEEN_MS)
+      : oldestMs;
+  }
+
+  #write(): void {
+    const { random } = this.#queue;
+    const name = random.pick(OBJECT_NAMES);
+    if (this.#store.write(name, random.chance(0.3))) {
+      count(this.#tally.outcomes, "accepted");
+    }
+  }
+
+  #bringAboutFault(): void {
+    const { random } = this.#queue;
+    const name = random.pick(this.#names);
+    switch (random.int(0, 7)) {
+      case 0:
+        return this.#freeze(name);
+      case 1:
+        count(this.#tally.faults, "replacement");
+        this.#queue.stop(name);
+        return this.#start(name);
+      case 2:
+      case 3:
+        return this.#cut(name, random.pick(this.#names));
+      case 4:
+        return this.#cutStore(name);
+      case 5:
+        return this.#stopStore();
+    }
+  }
+
+  #freeze(name: string): void {
+    count(this.#tally.faults, "freeze");
+    this.#queue.freeze(name);
+    this.#later(MAX_FREEZE_MS, () => this.#queue.thaw(name));
+  }
+
+  #cut(from: string, to: string): void {
+    count(this.#tally.faults, "cut");
+    this.#queue.cut({ from, to });
+    this.#later(MAX_CUT_MS, () => this.#queue.heal({ from, to }));
+  }
+
+  /** One process at a time: most watchers cut off would pass for an outage. */
+  #cutStore(name: string): void {
+    if (this.#cutFromStore !== undefined) return;
+    count(this.#tally.faults, "storeCut");
+    this.#cutFromStore = name;
+    this.#later(MAX_CUT_MS, () => {
+      this.#cutFromStore = undefined;
+    });
+  }
+
+  #stopStore(): void {
+    if (this.#store.out) return;
+    count(this.#tally.faults, "outage");
+    this.#store.out = true;
+    const { nowMs } = this.#queue;
+    const isSameOutage = nowMs < this.#outage.untilMs + FRESH_MS;
+    const sinceMs = isSameOutage ? this.#outage.sinceMs : nowMs;
+    this.#outage = { sinceMs, untilMs: Infinity };
+    this.#later(MAX_OUTAGE_MS, () => this.#resumeStore());
+  }
+
+  #resumeStore(): void {
+    if (!this.#store.out) return;
+    this.#store.out = false;
+    this.#outage = { ...this.#outage, untilMs: this.#queue.nowMs };
+  }
+
+  #later(maxMs: number, run: () => void): void {
+    const atMs = this.#queue.nowMs + this.#queue.random.int(50, maxMs);
+    this.#queue.runAt(atMs, run);
+  }
+
+  #endFaults(): void {
+    this.#queue.healAll();
+    this.#cutFromStore = undefined;
+    this.#resumeStore();
+    this.#queue.setFaults({ lossShare: 0, doublingShare: 0, crossingShare: 0 });
+    for (const name of this.#names) this.#queue.thaw(name);
+  }
+
+  /** Once faults are over, all know the same objects and take work. */
+  #checkEnd(): void {
+    const objects = this.#store.describeObjects();
+    for (const [name, node] of this.#nodes) {
+      count(this.#tally.invariants, "allAgreeAfterFaults");
+      if (node.describeObjects() !== objects) {
+        this.#violate(`${name} has ${node.describeObjects()}, not ${objects}`);
+      }
+      count(this.#tally.invariants, "worksAfterFaults");
+      if (!node.mayTakeWork) this.#violate(`${name} takes no work at the end`);
+    }
+  }
+
+  #violate(what: string): void {
+    this.#tally.violations.push(`${this.#queue.nowMs} ms: ${what}`);
+  }
+}
+
+function createNames(prefix: string, length: number): readonly string[] {
+  return Array.from({ length }, (_, index) => `${prefix}${index}`);
+}
--- /dev/null
+++ b/testing/soak/src/config/store_node.ts
@@ -0,0 +1,122 @@
+/**
+ * The platform's objects as the randomised runs need them: whole reads, now
+ * and then of an older revision than its reader has seen, and watches without
+ * any promise that each change arrives.
+ */
+
+import type {
+  ObjectChange,
+  StoredObject,
+  ViewDelta,
+  ViewMessage,
+} from "@dandelionbank/types";
+
+export type ConfigMessage =
+  | ViewMessage
+  | {
+    readonly type: "watchStore";
+    readonly node: string;
+    readonly watching: boolean;
+  }
+  | { readonly type: "watchedChange"; readonly delta: ViewDelta };
+
+export interface StoreNodeOptions {
+  readonly nowMs: () => number;
+  readonly post: (to: string, message: ConfigMessage) => void;
+  /** Whether the next read is answered from an old state. */
+  readonly isStale: () => boolean;
+}
+
+export class StoreNode {
+  readonly #options: StoreNodeOptions;
+  readonly #objects = new Map<string, StoredObject>();
+  readonly #watchers = new Set<string>();
+  readonly #acceptedAtMs: number[] = [0];
+  #oldState: ViewDelta | undefined;
+  out = false;
+
+  private constructor(options: StoreNodeOptions) {
+    this.#options = options;
+  }
+
+  static create(options: StoreNodeOptions): StoreNode {
+    return new StoreNode(options);
+  }
+
+  get revision(): number {
+    return this.#acceptedAtMs.length - 1;
+  }
+
+  /** The latest revision that had been accepted at that time. */
+  revisionAt(atMs: number): number {
+    return this.#acceptedAtMs.findLastIndex((accepted) => accepted <= atMs);
+  }
+
+  describeObjects(): string {
+    return [...this.#objects.values()]
+      .map(({ name, uid, revision }) => `${name} ${uid} ${revision}`)
+      .sort()
+      .join(", ");
+  }
+
+  receive(message: ConfigMessage): void {
+    if (this.out) return;
+    if (message.type !== "watchStore") return;
+    if (message.watching) this.#watchers.add(message.node);
+    else this.#watchers.delete(message.node);
+  }
+
+  /**
+   * Every object, now and then of a state that is older than what the reader
+   * knows; nothing during an outage.
+   */
+  read(knownRevision: number): ViewDelta | undefined {
+    if (this.out) return undefined;
+    const old = this.#options.isStale() ? this.#oldState : undefined;
+    const isOlder = old !== undefined && old.revision < knownRevision;
+    return isOlder ? old : this.#describeAll();
+  }
+
+  /** Writes or deletes an object; nothing is accepted during an outage. */
+  write(name: string, remove: boolean): boolean {
+    const known = this.#objects.get(name);
+    if (this.out || (remove && known === undefined)) return false;
+    if (this.revision % 5 === 0) this.#oldState = this.#describeAll();
+    const since = this.revision;
+    this.#acceptedAtMs.push(this.#options.nowMs());
+    const change = remove && known !== undefined
+      ? this.#remove(known)
+      : this.#put(name, known);
+    const delta = { since, revision: this.revision, changes: [change] };
+    for (const watcher of this.#watchers) {
+      this.#options.post(watcher, { type: "watchedChange", delta });
+    }
+    return true;
+  }
+
+  #put(name: string, known: StoredObject | undefined): ObjectChange {
+    const { revision } = this;
+    const object: StoredObject = {
+      kind: "contract",
+      name,
+      uid: known?.uid ?? `u${revision}`,
+      revision,
+      changeId: `c${revision}`,
+      value: revision,
+    };
+    this.#objects.set(name, object);
+    return { type: "put", object };
+  }
+
+  #remove({ kind, name, uid }: StoredObject): ObjectChange {
+    this.#objects.delete(name);
+    return { type: "delete", kind, name, uid, revision: this.revision };
+  }
+
+  #describeAll(): ViewDelta {
+    const changes: ObjectChange[] = [...this.#objects.values()].map(
+      (object) => ({ type: "put", object }),
+    );
+    return { since: undefined, revision: this.revision, changes };
+  }
+}
--- a/testing/limit-runs/src/limits_soak.ts
+++ b/testing/soak/src/limits/limits_soak.ts
@@ -10,8 +10,8 @@
 import { MessageQueue } from "@dandelionbank/message-queue";
 import type { AllowanceMessage, LimitShare } from "@dandelionbank/types";
 import { LimitNode } from "./limit_node.ts";
-import { count, createRunReport } from "./run_report.ts";
-import type { RunReport } from "./run_report.ts";
+import { count, createRunTally } from "../run_tally.ts";
+import type { RunReport, Soak } from "../soak.ts";
 
 const FRESH_MS = 4_000;
 const SETTLE_MS = FRESH_MS + OFFER_MS;
@@ -27,14 +27,14 @@
   readonly limits: LimitShare;
 }
 
-/** One run; the same seed gives the same report. */
-export function runLimits(seed: number): RunReport {
-  return LimitsRun.create(seed).run();
-}
+export const LIMITS_SOAK: Soak = {
+  name: "limits",
+  run: (seed) => LimitsRun.create(seed).run(),
+};
 
 class LimitsRun {
   readonly #queue: MessageQueue<AllowanceMessage>;
-  readonly #report = createRunReport();
+  readonly #report = createRunTally();
   readonly #nodes = new Map<string, LimitNode>();
   readonly #cutFromPlatform = new Set<string>();
   readonly #demands = new Map<string, LimitShare>();
--- a/testing/soak/src/registry.ts
+++ b/testing/soak/src/registry.ts
@@ -1,8 +1,12 @@
 /** Every soak, one line each. */
 
 import type { Soak } from "./soak.ts";
+import { CONFIG_SOAK } from "./config/config_soak.ts";
+import { LIMITS_SOAK } from "./limits/limits_soak.ts";
 import { REQUESTS_SOAK } from "./requests/requests_soak.ts";
 
 export const SOAKS: readonly Soak[] = [
   REQUESTS_SOAK,
+  LIMITS_SOAK,
+  CONFIG_SOAK,
 ];
--- a/testing/soak/src/soak_test.ts
+++ b/testing/soak/src/soak_test.ts
@@ -22,6 +22,16 @@
     "unrepeatableDispatchedOnce",
     "answerStaysInOrganisation",
   ],
+  config: [
+    "acceptedIsInForce",
+    "allAgreeAfterFaults",
+    "worksAfterFaults",
+  ],
+  limits: [
+    "sharesWithinLimits",
+    "loansWithinLimits",
+    "limitUsableAfterFaults",
+  ],
 };
 
 for (const soak of SOAKS) {
