Join the lagging list of VMs with what connections show

A target that answers is open though the list lost it; a silent one is a last resort; only one that is silent and absent from a trusted list is closed. When most of a data centre vanishes together its absence counts for nothing.

--- /dev/null
+++ b/routing/follow-members/src/follow_members_test.ts
@@ -0,0 +1,206 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { AgentRegistration, VmListing } from "@dandelionbank/types";
+import { createMemberState, followMembers } from "./mod.ts";
+import type { Member, MemberEffect, MemberEvent } from "./mod.ts";
+
+const NAMES = ["t0", "t1", "t2", "t3"];
+
+function createAgent(name: string, incarnation = "i1"): AgentRegistration {
+  const dataCentre = NAMES.indexOf(name) < 2 ? "kochi-1" : "kochi-2";
+  return {
+    target: { name, kind: "engine", pool: "p", dataCentre },
+    incarnation,
+    peerUrl: `http://${name}`,
+  };
+}
+
+function createVm(name: string, state: VmListing["state"] = "live"): VmListing {
+  const { dataCentre } = createAgent(name).target;
+  return { name, address: "127.0.0.1", dataCentre, state };
+}
+
+function listed(names: readonly string[]): MemberEvent {
+  return { type: "vmsListed", vms: names.map((name) => createVm(name)) };
+}
+
+function about(
+  type: "agentHeard" | "agentSilent" | "agentLeaving",
+  target: string,
+  incarnation = "i1",
+): MemberEvent {
+  return { type, target, incarnation };
+}
+
+/** Runs events at their times; returns what was told last, and all effects. */
+function follow(steps: readonly (readonly [number, MemberEvent])[]) {
+  const state = createMemberState();
+  const agents = NAMES.map((name) => createAgent(name));
+  const all: readonly (readonly [number, MemberEvent])[] = [
+    [0, { type: "agentsChanged", agents }],
+    [0, listed(NAMES)],
+    ...steps,
+  ];
+  const effects: MemberEffect[] = [];
+  let members: readonly Member[] = [];
+  for (const [nowMs, event] of all) {
+    for (const effect of followMembers(state, event, nowMs).effects) {
+      effects.push(effect);
+      if (effect.type === "membersChanged") members = effect.members;
+    }
+  }
+  const reasonOf = (name: string) =>
+    members.find((member) => member.name === name)?.reason;
+  const stateOf = (name: string) =>
+    members.find((member) => member.name === name)?.state;
+  return { effects, reasonOf, stateOf };
+}
+
+const TICK: MemberEvent = { type: "tick" };
+const WITHOUT_T0 = listed(["t1", "t2", "t3"]);
+
+const CASES: readonly {
+  readonly title: string;
+  readonly steps: readonly (readonly [number, MemberEvent])[];
+  readonly reason: Member["reason"];
+  readonly state: Member["state"];
+}[] = [
+  { title: "listed", steps: [], reason: "listed", state: "open" },
+  {
+    title: "answering, though the list lost it long ago",
+    steps: [[1, about("agentHeard", "t0")], [2, WITHOUT_T0], [60_000, TICK]],
+    reason: "answering",
+    state: "open",
+  },
+  {
+    title: "off the list for a moment",
+    steps: [[1, WITHOUT_T0], [4_000, listed(NAMES)], [9_000, TICK]],
+    reason: "listed",
+    state: "open",
+  },
+  {
+    title: "off the list and never heard",
+    steps: [[1, WITHOUT_T0], [6_000, TICK]],
+    reason: "unlisted",
+    state: "suspected",
+  },
+  {
+    title: "listed and dead",
+    steps: [[1, about("agentSilent", "t0")], [60_000, TICK]],
+    reason: "silent",
+    state: "suspected",
+  },
+  {
+    title: "silent and off the list",
+    steps: [[1, about("agentSilent", "t0")], [2, WITHOUT_T0], [11_000, TICK]],
+    reason: "gone",
+    state: "closed",
+  },
+  {
+    title: "heard again after silence",
+    steps: [
+      [1, about("agentSilent", "t0")],
+      [2, WITHOUT_T0],
+      [11_000, TICK],
+      [12_000, about("agentHeard", "t0")],
+    ],
+    reason: "answering",
+    state: "open",
+  },
+  {
+    title: "silent while its whole data centre is off the list",
+    steps: [
+      [1, about("agentSilent", "t0")],
+      [2, listed(["t2", "t3"])],
+      [60_000, TICK],
+    ],
+    reason: "silent",
+    state: "suspected",
+  },
+  {
+    title: "leaving by its own word, though it answers",
+    steps: [[1, about("agentLeaving", "t0")], [2, about("agentHeard", "t0")]],
+    reason: "leaving",
+    state: "closed",
+  },
+  {
+    title: "leaving by the list",
+    steps: [[1, { type: "vmsListed", vms: [createVm("t0", "leaving")] }]],
+    reason: "leaving",
+    state: "closed",
+  },
+  {
+    title: "leaving by the list and then off it, while it still answers",
+    steps: [
+      [1, { type: "vmsListed", vms: [createVm("t0", "leaving")] }],
+      [2, WITHOUT_T0],
+      [30_000, about("agentHeard", "t0")],
+    ],
+    reason: "leaving",
+    state: "closed",
+  },
+  {
+    title: "stopped by an operator",
+    steps: [[1, { type: "stopsChanged", targets: ["t0"] }]],
+    reason: "stopped",
+    state: "closed",
+  },
+  {
+    title: "replaced after it was leaving",
+    steps: [
+      [1, about("agentLeaving", "t0")],
+      [2, { type: "agentsChanged", agents: [createAgent("t0", "i2")] }],
+      [3, about("agentLeaving", "t0", "i1")],
+    ],
+    reason: "listed",
+    state: "open",
+  },
+];
+
+for (const { title, steps, reason, state } of CASES) {
+  test(`A target is ${state} when ${title}`, () => {
+    const { reasonOf, stateOf } = follow(steps);
+    assert.equal(reasonOf("t0"), reason);
+    assert.equal(stateOf("t0"), state);
+  });
+}
+
+test("A data centre that vanishes from the list is told of once", () => {
+  const { effects } = follow([
+    [1, listed(["t2", "t3"])],
+    [2_000, listed(["t2", "t3"])],
+    [9_000, listed(["t2", "t3"])],
+  ]);
+  const distrusted = effects.filter(({ type }) => type === "listDistrusted");
+  assert.deepEqual(distrusted, [
+    { type: "listDistrusted", dataCentre: "kochi-1", vanished: 2 },
+  ]);
+});
+
+test("Nothing is told when nothing changed", () => {
+  const { effects } = follow([[1, TICK], [2, listed(NAMES)], [3, TICK]]);
+  assert.equal(effects.length, 1);
+});
+
+test("Whatever the list says, who answers and isn't leaving stays open", () => {
+  const listing = fc.subarray(NAMES).map(listed);
+  const silence = fc.constantFrom(...NAMES.slice(1)).map((name) =>
+    about("agentSilent", name)
+  );
+  const step = fc.tuple(
+    fc.integer({ min: 1, max: 20_000 }),
+    fc.oneof(listing, silence, fc.constant(TICK)),
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+      let nowMs = 1;
+      const timed = steps.map(([waitMs, event]) =>
+        [nowMs += waitMs, event] as const
+      );
+      const { stateOf } = follow([[1, about("agentHeard", "t0")], ...timed]);
+      assert.equal(stateOf("t0"), "open");
+    }),
+    { seed: 5, numRuns: 300 },
+  );
+});
