--- a/agreement/grant-allowances/src/divide_offers.ts
+++ b/agreement/grant-allowances/src/divide_offers.ts
@@ -29,6 +29,7 @@
   isWithin,
   minShares,
   NO_SHARE,
+  roundDown,
   subtractShares,
 } from "./limit_share.ts";
 import { Participant } from "./participant.ts";
@@ -186,7 +187,8 @@
     if (other !== participant) used = addShares(used, other.grantedAt(nowMs));
   }
   const free = subtractShares(offered, used);
-  return minShares(wanted, minShares(free, fairPart(wants, offered)));
+  const part = minShares(free, fairPart(wants, offered));
+  return roundDown(minShares(wanted, part));
 }
 
 /** Whole requests are rounded up, since the free ones bound the grant anyway. */
--- a/agreement/grant-allowances/src/held_contract.ts
+++ b/agreement/grant-allowances/src/held_contract.ts
@@ -19,6 +19,7 @@
   isWithin,
   minShares,
   NO_SHARE,
+  roundDown,
   scaleShare,
   subtractShares,
 } from "./limit_share.ts";
@@ -67,7 +68,9 @@
       this.reserved.at(nowMs),
       this.#lent.lentAt(nowMs),
     );
-    return subtractShares(scaleShare(this.demand, WANTED_FACTOR), own);
+    return roundDown(
+      subtractShares(scaleShare(this.demand, WANTED_FACTOR), own),
+    );
   }
 
   /** Whether the entry lacks something and didn't when it asked last. */
@@ -162,11 +165,7 @@
       this.#lent.lentElsewhere(lender, nowMs),
       scaleShare(this.demand, KEPT_FACTOR),
     );
-    const spare = subtractShares(this.reserved.at(nowMs), bound);
-    return {
-      ...spare,
-      concurrentRequests: Math.floor(spare.concurrentRequests),
-    };
+    return roundDown(subtractShares(this.reserved.at(nowMs), bound));
   }
 
   #forgetLapsed(nowMs: number): void {
--- a/agreement/grant-allowances/src/limit_share.ts
+++ b/agreement/grant-allowances/src/limit_share.ts
@@ -12,6 +12,9 @@
 /** Differences below this part of an amount come from rounding. */
 const ROUNDING = 1e-9;
 
+/** Messages carry requests a second in thousandths. */
+const STEPS_PER_REQUEST = 1_000;
+
 export const NO_SHARE: LimitShare = {
   requestsPerSecond: 0,
   concurrentRequests: 0,
@@ -84,6 +87,19 @@
   };
 }
 
+/** Rounded down to what a message carries, so that nothing is made up. */
+export function roundDown(share: LimitShare): LimitShare {
+  return {
+    requestsPerSecond: floorTo(share.requestsPerSecond, STEPS_PER_REQUEST),
+    concurrentRequests: Math.floor(share.concurrentRequests),
+    tokensPerMinute: Math.floor(share.tokensPerMinute),
+  };
+}
+
+function floorTo(value: number, stepsPerUnit: number): number {
+  return Math.floor(value * stepsPerUnit) / stepsPerUnit;
+}
+
 export function isNoShare(share: LimitShare): boolean {
   return share.requestsPerSecond <= 0 && share.concurrentRequests <= 0 &&
     share.tokensPerMinute <= 0;
--- /dev/null
+++ b/testing/bench/src/registry.ts
@@ -0,0 +1,10 @@
+/** Every bench, one line each. */
+
+import type { Bench } from "./bench.ts";
+import { CONFIG_SPREAD_BENCH } from "./config/config_spread_bench.ts";
+import { LIMITS_BENCH } from "./limits/limits_bench.ts";
+
+export const BENCHES: readonly Bench[] = [
+  CONFIG_SPREAD_BENCH,
+  LIMITS_BENCH,
+];
