Measure an organisation's demand, and tell overload's callers a true time

The exchange of shares had no demand to go by. The limiter measures it at each tick, refused requests included. Callers refused for overload were all told 250 ms; they are told times one after another from the mean duration of what is in flight.

--- a/routing/limit-requests/src/limit_requests.ts
+++ b/routing/limit-requests/src/limit_requests.ts
@@ -21,7 +21,6 @@
   RequestEnded,
 } from "./types.ts";
 
-const OVERLOAD_RETRY_MS = 250;
 const UNKNOWN_RETRY_MS = 1_000;
 
 interface RunningRequest {
@@ -73,9 +72,7 @@
     case "contractChanged":
       return changeContract(state, event.contract, nowMs);
     case "contractRemoved":
-      state.organisations.delete(event.organisation);
-      state.holdings.delete(event.organisation);
-      return [];
+      return removeContract(state, event.organisation);
     case "entriesChanged":
       state.entry = event.entry;
       state.entries = event.entries;
@@ -87,7 +84,7 @@
       poolOf(state, event.pool).setLimit(event.concurrentRequests);
       return [];
     case "tick":
-      return renewHoldings(state, nowMs);
+      return measureDemands(state, nowMs);
   }
 }
 
@@ -101,7 +98,7 @@
     return [violation("requestBeginsOnce", requestId)];
   }
   const limits = state.organisations.get(organisation);
-  if (limits === undefined) {
+  if (limits === undefined || limits.removed) {
     return [{
       type: "refuse",
       requestId,
@@ -118,7 +115,7 @@
       type: "refuse",
       requestId,
       code: "DANDELIONBANK_OVERLOADED",
-      retryAfterMs: OVERLOAD_RETRY_MS,
+      retryAfterMs: pool.retryAfterMs(nowMs),
     }];
   }
   return admit(state, { event, limits, pool, nowMs });
@@ -159,14 +156,41 @@
     return [violation("requestEndsOnce", event.requestId)];
   }
   state.running.delete(event.requestId);
-  running.limits.end({
-    excessTokens: event.actualTokens - running.estimatedTokens,
-    durationMs: nowMs - running.sinceMs,
-  }, nowMs);
-  poolOf(state, running.pool).end(running.limits.contract.organisation);
+  const { limits } = running;
+  const { organisation } = limits.contract;
+  const durationMs = nowMs - running.sinceMs;
+  const excessTokens = event.actualTokens - running.estimatedTokens;
+  limits.end({ excessTokens, durationMs }, nowMs);
+  poolOf(state, running.pool).end(organisation, durationMs);
+  if (limits.removed) removeContract(state, organisation);
+  return [];
+}
+
+/** Keeps the count of what is in flight, since the contract may come back. */
+function removeContract(
+  state: LimitState,
+  organisation: string,
+): readonly LimitEffect[] {
+  state.holdings.delete(organisation);
+  const limits = state.organisations.get(organisation);
+  if (limits === undefined) return [];
+  limits.removed = true;
+  if (limits.inFlight === 0) state.organisations.delete(organisation);
   return [];
 }
 
+function measureDemands(
+  state: LimitState,
+  nowMs: number,
+): readonly LimitEffect[] {
+  renewHoldings(state, nowMs);
+  return [...state.organisations].flatMap(([organisation, limits]) => {
+    const demand = limits.measureDemand(nowMs);
+    if (demand === undefined) return [];
+    return [{ type: "demandMeasured", organisation, demand }];
+  });
+}
+
 function changeContract(
   state: LimitState,
   contract: Contract,
@@ -181,6 +205,7 @@
     return [];
   }
   known.contract = contract;
+  known.removed = false;
   known.holding = holding;
   known.refresh(nowMs);
   return [];
--- a/routing/limit-requests/src/limit_requests_test.ts
+++ b/routing/limit-requests/src/limit_requests_test.ts
@@ -194,6 +194,64 @@
   assert.equal(codeOf(limiter.arrive(0)), "admit");
 });
 
+test("Callers refused for overload are told when requests will have ended", () => {
+  const contract = createContract({
+    requestsPerSecond: 1_000,
+    concurrentRequests: 100,
+  });
+  const limiter = createLimiter([contract]);
+  limiter.send({
+    type: "capacityChanged",
+    pool: "review",
+    concurrentRequests: 4,
+  }, 0);
+  for (let i = 0; i < 50; i++) {
+    const requestId = `w${i}`;
+    limiter.arrive(i * 200, { requestId });
+    limiter.end(requestId, i * 200 + 200);
+  }
+  const effects = [0, 1, 2, 3, 4].map(() => limiter.arrive(10_000));
+  const waits = effects.filter(({ type }) => type === "refuse").map(retryOf);
+  assert.equal(waits.length, 2);
+  assert.ok(Math.abs(waits[0]! - 200 / 3) < 4);
+  assert.ok(Math.abs(waits[1]! - 400 / 3) < 6);
+});
+
+test("Demand counts what was refused, rises at once and falls slowly", () => {
+  const limiter = createLimiter([createContract({ concurrentRequests: 2 })]);
+  for (let i = 0; i < 6; i++) limiter.arrive(i, { estimatedTokens: 10 });
+  const demandAt = (nowMs: number) => {
+    const [effect] = limiter.send({ type: "tick" }, nowMs);
+    assert.equal(effect?.type, "demandMeasured");
+    return effect?.type === "demandMeasured" ? effect.demand : undefined;
+  };
+  assert.deepEqual(demandAt(1_000), {
+    requestsPerSecond: 6,
+    concurrentRequests: 6,
+    tokensPerMinute: 3_600,
+  });
+  assert.equal(demandAt(2_000)?.requestsPerSecond, 4.8);
+  assert.equal(demandAt(60_000)?.concurrentRequests, 5);
+});
+
+test("A contract that comes back still counts what was in flight", () => {
+  const contract = createContract({ concurrentRequests: 1 });
+  const limiter = createLimiter([contract]);
+  limiter.arrive(0, { requestId: "x" });
+  limiter.send({ type: "contractRemoved", organisation: "malabar" }, 1);
+  assert.equal(
+    codeOf(limiter.arrive(2)),
+    "DANDELIONBANK_ORGANISATION_UNKNOWN",
+  );
+  limiter.send({ type: "contractChanged", contract }, 3);
+  assert.equal(
+    codeOf(limiter.arrive(1_000)),
+    "DANDELIONBANK_CONCURRENCY_LIMITED",
+  );
+  limiter.end("x", 1_001);
+  assert.equal(codeOf(limiter.arrive(2_000)), "admit");
+});
+
 test("What can't be is refused or reported, never counted", () => {
   const limiter = createLimiter([createContract()]);
   assert.equal(
--- a/routing/limit-requests/src/organisation_limits.ts
+++ b/routing/limit-requests/src/organisation_limits.ts
@@ -1,23 +1,20 @@
 /**
  * The limits of one organisation at one entry: buckets for requests and
- * tokens, a count of requests in flight, and the time at which a refused
- * caller finds room. Refused callers are told times one after another, since
- * all of them coming back at one time would be refused again.
+ * tokens, a count of requests in flight, the time at which a refused caller
+ * finds room, and what the organisation's requests would need.
  */
 
 import { NO_SHARE, shareAt } from "@dandelionbank/grant-allowances";
 import type { Contract, LimitShare, ShareHolding } from "@dandelionbank/types";
+import { DemandMeter } from "./demand_meter.ts";
+import { MeanDuration } from "./mean_duration.ts";
+import { RetryTimes } from "./retry_times.ts";
+import type { RoomExpected } from "./retry_times.ts";
 import { TokenBucket } from "./token_bucket.ts";
 import type { LimitCode } from "./types.ts";
 
 const RATE_BURST_MS = 1_000;
 const TOKEN_BURST_MS = 10_000;
-const MIN_RETRY_MS = 10;
-/** Told when this entry holds no share at all, and until loans arrive. */
-const NO_SHARE_RETRY_MS = 1_000;
-const MAX_RETRY_MS = 60_000;
-const TYPICAL_DURATION_MS = 1_000;
-const DURATION_WEIGHT = 0.1;
 
 export interface LimitVerdict {
   readonly code: LimitCode;
@@ -28,8 +25,11 @@
   readonly #requests: TokenBucket;
   readonly #tokens: TokenBucket;
   #share: LimitShare = NO_SHARE;
-  #meanDurationMs = TYPICAL_DURATION_MS;
-  #toldUntilMs = 0;
+  readonly #durations = MeanDuration.create();
+  readonly #retryTimes = RetryTimes.create();
+  readonly #demand: DemandMeter;
+  /** Set when the contract was removed while requests were in flight. */
+  removed = false;
   inFlight = 0;
   contract: Contract;
   holding: ShareHolding;
@@ -43,6 +43,7 @@
   ) {
     this.contract = contract;
     this.holding = holding;
+    this.#demand = DemandMeter.create(nowMs);
     this.#requests = TokenBucket.create({
       burstMs: RATE_BURST_MS,
       minDepth: 1,
@@ -73,32 +74,20 @@
     this.#tokens.setRate(share.tokensPerMinute / 60_000, nowMs);
   }
 
+  /** What the requests need here, refused ones included. */
+  measureDemand(nowMs: number): LimitShare | undefined {
+    const { inFlight } = this;
+    const meanDurationMs = this.#durations.meanMs;
+    return this.#demand.measure({ inFlight, meanDurationMs }, nowMs);
+  }
+
   /** Why the request has to wait, or `undefined` if it need not. */
   check(estimatedTokens: number, nowMs: number): LimitVerdict | undefined {
-    if (this.inFlight >= this.#share.concurrentRequests) {
-      return this.#refuse("DANDELIONBANK_CONCURRENCY_LIMITED", {
-        waitMs: this.#nextEndMs(),
-        stepMs: this.#nextEndMs(),
-        nowMs,
-      });
-    }
-    const rateWaitMs = this.#requests.waitMs(1, nowMs);
-    if (rateWaitMs > 0) {
-      return this.#refuse("DANDELIONBANK_RATE_LIMITED", {
-        waitMs: rateWaitMs,
-        stepMs: 1 / this.#requests.ratePerMs,
-        nowMs,
-      });
-    }
-    const tokenWaitMs = this.#tokens.waitMs(estimatedTokens, nowMs);
-    if (estimatedTokens > 0 && tokenWaitMs > 0) {
-      return this.#refuse("DANDELIONBANK_TOKENS_LIMITED", {
-        waitMs: tokenWaitMs,
-        stepMs: estimatedTokens / this.#tokens.ratePerMs,
-        nowMs,
-      });
-    }
-    return undefined;
+    this.#demand.note(estimatedTokens, this.inFlight + 1);
+    const refused = this.#findRefusal(estimatedTokens, nowMs);
+    if (refused === undefined) return undefined;
+    const { code, room } = refused;
+    return { code, retryAfterMs: this.#retryTimes.next(room, nowMs) };
   }
 
   begin(estimatedTokens: number, nowMs: number): void {
@@ -116,31 +105,32 @@
   ): void {
     this.inFlight -= 1;
     this.#tokens.charge(excessTokens, nowMs);
-    this.#meanDurationMs += DURATION_WEIGHT *
-      (durationMs - this.#meanDurationMs);
+    this.#durations.add(durationMs);
   }
 
-  #refuse(
-    code: LimitCode,
-    { waitMs, stepMs, nowMs }: {
-      readonly waitMs: number;
-      readonly stepMs: number;
-      readonly nowMs: number;
-    },
-  ): LimitVerdict {
-    if (!Number.isFinite(waitMs)) {
-      return { code, retryAfterMs: NO_SHARE_RETRY_MS };
+  #findRefusal(estimatedTokens: number, nowMs: number): Refusal | undefined {
+    if (this.inFlight >= this.#share.concurrentRequests) {
+      const waitMs = this.#durations.betweenEndsMs(this.inFlight);
+      const room = { waitMs, stepMs: waitMs };
+      return { code: "DANDELIONBANK_CONCURRENCY_LIMITED", room };
+    }
+    const rateWaitMs = this.#requests.waitMs(1, nowMs);
+    if (rateWaitMs > 0) {
+      const stepMs = 1 / this.#requests.ratePerMs;
+      const room = { waitMs: rateWaitMs, stepMs };
+      return { code: "DANDELIONBANK_RATE_LIMITED", room };
     }
-    const untilMs = Math.max(nowMs + waitMs, this.#toldUntilMs + stepMs);
-    this.#toldUntilMs = Math.min(untilMs, nowMs + MAX_RETRY_MS);
-    const retryAfterMs = Math.ceil(this.#toldUntilMs - nowMs);
-    return { code, retryAfterMs: Math.max(MIN_RETRY_MS, retryAfterMs) };
+    const tokenWaitMs = this.#tokens.waitMs(estimatedTokens, nowMs);
+    if (estimatedTokens <= 0 || tokenWaitMs <= 0) return undefined;
+    const stepMs = estimatedTokens / this.#tokens.ratePerMs;
+    const room = { waitMs: tokenWaitMs, stepMs };
+    return { code: "DANDELIONBANK_TOKENS_LIMITED", room };
   }
+}
 
-  #nextEndMs(): number {
-    if (this.inFlight === 0) return Infinity;
-    return this.#meanDurationMs / this.inFlight;
-  }
+interface Refusal {
+  readonly code: LimitCode;
+  readonly room: RoomExpected;
 }
 
 function isSame(left: LimitShare, right: LimitShare): boolean {
--- a/routing/limit-requests/src/pool_capacity.ts
+++ b/routing/limit-requests/src/pool_capacity.ts
@@ -7,6 +7,8 @@
  */
 
 import type { Contract } from "@dandelionbank/types";
+import { MeanDuration } from "./mean_duration.ts";
+import { RetryTimes } from "./retry_times.ts";
 
 const HIGHEST_PRIORITY = 9;
 const INSIDE_BASE = 0.9;
@@ -21,6 +23,8 @@
 
 export class PoolCapacity {
   readonly #uses = new Map<string, PoolUse>();
+  readonly #durations = MeanDuration.create();
+  readonly #retryTimes = RetryTimes.create();
   #weightSum = 0;
   #inFlight = 0;
   #limit: number | undefined;
@@ -35,8 +39,10 @@
     this.#limit = concurrentRequests;
   }
 
-  get inFlight(): number {
-    return this.#inFlight;
+  /** When a request that found no room may come back. */
+  retryAfterMs(nowMs: number): number {
+    const waitMs = this.#durations.betweenEndsMs(this.#inFlight);
+    return this.#retryTimes.next({ waitMs, stepMs: waitMs }, nowMs);
   }
 
   /** Whether the pool has room for one more request of the contract. */
@@ -55,7 +61,8 @@
     this.#inFlight += 1;
   }
 
-  end(organisation: string): void {
+  end(organisation: string, durationMs: number): void {
+    this.#durations.add(durationMs);
     const use = this.#uses.get(organisation);
     if (use === undefined) return;
     use.inFlight -= 1;
--- a/routing/limit-requests/src/types.ts
+++ b/routing/limit-requests/src/types.ts
@@ -1,6 +1,6 @@
 /** What the limiter is told and what it decides. */
 
-import type { Contract, ShareHolding } from "@dandelionbank/types";
+import type { Contract, LimitShare, ShareHolding } from "@dandelionbank/types";
 
 export type LimitEvent =
   | RequestArrived
@@ -66,6 +66,7 @@
 export type LimitEffect =
   | AdmitRequest
   | RefuseRequest
+  | DemandMeasured
   | LimitInvariantViolated;
 
 export interface AdmitRequest {
@@ -88,6 +89,13 @@
   readonly retryAfterMs: number;
 }
 
+/** At a tick: what an organisation's requests need here, for its shares. */
+export interface DemandMeasured {
+  readonly type: "demandMeasured";
+  readonly organisation: string;
+  readonly demand: LimitShare;
+}
+
 /** Becomes the log event `invariantViolated`. */
 export interface LimitInvariantViolated {
   readonly type: "invariantViolated";
