--- /dev/null
+++ b/testing/bench/src/placement/placement_bench.ts
@@ -0,0 +1,82 @@
+/**
+ * Placement of requests on engines at several loads, each policy on the same
+ * arrivals: the time to the first token and between tokens, and the requests
+ * served within the objectives.
+ */
+
+import type { Bench, BenchReport, Figure } from "../bench.ts";
+import { runPlacement } from "./placement_run.ts";
+import type { PlacementResult, PlacementVariant } from "./placement_run.ts";
+
+const LOADS = [0.6, 0.8, 0.95, 1.2];
+const SIZES = [{ engines: 16, entries: 6 }];
+const OURS: PlacementVariant = {
+  name: "dandelionbank",
+  policy: "powerOfTwo",
+  affinity: true,
+};
+const BASELINES: readonly PlacementVariant[] = [
+  { name: "random", policy: "random", affinity: false },
+  { name: "roundRobin", policy: "roundRobin", affinity: false },
+  {
+    name: "leastReported",
+    policy: "random",
+    affinity: false,
+    reportsOnly: true,
+  },
+  { name: "leastRequests", policy: "leastRequests", affinity: false },
+  { name: "powerOfTwo", policy: "powerOfTwo", affinity: false },
+];
+
+export const PLACEMENT_BENCH: Bench = {
+  name: "placement",
+  run(seed: number): BenchReport {
+    const figures: Figure[] = [];
+    const baselines: Record<string, number> = {};
+    for (const size of SIZES) {
+      for (const load of LOADS) {
+        const setup = { ...size, load, seed };
+        const place = `${size.engines}EnginesAt${Math.round(load * 100)}`;
+        figures.push(...describe(place, runPlacement(setup, OURS), load));
+        for (const variant of BASELINES) {
+          const result = runPlacement(setup, variant);
+          for (const { name, value } of describe(place, result, load)) {
+            baselines[`${variant.name}.${name}`] = value;
+          }
+        }
+      }
+    }
+    return { figures, baselines };
+  },
+};
+
+function describe(
+  place: string,
+  result: PlacementResult,
+  load: number,
+): readonly Figure[] {
+  const overload = load > 1 ? { bound: 95, boundKind: "least" as const } : {};
+  return [
+    {
+      name: `firstTokenP99Of${place}Ms`,
+      value: result.firstTokenP99Ms,
+      unit: "ms",
+    },
+    {
+      name: `betweenTokensP99Of${place}Ms`,
+      value: result.betweenTokensP99Ms,
+      unit: "ms",
+    },
+    {
+      name: `goodputOf${place}Percent`,
+      value: result.goodputPercent,
+      unit: "%",
+      ...overload,
+    },
+    {
+      name: `refusedOf${place}Percent`,
+      value: result.refusedPercent,
+      unit: "%",
+    },
+  ];
+}
--- a/testing/bench/src/registry.ts
+++ b/testing/bench/src/registry.ts
@@ -3,8 +3,10 @@
 import type { Bench } from "./bench.ts";
 import { CONFIG_SPREAD_BENCH } from "./config/config_spread_bench.ts";
 import { LIMITS_BENCH } from "./limits/limits_bench.ts";
+import { PLACEMENT_BENCH } from "./placement/placement_bench.ts";
 
 export const BENCHES: readonly Bench[] = [
   CONFIG_SPREAD_BENCH,
   LIMITS_BENCH,
+  PLACEMENT_BENCH,
 ];
