--- a/testing/bench/src/bench.ts
+++ b/testing/bench/src/bench.ts
@@ -42,6 +42,22 @@
   return { ...round(measured), bound: "" };
 }
 
+/** A figure with its bound as a number. */
+export interface BoundedFigure extends Measured {
+  /** From the users' needs, never from a measured value. */
+  readonly bound?: number;
+  /** Whether the bound is the least or the most that will do. */
+  readonly boundKind?: "most" | "least";
+}
+
+export function judgeFigure(figure: BoundedFigure): Figure {
+  const { bound, boundKind, ...measured } = figure;
+  if (bound === undefined) return unbounded(measured);
+  return boundKind === "least"
+    ? atLeast(measured, bound)
+    : atMost(measured, bound);
+}
+
 function round(measured: Measured): Measured {
   return { ...measured, value: Number(measured.value.toPrecision(4)) };
 }
