--- /dev/null
+++ b/agreement/switch-map/src/coordinator_core.ts
@@ -0,0 +1,121 @@
+/**
+ * The core of the process that plans a group's switches. It relays: votes are
+ * gathered here and passed on together, so that a switch costs a few messages
+ * per rank. It decides nothing; ranks that miss it ask each other. Pure: times
+ * are milliseconds of the caller's monotonic clock.
+ */
+
+import type { Step } from "@dandelionbank/types";
+import {
+  createDraft,
+  sendToRank,
+  setPhase,
+  update,
+} from "./coordinator_draft.ts";
+import type { CoordinatorDraft } from "./coordinator_draft.ts";
+import type {
+  CoordinatorEffect,
+  CoordinatorEvent,
+  CoordinatorOptions,
+  CoordinatorState,
+} from "./coordinator_state.ts";
+import { driveVoting, takeOutcome } from "./coordinator_voting.ts";
+import {
+  beginQuery,
+  beginStaging,
+  continueStaging,
+  giveUpStaging,
+  takeQueryStatus,
+  takeStaged,
+} from "./coordinator_phases.ts";
+import type { RankMessage } from "./messages.ts";
+
+export function startCoordinator(
+  options: CoordinatorOptions,
+  nowMs: number,
+): Step<CoordinatorState, CoordinatorEffect> {
+  const state: CoordinatorState = {
+    options,
+    phase: { kind: "idle" },
+    current: { mapVersion: 0, fromStep: 0 },
+    versionCount: 0,
+    resendAtMs: nowMs + options.resendIntervalMs,
+  };
+  const draft = createDraft(state, nowMs);
+  beginQuery(draft);
+  return { state: draft.state, effects: draft.effects };
+}
+
+export function stepCoordinator(
+  state: CoordinatorState,
+  event: CoordinatorEvent,
+  nowMs: number,
+): Step<CoordinatorState, CoordinatorEffect> {
+  const draft = createDraft(state, nowMs);
+  handleEvent(draft, event);
+  return { state: draft.state, effects: draft.effects };
+}
+
+function handleEvent(draft: CoordinatorDraft, event: CoordinatorEvent): void {
+  switch (event.type) {
+    case "message":
+      if (!("fencingNumber" in event.message)) handleRank(draft, event.message);
+      return;
+    case "tick":
+      return handleTick(draft);
+    case "plan":
+      return beginStaging(draft);
+    case "cancel":
+      return cancelSwitch(draft);
+  }
+}
+
+function handleRank(draft: CoordinatorDraft, message: RankMessage): void {
+  switch (message.type) {
+    case "status":
+      return takeQueryStatus(draft, message);
+    case "staged":
+      return takeStaged(draft, message);
+    case "vote":
+      return takeOutcome(draft, message);
+    case "join":
+    case "ask":
+      return;
+  }
+}
+
+function handleTick(draft: CoordinatorDraft): void {
+  const { phase, resendAtMs, options } = draft.state;
+  if (draft.nowMs < resendAtMs) return;
+  update(draft, { resendAtMs: draft.nowMs + options.resendIntervalMs });
+  if (phase.kind === "querying") askStatuses(draft);
+  if (phase.kind === "staging") continueStaging(draft);
+  if (phase.kind === "voting") driveVoting(draft);
+}
+
+function askStatuses(draft: CoordinatorDraft): void {
+  const { phase, options } = draft.state;
+  if (phase.kind !== "querying") return;
+  const { fencingNumber } = options;
+  phase.statuses.forEach((status, rank) => {
+    if (status === null) {
+      sendToRank(draft, rank, { type: "query", fencingNumber });
+    }
+  });
+}
+
+function cancelSwitch(draft: CoordinatorDraft): void {
+  const { phase, options } = draft.state;
+  if (phase.kind === "staging") {
+    giveUpStaging(draft);
+    return;
+  }
+  if (phase.kind !== "voting") return;
+  const { mapVersion } = phase.proposal;
+  setPhase(draft, { ...phase, own: false });
+  phase.promisedBy.forEach((incarnation, rank) => {
+    if (incarnation > 0) return;
+    const { fencingNumber } = options;
+    sendToRank(draft, rank, { type: "cancel", fencingNumber, mapVersion });
+  });
+}
--- /dev/null
+++ b/agreement/switch-map/src/coordinator_phases.ts
@@ -0,0 +1,143 @@
+/** Query, staging and the proposal that follows them. */
+
+import {
+  listRanks,
+  sendToRank,
+  setPhase,
+  update,
+} from "./coordinator_draft.ts";
+import type { CoordinatorDraft } from "./coordinator_draft.ts";
+import type { StagingPhase } from "./coordinator_state.ts";
+import { beginVoting } from "./coordinator_voting.ts";
+import { VERSIONS_PER_HOLDER } from "./messages.ts";
+import type { StagedMessage, StatusMessage } from "./messages.ts";
+
+export function beginQuery(draft: CoordinatorDraft): void {
+  const { fencingNumber } = draft.state.options;
+  const ranks = listRanks(draft.state);
+  setPhase(draft, { kind: "querying", statuses: ranks.map(() => null) });
+  for (const rank of ranks) {
+    sendToRank(draft, rank, { type: "query", fencingNumber });
+  }
+}
+
+export function takeQueryStatus(
+  draft: CoordinatorDraft,
+  status: StatusMessage,
+): void {
+  const { phase } = draft.state;
+  if (phase.kind !== "querying" || !status.serving) return;
+  const known = phase.statuses[status.from.rank];
+  if (known && known.from.incarnation > status.from.incarnation) return;
+  const statuses = phase.statuses.with(status.from.rank, status);
+  setPhase(draft, { ...phase, statuses });
+  const answers = statuses.filter((answer) => answer !== null);
+  if (answers.length === statuses.length) settleFormer(draft, answers);
+}
+
+/** Starts the staging of a new map, if nothing else is under way. */
+export function beginStaging(draft: CoordinatorDraft): void {
+  const { phase, versionCount, options } = draft.state;
+  if (phase.kind !== "idle") {
+    draft.effects.push({ type: "planRefused", reason: "busy" });
+    return;
+  }
+  if (versionCount + 1 >= VERSIONS_PER_HOLDER) {
+    draft.effects.push({ type: "planRefused", reason: "versionsUsedUp" });
+    return;
+  }
+  const mapVersion = options.fencingNumber * VERSIONS_PER_HOLDER +
+    versionCount + 1;
+  update(draft, { versionCount: versionCount + 1 });
+  setPhase(draft, {
+    kind: "staging",
+    mapVersion,
+    stagedAt: listRanks(draft.state).map(() => null),
+    startedAtMs: draft.nowMs,
+  });
+  draft.effects.push({ type: "mapPlanned", mapVersion });
+  orderStaging(draft);
+}
+
+export function takeStaged(
+  draft: CoordinatorDraft,
+  message: StagedMessage,
+): void {
+  const { phase } = draft.state;
+  if (phase.kind !== "staging" || phase.mapVersion !== message.mapVersion) {
+    return;
+  }
+  const stagedAt = phase.stagedAt.with(message.from.rank, message.step);
+  setPhase(draft, { ...phase, stagedAt });
+  const steps = stagedAt.filter((step) => step !== null);
+  if (steps.length === stagedAt.length) propose(draft, Math.max(...steps));
+}
+
+/** Orders the staging again where it is missing, up to the time limit. */
+export function continueStaging(draft: CoordinatorDraft): void {
+  const { phase, options } = draft.state;
+  if (phase.kind !== "staging") return;
+  if (draft.nowMs - phase.startedAtMs >= options.stageTimeoutMs) {
+    giveUpStaging(draft);
+    return;
+  }
+  orderStaging(draft);
+}
+
+/** Nothing was proposed, so nothing has to be settled. */
+export function giveUpStaging(draft: CoordinatorDraft): void {
+  const { phase } = draft.state;
+  if (phase.kind !== "staging") return;
+  setPhase(draft, { kind: "idle" });
+  draft.effects.push({
+    type: "switchSettled",
+    map: { mapVersion: phase.mapVersion, fromStep: 0 },
+    committed: false,
+  });
+}
+
+function orderStaging(draft: CoordinatorDraft): void {
+  const { phase, options } = draft.state;
+  if (phase.kind !== "staging") return;
+  const { mapVersion } = phase;
+  const { fencingNumber } = options;
+  listMissing(phase).forEach((rank) =>
+    sendToRank(draft, rank, { type: "stage", fencingNumber, mapVersion })
+  );
+}
+
+function listMissing(phase: StagingPhase): readonly number[] {
+  return phase.stagedAt.flatMap((step, rank) => step === null ? [rank] : []);
+}
+
+function propose(draft: CoordinatorDraft, latestStep: number): void {
+  const { phase, options, current } = draft.state;
+  if (phase.kind !== "staging") return;
+  const proposal = {
+    mapVersion: phase.mapVersion,
+    fromStep: Math.max(latestStep, current.fromStep) + options.leadSteps,
+    baseVersion: current.mapVersion,
+    fencingNumber: options.fencingNumber,
+  };
+  beginVoting(draft, { proposal, own: true, promises: [] });
+}
+
+/** Settles what a former coordinator left open, one proposal at a time. */
+function settleFormer(
+  draft: CoordinatorDraft,
+  statuses: readonly StatusMessage[],
+): void {
+  const newest = statuses.reduce((one, other) =>
+    other.current.mapVersion > one.current.mapVersion ? other : one
+  );
+  update(draft, { current: newest.current });
+  const proposal = statuses.find((status) => status.open !== undefined)?.open;
+  if (proposal === undefined) {
+    setPhase(draft, { kind: "idle" });
+    return;
+  }
+  const promises = statuses
+    .filter((status) => status.open?.mapVersion === proposal.mapVersion)
+    .map((status) => status.from);
+  beginVoting(draft, { proposal, own: false, promises });
+}
--- /dev/null
+++ b/agreement/switch-map/src/coordinator_voting.ts
@@ -0,0 +1,154 @@
+/** Gathers the promises for one proposal and spreads its outcome. */
+
+import {
+  listRanks,
+  sendToRank,
+  setPhase,
+  update,
+} from "./coordinator_draft.ts";
+import type { CoordinatorDraft } from "./coordinator_draft.ts";
+import type { VotingPhase } from "./coordinator_state.ts";
+import type {
+  CoordinatorMessage,
+  MapProposal,
+  RankIncarnation,
+  VoteMessage,
+} from "./messages.ts";
+import { beginQuery } from "./coordinator_phases.ts";
+
+export interface VotingStart {
+  readonly proposal: MapProposal;
+  readonly own: boolean;
+  readonly promises: readonly RankIncarnation[];
+}
+
+export function beginVoting(draft: CoordinatorDraft, start: VotingStart): void {
+  const ranks = listRanks(draft.state);
+  const promisedBy: number[] = ranks.map(() => 0);
+  for (const { rank, incarnation } of start.promises) {
+    promisedBy[rank] = incarnation;
+  }
+  setPhase(draft, {
+    kind: "voting",
+    proposal: start.proposal,
+    own: start.own,
+    promisedBy,
+    outcomes: ranks.map(() => null),
+  });
+  driveVoting(draft);
+}
+
+/** Sends each rank without a confirmed outcome what it needs next. */
+export function driveVoting(draft: CoordinatorDraft): void {
+  const { phase } = draft.state;
+  if (phase.kind !== "voting") return;
+  phase.outcomes.forEach((outcome, rank) => {
+    if (outcome !== null) return;
+    sendToRank(draft, rank, selectMessage(draft, { phase, rank }));
+  });
+}
+
+/** Takes in a rank's vote or what it knows of the outcome. */
+export function takeOutcome(
+  draft: CoordinatorDraft,
+  message: VoteMessage,
+): void {
+  const { phase } = draft.state;
+  if (phase.kind !== "voting") return;
+  if (phase.proposal.mapVersion !== message.mapVersion) return;
+  if (message.vote === "promised") takePromise(draft, phase, message.from);
+  else confirmOutcome(draft, phase, message);
+}
+
+function takePromise(
+  draft: CoordinatorDraft,
+  phase: VotingPhase,
+  from: RankIncarnation,
+): void {
+  const known = phase.promisedBy[from.rank] ?? 0;
+  if (from.incarnation <= known) return;
+  const promisedBy = phase.promisedBy.with(from.rank, from.incarnation);
+  setPhase(draft, { ...phase, promisedBy });
+  if (isComplete(promisedBy) && phase.abortedBy === undefined) {
+    driveVoting(draft);
+  }
+}
+
+function confirmOutcome(
+  draft: CoordinatorDraft,
+  phase: VotingPhase,
+  message: VoteMessage,
+): void {
+  if (message.vote === "committed") confirmCommit(draft, phase, message.from);
+  else confirmAbort(draft, phase, message.from);
+}
+
+/**
+ * A rank that committed knows better than a refusal by an incarnation that has
+ * a successor since: whoever reported the refusal is asked again.
+ */
+function confirmCommit(
+  draft: CoordinatorDraft,
+  phase: VotingPhase,
+  from: RankIncarnation,
+): void {
+  const { abortedBy: _, ...rest } = phase;
+  const outcomes = phase.outcomes
+    .map((outcome) => outcome === "aborted" ? null : outcome)
+    .with(from.rank, "committed");
+  setPhase(draft, { ...rest, outcomes });
+  finishIfConfirmed(draft);
+}
+
+function confirmAbort(
+  draft: CoordinatorDraft,
+  phase: VotingPhase,
+  from: RankIncarnation,
+): void {
+  if (phase.outcomes.includes("committed")) return;
+  const outcomes = phase.outcomes.with(from.rank, "aborted");
+  const abortedBy = phase.abortedBy ?? from;
+  setPhase(draft, { ...phase, abortedBy, outcomes });
+  if (phase.abortedBy === undefined) driveVoting(draft);
+  finishIfConfirmed(draft);
+}
+
+function finishIfConfirmed(draft: CoordinatorDraft): void {
+  const { phase } = draft.state;
+  if (phase.kind !== "voting") return;
+  if (phase.outcomes.every((outcome) => outcome !== null)) finish(draft, phase);
+}
+
+function finish(draft: CoordinatorDraft, phase: VotingPhase): void {
+  const { mapVersion, fromStep } = phase.proposal;
+  const map = { mapVersion, fromStep };
+  const committed = phase.outcomes.every((outcome) => outcome === "committed");
+  if (committed) update(draft, { current: map });
+  draft.effects.push({ type: "switchSettled", map, committed });
+  if (phase.own) setPhase(draft, { kind: "idle" });
+  else beginQuery(draft);
+}
+
+function selectMessage(
+  draft: CoordinatorDraft,
+  options: { readonly phase: VotingPhase; readonly rank: number },
+): CoordinatorMessage {
+  const { phase, rank } = options;
+  const { fencingNumber } = draft.state.options;
+  const { proposal, promisedBy, abortedBy } = phase;
+  const { mapVersion } = proposal;
+  if (abortedBy !== undefined) {
+    return { type: "abort", fencingNumber, mapVersion, by: abortedBy };
+  }
+  if (isComplete(promisedBy)) {
+    return { type: "certificate", fencingNumber, mapVersion, promisedBy };
+  }
+  if (!phase.own && promisedBy[rank] === 0) {
+    return { type: "cancel", fencingNumber, mapVersion };
+  }
+  return { type: "propose", fencingNumber, proposal };
+}
+
+function isComplete(promisedBy: readonly number[]): boolean {
+  return promisedBy.every((incarnation) => incarnation > 0);
+}
--- /dev/null
+++ b/agreement/switch-map/src/mod.ts
@@ -0,0 +1,8 @@
+/** The switch of a group's expert map at a step, by unanimous promises. */
+
+export { startCoordinator, stepCoordinator } from "./coordinator_core.ts";
+export type * from "./coordinator_state.ts";
+export { VERSIONS_PER_HOLDER } from "./messages.ts";
+export type * from "./messages.ts";
+export { startRank, stepRank } from "./rank_core.ts";
+export type * from "./rank_state.ts";
--- /dev/null
+++ b/agreement/switch-map/src/rank_core.ts
@@ -0,0 +1,237 @@
+/**
+ * The core in the agent of one rank of a lock-step group. It promises or
+ * refuses new expert maps, learns their outcome and lets its rank begin a step
+ * only under the map that the whole group uses in it. Pure: times are
+ * milliseconds of the caller's monotonic clock.
+ */
+
+import type { Step } from "@dandelionbank/types";
+import type {
+  AbortMessage,
+  CertificateMessage,
+  CoordinatorMessage,
+  RankMessage,
+  SwitchMessage,
+} from "./messages.ts";
+import { isSuperseded, reportViolation, send, update } from "./rank_draft.ts";
+import type { RankDraft } from "./rank_draft.ts";
+import {
+  askMissingPeers,
+  beginJoin,
+  createStatus,
+  noteSender,
+  takeStatus,
+} from "./rank_join.ts";
+import type {
+  RankEffect,
+  RankEvent,
+  RankOptions,
+  RankState,
+} from "./rank_state.ts";
+import {
+  continueTakeover,
+  finishStaging,
+  finishSwitch,
+  orderStaging,
+} from "./rank_takeover.ts";
+import {
+  abortOpen,
+  considerProposal,
+  listMissing,
+  recordPromises,
+  refuseUnlessPromised,
+  settleHold,
+  takeVote,
+} from "./rank_votes.ts";
+
+/** Starts the core: the rank's next step is on hold until its peers answered. */
+export function startRank(
+  options: RankOptions,
+  nowMs: number,
+): Step<RankState, RankEffect> {
+  const { roster, self, evidence, recordedMap } = options;
+  const state: RankState = {
+    group: options.group,
+    self,
+    groupSize: options.groupSize,
+    recordedMap,
+    evidence,
+    askIntervalMs: options.askIntervalMs,
+    incarnations: roster.with(self.rank, self.incarnation),
+    fencingFloor: 0,
+    current: recordedMap,
+    previous: { mapVersion: 0, fromStep: 0 },
+    switching: [],
+    closedVersion: 0,
+    stagedVersions: [],
+    stagingFor: [],
+    step: evidence.step,
+    heldStep: -1,
+  };
+  const draft: RankDraft = { state, effects: [], nowMs };
+  beginJoin(draft);
+  return draft;
+}
+
+export function stepRank(
+  state: RankState,
+  event: RankEvent,
+  nowMs: number,
+): Step<RankState, RankEffect> {
+  const draft: RankDraft = { state, effects: [], nowMs };
+  handleEvent(draft, event);
+  return { state: draft.state, effects: draft.effects };
+}
+
+function handleEvent(draft: RankDraft, event: RankEvent): void {
+  switch (event.type) {
+    case "message":
+      return handleMessage(draft, event.message);
+    case "tick":
+      return handleTick(draft);
+    case "stepHeld":
+      return settleHold(draft, event);
+    case "mapStaged":
+      return finishStaging(draft, event.mapVersion);
+    case "mapSwitched":
+      return finishSwitch(draft, event.mapVersion);
+    case "stepStarted":
+      return noteStep(draft, event);
+  }
+}
+
+function handleMessage(draft: RankDraft, message: SwitchMessage): void {
+  if ("fencingNumber" in message) {
+    if (draft.state.join === undefined) handleCoordinator(draft, message);
+    return;
+  }
+  if (isSuperseded(draft.state, message.from)) return;
+  noteSender(draft, message.from);
+  handlePeer(draft, message);
+}
+
+function handlePeer(draft: RankDraft, message: RankMessage): void {
+  const to = { kind: "rank", rank: message.from.rank } as const;
+  if (message.type === "join") {
+    const { incarnation } = message.from;
+    const join = { incarnation, round: message.round };
+    send(draft, to, createStatus(draft.state, join));
+    return;
+  }
+  if (message.type === "status") {
+    takeStatus(draft, message);
+    return;
+  }
+  if (draft.state.join !== undefined) return;
+  if (message.type === "vote") takeVote(draft, message);
+  if (message.type !== "ask") return;
+  considerProposal(draft, message.proposal, to);
+  recordPromises(draft, message.proposal.mapVersion, [message.from]);
+}
+
+function handleCoordinator(
+  draft: RankDraft,
+  message: CoordinatorMessage,
+): void {
+  const { fencingNumber } = message;
+  const to = { kind: "coordinator", fencingNumber } as const;
+  switch (message.type) {
+    case "propose":
+      raiseFloor(draft, fencingNumber);
+      return considerProposal(draft, message.proposal, to);
+    case "cancel":
+      raiseFloor(draft, fencingNumber);
+      return refuseUnlessPromised(draft, message.mapVersion, to);
+    case "query":
+      raiseFloor(draft, fencingNumber);
+      return send(draft, to, createStatus(draft.state));
+    case "stage":
+      if (fencingNumber < draft.state.fencingFloor) return;
+      raiseFloor(draft, fencingNumber);
+      return orderStaging(draft, message);
+    case "abort":
+      takeAbort(draft, message);
+      return refuseUnlessPromised(draft, message.mapVersion, to);
+    case "certificate":
+      takeCertificate(draft, message);
+      return refuseUnlessPromised(draft, message.mapVersion, to);
+  }
+}
+
+function takeAbort(draft: RankDraft, message: AbortMessage): void {
+  const { by, mapVersion } = message;
+  if (isSuperseded(draft.state, by)) return;
+  takeVote(draft, { from: by, mapVersion, vote: "aborted" });
+}
+
+function takeCertificate(draft: RankDraft, message: CertificateMessage): void {
+  const promises = message.promisedBy
+    .map((incarnation, rank) => ({ rank, incarnation }))
+    .filter(({ incarnation }) => incarnation > 0);
+  recordPromises(draft, message.mapVersion, promises);
+}
+
+function raiseFloor(draft: RankDraft, fencingNumber: number): void {
+  const fencingFloor = Math.max(draft.state.fencingFloor, fencingNumber);
+  update(draft, { fencingFloor });
+}
+
+function handleTick(draft: RankDraft): void {
+  const { join, open, switching } = draft.state;
+  if (join !== undefined) {
+    if (draft.nowMs >= join.askAtMs) askMissingPeers(draft);
+    return;
+  }
+  if (switching.length > 0) continueTakeover(draft);
+  if (open?.promised && draft.nowMs >= open.askAtMs) askVotes(draft);
+}
+
+/** Asks one missing peer first, then twice as many each time. */
+function askVotes(draft: RankDraft): void {
+  const { open, self, askIntervalMs, groupSize } = draft.state;
+  if (open === undefined) return;
+  const missing = listMissing(draft.state);
+  const first = missing.findIndex((rank) => rank > self.rank);
+  const ordered = [...missing.slice(Math.max(first, 0)), ...missing]
+    .slice(0, missing.length);
+  const count = 2 ** open.rounds;
+  const asked = ordered.slice(0, count);
+  update(draft, {
+    open: {
+      ...open,
+      rounds: count < groupSize ? open.rounds + 1 : open.rounds,
+      askAtMs: draft.nowMs + askIntervalMs,
+    },
+  });
+  for (const rank of asked) {
+    const to = { kind: "rank", rank } as const;
+    send(draft, to, { type: "ask", from: self, proposal: open.proposal });
+  }
+}
+
+/** Checks every step that the rank begins against what was settled. */
+function noteStep(
+  draft: RankDraft,
+  report: { readonly step: number; readonly mapVersion: number },
+): void {
+  const { current, previous, open } = draft.state;
+  const expected = report.step >= current.fromStep ? current : previous;
+  update(draft, { step: Math.max(draft.state.step, report.step) });
+  if (expected.mapVersion !== report.mapVersion) {
+    reportViolation(
+      draft,
+      "oneMapPerStep",
+      `Step ${report.step} began under map ${report.mapVersion} in place of ${expected.mapVersion}`,
+    );
+  }
+  if (open === undefined || report.step < open.proposal.fromStep) return;
+  if (!open.promised) {
+    abortOpen(draft);
+    return;
+  }
+  reportViolation(
+    draft,
+    "noStepBeforeOutcome",
+    `Step ${report.step} began before the outcome of map ${open.proposal.mapVersion}`,
+  );
+}
--- /dev/null
+++ b/agreement/switch-map/src/rank_state.ts
@@ -0,0 +1,127 @@
+/** State, events and effects of the core in a rank's agent. Plain data. */
+
+import type {
+  MapProposal,
+  RankEvidence,
+  RankIncarnation,
+  Recipient,
+  SettledMap,
+  StatusMessage,
+  SwitchMessage,
+} from "./messages.ts";
+
+export interface RankOptions {
+  readonly group: string;
+  readonly self: RankIncarnation;
+  readonly groupSize: number;
+  /** By rank, from a read of the registrations after the agent's own was written; 0 for none. */
+  readonly roster: readonly number[];
+  /** The group's map in the platform's record. */
+  readonly recordedMap: SettledMap;
+  /** Read from the rank after its next step was put on hold. */
+  readonly evidence: RankEvidence;
+  /** Time between two questions about the same matter. */
+  readonly askIntervalMs: number;
+}
+
+/** A proposal that this agent promised, or is about to. */
+export interface OpenProposal {
+  readonly proposal: MapProposal;
+  /** Whether the rank is known to hold at the proposal's step. */
+  readonly promised: boolean;
+  /** Whether a former incarnation may have promised it: then it is not refused. */
+  readonly inherited: boolean;
+  /** Incarnation that promised, by rank; 0 for none. */
+  readonly promisedBy: readonly number[];
+  /** Who waits for the vote. */
+  readonly askedBy: readonly Recipient[];
+  readonly askAtMs: number;
+  /** Questions sent so far: each round reaches twice as many peers. */
+  readonly rounds: number;
+}
+
+/** What an agent gathers before it serves. */
+export interface JoinState {
+  readonly round: number;
+  readonly answers: readonly (StatusMessage | null)[];
+  readonly askAtMs: number;
+}
+
+export interface RankState {
+  readonly group: string;
+  readonly self: RankIncarnation;
+  readonly groupSize: number;
+  readonly recordedMap: SettledMap;
+  readonly evidence: RankEvidence;
+  readonly askIntervalMs: number;
+  /** Newest incarnation known, by rank. */
+  readonly incarnations: readonly number[];
+  /** Absent once the agent serves. */
+  readonly join?: JoinState;
+  readonly fencingFloor: number;
+  readonly current: SettledMap;
+  readonly previous: SettledMap;
+  readonly open?: OpenProposal;
+  /** Maps that the rank has yet to take over, in this order. */
+  readonly switching: readonly SettledMap[];
+  readonly closedVersion: number;
+  readonly stagedVersions: readonly number[];
+  /** Stage orders that are not answered yet. */
+  readonly stagingFor: readonly StagingOrder[];
+  /** The last step that the rank began. */
+  readonly step: number;
+  /** The step at which the rank is held; -1 for none. */
+  readonly heldStep: number;
+}
+
+export interface StagingOrder {
+  readonly mapVersion: number;
+  readonly fencingNumber: number;
+}
+
+export type RankEvent =
+  | { readonly type: "message"; readonly message: SwitchMessage }
+  | { readonly type: "tick" }
+  /** The answer to `holdStep`: false if the rank had begun the step. */
+  | { readonly type: "stepHeld"; readonly step: number; readonly held: boolean }
+  | { readonly type: "mapStaged"; readonly mapVersion: number }
+  /** The answer to `switchMap`. */
+  | { readonly type: "mapSwitched"; readonly mapVersion: number }
+  | {
+    readonly type: "stepStarted";
+    readonly step: number;
+    readonly mapVersion: number;
+  };
+
+export type InvariantName =
+  | "oneMapPerStep"
+  | "oneOutcomePerProposal"
+  | "noStepBeforeOutcome";
+
+export type RankEffect =
+  | {
+    readonly type: "send";
+    readonly to: Recipient;
+    readonly message: SwitchMessage;
+  }
+  /** The rank begins neither this step nor a later one; replaces a former hold. */
+  | { readonly type: "holdStep"; readonly step: number }
+  | { readonly type: "releaseStep"; readonly step: number }
+  | { readonly type: "stageMap"; readonly mapVersion: number }
+  /** Replaces any order for the same or a later step. */
+  | {
+    readonly type: "switchMap";
+    readonly mapVersion: number;
+    readonly fromStep: number;
+  }
+  | {
+    readonly type: "settled";
+    readonly mapVersion: number;
+    readonly fromStep: number;
+    readonly committed: boolean;
+  }
+  | {
+    readonly type: "invariantViolated";
+    readonly invariant: InvariantName;
+    readonly detail: string;
+  };
--- /dev/null
+++ b/agreement/switch-map/src/rank_takeover.ts
@@ -0,0 +1,90 @@
+/**
+ * What the agent has its rank do: stage weights, take over maps, and begin a
+ * held step. A hold is released only when nothing that the step depends on is
+ * open.
+ */
+
+import type { SettledMap } from "./messages.ts";
+import { send, update } from "./rank_draft.ts";
+import type { RankDraft } from "./rank_draft.ts";
+import type { StagingOrder } from "./rank_state.ts";
+
+const STAGED_VERSIONS_KEPT = 4;
+
+export function holdStep(draft: RankDraft, step: number): void {
+  update(draft, { heldStep: step });
+  draft.effects.push({ type: "holdStep", step });
+}
+
+/** Has the rank take over these maps, each from its step on. */
+export function takeOver(
+  draft: RankDraft,
+  maps: readonly SettledMap[],
+): void {
+  update(draft, { switching: [...draft.state.switching, ...maps] });
+  continueTakeover(draft);
+}
+
+/** Asks again for what the rank has not confirmed. */
+export function continueTakeover(draft: RankDraft): void {
+  const next = draft.state.switching[0];
+  if (next === undefined) {
+    releaseHold(draft);
+    return;
+  }
+  if (!draft.state.stagedVersions.includes(next.mapVersion)) {
+    draft.effects.push({ type: "stageMap", mapVersion: next.mapVersion });
+    return;
+  }
+  const fromStep = Math.max(next.fromStep, draft.state.step + 1);
+  draft.effects.push({
+    type: "switchMap",
+    mapVersion: next.mapVersion,
+    fromStep,
+  });
+}
+
+export function finishSwitch(draft: RankDraft, mapVersion: number): void {
+  if (draft.state.switching[0]?.mapVersion !== mapVersion) return;
+  update(draft, { switching: draft.state.switching.slice(1) });
+  continueTakeover(draft);
+}
+
+export function orderStaging(draft: RankDraft, order: StagingOrder): void {
+  update(draft, { stagingFor: [order] });
+  if (draft.state.stagedVersions.includes(order.mapVersion)) {
+    answerStaged(draft, order.mapVersion);
+    return;
+  }
+  draft.effects.push({ type: "stageMap", mapVersion: order.mapVersion });
+}
+
+export function finishStaging(draft: RankDraft, mapVersion: number): void {
+  const known = draft.state.stagedVersions.filter((v) => v !== mapVersion);
+  update(draft, {
+    stagedVersions: [...known, mapVersion].slice(-STAGED_VERSIONS_KEPT),
+  });
+  answerStaged(draft, mapVersion);
+  continueTakeover(draft);
+}
+
+/** Lets the rank go on unless it must wait for an outcome or a map. */
+export function releaseHold(draft: RankDraft): void {
+  const { open, join, switching, heldStep } = draft.state;
+  if (join !== undefined || switching.length > 0) return;
+  if (open !== undefined || heldStep < 0) return;
+  update(draft, { heldStep: -1 });
+  draft.effects.push({ type: "releaseStep", step: heldStep });
+}
+
+function answerStaged(draft: RankDraft, mapVersion: number): void {
+  const { stagingFor, self, step } = draft.state;
+  const orders = stagingFor.filter((order) => order.mapVersion === mapVersion);
+  for (const { fencingNumber } of orders) {
+    const to = { kind: "coordinator", fencingNumber } as const;
+    send(draft, to, { type: "staged", from: self, mapVersion, step });
+  }
+  update(draft, {
+    stagingFor: stagingFor.filter((order) => order.mapVersion !== mapVersion),
+  });
+}
--- /dev/null
+++ b/agreement/switch-map/src/rank_votes.ts
@@ -0,0 +1,296 @@
+/**
+ * How a rank votes on a proposal and learns its outcome.
+ *
+ * A rank either promises, once its own step is on hold, or refuses. All
+ * promises together commit the proposal; one refusal aborts it. An incarnation
+ * never does both. Votes count only from the newest incarnation known of a
+ * rank, because its successor answers for it.
+ */
+
+import type {
+  MapProposal,
+  RankIncarnation,
+  Recipient,
+  VoteKind,
+  VoteMessage,
+} from "./messages.ts";
+import {
+  describeProposal,
+  listPeers,
+  reportViolation,
+  sendVote,
+  update,
+} from "./rank_draft.ts";
+import type { RankDraft } from "./rank_draft.ts";
+import type { OpenProposal, RankState } from "./rank_state.ts";
+import { holdStep, releaseHold, takeOver } from "./rank_takeover.ts";
+
+/** Votes on a proposal, or tells what became of it. */
+export function considerProposal(
+  draft: RankDraft,
+  proposal: MapProposal,
+  asker: Recipient,
+): void {
+  const { mapVersion } = proposal;
+  const known = findOutcome(draft.state, mapVersion);
+  if (known !== undefined) {
+    sendVote(draft, asker, { mapVersion, vote: known });
+    return;
+  }
+  if (draft.state.open?.proposal.mapVersion === mapVersion) {
+    awaitVote(draft, asker);
+    return;
+  }
+  if (mayPromise(draft.state, proposal)) {
+    openProposal(draft, { proposal, inherited: false, askedBy: [asker] });
+    return;
+  }
+  refuse(draft, mapVersion, asker);
+}
+
+/** Refuses a proposal that was not promised; else says that it was. */
+export function refuseUnlessPromised(
+  draft: RankDraft,
+  mapVersion: number,
+  asker: Recipient,
+): void {
+  const { open } = draft.state;
+  const known = findOutcome(draft.state, mapVersion);
+  if (known !== undefined) {
+    sendVote(draft, asker, { mapVersion, vote: known });
+    return;
+  }
+  if (open?.proposal.mapVersion !== mapVersion) {
+    refuse(draft, mapVersion, asker);
+    return;
+  }
+  if (open.promised || open.inherited) {
+    awaitVote(draft, asker);
+    return;
+  }
+  abortOpen(draft);
+  sendVote(draft, asker, { mapVersion, vote: "aborted" });
+}
+
+/** Opens a proposal: the promise follows once the rank's step is on hold. */
+export function openProposal(
+  draft: RankDraft,
+  opening: Pick<OpenProposal, "proposal" | "inherited" | "askedBy">,
+): void {
+  const open: OpenProposal = {
+    ...opening,
+    promised: false,
+    promisedBy: draft.state.incarnations.map(() => 0),
+    askAtMs: draft.nowMs + draft.state.askIntervalMs,
+    rounds: 0,
+  };
+  update(draft, { open });
+  holdStep(draft, opening.proposal.fromStep);
+}
+
+/** The rank answered to the hold that a promise needs. */
+export function settleHold(
+  draft: RankDraft,
+  answer: { readonly step: number; readonly held: boolean },
+): void {
+  const { open } = draft.state;
+  if (open?.proposal.fromStep !== answer.step || open.promised) return;
+  if (!answer.held) {
+    abortOpen(draft);
+    return;
+  }
+  const { rank, incarnation } = draft.state.self;
+  update(draft, {
+    open: {
+      ...open,
+      promised: true,
+      promisedBy: open.promisedBy.with(rank, incarnation),
+      askedBy: [],
+    },
+  });
+  answerAll(draft, open, "promised");
+  commitIfUnanimous(draft);
+}
+
+/** Takes in what another rank, not superseded, knows of a proposal. */
+export function takeVote(
+  draft: RankDraft,
+  message: Omit<VoteMessage, "type">,
+): void {
+  if (message.vote === "promised") {
+    recordPromises(draft, message.mapVersion, [message.from]);
+    return;
+  }
+  const known = findOutcome(draft.state, message.mapVersion);
+  if (known !== undefined) {
+    checkSameOutcome(draft, message, known);
+    return;
+  }
+  const { open } = draft.state;
+  if (open?.proposal.mapVersion !== message.mapVersion) {
+    checkNotCommitted(draft, message);
+    return;
+  }
+  if (message.vote === "committed") commitOpen(draft, open);
+  else abortOpen(draft);
+}
+
+/** Counts promises, leaving out those of superseded incarnations. */
+export function recordPromises(
+  draft: RankDraft,
+  mapVersion: number,
+  promises: readonly RankIncarnation[],
+): void {
+  const { open, incarnations } = draft.state;
+  if (open?.proposal.mapVersion !== mapVersion) return;
+  const promisedBy = [...open.promisedBy];
+  for (const { rank, incarnation } of promises) {
+    if (incarnation >= (incarnations[rank] ?? 0)) {
+      promisedBy[rank] = incarnation;
+    }
+  }
+  update(draft, { open: { ...open, promisedBy } });
+  commitIfUnanimous(draft);
+}
+
+/** Ranks whose promise for the open proposal is missing. */
+export function listMissing(state: RankState): readonly number[] {
+  const { open, incarnations } = state;
+  if (open === undefined) return [];
+  return listPeers(state).filter((rank) => {
+    const promisedBy = open.promisedBy[rank] ?? 0;
+    return promisedBy === 0 || promisedBy < (incarnations[rank] ?? 0);
+  });
+}
+
+export function abortOpen(draft: RankDraft): void {
+  const { open, closedVersion } = draft.state;
+  if (open === undefined) return;
+  const { mapVersion, fromStep } = open.proposal;
+  const { open: _, ...rest } = draft.state;
+  draft.state = {
+    ...rest,
+    closedVersion: Math.max(closedVersion, mapVersion),
+  };
+  draft.effects.push({
+    type: "settled",
+    mapVersion,
+    fromStep,
+    committed: false,
+  });
+  answerAll(draft, open, "aborted");
+  releaseHold(draft);
+}
+
+function findOutcome(
+  state: RankState,
+  mapVersion: number,
+): VoteKind | undefined {
+  if (state.current.mapVersion === mapVersion) return "committed";
+  if (state.previous.mapVersion === mapVersion) return "committed";
+  if (state.open?.proposal.mapVersion === mapVersion) return undefined;
+  return mapVersion <= state.closedVersion ? "aborted" : undefined;
+}
+
+function mayPromise(state: RankState, proposal: MapProposal): boolean {
+  if (state.open !== undefined || state.switching.length > 0) return false;
+  if (proposal.fencingNumber < state.fencingFloor) return false;
+  if (proposal.baseVersion !== state.current.mapVersion) return false;
+  if (proposal.fromStep <= state.current.fromStep) return false;
+  if (proposal.fromStep <= state.step) return false;
+  return state.stagedVersions.includes(proposal.mapVersion);
+}
+
+function refuse(draft: RankDraft, mapVersion: number, asker: Recipient): void {
+  const closedVersion = Math.max(draft.state.closedVersion, mapVersion);
+  update(draft, { closedVersion });
+  sendVote(draft, asker, { mapVersion, vote: "aborted" });
+}
+
+function awaitVote(draft: RankDraft, asker: Recipient): void {
+  const { open } = draft.state;
+  if (open === undefined) return;
+  const { mapVersion } = open.proposal;
+  if (open.promised) {
+    sendVote(draft, asker, { mapVersion, vote: "promised" });
+    return;
+  }
+  if (open.askedBy.some((other) => isSameRecipient(other, asker))) return;
+  update(draft, { open: { ...open, askedBy: [...open.askedBy, asker] } });
+}
+
+function isSameRecipient(one: Recipient, other: Recipient): boolean {
+  return JSON.stringify(one) === JSON.stringify(other);
+}
+
+function answerAll(
+  draft: RankDraft,
+  open: OpenProposal,
+  vote: VoteKind,
+): void {
+  const { mapVersion } = open.proposal;
+  for (const asker of open.askedBy) {
+    sendVote(draft, asker, { mapVersion, vote });
+  }
+}
+
+function commitIfUnanimous(draft: RankDraft): void {
+  const { open } = draft.state;
+  if (open === undefined || !open.promised) return;
+  if (listMissing(draft.state).length === 0) commitOpen(draft, open);
+}
+
+function commitOpen(draft: RankDraft, open: OpenProposal): void {
+  const { mapVersion, fromStep } = open.proposal;
+  if (draft.state.step >= fromStep) {
+    reportViolation(
+      draft,
+      "noStepBeforeOutcome",
+      `${
+        describeProposal(open.proposal)
+      } committed at step ${draft.state.step}`,
+    );
+  }
+  const { open: _, ...rest } = draft.state;
+  draft.state = {
+    ...rest,
+    previous: draft.state.current,
+    current: { mapVersion, fromStep },
+    closedVersion: Math.max(draft.state.closedVersion, mapVersion),
+  };
+  draft.effects.push({
+    type: "settled",
+    mapVersion,
+    fromStep,
+    committed: true,
+  });
+  answerAll(draft, open, "committed");
+  takeOver(draft, [{ mapVersion, fromStep }]);
+}
+
+function checkSameOutcome(
+  draft: RankDraft,
+  message: Omit<VoteMessage, "type">,
+  known: VoteKind,
+): void {
+  if (message.vote === known) return;
+  if (message.mapVersion < draft.state.previous.mapVersion) return;
+  reportViolation(
+    draft,
+    "oneOutcomePerProposal",
+    `Map ${message.mapVersion} is ${known} here and ${message.vote} at rank ${message.from.rank}`,
+  );
+}
+
+/** A commit needs this rank's promise, so it can't be news here. */
+function checkNotCommitted(
+  draft: RankDraft,
+  message: Omit<VoteMessage, "type">,
+): void {
+  if (message.vote !== "committed") return;
+  reportViolation(
+    draft,
+    "oneOutcomePerProposal",
+    `Map ${message.mapVersion} is committed at rank ${message.from.rank} and was not promised here`,
+  );
+}
--- /dev/null
+++ b/testing/check-switch/src/continuation.ts
@@ -0,0 +1,80 @@
+/**
+ * Whether the ranks reach their last step by themselves once faults end: every
+ * message under way is lost, no coordinator runs, and from then on whatever is
+ * sent arrives.
+ */
+
+import { ADVANCE, TICK } from "./model.ts";
+import type { Model } from "./model.ts";
+
+const MAX_ROUNDS = 40;
+
+interface Run {
+  nodes: number[];
+  readonly queue: number[];
+}
+
+export class Continuation {
+  readonly #model: Model;
+  readonly #known = new Map<string, boolean>();
+
+  static create(model: Model): Continuation {
+    return new Continuation(model);
+  }
+
+  private constructor(model: Model) {
+    this.#model = model;
+  }
+
+  get count(): number {
+    return this.#known.size;
+  }
+
+  canGoOn(nodes: readonly number[]): boolean {
+    const key = nodes.join();
+    const known = this.#known.get(key);
+    if (known !== undefined) return known;
+    const run: Run = { nodes: [...nodes], queue: [] };
+    let rounds = 0;
+    while (!this.#isAtEnd(run) && rounds < MAX_ROUNDS) {
+      this.#runRound(run);
+      rounds += 1;
+    }
+    const result = this.#isAtEnd(run);
+    this.#known.set(key, result);
+    return result;
+  }
+
+  #runRound(run: Run): void {
+    for (const rank of run.nodes.keys()) this.#step(run, rank, TICK);
+    for (let next = run.queue.shift(); next !== undefined;) {
+      const { to } = this.#model.messages.get(next);
+      if (to.kind === "rank") this.#step(run, to.rank, next);
+      next = run.queue.shift();
+    }
+    for (const rank of run.nodes.keys()) this.#advance(run, rank);
+  }
+
+  #advance(run: Run, rank: number): void {
+    const steps = this.#listSteps(run);
+    const step = steps[rank]!;
+    if (step >= this.#model.options.lastStep) return;
+    if (step <= Math.min(...steps)) this.#step(run, rank, ADVANCE);
+  }
+
+  #step(run: Run, rank: number, key: number): void {
+    const result = this.#model.stepNode(run.nodes[rank]!, key);
+    if (result === undefined) return;
+    run.nodes[rank] = result.id;
+    run.queue.push(...result.sent);
+  }
+
+  #isAtEnd(run: Run): boolean {
+    const { lastStep } = this.#model.options;
+    return this.#listSteps(run).every((step) => step >= lastStep);
+  }
+
+  #listSteps(run: Run): readonly number[] {
+    return run.nodes.map((id) => this.#model.nodes.get(id).engine.step);
+  }
+}
--- /dev/null
+++ b/testing/check-switch/src/explore.ts
@@ -0,0 +1,115 @@
+/** Breadth-first search over all reachable states. */
+
+import { Continuation } from "./continuation.ts";
+import type { Model } from "./model.ts";
+import type { Action, World } from "./world.ts";
+import { Symmetry } from "./symmetry.ts";
+
+export interface Exploration {
+  /** Distinct states but for the ranks' names, with all that only adds messages done. */
+  readonly states: number;
+  readonly transitions: number;
+  /** Distinct states of the ranks, each tried for whether it can go on. */
+  readonly continuations: number;
+  /** Whether the search stopped at the bound. */
+  readonly truncated: boolean;
+  readonly violation?: FoundViolation;
+}
+
+export interface FoundViolation {
+  readonly detail: string;
+  readonly path: readonly string[];
+}
+
+export interface ExploreOptions {
+  readonly maxStates: number;
+  /** Whether each state is tried for whether the group can go on from it. */
+  readonly progress: boolean;
+}
+
+export function explore(
+  model: Model,
+  initial: World,
+  options: ExploreOptions,
+): Exploration {
+  return new Search(model, initial.nodes.length, options).run(initial);
+}
+
+class Search {
+  readonly #model: Model;
+  readonly #options: ExploreOptions;
+  readonly #continuation: Continuation;
+  readonly #indexes = new Set<string>();
+  readonly #symmetry: Symmetry;
+  readonly #worlds: (World | undefined)[] = [];
+  readonly #parents: number[] = [];
+  readonly #actions: (Action | undefined)[] = [];
+  #transitions = 0;
+
+  constructor(model: Model, groupSize: number, options: ExploreOptions) {
+    this.#model = model;
+    this.#options = options;
+    this.#symmetry = Symmetry.create(model, groupSize);
+    this.#continuation = Continuation.create(model);
+  }
+
+  run(initial: World): Exploration {
+    this.#visit(this.#model.settle(initial), -1);
+    for (let index = 0; index < this.#worlds.length; index += 1) {
+      if (this.#worlds.length > this.#options.maxStates) break;
+      const violation = this.#expand(index);
+      if (violation !== undefined) return { ...this.#count(), violation };
+    }
+    return this.#count();
+  }
+
+  #expand(index: number): FoundViolation | undefined {
+    const world = this.#worlds[index]!;
+    this.#worlds[index] = undefined;
+    if (!this.#canGoOn(world)) {
+      return { detail: "The group can't go on", path: this.#tracePath(index) };
+    }
+    for (const next of this.#model.listTransitions(world)) {
+      this.#transitions += 1;
+      const { action } = next;
+      const detail = next.violations[0];
+      if (detail !== undefined) {
+        const last = this.#model.describe(action);
+        return { detail, path: [...this.#tracePath(index), last] };
+      }
+      this.#visit(next.world, index, action);
+    }
+    return undefined;
+  }
+
+  #canGoOn(world: World): boolean {
+    return !this.#options.progress || this.#continuation.canGoOn(world.nodes);
+  }
+
+  #visit(world: World, parent: number, action?: Action): void {
+    const canonical = this.#symmetry.selectCanonical(world);
+    if (this.#indexes.has(canonical.key)) return;
+    this.#indexes.add(canonical.key);
+    this.#worlds.push(canonical.world);
+    this.#parents.push(parent);
+    this.#actions.push(action);
+  }
+
+  #count(): Omit<Exploration, "violation"> {
+    return {
+      states: this.#worlds.length,
+      transitions: this.#transitions,
+      continuations: this.#continuation.count,
+      truncated: this.#worlds.length > this.#options.maxStates,
+    };
+  }
+
+  #tracePath(index: number): readonly string[] {
+    const path: string[] = [];
+    for (let at = index; at >= 0; at = this.#parents[at]!) {
+      const action = this.#actions[at];
+      if (action !== undefined) path.push(this.#model.describe(action));
+    }
+    return path.reverse();
+  }
+}
--- /dev/null
+++ b/testing/check-switch/src/explore_test.ts
@@ -0,0 +1,163 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type {
+  RankEffect,
+  RankEvent,
+  RankOptions,
+  RankState,
+} from "@dandelionbank/switch-map";
+import { checkSwitch, PRODUCT_CORE } from "./mod.ts";
+import type { RankCore, ScenarioName } from "./mod.ts";
+
+const MAX_STATES = 300_000;
+
+test("Every order of one proposal's messages leaves one map per step", () => {
+  const result = checkSwitch({
+    scenario: "handOver",
+    replacements: 0,
+    changes: 0,
+    maxStates: MAX_STATES,
+  });
+  assert.equal(result.violation, undefined);
+  assert.equal(result.truncated, false);
+  assert.ok(result.states > 10_000, `${result.states} states`);
+});
+
+interface Mutant {
+  readonly name: string;
+  readonly scenario?: ScenarioName;
+  readonly replacements: number;
+  readonly core: RankCore;
+  readonly finds: RegExp;
+}
+
+const SAFETY = /oneOutcomePerProposal|noStepBeforeOutcome|Step 1 under maps/;
+
+/** Faults put into the core, with the number of replacements that shows each. */
+const MUTANTS: readonly Mutant[] = [
+  {
+    name: "begins the step without waiting for the outcome",
+    replacements: 0,
+    core: createMutant({ changeEffect: dropHold }),
+    finds: SAFETY,
+  },
+  {
+    name: "commits without the last promise",
+    replacements: 0,
+    core: createMutant({ change: countOnePromiseTooMany }),
+    finds: SAFETY,
+  },
+  {
+    name: "aborts after it has promised",
+    replacements: 0,
+    core: { start: PRODUCT_CORE.start, step: stepRefusingWhenAsked },
+    finds: SAFETY,
+  },
+  {
+    name: "serves by the record after a replacement",
+    replacements: 1,
+    core: { start: startByRecord, step: PRODUCT_CORE.step },
+    finds: SAFETY,
+  },
+  {
+    name: "refuses what its predecessor promised",
+    scenario: "promised",
+    replacements: 2,
+    core: createMutant({ change: forgetInherited }),
+    finds: SAFETY,
+  },
+  {
+    name: "never asks its peers",
+    replacements: 0,
+    core: createMutant({ changeEffect: dropAsk }),
+    finds: /can't go on/,
+  },
+];
+
+for (const mutant of MUTANTS) {
+  test(`The check finds a rank that ${mutant.name}`, () => {
+    const { violation } = checkSwitch({
+      scenario: "handOver",
+      changes: 0,
+      maxStates: MAX_STATES,
+      progress: mutant.finds !== SAFETY,
+      ...mutant,
+    });
+    assert.match(violation?.detail ?? "none", mutant.finds);
+    assert.notEqual(violation?.path.length, 0);
+  });
+}
+
+interface MutantOptions {
+  readonly change?: (state: RankState) => RankState;
+  readonly changeEffect?: (effect: RankEffect) => readonly RankEffect[];
+}
+
+function createMutant(options: MutantOptions): RankCore {
+  const change = options.change ?? ((state) => state);
+  const changeEffect = options.changeEffect ?? ((effect) => [effect]);
+  return {
+    start(started, nowMs) {
+      const { state, effects } = PRODUCT_CORE.start(started, nowMs);
+      return { state: change(state), effects };
+    },
+    step(state, event, nowMs) {
+      const result = PRODUCT_CORE.step(state, event, nowMs);
+      const effects = result.effects.flatMap(changeEffect);
+      return { state: change(result.state), effects };
+    },
+  };
+}
+
+function dropHold(effect: RankEffect): readonly RankEffect[] {
+  if (effect.type !== "holdStep") return [effect];
+  return [effect, { type: "releaseStep", step: effect.step }];
+}
+
+function dropAsk(effect: RankEffect): readonly RankEffect[] {
+  const isAsk = effect.type === "send" && effect.message.type === "ask";
+  return isAsk ? [] : [effect];
+}
+
+/** Takes rank 0's promise for given. */
+function countOnePromiseTooMany(state: RankState): RankState {
+  const { open } = state;
+  if (open === undefined) return state;
+  return {
+    ...state,
+    open: { ...open, promisedBy: open.promisedBy.with(0, 1) },
+  };
+}
+
+/** Refuses what it has promised when a peer asks about it. */
+function stepRefusingWhenAsked(
+  state: RankState,
+  event: RankEvent,
+  nowMs: number,
+) {
+  const asked = event.type === "message" && event.message.type === "ask";
+  const before = asked && state.open?.promised ? refuseOpen(state) : state;
+  return PRODUCT_CORE.step(before, event, nowMs);
+}
+
+function forgetInherited(state: RankState): RankState {
+  return state.open?.inherited ? refuseOpen(state) : state;
+}
+
+function refuseOpen(state: RankState): RankState {
+  const { open, ...rest } = state;
+  return { ...rest, closedVersion: open?.proposal.mapVersion ?? 0 };
+}
+
+function startByRecord(options: RankOptions, nowMs: number) {
+  const started = PRODUCT_CORE.start(options, nowMs);
+  if (options.self.incarnation === 1) return started;
+  const { join: _, ...state } = started.state;
+  const step = options.evidence.step + 1;
+  const { mapVersion } = options.recordedMap;
+  const effects = [
+    { type: "switchMap", mapVersion, fromStep: step },
+    { type: "releaseStep", step },
+  ] as const;
+  return { state: { ...state, heldStep: -1 }, effects };
+}
--- /dev/null
+++ b/testing/check-switch/src/mod.ts
@@ -0,0 +1,6 @@
+/** Exhaustive check of the switch of a group's expert map. */
+
+export type { Exploration, FoundViolation } from "./explore.ts";
+export type { RankCore } from "./rank_node.ts";
+export { checkSwitch, PRODUCT_CORE } from "./scenarios.ts";
+export type { CheckOptions, ScenarioName } from "./scenarios.ts";
--- /dev/null
+++ b/testing/check-switch/src/replacement.ts
@@ -0,0 +1,50 @@
+/** How an agent, or a rank together with its agent, is replaced. */
+
+import type { RankOptions } from "@dandelionbank/switch-map";
+import { createEngine } from "./rank_engine.ts";
+import { startNode } from "./rank_node.ts";
+import type { NodeResult, RankCore, RankNode } from "./rank_node.ts";
+
+/** The map that the platform's record names throughout a check. */
+export const RECORDED_MAP = { mapVersion: 1, fromStep: 0 };
+
+/** The rank goes on; its agent knows nothing but what the rank tells. */
+export function replaceAgent(
+  core: RankCore,
+  nodes: readonly RankNode[],
+  rank: number,
+): NodeResult {
+  const { engine } = nodes[rank]!;
+  const mapVersion = engine.mapOfStep[engine.step] ?? 0;
+  const evidence = { step: engine.step, mapVersion };
+  const options = { ...createOptions(nodes, rank), evidence };
+  return startNode(core, { options, engine });
+}
+
+/** What the rank had begun and not ended is begun again by the new one. */
+export function replaceRank(
+  core: RankCore,
+  nodes: readonly RankNode[],
+  rank: number,
+): NodeResult {
+  const others = nodes.filter((_, other) => other !== rank);
+  const latest = Math.max(...others.map((node) => node.engine.step));
+  const engine = createEngine(Math.max(latest - 1, -1));
+  return startNode(core, { options: createOptions(nodes, rank), engine });
+}
+
+function createOptions(
+  nodes: readonly RankNode[],
+  rank: number,
+): RankOptions {
+  const roster = nodes.map((node) => node.agent.self.incarnation);
+  return {
+    group: "g",
+    self: { rank, incarnation: roster[rank]! + 1 },
+    groupSize: roster.length,
+    roster,
+    recordedMap: RECORDED_MAP,
+    evidence: { step: -1, mapVersion: 0 },
+    askIntervalMs: 0,
+  };
+}
--- /dev/null
+++ b/testing/check-switch/src/scenarios.ts
@@ -0,0 +1,190 @@
+/** The situations from which every order of events is explored. */
+
+import type {
+  CoordinatorState,
+  MapProposal,
+  RankOptions,
+} from "@dandelionbank/switch-map";
+import {
+  startCoordinator,
+  startRank,
+  stepCoordinator,
+  stepRank,
+  VERSIONS_PER_HOLDER,
+} from "@dandelionbank/switch-map";
+import { explore } from "./explore.ts";
+import type { Exploration } from "./explore.ts";
+import { Model } from "./model.ts";
+import { createEngine } from "./rank_engine.ts";
+import { advanceNode, startNode, stepNode } from "./rank_node.ts";
+import type { RankCore, RankNode, Sent } from "./rank_node.ts";
+import { RECORDED_MAP } from "./replacement.ts";
+import { ENDED, NONE } from "./world.ts";
+
+/**
+ * `handOver`: the successor asks what is open, and settles it. `rivals`: the
+ * successor proposes another map for the same step while the first goes on.
+ * `promised`: every rank has promised, and the first coordinator is gone after
+ * it sent the certificates; the successor settles it.
+ */
+export type ScenarioName = "handOver" | "rivals" | "promised";
+
+export interface CheckOptions {
+  readonly scenario: ScenarioName;
+  /** Replacements of agents or ranks. */
+  readonly replacements: number;
+  /** Changes of the coordinator, 0 or 1. */
+  readonly changes: number;
+  readonly maxStates: number;
+  /** Whether to try from every state that the group can go on; true if absent. */
+  readonly progress?: boolean;
+  readonly core?: RankCore;
+}
+
+interface Started {
+  readonly state: CoordinatorState;
+  readonly sent: readonly Sent[];
+}
+
+const GROUP_SIZE = 3;
+export const SWITCH_STEP = 1;
+const LAST_STEP = 2;
+const RANKS = Array.from({ length: GROUP_SIZE }, (_, rank) => rank);
+
+export const PRODUCT_CORE: RankCore = { start: startRank, step: stepRank };
+
+export function checkSwitch(options: CheckOptions): Exploration {
+  const core = options.core ?? PRODUCT_CORE;
+  const { scenario, maxStates, progress = true } = options;
+  const successor = scenario === "rivals" ? startVoting(2) : startSuccessor();
+  const model = Model.create({ core, lastStep: LAST_STEP, successor });
+  const first = startVoting(1);
+  const started = { nodes: startGroup(core), sent: first.sent };
+  const { nodes, sent } = scenario === "promised"
+    ? promiseAll(core, started.nodes)
+    : started;
+  const network = sent.map(({ to, message }) =>
+    model.messages.intern({ to, message })
+  );
+  const world = {
+    nodes: nodes.map((node) => model.nodes.intern(node)),
+    coordinators: [
+      scenario === "promised" ? ENDED : model.coordinators.intern(first.state),
+      NONE,
+    ],
+    network: network.sort((a, b) => a - b),
+    completed: [RECORDED_MAP.mapVersion],
+    replacementsLeft: options.replacements,
+    changesLeft: options.changes,
+  };
+  return explore(model, world, { maxStates, progress });
+}
+
+function promiseAll(core: RankCore, nodes: readonly RankNode[]) {
+  const proposal = createProposal(1);
+  const { mapVersion, fencingNumber } = proposal;
+  const propose = { type: "propose", fencingNumber, proposal } as const;
+  const promised = nodes.map((node) =>
+    stepNode(core, node, { type: "message", message: propose }).node
+  );
+  const sent = RANKS.map((rank) => ({
+    to: { kind: "rank", rank } as const,
+    message: {
+      type: "certificate",
+      fencingNumber,
+      mapVersion,
+      promisedBy: RANKS.map(() => 1),
+    } as const,
+  }));
+  return { nodes: promised, sent };
+}
+
+/** Agents that know each other, with step 0 begun and both maps staged. */
+function startGroup(core: RankCore): readonly RankNode[] {
+  const results = RANKS.map((rank) =>
+    startNode(core, { options: createOptions(rank), engine: createEngine(-1) })
+  );
+  const nodes = results.map((result) => result.node);
+  deliverAll(core, nodes, results.flatMap((result) => result.sent));
+  return nodes.map((node) => {
+    const begun = advanceNode(core, node)?.node ?? node;
+    return [createProposal(1), createProposal(2)].reduce(
+      (staged, { mapVersion }) =>
+        stepNode(core, staged, { type: "mapStaged", mapVersion }).node,
+      begun,
+    );
+  });
+}
+
+function deliverAll(
+  core: RankCore,
+  nodes: RankNode[],
+  sent: readonly Sent[],
+): void {
+  const queue = [...sent];
+  for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
+    const { to, message } = next;
+    if (to.kind !== "rank") continue;
+    const event = { type: "message", message } as const;
+    const result = stepNode(core, nodes[to.rank]!, event);
+    nodes[to.rank] = result.node;
+    queue.push(...result.sent);
+  }
+}
+
+export function createOptions(rank: number): RankOptions {
+  return {
+    group: "g",
+    self: { rank, incarnation: 1 },
+    groupSize: GROUP_SIZE,
+    roster: RANKS.map(() => 1),
+    recordedMap: RECORDED_MAP,
+    evidence: { step: -1, mapVersion: 0 },
+    askIntervalMs: 0,
+  };
+}
+
+export function createProposal(fencingNumber: number): MapProposal {
+  return {
+    mapVersion: fencingNumber * VERSIONS_PER_HOLDER + 1,
+    fromStep: SWITCH_STEP,
+    baseVersion: RECORDED_MAP.mapVersion,
+    fencingNumber,
+  };
+}
+
+function startSuccessor(): Started {
+  const { state, effects } = startCoordinator(createHolder(2), 0);
+  return { state, sent: effects.filter((effect) => effect.type === "send") };
+}
+
+/** A coordinator that has just proposed its map to every rank. */
+function startVoting(fencingNumber: number): Started {
+  const started = startCoordinator(createHolder(fencingNumber), 0).state;
+  const idle: CoordinatorState = {
+    ...started,
+    phase: { kind: "idle" },
+    current: RECORDED_MAP,
+  };
+  const planned = stepCoordinator(idle, { type: "plan" }, 0);
+  const { mapVersion } = createProposal(fencingNumber);
+  let result = planned;
+  for (const rank of RANKS) {
+    const from = { rank, incarnation: 1 };
+    const message = { type: "staged", from, mapVersion, step: 0 } as const;
+    result = stepCoordinator(result.state, { type: "message", message }, 0);
+  }
+  const sent = result.effects.filter((effect) => effect.type === "send");
+  return { state: result.state, sent };
+}
+
+function createHolder(fencingNumber: number) {
+  return {
+    group: "g",
+    groupSize: GROUP_SIZE,
+    fencingNumber,
+    leadSteps: SWITCH_STEP,
+    resendIntervalMs: 0,
+    stageTimeoutMs: 1,
+  };
+}
