--- /dev/null
+++ b/routing/track-requests/src/repeats.ts
@@ -0,0 +1,115 @@
+/** A key that is known here arrives again. */
+
+import { addCaller, replayAnswer } from "./callers.ts";
+import type { Answer } from "./effects.ts";
+import type { IncomingRequest } from "./events.ts";
+import type { KeyResult } from "./key_results.ts";
+import { createNotRun } from "./not_run.ts";
+import type { Request } from "./request.ts";
+import { check, isSureArbiter, type TrackContext } from "./state.ts";
+
+export interface Repeat {
+  readonly callerId: string;
+  readonly info: IncomingRequest;
+  readonly keyId: string;
+}
+
+/**
+ * Joins the request under way or gives its result again. Returns false if the
+ * key is not known here, or may run anew.
+ */
+export function repeatKey(context: TrackContext, repeat: Repeat): boolean {
+  const { keys } = context.state;
+  const active = keys.findActive(repeat.keyId);
+  if (active !== undefined) {
+    joinRequest(context, { repeat, request: active });
+    return true;
+  }
+  const result = keys.findResult(repeat.keyId);
+  if (result === undefined) return false;
+  return repeatResult(context, { repeat, result });
+}
+
+function joinRequest(
+  context: TrackContext,
+  joined: { readonly repeat: Repeat; readonly request: Request },
+): void {
+  const { repeat, request } = joined;
+  if (!isSameCall(context, { repeat, known: request.info })) {
+    return answerReused(context, { repeat, known: request });
+  }
+  const deadlineMs = context.nowMs + repeat.info.timeLeftMs;
+  request.deadlineMs = request.background
+    ? deadlineMs
+    : Math.max(request.deadlineMs, deadlineMs);
+  request.background = false;
+  addCaller(context, { request, callerId: repeat.callerId });
+}
+
+function repeatResult(
+  context: TrackContext,
+  repeated: { readonly repeat: Repeat; readonly result: KeyResult },
+): boolean {
+  const { repeat, result } = repeated;
+  const { callerId } = repeat;
+  if (!isSameCall(context, { repeat, known: result })) {
+    answerReused(context, { repeat, known: result });
+    return true;
+  }
+  const { answer, outcome } = result;
+  if (answer !== undefined) {
+    replayAnswer(context, { callerId, answer });
+    return true;
+  }
+  if (result.idempotent) return false;
+  const lost = { kind: "failed", code: "answerNotKept" } as const;
+  answerRepeat(context, { repeat, outcome: outcome ?? lost });
+  return true;
+}
+
+function isSameCall(
+  context: TrackContext,
+  compared: {
+    readonly repeat: Repeat;
+    readonly known: Pick<KeyResult, "organisation" | "fingerprint">;
+  },
+): boolean {
+  const { repeat, known } = compared;
+  const own = check(context, {
+    invariant: "answerStaysInOrganisation",
+    holds: repeat.info.organisation === known.organisation,
+    detail: repeat.info.requestId,
+  });
+  return own && repeat.info.fingerprint === known.fingerprint;
+}
+
+/** The key is another call's; this one was never dispatched. */
+function answerReused(
+  context: TrackContext,
+  reused: {
+    readonly repeat: Repeat;
+    readonly known: Pick<KeyResult, "mayHaveRunBefore">;
+  },
+): void {
+  const { mayHaveRunBefore } = reused.known;
+  const reason = { code: "keyReused", retryAfterMs: 0 };
+  const notRun = createNotRun({ attempts: [], mayHaveRunBefore }, reason);
+  const outcome = notRun !== undefined && isSureArbiter(context)
+    ? notRun
+    : { kind: "unknown", code: "keyReused" } as const;
+  answerRepeat(context, { repeat: reused.repeat, outcome });
+}
+
+function answerRepeat(
+  context: TrackContext,
+  answered: { readonly repeat: Repeat; readonly outcome: Answer["outcome"] },
+): void {
+  const { callerId, info } = answered.repeat;
+  context.effects.push({
+    type: "answer",
+    callerId,
+    requestId: info.requestId,
+    outcome: answered.outcome,
+    headSent: false,
+  });
+}
