Hold coordinator duties by conditional updates, and check orders at the agent

Cause: duties sit on entries that are paused and replaced; some engines take orders under old fencing numbers.

Ruled out: leases that are renewed (writes grow with duties, and a paused holder outlives its lease all the same); one timer for all reasons to take a duty (a holder that flapped in the list lost its duty after a second, found by a test).

Before: nothing. After: a duty is written when its holder changes and never else; the object's revision is the fencing number; a lost answer is settled by the change's id.

Conclusion: preference keeps races rare, the conditional update makes them safe.

--- /dev/null
+++ b/agreement/check-orders/src/order_core_test.ts
@@ -0,0 +1,96 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { startOrders, stepOrders } from "./mod.ts";
+import type { OrderEffect, OrderEvent, OrderState } from "./mod.ts";
+
+interface Case {
+  readonly name: string;
+  readonly events: readonly OrderEvent[];
+  /** What each effect was, after the first read of the floor. */
+  readonly effects: readonly string[];
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: "takes no order before it has read the floor",
+    events: [order(9, 1), floor(5), order(9, 1)],
+    effects: ["refuse 9/1 floorUnknown", "readFloor", "forward 9/1"],
+  },
+  {
+    name: "refuses a lower number than the floor it read",
+    events: [floor(5), order(4, 1), order(5, 1)],
+    effects: ["refuse 4/1 outdated", "forward 5/1"],
+  },
+  {
+    name: "refuses a paused holder once its successor has given an order",
+    events: [floor(5), order(5, 1), ended(5, 1), order(6, 1), order(5, 2)],
+    effects: ["forward 5/1", "forward 6/1", "refuse 5/2 outdated"],
+  },
+  {
+    name: "refuses a paused holder once it knows of its successor",
+    events: [floor(5), floor(6), floor(5), order(5, 1)],
+    effects: ["refuse 5/1 outdated"],
+  },
+  {
+    name: "passes on an order once, and none that was crossed by a later one",
+    events: [floor(5), order(5, 2), order(5, 2), order(5, 1)],
+    effects: ["forward 5/2", "refuse 5/2 repeated", "refuse 5/1 repeated"],
+  },
+  {
+    name: "lets an order end before the next one begins",
+    events: [floor(5), order(5, 1), order(6, 1), ended(5, 1)],
+    effects: ["forward 5/1", "forward 6/1"],
+  },
+  {
+    name: "refuses what waits under a number that has a successor",
+    events: [floor(5), order(5, 1), order(5, 2), order(6, 1), ended(5, 1)],
+    effects: ["forward 5/1", "refuse 5/2 outdated", "forward 6/1"],
+  },
+  {
+    name: "refuses what is more than it can keep waiting",
+    events: [
+      floor(5),
+      ...Array.from({ length: 18 }, (_, index) => order(5, index + 1)),
+    ],
+    effects: ["forward 5/1", "refuse 5/18 queueFull"],
+  },
+];
+
+for (const { name, events, effects } of CASES) {
+  test(`An agent ${name}`, () => {
+    const started = startOrders();
+    assert.deepEqual(started.effects, [{ type: "readFloor" }]);
+    let state: OrderState = started.state;
+    const seen: string[] = [];
+    for (const event of events) {
+      const result = stepOrders(state, event);
+      state = result.state;
+      seen.push(...result.effects.map(describe));
+    }
+    assert.deepEqual(seen, effects);
+  });
+}
+
+function order(fencingNumber: number, sequence: number): OrderEvent {
+  const orderId = `${fencingNumber}/${sequence}`;
+  return {
+    type: "order",
+    order: { fencingNumber, sequence, orderId, body: "" },
+  };
+}
+
+function floor(fencingNumber: number): OrderEvent {
+  return { type: "floorRead", fencingNumber };
+}
+
+function ended(fencingNumber: number, sequence: number): OrderEvent {
+  return { type: "orderEnded", orderId: `${fencingNumber}/${sequence}` };
+}
+
+function describe(effect: OrderEffect): string {
+  if (effect.type === "refuse") {
+    return `refuse ${effect.order.orderId} ${effect.reason}`;
+  }
+  if (effect.type === "forward") return `forward ${effect.order.orderId}`;
+  return effect.type;
+}
--- /dev/null
+++ b/agreement/hold-duty/src/duty_core.ts
@@ -0,0 +1,188 @@
+/**
+ * The core that takes, keeps and gives up one duty. Only a change of holder
+ * writes: nothing is renewed. A holder that was paused may go on believing that
+ * it holds; every order carries its number, and agents refuse a lower one. Pure:
+ * times are milliseconds of the caller's monotonic clock.
+ */
+
+import type { Step } from "@dandelionbank/types";
+import type {
+  Claim,
+  ClaimReason,
+  DutyEffect,
+  DutyEvent,
+  DutyObject,
+  DutyOptions,
+  DutyState,
+} from "./duty_state.ts";
+import { selectPreferred } from "./select_preferred.ts";
+
+interface DutyDraft {
+  state: DutyState;
+  readonly effects: DutyEffect[];
+  readonly nowMs: number;
+}
+
+export function startDuty(options: DutyOptions): DutyState {
+  return { options, members: new Map(), claimCount: 0 };
+}
+
+export function stepDuty(
+  state: DutyState,
+  event: DutyEvent,
+  nowMs: number,
+): Step<DutyState, DutyEffect> {
+  const draft: DutyDraft = { state, effects: [], nowMs };
+  handleEvent(draft, event);
+  considerClaim(draft);
+  return { state: draft.state, effects: draft.effects };
+}
+
+function handleEvent(draft: DutyDraft, event: DutyEvent): void {
+  switch (event.type) {
+    case "membersChanged":
+      draft.state = { ...draft.state, members: event.members };
+      return;
+    case "objectSeen":
+      return takeObject(draft, event.object);
+    case "written":
+      return takeObject(draft, event.object);
+    case "conflict":
+      return takeConflict(draft, event.current);
+    case "writeFailed":
+      return postponeClaim(draft, event.changeId);
+    case "tick":
+      return;
+  }
+}
+
+/** Learns the object's state. Older news than what is known is left out. */
+function takeObject(draft: DutyDraft, object: DutyObject | null): void {
+  const { object: known, claim } = draft.state;
+  if (object === null) {
+    if (known === undefined) draft.state = { ...draft.state, object };
+    return;
+  }
+  if (known && object.revision < known.revision) return;
+  draft.state = { ...draft.state, object };
+  const settlesClaim = claim !== undefined &&
+    (object.changeId === claim.changeId ||
+      object.revision > (claim.expectedRevision ?? 0));
+  if (settlesClaim) endClaim(draft);
+  if (isOwn(draft.state, object)) hold(draft, object.revision);
+  else giveUp(draft);
+}
+
+/** The object is not as the claim expected it; it may be gone. */
+function takeConflict(draft: DutyDraft, current: DutyObject | null): void {
+  endClaim(draft);
+  if (current === null) draft.state = { ...draft.state, object: null };
+  else takeObject(draft, current);
+}
+
+/** A write of this process, also one whose answer was lost. */
+function isOwn(state: DutyState, object: DutyObject): boolean {
+  const { self } = state.options;
+  return object.record.holder === self.holder &&
+    object.record.incarnation === self.incarnation;
+}
+
+function hold(draft: DutyDraft, revision: number): void {
+  const { fencingNumber } = draft.state;
+  if (fencingNumber === revision) return;
+  if (fencingNumber !== undefined && revision < fencingNumber) {
+    const detail = `Number ${revision} after ${fencingNumber}`;
+    const invariant = "fencingNumberRises";
+    draft.effects.push({ type: "invariantViolated", invariant, detail });
+    return;
+  }
+  draft.state = { ...draft.state, fencingNumber: revision };
+  draft.effects.push({ type: "held", fencingNumber: revision });
+}
+
+function giveUp(draft: DutyDraft): void {
+  const { fencingNumber, ...rest } = draft.state;
+  if (fencingNumber === undefined) return;
+  draft.state = rest;
+  draft.effects.push({ type: "lost", fencingNumber });
+}
+
+/** Takes the duty once the reason for it has lasted long enough. */
+function considerClaim(draft: DutyDraft): void {
+  const { claim, options } = draft.state;
+  if (claim !== undefined) {
+    retryClaim(draft, claim);
+    return;
+  }
+  const kind = findReason(draft.state);
+  if (kind === undefined) {
+    const { reason: _, ...rest } = draft.state;
+    draft.state = rest;
+    return;
+  }
+  const known = draft.state.reason;
+  const reason = known?.kind === kind ? known : { kind, sinceMs: draft.nowMs };
+  draft.state = { ...draft.state, reason };
+  if (draft.nowMs - reason.sinceMs < findWait(options, kind)) return;
+  const claimCount = draft.state.claimCount + 1;
+  const { self, duty } = options;
+  const changeId = `${duty}/${self.holder}/${self.incarnation}/${claimCount}`;
+  draft.state = { ...draft.state, claimCount };
+  sendClaim(draft, {
+    changeId,
+    expectedRevision: draft.state.object?.revision,
+    retryAtMs: 0,
+    waiting: true,
+  });
+}
+
+function findReason(state: DutyState): ClaimReason["kind"] | undefined {
+  const { options, members, object } = state;
+  const { duty, hash, self } = options;
+  if (object === undefined) return undefined;
+  if (object !== null && isOwn(state, object)) return undefined;
+  const names = [...members.keys()];
+  if (selectPreferred({ duty, members: names, hash }) !== self.holder) {
+    return undefined;
+  }
+  if (object === null || object.record.holder === self.holder) return "free";
+  const { holder, incarnation } = object.record;
+  return members.get(holder) === incarnation ? "preferred" : "holderAbsent";
+}
+
+function findWait(options: DutyOptions, kind: ClaimReason["kind"]): number {
+  if (kind === "free") return 0;
+  return kind === "preferred" ? options.handOverAfterMs : options.absentAfterMs;
+}
+
+function sendClaim(draft: DutyDraft, claim: Claim): void {
+  const { changeId, expectedRevision } = claim;
+  draft.state = { ...draft.state, claim };
+  draft.effects.push({
+    type: "write",
+    record: draft.state.options.self,
+    changeId,
+    expectedRevision,
+  });
+}
+
+/** The same change again: if it took effect, the conflict shows its own id. */
+function retryClaim(draft: DutyDraft, claim: Claim): void {
+  if (claim.waiting || draft.nowMs < claim.retryAtMs) return;
+  sendClaim(draft, { ...claim, waiting: true });
+}
+
+function postponeClaim(draft: DutyDraft, changeId: string): void {
+  const { claim, options } = draft.state;
+  if (claim?.changeId !== changeId) return;
+  const retryAtMs = draft.nowMs + options.retryAfterMs;
+  draft.state = {
+    ...draft.state,
+    claim: { ...claim, waiting: false, retryAtMs },
+  };
+}
+
+function endClaim(draft: DutyDraft): void {
+  const { claim: _, reason: __, ...rest } = draft.state;
+  draft.state = rest;
+}
--- /dev/null
+++ b/agreement/hold-duty/src/mod.ts
@@ -0,0 +1,6 @@
+/** Which entry holds a coordinator duty, with its fencing number. */
+
+export { startDuty, stepDuty } from "./duty_core.ts";
+export type * from "./duty_state.ts";
+export { selectPreferred } from "./select_preferred.ts";
+export type { HashFunction, PreferenceOptions } from "./select_preferred.ts";
