Run the map switch against seeded faults, and mend what that found

Cause: the exhaustive check lets a rank obey at once; a real one takes a moment, stages slowly and may be held by a machine that was paused and replaced.

Found by `npm run soak -- map`, each mended here: the hold of a new rank moved to the switch step before its maps were in place; a status named a proposal whose hold was not confirmed, and a coordinator counted it as a promise; two switches to come at once left a new rank without the map before them; the record named no earlier map; a coordinator went on with a base that had been replaced; replies and refusals of paused former machines counted.

--- a/agreement/switch-map/src/coordinator_core.ts
+++ b/agreement/switch-map/src/coordinator_core.ts
@@ -38,6 +38,7 @@
     options,
     phase: { kind: "idle" },
     current: { mapVersion: 0, fromStep: 0 },
+    incarnations: Array.from({ length: options.groupSize }, () => 0),
     versionCount: 0,
     resendAtMs: nowMs + options.resendIntervalMs,
   };
@@ -71,6 +72,10 @@
 }
 
 function handleRank(draft: CoordinatorDraft, message: RankMessage): void {
+  const { rank, incarnation } = message.from;
+  const { incarnations } = draft.state;
+  if (incarnation < (incarnations[rank] ?? 0)) return;
+  update(draft, { incarnations: incarnations.with(rank, incarnation) });
   switch (message.type) {
     case "status":
       return takeQueryStatus(draft, message);
--- a/agreement/switch-map/src/coordinator_phases.ts
+++ b/agreement/switch-map/src/coordinator_phases.ts
@@ -27,8 +27,6 @@
 ): void {
   const { phase } = draft.state;
   if (phase.kind !== "querying" || !status.serving) return;
-  const known = phase.statuses[status.from.rank];
-  if (known && known.from.incarnation > status.from.incarnation) return;
   const statuses = phase.statuses.with(status.from.rank, status);
   setPhase(draft, { ...phase, statuses });
   const answers = statuses.filter((answer) => answer !== null);
@@ -70,7 +68,10 @@
   const stagedAt = phase.stagedAt.with(message.from.rank, message.step);
   setPhase(draft, { ...phase, stagedAt });
   const steps = stagedAt.filter((step) => step !== null);
-  if (steps.length === stagedAt.length) propose(draft, Math.max(...steps));
+  if (steps.length < stagedAt.length) return;
+  const latestStep = Math.max(...steps);
+  if (latestStep >= draft.state.current.fromStep) propose(draft, latestStep);
+  else setPhase(draft, { ...phase, stagedAt: stagedAt.map(() => null) });
 }
 
 /** Orders the staging again where it is missing, up to the time limit. */
@@ -115,7 +116,7 @@
   if (phase.kind !== "staging") return;
   const proposal = {
     mapVersion: phase.mapVersion,
-    fromStep: Math.max(latestStep, current.fromStep) + options.leadSteps,
+    fromStep: latestStep + options.leadSteps,
     baseVersion: current.mapVersion,
     fencingNumber: options.fencingNumber,
   };
--- a/agreement/switch-map/src/coordinator_state.ts
+++ b/agreement/switch-map/src/coordinator_state.ts
@@ -62,6 +62,8 @@
   readonly options: CoordinatorOptions;
   readonly phase: CoordinatorPhase;
   readonly current: SettledMap;
+  /** Newest incarnation heard of, by rank; what older ones say is left out. */
+  readonly incarnations: readonly number[];
   /** Versions used so far under this fencing number. */
   readonly versionCount: number;
   readonly resendAtMs: number;
--- a/agreement/switch-map/src/coordinator_voting.ts
+++ b/agreement/switch-map/src/coordinator_voting.ts
@@ -125,7 +125,7 @@
   const committed = phase.outcomes.every((outcome) => outcome === "committed");
   if (committed) update(draft, { current: map });
   draft.effects.push({ type: "switchSettled", map, committed });
-  if (phase.own) setPhase(draft, { kind: "idle" });
+  if (phase.own && committed) setPhase(draft, { kind: "idle" });
   else beginQuery(draft);
 }
 
--- a/agreement/switch-map/src/messages.ts
+++ b/agreement/switch-map/src/messages.ts
@@ -16,6 +16,12 @@
   readonly fromStep: number;
 }
 
+/** The newest settled map of a group, and the one before it. */
+export interface SettledMaps {
+  readonly current: SettledMap;
+  readonly previous: SettledMap;
+}
+
 export interface MapProposal extends SettledMap {
   /** The version that this one replaces. */
   readonly baseVersion: number;
@@ -48,12 +54,16 @@
 export interface AskMessage {
   readonly type: "ask";
   readonly from: RankIncarnation;
+  /** The newest incarnation of the receiving rank that the sender knows. */
+  readonly toIncarnation: number;
   readonly proposal: MapProposal;
 }
 
 export interface VoteMessage {
   readonly type: "vote";
   readonly from: RankIncarnation;
+  /** As in a question; 0 in a vote for a coordinator. */
+  readonly toIncarnation: number;
   readonly mapVersion: number;
   readonly vote: VoteKind;
 }
@@ -66,7 +76,7 @@
   readonly mapVersion: number;
 }
 
-export interface StatusMessage {
+export interface StatusMessage extends SettledMaps {
   readonly type: "status";
   readonly from: RankIncarnation;
   /** The join that it answers; absent for a coordinator's query. */
@@ -75,8 +85,6 @@
   readonly serving: boolean;
   readonly incarnations: readonly number[];
   readonly fencingFloor: number;
-  readonly current: SettledMap;
-  readonly previous: SettledMap;
   /** The proposal that it promised and that is not settled. */
   readonly open?: MapProposal;
   /** Every version up to this one that is neither open nor in use is aborted. */
@@ -151,5 +159,10 @@
 
 /** Whom a message is for. */
 export type Recipient =
-  | { readonly kind: "rank"; readonly rank: number }
+  | {
+    readonly kind: "rank";
+    readonly rank: number;
+    /** Set in an answer to a former incarnation, at the address it asked from. */
+    readonly formerIncarnation?: number;
+  }
   | { readonly kind: "coordinator"; readonly fencingNumber: number };
--- a/agreement/switch-map/src/rank_core.ts
+++ b/agreement/switch-map/src/rank_core.ts
@@ -49,20 +49,20 @@
   options: RankOptions,
   nowMs: number,
 ): Step<RankState, RankEffect> {
-  const { roster, self, evidence, recordedMap } = options;
+  const { roster, self, evidence, recorded } = options;
   const state: RankState = {
     group: options.group,
     self,
     groupSize: options.groupSize,
-    recordedMap,
     evidence,
     askIntervalMs: options.askIntervalMs,
     incarnations: roster.with(self.rank, self.incarnation),
     fencingFloor: 0,
-    current: recordedMap,
-    previous: { mapVersion: 0, fromStep: 0 },
+    current: recorded.current,
+    previous: recorded.previous,
     switching: [],
     closedVersion: 0,
+    superseded: false,
     stagedVersions: [],
     stagingFor: [],
     step: evidence.step,
@@ -78,6 +78,7 @@
   event: RankEvent,
   nowMs: number,
 ): Step<RankState, RankEffect> {
+  if (state.superseded) return { state, effects: [] };
   const draft: RankDraft = { state, effects: [], nowMs };
   handleEvent(draft, event);
   return { state: draft.state, effects: draft.effects };
@@ -101,15 +102,49 @@
 }
 
 function handleMessage(draft: RankDraft, message: SwitchMessage): void {
+  if (isForSuccessor(draft, message)) {
+    update(draft, { superseded: true });
+    draft.effects.push({ type: "superseded" });
+    return;
+  }
   if ("fencingNumber" in message) {
     if (draft.state.join === undefined) handleCoordinator(draft, message);
     return;
   }
-  if (isSuperseded(draft.state, message.from)) return;
+  if (isSuperseded(draft.state, message.from)) {
+    tellSuperseded(draft, message);
+    return;
+  }
   noteSender(draft, message.from);
   handlePeer(draft, message);
 }
 
+/** A former incarnation that asks learns that it has a successor. */
+function tellSuperseded(draft: RankDraft, message: RankMessage): void {
+  if (message.type !== "ask" && message.type !== "join") return;
+  const { rank, incarnation } = message.from;
+  const to = { kind: "rank", rank, formerIncarnation: incarnation } as const;
+  send(draft, to, createStatus(draft.state));
+}
+
+/** Whether the sender knows a newer incarnation of this rank. */
+function isForSuccessor(draft: RankDraft, message: SwitchMessage): boolean {
+  const { rank, incarnation } = draft.state.self;
+  switch (message.type) {
+    case "ask":
+    case "vote":
+      return message.toIncarnation > incarnation;
+    case "status":
+      return (message.incarnations[rank] ?? 0) > incarnation;
+    case "certificate":
+      return (message.promisedBy[rank] ?? 0) > incarnation;
+    case "abort":
+      return message.by.rank === rank && message.by.incarnation > incarnation;
+    default:
+      return false;
+  }
+}
+
 function handlePeer(draft: RankDraft, message: RankMessage): void {
   const to = { kind: "rank", rank: message.from.rank } as const;
   if (message.type === "join") {
@@ -188,7 +223,7 @@
 
 /** Asks one missing peer first, then twice as many each time. */
 function askVotes(draft: RankDraft): void {
-  const { open, self, askIntervalMs, groupSize } = draft.state;
+  const { open, self, askIntervalMs, groupSize, incarnations } = draft.state;
   if (open === undefined) return;
   const missing = listMissing(draft.state);
   const first = missing.findIndex((rank) => rank > self.rank);
@@ -205,7 +240,12 @@
   });
   for (const rank of asked) {
     const to = { kind: "rank", rank } as const;
-    send(draft, to, { type: "ask", from: self, proposal: open.proposal });
+    send(draft, to, {
+      type: "ask",
+      from: self,
+      toIncarnation: incarnations[rank] ?? 0,
+      proposal: open.proposal,
+    });
   }
 }
 
--- a/agreement/switch-map/src/rank_draft.ts
+++ b/agreement/switch-map/src/rank_draft.ts
@@ -32,7 +32,9 @@
   to: Recipient,
   answer: { readonly mapVersion: number; readonly vote: VoteKind },
 ): void {
-  send(draft, to, { type: "vote", from: draft.state.self, ...answer });
+  const { self, incarnations } = draft.state;
+  const toIncarnation = to.kind === "rank" ? incarnations[to.rank] ?? 0 : 0;
+  send(draft, to, { type: "vote", from: self, toIncarnation, ...answer });
 }
 
 export function reportViolation(
@@ -48,7 +50,7 @@
   return from.incarnation < (state.incarnations[from.rank] ?? 0);
 }
 
-/** Learns of a newer incarnation. Says whether it was news. */
+/** Learns of a newer incarnation, also of its own rank. Says whether it was news. */
 export function noteIncarnation(
   draft: RankDraft,
   from: RankIncarnation,
--- a/agreement/switch-map/src/rank_join.ts
+++ b/agreement/switch-map/src/rank_join.ts
@@ -14,7 +14,7 @@
   MapProposal,
   RankEvidence,
   RankIncarnation,
-  SettledMap,
+  SettledMaps,
   StatusMessage,
 } from "./messages.ts";
 import {
@@ -27,7 +27,7 @@
 import type { RankDraft } from "./rank_draft.ts";
 import type { JoinState, RankState } from "./rank_state.ts";
 import { holdStep, releaseHold, takeOver } from "./rank_takeover.ts";
-import { openProposal } from "./rank_votes.ts";
+import { promiseAgain } from "./rank_votes.ts";
 
 export function beginJoin(draft: RankDraft): void {
   holdStep(draft, draft.state.evidence.step + 1);
@@ -83,7 +83,7 @@
     fencingFloor: state.fencingFloor,
     current: state.current,
     previous: state.previous,
-    ...(state.open === undefined ? {} : { open: state.open.proposal }),
+    ...(state.open?.promised ? { open: state.open.proposal } : {}),
     closedVersion: state.closedVersion,
     evidence: state.evidence,
   };
@@ -132,7 +132,7 @@
     return;
   }
   if (proposal.fromStep <= evidence.step) return;
-  openProposal(draft, { proposal, inherited: true, askedBy: [] });
+  promiseAgain(draft, proposal);
 }
 
 /** The rank runs the map, so the agent before this one knew the outcome. */
@@ -162,23 +162,31 @@
   draft: RankDraft,
   answers: readonly StatusMessage[],
 ): void {
-  const { evidence, recordedMap, closedVersion } = draft.state;
-  const running = [evidence, ...answers.map((peer) => peer.evidence)]
-    .reduce(selectLater);
-  const recorded = [recordedMap, ...answers.map((peer) => peer.current)]
-    .reduce(selectHigher);
-  const current = running.mapVersion > 0
-    ? { mapVersion: running.mapVersion, fromStep: running.step }
-    : recorded;
-  update(draft, {
-    current,
-    previous: { mapVersion: 0, fromStep: 0 },
-    closedVersion: Math.max(
-      closedVersion,
-      current.mapVersion,
-      recorded.mapVersion,
-    ),
-  });
+  const { state } = draft;
+  const recorded = [state, ...answers].reduce<SettledMaps>(selectHigher, state);
+  const running = [state.evidence, ...answers.map((peer) => peer.evidence)]
+    .filter((rank) => rank.mapVersion > 0)
+    .reduce(selectLater, state.evidence);
+  const { current, previous } = combineRecords(running, recorded);
+  const closedVersion = Math.max(
+    current.mapVersion,
+    recorded.current.mapVersion,
+  );
+  update(draft, { current, previous, closedVersion });
+}
+
+/** What ranks run counts; a recorded map counts if its step is still to come. */
+function combineRecords(
+  running: RankEvidence,
+  recorded: SettledMaps,
+): SettledMaps {
+  if (running.mapVersion === 0) return recorded;
+  const { mapVersion, step } = running;
+  const inForce = { mapVersion, fromStep: step };
+  const { current } = recorded;
+  const isToCome = current.fromStep > step && current.mapVersion > mapVersion;
+  if (isToCome) return { current, previous: inForce };
+  return { current: inForce, previous: { mapVersion: 0, fromStep: 0 } };
 }
 
 function adoptMaps(draft: RankDraft): void {
@@ -198,6 +206,6 @@
   return other.step > one.step ? other : one;
 }
 
-function selectHigher(one: SettledMap, other: SettledMap): SettledMap {
-  return other.mapVersion > one.mapVersion ? other : one;
+function selectHigher(one: SettledMaps, other: SettledMaps): SettledMaps {
+  return other.current.mapVersion > one.current.mapVersion ? other : one;
 }
--- a/agreement/switch-map/src/rank_state.ts
+++ b/agreement/switch-map/src/rank_state.ts
@@ -6,6 +6,7 @@
   RankIncarnation,
   Recipient,
   SettledMap,
+  SettledMaps,
   StatusMessage,
   SwitchMessage,
 } from "./messages.ts";
@@ -16,9 +17,9 @@
   readonly groupSize: number;
   /** By rank, from a read of the registrations after the agent's own was written; 0 for none. */
   readonly roster: readonly number[];
-  /** The group's map in the platform's record. */
-  readonly recordedMap: SettledMap;
-  /** Read from the rank after its next step was put on hold. */
+  /** The group's maps in the platform's record. */
+  readonly recorded: SettledMaps;
+  /** Read from the rank after its next step was put on hold; a new rank has no map. */
   readonly evidence: RankEvidence;
   /** Time between two questions about the same matter. */
   readonly askIntervalMs: number;
@@ -29,8 +30,6 @@
   readonly proposal: MapProposal;
   /** Whether the rank is known to hold at the proposal's step. */
   readonly promised: boolean;
-  /** Whether a former incarnation may have promised it: then it is not refused. */
-  readonly inherited: boolean;
   /** Incarnation that promised, by rank; 0 for none. */
   readonly promisedBy: readonly number[];
   /** Who waits for the vote. */
@@ -47,11 +46,10 @@
   readonly askAtMs: number;
 }
 
-export interface RankState {
+export interface RankState extends SettledMaps {
   readonly group: string;
   readonly self: RankIncarnation;
   readonly groupSize: number;
-  readonly recordedMap: SettledMap;
   readonly evidence: RankEvidence;
   readonly askIntervalMs: number;
   /** Newest incarnation known, by rank. */
@@ -59,12 +57,12 @@
   /** Absent once the agent serves. */
   readonly join?: JoinState;
   readonly fencingFloor: number;
-  readonly current: SettledMap;
-  readonly previous: SettledMap;
   readonly open?: OpenProposal;
   /** Maps that the rank has yet to take over, in this order. */
   readonly switching: readonly SettledMap[];
   readonly closedVersion: number;
+  /** Whether a newer incarnation of this rank exists: this one says nothing more. */
+  readonly superseded: boolean;
   readonly stagedVersions: readonly number[];
   /** Stage orders that are not answered yet. */
   readonly stagingFor: readonly StagingOrder[];
@@ -120,6 +118,8 @@
     readonly fromStep: number;
     readonly committed: boolean;
   }
+  /** The process has a successor and should end. */
+  | { readonly type: "superseded" }
   | {
     readonly type: "invariantViolated";
     readonly invariant: InvariantName;
--- a/agreement/switch-map/src/rank_takeover.ts
+++ b/agreement/switch-map/src/rank_takeover.ts
@@ -72,7 +72,13 @@
 export function releaseHold(draft: RankDraft): void {
   const { open, join, switching, heldStep } = draft.state;
   if (join !== undefined || switching.length > 0) return;
-  if (open !== undefined || heldStep < 0) return;
+  if (open !== undefined) {
+    if (heldStep < open.proposal.fromStep) {
+      holdStep(draft, open.proposal.fromStep);
+    }
+    return;
+  }
+  if (heldStep < 0) return;
   update(draft, { heldStep: -1 });
   draft.effects.push({ type: "releaseStep", step: heldStep });
 }
--- a/agreement/switch-map/src/rank_votes.ts
+++ b/agreement/switch-map/src/rank_votes.ts
@@ -25,6 +25,9 @@
 import type { OpenProposal, RankState } from "./rank_state.ts";
 import { holdStep, releaseHold, takeOver } from "./rank_takeover.ts";
 
+/** What a rank knows of a proposal. */
+export type KnownVote = Omit<VoteMessage, "type" | "toIncarnation">;
+
 /** Votes on a proposal, or tells what became of it. */
 export function considerProposal(
   draft: RankDraft,
@@ -42,7 +45,7 @@
     return;
   }
   if (mayPromise(draft.state, proposal)) {
-    openProposal(draft, { proposal, inherited: false, askedBy: [asker] });
+    openProposal(draft, proposal, asker);
     return;
   }
   refuse(draft, mapVersion, asker);
@@ -64,8 +67,8 @@
     refuse(draft, mapVersion, asker);
     return;
   }
-  if (open.promised || open.inherited) {
-    awaitVote(draft, asker);
+  if (open.promised) {
+    sendVote(draft, asker, { mapVersion, vote: "promised" });
     return;
   }
   abortOpen(draft);
@@ -73,19 +76,38 @@
 }
 
 /** Opens a proposal: the promise follows once the rank's step is on hold. */
-export function openProposal(
+function openProposal(
   draft: RankDraft,
-  opening: Pick<OpenProposal, "proposal" | "inherited" | "askedBy">,
+  proposal: MapProposal,
+  asker: Recipient,
 ): void {
-  const open: OpenProposal = {
-    ...opening,
-    promised: false,
-    promisedBy: draft.state.incarnations.map(() => 0),
-    askAtMs: draft.nowMs + draft.state.askIntervalMs,
-    rounds: 0,
-  };
-  update(draft, { open });
-  holdStep(draft, opening.proposal.fromStep);
+  update(draft, {
+    open: {
+      proposal,
+      promised: false,
+      promisedBy: draft.state.incarnations.map(() => 0),
+      askedBy: [asker],
+      askAtMs: draft.nowMs + draft.state.askIntervalMs,
+      rounds: 0,
+    },
+  });
+  holdStep(draft, proposal.fromStep);
+}
+
+/** Promises what a former incarnation may have promised; the rank is on hold. */
+export function promiseAgain(draft: RankDraft, proposal: MapProposal): void {
+  const { rank, incarnation } = draft.state.self;
+  const none = draft.state.incarnations.map(() => 0);
+  update(draft, {
+    open: {
+      proposal,
+      promised: true,
+      promisedBy: none.with(rank, incarnation),
+      askedBy: [],
+      askAtMs: draft.nowMs,
+      rounds: 0,
+    },
+  });
 }
 
 /** The rank answered to the hold that a promise needs. */
@@ -115,7 +137,7 @@
 /** Takes in what another rank, not superseded, knows of a proposal. */
 export function takeVote(
   draft: RankDraft,
-  message: Omit<VoteMessage, "type">,
+  message: KnownVote,
 ): void {
   if (message.vote === "promised") {
     recordPromises(draft, message.mapVersion, [message.from]);
@@ -196,7 +218,7 @@
   if (state.open !== undefined || state.switching.length > 0) return false;
   if (proposal.fencingNumber < state.fencingFloor) return false;
   if (proposal.baseVersion !== state.current.mapVersion) return false;
-  if (proposal.fromStep <= state.current.fromStep) return false;
+  if (state.step < state.current.fromStep) return false;
   if (proposal.fromStep <= state.step) return false;
   return state.stagedVersions.includes(proposal.mapVersion);
 }
@@ -270,7 +292,7 @@
 
 function checkSameOutcome(
   draft: RankDraft,
-  message: Omit<VoteMessage, "type">,
+  message: KnownVote,
   known: VoteKind,
 ): void {
   if (message.vote === known) return;
@@ -285,7 +307,7 @@
 /** A commit needs this rank's promise, so it can't be news here. */
 function checkNotCommitted(
   draft: RankDraft,
-  message: Omit<VoteMessage, "type">,
+  message: KnownVote,
 ): void {
   if (message.vote !== "committed") return;
   reportViolation(
--- a/testing/check-switch/src/continuation.ts
+++ b/testing/check-switch/src/continuation.ts
@@ -4,7 +4,7 @@
  * sent arrives.
  */
 
-import { ADVANCE, TICK } from "./model.ts";
+import { ADVANCE, TICK } from "./keys.ts";
 import type { Model } from "./model.ts";
 
 const MAX_ROUNDS = 40;
--- /dev/null
+++ b/testing/check-switch/src/coordinator_model.ts
@@ -0,0 +1,61 @@
+/** What coordinators do, remembered by the numbers of state and message. */
+
+import type { CoordinatorState } from "@dandelionbank/switch-map";
+import { stepCoordinator } from "@dandelionbank/switch-map";
+import type { Interner } from "./interner.ts";
+import { internAll, KEYS_PER_STATE, TICK } from "./keys.ts";
+import type { Sent } from "./rank_node.ts";
+import { ENDED } from "./world.ts";
+
+export interface CoordinatorResult {
+  /** The state after it; `ENDED` once its proposal is settled. */
+  readonly id: number;
+  readonly sent: readonly number[];
+}
+
+export class CoordinatorModel {
+  readonly #states: Interner<CoordinatorState>;
+  readonly #messages: Interner<Sent>;
+  readonly #results = new Map<number, CoordinatorResult>();
+
+  static create(
+    states: Interner<CoordinatorState>,
+    messages: Interner<Sent>,
+  ): CoordinatorModel {
+    return new CoordinatorModel(states, messages);
+  }
+
+  private constructor(
+    states: Interner<CoordinatorState>,
+    messages: Interner<Sent>,
+  ) {
+    this.#states = states;
+    this.#messages = messages;
+  }
+
+  /** `key` is a message or `TICK`. */
+  step(id: number, key: number): CoordinatorResult {
+    const fullKey = id * KEYS_PER_STATE + key + 2;
+    const known = this.#results.get(fullKey);
+    if (known !== undefined) return known;
+    const result = this.#compute(id, key);
+    this.#results.set(fullKey, result);
+    return result;
+  }
+
+  #compute(id: number, key: number): CoordinatorResult {
+    const event = key === TICK ? { type: "tick" } as const : {
+      type: "message",
+      message: this.#messages.get(key).message,
+    } as const;
+    const { state, effects } = stepCoordinator(this.#states.get(id), event, 0);
+    if (effects.some((effect) => effect.type === "switchSettled")) {
+      return { id: ENDED, sent: [] };
+    }
+    const sent = effects.filter((effect) => effect.type === "send");
+    return {
+      id: this.#states.intern(state),
+      sent: internAll(this.#messages, sent),
+    };
+  }
+}
--- a/testing/check-switch/src/explore_test.ts
+++ b/testing/check-switch/src/explore_test.ts
@@ -63,7 +63,7 @@
     name: "refuses what its predecessor promised",
     scenario: "promised",
     replacements: 2,
-    core: createMutant({ change: forgetInherited }),
+    core: { start: PRODUCT_CORE.start, step: stepForgettingInherited },
     finds: SAFETY,
   },
   {
@@ -140,13 +140,21 @@
   return PRODUCT_CORE.step(before, event, nowMs);
 }
 
-function forgetInherited(state: RankState): RankState {
-  return state.open?.inherited ? refuseOpen(state) : state;
+/** Refuses what a join leaves open. */
+function stepForgettingInherited(
+  state: RankState,
+  event: RankEvent,
+  nowMs: number,
+) {
+  const result = PRODUCT_CORE.step(state, event, nowMs);
+  const joined = state.join !== undefined && result.state.join === undefined;
+  return joined ? { ...result, state: refuseOpen(result.state) } : result;
 }
 
 function refuseOpen(state: RankState): RankState {
   const { open, ...rest } = state;
-  return { ...rest, closedVersion: open?.proposal.mapVersion ?? 0 };
+  if (open === undefined) return state;
+  return { ...rest, closedVersion: open.proposal.mapVersion };
 }
 
 function startByRecord(options: RankOptions, nowMs: number) {
@@ -154,7 +162,7 @@
   if (options.self.incarnation === 1) return started;
   const { join: _, ...state } = started.state;
   const step = options.evidence.step + 1;
-  const { mapVersion } = options.recordedMap;
+  const { mapVersion } = options.recorded.current;
   const effects = [
     { type: "switchMap", mapVersion, fromStep: step },
     { type: "releaseStep", step },
--- a/testing/check-switch/src/model.ts
+++ b/testing/check-switch/src/model.ts
@@ -10,13 +10,15 @@
  */
 
 import type { CoordinatorState } from "@dandelionbank/switch-map";
-import { stepCoordinator } from "@dandelionbank/switch-map";
+import { CoordinatorModel } from "./coordinator_model.ts";
+import type { CoordinatorResult } from "./coordinator_model.ts";
+import { ADVANCE, internAll, KEYS_PER_STATE, TICK } from "./keys.ts";
 import { Interner } from "./interner.ts";
 import { advanceNode, stepNode } from "./rank_node.ts";
 import type { NodeResult, RankCore, RankNode, Sent } from "./rank_node.ts";
 import { replaceAgent, replaceRank } from "./replacement.ts";
 import type { Action, Transition, World } from "./world.ts";
-import { ENDED, NONE } from "./world.ts";
+import { ENDED, isSame, NONE } from "./world.ts";
 
 export interface ModelOptions {
   readonly core: RankCore;
@@ -28,29 +30,21 @@
   };
 }
 
-interface CoordinatorResult {
-  readonly id: number;
-  readonly sent: readonly number[];
-}
-
 /** What a node does, by the numbers of the node and the messages after it. */
 export interface NumberedResult extends CoordinatorResult {
   readonly violations: readonly string[];
 }
 
-/** Keys of what is no message. */
-export const ADVANCE = -1;
-export const TICK = -2;
-
-const KEYS_PER_NODE = 1_000_000;
-
 export class Model {
   readonly nodes = Interner.create<RankNode>();
   readonly coordinators = Interner.create<CoordinatorState>();
   readonly messages = Interner.create<Sent>();
   readonly options: ModelOptions;
   readonly #nodeResults = new Map<number, NumberedResult | undefined>();
-  readonly #coordinatorResults = new Map<number, CoordinatorResult>();
+  readonly #coordinatorModel = CoordinatorModel.create(
+    this.coordinators,
+    this.messages,
+  );
 
   static create(options: ModelOptions): Model {
     return new Model(options);
@@ -87,7 +81,7 @@
 
   /** `key` is a message, `ADVANCE` or `TICK`. */
   stepNode(id: number, key: number): NumberedResult | undefined {
-    const fullKey = id * KEYS_PER_NODE + key + 2;
+    const fullKey = id * KEYS_PER_STATE + key + 2;
     if (this.#nodeResults.has(fullKey)) return this.#nodeResults.get(fullKey);
     const result = this.#computeNode(this.nodes.get(id), key);
     const numbered = result && this.#number(result);
@@ -245,7 +239,7 @@
   #stepCoordinator(world: World, index: number, key: number): World {
     const id = world.coordinators[index] ?? NONE;
     if (id < 0) return world;
-    const result = this.#recallCoordinator(id, key);
+    const result = this.#coordinatorModel.step(id, key);
     const coordinators = result.id === id
       ? world.coordinators
       : world.coordinators.with(index, result.id);
@@ -253,30 +247,8 @@
     return this.#send(after, result.sent);
   }
 
-  #recallCoordinator(id: number, key: number): CoordinatorResult {
-    const fullKey = id * KEYS_PER_NODE + key + 2;
-    const known = this.#coordinatorResults.get(fullKey);
-    if (known !== undefined) return known;
-    const event = key === TICK ? { type: "tick" } as const : {
-      type: "message",
-      message: this.messages.get(key).message,
-    } as const;
-    const { state, effects } = stepCoordinator(
-      this.coordinators.get(id),
-      event,
-      0,
-    );
-    const settled = effects.some((effect) => effect.type === "switchSettled");
-    const sent = effects.filter((effect) => effect.type === "send");
-    const result = settled
-      ? { id: ENDED, sent: [] }
-      : { id: this.coordinators.intern(state), sent: this.#intern(sent) };
-    this.#coordinatorResults.set(fullKey, result);
-    return result;
-  }
-
   #intern(sent: readonly Sent[]): readonly number[] {
-    return sent.map(({ to, message }) => this.messages.intern({ to, message }));
+    return internAll(this.messages, sent);
   }
 
   #send(world: World, sent: readonly number[]): World {
@@ -311,17 +283,3 @@
       agent.join === undefined || message.join.round < agent.join.round;
   }
 }
-
-function isSame(one: World, other: World): boolean {
-  return isEqual(one.nodes, other.nodes) &&
-    isEqual(one.coordinators, other.coordinators) &&
-    isEqual(one.network, other.network) &&
-    one.replacementsLeft === other.replacementsLeft &&
-    one.changesLeft === other.changesLeft;
-}
-
-function isEqual(one: readonly number[], other: readonly number[]): boolean {
-  return one === other ||
-    (one.length === other.length &&
-      one.every((id, index) => id === other[index]));
-}
--- a/testing/check-switch/src/rank_node.ts
+++ b/testing/check-switch/src/rank_node.ts
@@ -122,6 +122,7 @@
       return handle(core, draft, { type: "mapSwitched", mapVersion });
     }
     case "settled":
+    case "superseded":
       return;
     case "invariantViolated":
       draft.violations.push(`${effect.invariant}: ${effect.detail}`);
--- a/testing/check-switch/src/replacement.ts
+++ b/testing/check-switch/src/replacement.ts
@@ -6,7 +6,12 @@
 import type { NodeResult, RankCore, RankNode } from "./rank_node.ts";
 
 /** The map that the platform's record names throughout a check. */
-export const RECORDED_MAP = { mapVersion: 1, fromStep: 0 };
+const FIRST_MAP = { mapVersion: 1, fromStep: 0 };
+
+export const RECORDED_MAPS = {
+  current: FIRST_MAP,
+  previous: { mapVersion: 0, fromStep: 0 },
+};
 
 /** The rank goes on; its agent knows nothing but what the rank tells. */
 export function replaceAgent(
@@ -27,24 +32,24 @@
   nodes: readonly RankNode[],
   rank: number,
 ): NodeResult {
-  const others = nodes.filter((_, other) => other !== rank);
-  const latest = Math.max(...others.map((node) => node.engine.step));
+  const latest = Math.max(...nodes.map((node) => node.engine.step));
   const engine = createEngine(Math.max(latest - 1, -1));
-  return startNode(core, { options: createOptions(nodes, rank), engine });
+  const evidence = { step: engine.step, mapVersion: 0 };
+  const options = { ...createOptions(nodes, rank), evidence };
+  return startNode(core, { options, engine });
 }
 
 function createOptions(
   nodes: readonly RankNode[],
   rank: number,
-): RankOptions {
+): Omit<RankOptions, "evidence"> {
   const roster = nodes.map((node) => node.agent.self.incarnation);
   return {
     group: "g",
     self: { rank, incarnation: roster[rank]! + 1 },
     groupSize: roster.length,
     roster,
-    recordedMap: RECORDED_MAP,
-    evidence: { step: -1, mapVersion: 0 },
+    recorded: RECORDED_MAPS,
     askIntervalMs: 0,
   };
 }
--- a/testing/check-switch/src/scenarios.ts
+++ b/testing/check-switch/src/scenarios.ts
@@ -18,7 +18,7 @@
 import { createEngine } from "./rank_engine.ts";
 import { advanceNode, startNode, stepNode } from "./rank_node.ts";
 import type { RankCore, RankNode, Sent } from "./rank_node.ts";
-import { RECORDED_MAP } from "./replacement.ts";
+import { RECORDED_MAPS } from "./replacement.ts";
 import { ENDED, NONE } from "./world.ts";
 
 /**
@@ -73,7 +73,7 @@
       NONE,
     ],
     network: network.sort((a, b) => a - b),
-    completed: [RECORDED_MAP.mapVersion],
+    completed: [RECORDED_MAPS.current.mapVersion],
     replacementsLeft: options.replacements,
     changesLeft: options.changes,
   };
@@ -138,7 +138,7 @@
     self: { rank, incarnation: 1 },
     groupSize: GROUP_SIZE,
     roster: RANKS.map(() => 1),
-    recordedMap: RECORDED_MAP,
+    recorded: RECORDED_MAPS,
     evidence: { step: -1, mapVersion: 0 },
     askIntervalMs: 0,
   };
@@ -148,7 +148,7 @@
   return {
     mapVersion: fencingNumber * VERSIONS_PER_HOLDER + 1,
     fromStep: SWITCH_STEP,
-    baseVersion: RECORDED_MAP.mapVersion,
+    baseVersion: RECORDED_MAPS.current.mapVersion,
     fencingNumber,
   };
 }
@@ -164,7 +164,7 @@
   const idle: CoordinatorState = {
     ...started,
     phase: { kind: "idle" },
-    current: RECORDED_MAP,
+    current: RECORDED_MAPS.current,
   };
   const planned = stepCoordinator(idle, { type: "plan" }, 0);
   const { mapVersion } = createProposal(fencingNumber);
--- a/testing/check-switch/src/traps_test.ts
+++ b/testing/check-switch/src/traps_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { stepRank } from "@dandelionbank/switch-map";
 import { GroupFixture } from "./group_fixture.ts";
 import type { Sent } from "./rank_node.ts";
 import { createProposal, SWITCH_STEP } from "./scenarios.ts";
@@ -180,6 +181,20 @@
   assert.deepEqual(group.node(1).agent.join?.answers, [null, null, null]);
 });
 
+test("A rank that is not on hold yet has promised nothing in its status", () => {
+  const group = GroupFixture.create();
+  const proposal = createProposal(1);
+  const propose = { type: "propose", fencingNumber: 1, proposal } as const;
+  const { agent } = group.node(0);
+  const opened = stepRank(agent, { type: "message", message: propose }, 0);
+  assert.equal(opened.state.open?.promised, false);
+  const query = { type: "query", fencingNumber: 2 } as const;
+  const asked = stepRank(opened.state, { type: "message", message: query }, 0);
+  const [status] = asked.effects;
+  assert.ok(status?.type === "send" && status.message.type === "status");
+  assert.equal(status.message.open, undefined);
+});
+
 test("A stalled rank stalls the switch and breaks nothing", () => {
   const group = GroupFixture.create();
   group.propose([0, 1]);
@@ -202,7 +217,7 @@
   group.settle(2);
   group.replaceRank(1);
   group.replaceAgent(2);
-  assert.equal(group.node(1).agent.recordedMap.mapVersion, 1);
+  assert.equal(group.node(1).agent.current.mapVersion, 1);
   group.settle();
   assert.deepEqual(group.mapVersions, [FIRST, FIRST, FIRST]);
   assert.deepEqual(group.violations, []);
--- a/testing/check-switch/src/world.ts
+++ b/testing/check-switch/src/world.ts
@@ -53,3 +53,18 @@
     world.changesLeft,
   ].join(";");
 }
+
+/** Whether two states are alike but for the steps completed. */
+export function isSame(one: World, other: World): boolean {
+  return isEqual(one.nodes, other.nodes) &&
+    isEqual(one.coordinators, other.coordinators) &&
+    isEqual(one.network, other.network) &&
+    one.replacementsLeft === other.replacementsLeft &&
+    one.changesLeft === other.changesLeft;
+}
+
+function isEqual(one: readonly number[], other: readonly number[]): boolean {
+  return one === other ||
+    (one.length === other.length &&
+      one.every((id, index) => id === other[index]));
+}
--- /dev/null
+++ b/testing/soak/src/map/group_world.ts
@@ -0,0 +1,246 @@
+/**
+ * A group of ranks, its coordinators and what is checked of them. Steps are
+ * lock-step: a rank begins one when all have begun the one before.
+ */
+
+import type {
+  MapProposal,
+  RankOptions,
+  Recipient,
+  SettledMap,
+  SettledMaps,
+  SwitchMessage,
+} from "@dandelionbank/switch-map";
+import { MessageQueue } from "@dandelionbank/message-queue";
+import type { RunReport } from "../soak.ts";
+import { CoordinatorNode } from "./coordinator_node.ts";
+import { createRank, nameRankVm, RankVm } from "./rank_vm.ts";
+import type { Rank } from "./rank_vm.ts";
+
+export const STEP_MS = 5;
+
+const STALE_ROUTE_SHARE = 0.1;
+/** What follows from a first violation says little. */
+const MAX_REPORTED = 2;
+
+export class GroupWorld {
+  readonly queue: MessageQueue<SwitchMessage>;
+  readonly size: number;
+  readonly vms: RankVm[] = [];
+  readonly report = {
+    faults: {} as Record<string, number>,
+    outcomes: {} as Record<string, number>,
+    invariants: {} as Record<string, number>,
+    violations: [] as string[],
+  } satisfies RunReport;
+  /** Former machines of a rank that may still act. */
+  readonly #former: RankVm[][] = [];
+  readonly #names: string[] = [];
+  readonly #coordinators: CoordinatorNode[] = [];
+  readonly #completed: number[] = [];
+  readonly #outcomes = new Map<number, boolean>();
+  /** The last step that any rank began; the one before it has ended. */
+  #latestStep = -1;
+  #incarnation = 0;
+  #recorded: SettledMaps = {
+    current: { mapVersion: 1, fromStep: 0 },
+    previous: { mapVersion: 0, fromStep: 0 },
+  };
+  storeDown = false;
+
+  constructor(seed: number) {
+    this.queue = MessageQueue.create<SwitchMessage>({
+      seed,
+      faults: { minDelayMs: 1, maxDelayMs: 4 },
+    });
+    this.size = this.queue.random.int(2, 5);
+    const incarnations = Array.from(
+      { length: this.size },
+      () => this.#incarnation += 1,
+    );
+    incarnations.forEach((incarnation, rank) => {
+      this.#former.push([]);
+      this.#names.push(nameRankVm({ rank, incarnation }));
+    });
+    for (const index of incarnations.keys()) {
+      const options = this.#createOptions(index, incarnations);
+      this.vms.push(RankVm.create(this, { options, rank: createRank(-1) }));
+    }
+    this.#advance();
+  }
+
+  get latestCoordinator(): CoordinatorNode | undefined {
+    return this.#coordinators.at(-1);
+  }
+
+  get coordinators(): readonly CoordinatorNode[] {
+    return this.#coordinators;
+  }
+
+  get lowestStep(): number {
+    return Math.min(...this.vms.map((vm) => vm.rank.step));
+  }
+
+  startCoordinator(leadSteps: number): void {
+    const fencingNumber = this.#coordinators.length + 1;
+    const options = { fencingNumber, leadSteps };
+    this.#coordinators.push(CoordinatorNode.create(this, options));
+  }
+
+  /** Only its agent: the rank goes on. It can't register in an outage. */
+  replaceAgent(index: number): void {
+    if (this.storeDown) return;
+    const former = this.vms[index]!;
+    this.count("faults", "agentsReplaced");
+    this.queue.stop(former.name);
+    const { rank } = former;
+    const delayMs = this.queue.random.int(5, 40);
+    this.queue.runAt(this.queue.nowMs + delayMs, () => {
+      if (this.vms[index] !== former) return;
+      this.#start(index, rank, {
+        step: rank.step,
+        mapVersion: rank.mapOfStep.get(rank.step) ?? 0,
+      });
+    });
+  }
+
+  /** The machine: what its rank had begun is begun again by the new one. */
+  replaceVm(index: number, former: "stopped" | "paused"): void {
+    if (this.storeDown) return;
+    const old = this.vms[index]!;
+    this.count("faults", former === "paused" ? "vmsPaused" : "vmsReplaced");
+    if (former === "stopped") this.queue.stop(old.name);
+    else this.#pause(old);
+    this.#former[index]!.push(old);
+    const rank = createRank(Math.max(this.#latestStep - 1, -1));
+    this.#start(index, rank, { step: rank.step, mapVersion: 0 });
+    this.#noteRestart();
+  }
+
+  send(from: string, to: Recipient, message: SwitchMessage): void {
+    if (to.kind === "coordinator") {
+      this.queue.post(
+        { from, to: `coordinator${to.fencingNumber}` },
+        message,
+      );
+      return;
+    }
+    const { rank, formerIncarnation: incarnation } = to;
+    const name = incarnation === undefined
+      ? this.#route(rank)
+      : nameRankVm({ rank, incarnation });
+    this.queue.post({ from, to: name }, message);
+  }
+
+  noteHeld(_index: number): void {
+    this.count("outcomes", "stepsHeld");
+  }
+
+  /** One map per step: against all live ranks and all completed steps. */
+  noteStep(index: number, step: number, mapVersion: number): void {
+    this.count("invariants", "oneMapPerStep");
+    this.#latestStep = Math.max(this.#latestStep, step);
+    const others = this.vms.map((vm) => vm.rank.mapOfStep.get(step));
+    const clash = [this.#completed[step], ...others]
+      .find((map) => map !== undefined && map !== mapVersion);
+    if (clash !== undefined) {
+      this.violate(
+        `Step ${step} under map ${mapVersion} at rank ${index}, ${clash} at another`,
+      );
+    }
+    if (others.every((map) => map !== undefined)) {
+      this.#completed[step] = mapVersion;
+    }
+  }
+
+  noteOutcome(outcome: SettledMap & { readonly committed: boolean }): void {
+    this.count("invariants", "oneOutcomePerProposal");
+    this.#outcomes.set(outcome.mapVersion, outcome.committed);
+    this.count("outcomes", outcome.committed ? "rankCommits" : "rankAborts");
+  }
+
+  noteSettled(
+    settled: { readonly map: SettledMap; readonly committed: boolean },
+  ): void {
+    this.count("outcomes", settled.committed ? "committed" : "aborted");
+    if (!settled.committed || this.storeDown) return;
+    const { current } = this.#recorded;
+    if (settled.map.mapVersion <= current.mapVersion) return;
+    this.#recorded = { current: settled.map, previous: current };
+  }
+
+  /** The proposal that some rank has not settled, if there is one. */
+  findOpen(): MapProposal | undefined {
+    return this.vms.map((vm) => vm.state.open?.proposal)
+      .find((open) => open !== undefined);
+  }
+
+  violate(detail: string): void {
+    if (this.report.violations.length >= MAX_REPORTED) return;
+    this.report.violations.push(`${this.queue.nowMs} ms: ${detail}`);
+  }
+
+  count(tally: "faults" | "outcomes" | "invariants", name: string): void {
+    this.report[tally][name] = (this.report[tally][name] ?? 0) + 1;
+  }
+
+  #advance(): void {
+    const lowest = this.lowestStep;
+    for (const vm of this.vms) vm.advance(lowest);
+    this.queue.runAt(this.queue.nowMs + STEP_MS, () => this.#advance());
+  }
+
+  /** No rank and no agent knows anything: the group begins anew. */
+  #noteRestart(): void {
+    const isNew = this.vms.every((vm) =>
+      vm.state.join !== undefined && vm.rank.mapOfStep.size === 0
+    );
+    if (!isNew) return;
+    this.count("outcomes", "groupsBegunAnew");
+    this.#completed.length = 0;
+  }
+
+  #start(
+    index: number,
+    rank: Rank,
+    evidence: RankOptions["evidence"],
+  ): void {
+    this.#incarnation += 1;
+    const roster = this.vms.map((vm) => vm.state.self.incarnation);
+    const options = this.#createOptions(
+      index,
+      roster.with(index, this.#incarnation),
+    );
+    this.#names[index] = nameRankVm(options.self);
+    this.vms[index] = RankVm.create(this, {
+      options: { ...options, evidence },
+      rank,
+    });
+  }
+
+  #createOptions(rank: number, roster: readonly number[]): RankOptions {
+    return {
+      group: "g",
+      self: { rank, incarnation: roster[rank]! },
+      groupSize: this.size,
+      roster,
+      recorded: this.#recorded,
+      evidence: { step: -1, mapVersion: 0 },
+      askIntervalMs: 30,
+    };
+  }
+
+  #pause(vm: RankVm): void {
+    this.queue.freeze(vm.name);
+    const untilMs = this.queue.nowMs + this.queue.random.int(10, 800);
+    this.queue.runAt(untilMs, () => this.queue.thaw(vm.name));
+  }
+
+  /** Some use an address that a former machine had. */
+  #route(rank: number): string {
+    const former = this.#former[rank]?.at(-1);
+    const stale = former !== undefined &&
+      this.queue.random.chance(STALE_ROUTE_SHARE);
+    return stale ? former.name : this.#names[rank]!;
+  }
+}
--- /dev/null
+++ b/testing/soak/src/map/rank_vm.ts
@@ -0,0 +1,183 @@
+/**
+ * One rank's machine: the rank itself and its agent's core. Commands from the
+ * agent reach the rank after a moment, in order, also if the agent ended since.
+ */
+
+import type {
+  RankEffect,
+  RankEvent,
+  RankIncarnation,
+  RankOptions,
+  RankState,
+} from "@dandelionbank/switch-map";
+import { startRank, stepRank } from "@dandelionbank/switch-map";
+import type { Step } from "@dandelionbank/types";
+import type { GroupWorld } from "./group_world.ts";
+
+const TICK_MS = 20;
+const COMMAND_MS = 2;
+
+export interface Rank {
+  step: number;
+  heldStep: number;
+  stalled: boolean;
+  orders: { readonly mapVersion: number; readonly fromStep: number }[];
+  readonly mapOfStep: Map<number, number>;
+}
+
+export function nameRankVm(self: RankIncarnation): string {
+  return `rank${self.rank}.${self.incarnation}`;
+}
+
+export function createRank(step: number): Rank {
+  return {
+    step,
+    heldStep: -1,
+    stalled: false,
+    orders: [],
+    mapOfStep: new Map(),
+  };
+}
+
+export class RankVm {
+  readonly name: string;
+  readonly rank: Rank;
+  readonly index: number;
+  readonly #world: GroupWorld;
+  #state: RankState;
+
+  static create(
+    world: GroupWorld,
+    start: { readonly options: RankOptions; readonly rank: Rank },
+  ): RankVm {
+    return new RankVm(world, start);
+  }
+
+  private constructor(
+    world: GroupWorld,
+    start: { readonly options: RankOptions; readonly rank: Rank },
+  ) {
+    const { options, rank } = start;
+    this.#world = world;
+    this.rank = rank;
+    this.index = options.self.rank;
+    this.name = nameRankVm(options.self);
+    rank.heldStep = rank.step + 1;
+    const nowMs = world.queue.nowMs;
+    const started = startRank(options, nowMs);
+    this.#state = started.state;
+    world.queue.start(this.name, {
+      receive: (message) => this.#handle({ type: "message", message }),
+    });
+    this.#perform(started);
+    this.#tick();
+  }
+
+  get state(): RankState {
+    return this.#state;
+  }
+
+  /** The rank begins its next step, if it may. */
+  advance(lowestStep: number): void {
+    const { rank } = this;
+    const next = rank.step + 1;
+    if (rank.stalled || rank.step > lowestStep) return;
+    if (rank.heldStep >= 0 && rank.heldStep <= next) {
+      this.#world.noteHeld(this.index);
+      return;
+    }
+    const order = rank.orders.findLast((map) => map.fromStep <= next);
+    if (order === undefined) return;
+    rank.step = next;
+    rank.mapOfStep.set(next, order.mapVersion);
+    this.#world.noteStep(this.index, next, order.mapVersion);
+    this.#reply({
+      type: "stepStarted",
+      step: next,
+      mapVersion: order.mapVersion,
+    });
+  }
+
+  #tick(): void {
+    this.#world.queue.startTimer(this.name, {
+      delayMs: TICK_MS,
+      run: () => {
+        this.#handle({ type: "tick" });
+        this.#tick();
+      },
+    });
+  }
+
+  #handle(event: RankEvent): void {
+    const nowMs = this.#world.queue.clockMs(this.name);
+    this.#perform(stepRank(this.#state, event, nowMs));
+  }
+
+  #perform(result: Step<RankState, RankEffect>): void {
+    this.#state = result.state;
+    for (const effect of result.effects) this.#performOne(effect);
+  }
+
+  #performOne(effect: RankEffect): void {
+    switch (effect.type) {
+      case "send":
+        return this.#world.send(this.name, effect.to, effect.message);
+      case "settled":
+        return this.#world.noteOutcome(effect);
+      case "invariantViolated":
+        return this.#world.violate(`${effect.invariant}: ${effect.detail}`);
+      case "superseded":
+        return this.#world.count("outcomes", "supersededAgents");
+      case "stageMap":
+        return this.#stage(effect.mapVersion);
+      default:
+        return this.#command(effect);
+    }
+  }
+
+  #stage(mapVersion: number): void {
+    const delayMs = this.#world.queue.random.int(1, 60);
+    const run = () => this.#handle({ type: "mapStaged", mapVersion });
+    this.#world.queue.startTimer(this.name, { delayMs, run });
+  }
+
+  #command(
+    effect: Extract<
+      RankEffect,
+      { type: "holdStep" | "releaseStep" | "switchMap" }
+    >,
+  ): void {
+    const { queue } = this.#world;
+    queue.runAt(queue.nowMs + COMMAND_MS, () => {
+      const answer = this.#obey(effect);
+      if (answer !== undefined) this.#reply(answer);
+    });
+  }
+
+  #obey(
+    effect: Extract<
+      RankEffect,
+      { type: "holdStep" | "releaseStep" | "switchMap" }
+    >,
+  ): RankEvent | undefined {
+    const { rank } = this;
+    if (effect.type === "releaseStep") {
+      if (rank.heldStep === effect.step) rank.heldStep = -1;
+      return undefined;
+    }
+    if (effect.type === "holdStep") {
+      const held = rank.step < effect.step;
+      if (held) rank.heldStep = effect.step;
+      return { type: "stepHeld", step: effect.step, held };
+    }
+    const { mapVersion, fromStep } = effect;
+    const kept = rank.orders.filter((order) => order.fromStep < fromStep);
+    rank.orders = [...kept, { mapVersion, fromStep }];
+    return { type: "mapSwitched", mapVersion };
+  }
+
+  #reply(event: RankEvent): void {
+    const run = () => this.#handle(event);
+    this.#world.queue.startTimer(this.name, { delayMs: 0, run });
+  }
+}
