--- a/agreement/switch-map/src/rank_join.ts
+++ b/agreement/switch-map/src/rank_join.ts
@@ -29,6 +29,8 @@
 import { holdStep, releaseHold, takeOver } from "./rank_takeover.ts";
 import { promiseAgain } from "./rank_votes.ts";
 
+const NO_EVIDENCE: RankEvidence = { step: -1, mapVersion: 0 };
+
 export function beginJoin(draft: RankDraft): void {
   holdStep(draft, draft.state.evidence.step + 1);
   startRound(draft, 1);
@@ -166,7 +168,7 @@
   const recorded = [state, ...answers].reduce<SettledMaps>(selectHigher, state);
   const running = [state.evidence, ...answers.map((peer) => peer.evidence)]
     .filter((rank) => rank.mapVersion > 0)
-    .reduce(selectLater, state.evidence);
+    .reduce(selectLater, NO_EVIDENCE);
   const { current, previous } = combineRecords(running, recorded);
   const closedVersion = Math.max(
     current.mapVersion,
@@ -203,7 +205,7 @@
 }
 
 function selectLater(one: RankEvidence, other: RankEvidence): RankEvidence {
-  return other.step > one.step ? other : one;
+  return other.step >= one.step ? other : one;
 }
 
 function selectHigher(one: SettledMaps, other: SettledMaps): SettledMaps {
--- a/testing/check-switch/src/group_fixture.ts
+++ b/testing/check-switch/src/group_fixture.ts
@@ -30,7 +30,7 @@
       { length: size },
       (_, rank) =>
         startNode(PRODUCT_CORE, {
-          options: createOptions(rank),
+          options: createOptions(rank, size),
           engine: createEngine(-1),
         }),
     );
--- a/testing/check-switch/src/scenarios.ts
+++ b/testing/check-switch/src/scenarios.ts
@@ -132,12 +132,12 @@
   }
 }
 
-export function createOptions(rank: number): RankOptions {
+export function createOptions(rank: number, size = GROUP_SIZE): RankOptions {
   return {
     group: "g",
     self: { rank, incarnation: 1 },
-    groupSize: GROUP_SIZE,
-    roster: RANKS.map(() => 1),
+    groupSize: size,
+    roster: Array.from({ length: size }, () => 1),
     recorded: RECORDED_MAPS,
     evidence: { step: -1, mapVersion: 0 },
     askIntervalMs: 0,
--- a/testing/check-switch/src/traps_test.ts
+++ b/testing/check-switch/src/traps_test.ts
@@ -195,6 +195,18 @@
   assert.equal(status.message.open, undefined);
 });
 
+test("A rank that runs a map counts for more than a stale record", () => {
+  const group = GroupFixture.create(2);
+  group.propose(group.ranks);
+  group.settle(3);
+  group.queue = [];
+  group.replaceRank(1);
+  group.replaceAgent(0);
+  group.settle();
+  assert.deepEqual(group.mapVersions, [FIRST, FIRST]);
+  assert.deepEqual(group.violations, []);
+});
+
 test("A stalled rank stalls the switch and breaks nothing", () => {
   const group = GroupFixture.create();
   group.propose([0, 1]);
--- a/testing/soak/src/map/group_world.ts
+++ b/testing/soak/src/map/group_world.ts
@@ -114,7 +114,6 @@
     this.#former[index]!.push(old);
     const rank = createRank(Math.max(this.#latestStep - 1, -1));
     this.#start(index, rank, { step: rank.step, mapVersion: 0 });
-    this.#noteRestart();
   }
 
   send(from: string, to: Recipient, message: SwitchMessage): void {
@@ -216,6 +215,7 @@
       options: { ...options, evidence },
       rank,
     });
+    this.#noteRestart();
   }
 
   #createOptions(rank: number, roster: readonly number[]): RankOptions {
--- a/testing/soak/src/soak_test.ts
+++ b/testing/soak/src/soak_test.ts
@@ -9,6 +9,13 @@
 
 /** What a fixed set of runs of each soak must at least have exercised. */
 const EXERCISED: Readonly<Record<string, readonly string[]>> = {
+  map: [
+    "oneMapPerStep",
+    "oneOutcomePerProposal",
+    "goesOnAfterFaults",
+    "agreesAfterFaults",
+    "switchesAfterFaults",
+  ],
   requests: [
     "runsAtMostOnce",
     "notRunIsTrue",
