--- a/daemon/dandelionbankd/src/main.ts
+++ b/daemon/dandelionbankd/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env -S node --max-semi-space-size=2
 /** Runs the daemon with this process's arguments, variables and streams. */
 
 import process from "node:process";
--- a/daemon/follow-peers/src/agent_follower.ts
+++ b/daemon/follow-peers/src/agent_follower.ts
@@ -27,6 +27,8 @@
   readonly access: PeerAccess;
   readonly hash: TextHash;
   readonly isLeaving: (target: string) => boolean;
+  readonly onHeard: (status: AgentStatus) => void;
+  readonly onSilent: (registration: AgentRegistration) => void;
 }
 
 interface FollowedAgent {
@@ -134,8 +136,10 @@
         closings: [...shown.closings],
       });
       agent.failures = 0;
+      this.#options.onHeard(agent.status);
     } catch {
       agent.failures += 1;
+      this.#options.onSilent(agent.registration);
     }
     agent.isAsking = false;
     if (agent.isChanged && this.#view !== undefined) {
--- /dev/null
+++ b/daemon/follow-peers/src/member_task.ts
@@ -0,0 +1,115 @@
+/**
+ * Owns the membership core: joins the platform's lagging list of VMs with what
+ * agents say and with their silence.
+ */
+
+import {
+  createMemberState,
+  followMembers,
+  type Member,
+  type MemberEffect,
+  type MemberEvent,
+  type MemberState,
+} from "@dandelionbank/follow-members";
+import type { Logger } from "@dandelionbank/log-events";
+import { CoreRunner } from "@dandelionbank/run-core";
+import type { View, VmListing } from "@dandelionbank/types";
+
+const LIST_INTERVAL_MS = 2_000;
+
+export interface MemberTaskOptions {
+  readonly logger: Logger;
+  readonly listVms: () => Promise<readonly VmListing[]>;
+  readonly onMembers: (members: readonly Member[]) => void;
+}
+
+export class MemberTask {
+  readonly #options: MemberTaskOptions;
+  readonly #runner: CoreRunner<MemberState, MemberEvent, MemberEffect>;
+  readonly #timer: NodeJS.Timeout;
+  readonly #leaving = new Set<string>();
+  #view: View | undefined;
+  #isListing = false;
+
+  private constructor(options: MemberTaskOptions) {
+    this.#options = options;
+    this.#runner = CoreRunner.create({
+      initial: createMemberState(),
+      step: followMembers,
+      perform: (effect) => this.#perform(effect),
+      readNowMs: () => performance.now(),
+    });
+    this.#timer = setInterval(() => void this.#tick(), LIST_INTERVAL_MS);
+  }
+
+  static create(options: MemberTaskOptions): MemberTask {
+    return new MemberTask(options);
+  }
+
+  /** Whether the platform lists the target's VM as leaving. */
+  isLeaving(target: string): boolean {
+    return this.#leaving.has(target);
+  }
+
+  applyView(view: View): void {
+    const before = this.#view;
+    this.#view = view;
+    if (before?.agents !== view.agents) {
+      const agents = [...view.agents.values()].map(({ value }) => value);
+      this.#runner.post({ type: "agentsChanged", agents });
+    }
+    if (before?.stops !== view.stops) {
+      this.#runner.post({
+        type: "stopsChanged",
+        targets: [...view.stops.keys()],
+      });
+    }
+  }
+
+  hear(agent: {
+    readonly target: string;
+    readonly incarnation: string;
+    readonly isLeaving: boolean;
+  }): void {
+    const { target, incarnation, isLeaving } = agent;
+    const type = isLeaving ? "agentLeaving" : "agentHeard";
+    this.#runner.post({ type, target, incarnation });
+  }
+
+  missSilent(target: string, incarnation: string): void {
+    this.#runner.post({ type: "agentSilent", target, incarnation });
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#runner.stop();
+  }
+
+  async #tick(): Promise<void> {
+    this.#runner.post({ type: "tick" });
+    if (this.#isListing) return;
+    this.#isListing = true;
+    try {
+      this.#takeVms(await this.#options.listVms());
+    } catch {
+      // The last list stays; connections tell the rest.
+    }
+    this.#isListing = false;
+  }
+
+  #takeVms(vms: readonly VmListing[]): void {
+    this.#leaving.clear();
+    for (const { name, state } of vms) {
+      if (state === "leaving") this.#leaving.add(name);
+    }
+    this.#runner.post({ type: "vmsListed", vms });
+  }
+
+  #perform(effect: MemberEffect): void {
+    if (effect.type === "membersChanged") {
+      return this.#options.onMembers(effect.members);
+    }
+    const { dataCentre, vanished } = effect;
+    this.#options.logger.log("vmListDistrusted", { dataCentre, vanished });
+  }
+}
--- a/daemon/route-requests/src/http_caller_port.ts
+++ b/daemon/route-requests/src/http_caller_port.ts
@@ -10,7 +10,6 @@
   CallerPort,
   UnansweredOutcome,
 } from "./caller_port.ts";
-import { toCallerCode } from "./caller_code.ts";
 
 /** A longer answer goes out as it comes, and is cut off if it fails. */
 const HELD_LIMIT_BYTES = 1_048_576;
@@ -55,7 +54,7 @@
   }
 
   giveUp(outcome: UnansweredOutcome): void {
-    this.#answer.giveUp({ ...outcome, code: toCallerCode(outcome.code) });
+    this.#answer.giveUp(outcome);
   }
 
   beat(): void {}
--- a/daemon/route-requests/src/request_task.ts
+++ b/daemon/route-requests/src/request_task.ts
@@ -13,6 +13,7 @@
 } from "@dandelionbank/limit-requests";
 import type { Logger } from "@dandelionbank/log-events";
 import type { HttpConnector } from "@dandelionbank/open-http";
+import type { PlacementTarget } from "@dandelionbank/pick-target";
 import type { Loss } from "@dandelionbank/quarantine-requests";
 import { CoreRunner } from "@dandelionbank/run-core";
 import type { CallerAnswer, CallerRequest } from "@dandelionbank/serve-callers";
@@ -29,7 +30,7 @@
 import type { RelayMessage, View } from "@dandelionbank/types";
 import { randomUUID } from "node:crypto";
 import { AttemptSender } from "./attempt_sender.ts";
-import { toCallerCode } from "./caller_code.ts";
+import { toCallerCode } from "@dandelionbank/describe-outcome";
 import { CallerTable } from "./caller_table.ts";
 import { HttpCallerPort } from "./http_caller_port.ts";
 import { Placer } from "./placer.ts";
@@ -144,15 +145,18 @@
     this.#view = view;
     for (const event of contractEvents(before, view)) this.#limiter.post(event);
     if (before?.entries !== view.entries) this.#takeEntries(view);
-    if (before?.agents !== view.agents || before?.stops !== view.stops) {
-      this.#takeAgents(view);
-    }
+    if (before?.agents !== view.agents) this.#takeAgents(view);
     const placement = view.config?.value.placement;
     if (placement !== before?.config?.value.placement) {
       this.#placer.usePolicy(placement);
     }
   }
 
+  /** Follows which targets take work, as far as this entry knows. */
+  applyMembers(members: readonly PlacementTarget[]): void {
+    this.#placer.replaceTargets(members);
+  }
+
   /** Takes a caller's request that passed the checks at the edge. */
   handle(request: CallerRequest, answer: CallerAnswer): void {
     const { requestId, contract, call } = request;
@@ -511,13 +515,6 @@
         peerUrl,
       })),
     );
-    this.#placer.replaceTargets(
-      agents.map(({ target }) => ({
-        name: target.name,
-        pool: target.pool,
-        state: view.stops.has(target.name) ? "closed" : "open",
-      })),
-    );
   }
 
   #reportViolation(
--- a/daemon/serve-callers/src/caller_answer.ts
+++ b/daemon/serve-callers/src/caller_answer.ts
@@ -56,7 +56,9 @@
     this.#isEventStream = options.contentType.startsWith("text/event-stream");
     this.#response.writeHead(options.status, {
       ...this.#ownHeaders(),
-      "dandelionbank-target": options.target,
+      ...(options.target === ""
+        ? {}
+        : { "dandelionbank-target": options.target }),
       "content-type": options.contentType,
       ...(options.lengthBytes === undefined
         ? {}
--- a/daemon/serve-callers/src/caller_server.ts
+++ b/daemon/serve-callers/src/caller_server.ts
@@ -6,6 +6,7 @@
 
 import { readBearerKey } from "@dandelionbank/check-credential";
 import type { TlsMaterial } from "@dandelionbank/load-tls";
+import type { EdgeCode } from "@dandelionbank/describe-outcome";
 import { OPERATOR_PATH } from "@dandelionbank/operator-api";
 import { readCall } from "@dandelionbank/read-call";
 import type { Config, Contract, Outcome } from "@dandelionbank/types";
@@ -41,7 +42,7 @@
 /** What the server asks of the entry. */
 export interface CallerGate {
   /** Why no request can be taken now, or `undefined` if it can. */
-  readRefusal(): string | undefined;
+  readRefusal(): EdgeCode | undefined;
   readConfig():
     | { readonly revision: number; readonly config: Config }
     | undefined;
@@ -119,13 +120,13 @@
   async #check(request: IncomingMessage, path: string): Promise<Checked> {
     const { gate } = this.#options;
     const key = readBearerKey(request.headers.authorization);
-    if (key === undefined) return "CREDENTIAL_MISSING";
+    if (key === undefined) return "credentialMissing";
     const known = gate.readConfig();
-    if (known === undefined) return "NOT_READY";
+    if (known === undefined) return "notReady";
     const contract = gate.findContract(key);
-    if (contract === undefined) return "CREDENTIAL_UNKNOWN";
+    if (contract === undefined) return "credentialUnknown";
     if (path === ADDRESSES_PATH) {
-      if (request.method !== "GET") return "METHOD_NOT_ALLOWED";
+      if (request.method !== "GET") return "methodNotAllowed";
       return { kind: "addresses", value: gate.answerAddresses(contract) };
     }
     const refusal = gate.readRefusal();
@@ -135,7 +136,7 @@
 }
 
 type Checked =
-  | string
+  | EdgeCode
   | { readonly kind: "addresses"; readonly value: AddressAnswer }
   | {
     readonly kind: "request";
@@ -155,11 +156,11 @@
   const { config, revision } = context.known;
   const key = request.headers["idempotency-key"];
   if (typeof key === "string" && key.length > KEY_LIMIT_CHARACTERS) {
-    return "KEY_INVALID";
+    return "keyInvalid";
   }
   const read = await readBody(request, config.bodyLimitBytes);
-  if (read.kind === "tooLarge") return "BODY_TOO_LARGE";
-  if (read.kind === "cut") return "BODY_INVALID";
+  if (read.kind === "tooLarge") return "bodyTooLarge";
+  if (read.kind === "cut") return "bodyInvalid";
   const method = request.method ?? "GET";
   const result = readCall({
     method,
@@ -189,7 +190,7 @@
   };
 }
 
-function refuse(answer: CallerAnswer, code: string): void {
+function refuse(answer: CallerAnswer, code: EdgeCode): void {
   const outcome: Outcome = {
     kind: "notRun",
     proof: { kind: "neverDispatched" },
--- a/daemon/serve-entry/src/entry_process.ts
+++ b/daemon/serve-entry/src/entry_process.ts
@@ -5,6 +5,7 @@
 import {
   AgentFollower,
   EntryFollower,
+  MemberTask,
   type PeerAccess,
 } from "@dandelionbank/follow-peers";
 import { createTextHash, type TextHash } from "@dandelionbank/hash-text";
@@ -71,6 +72,7 @@
   readonly #views: ViewKeeper;
   readonly #agents: AgentFollower;
   readonly #entries: EntryFollower;
+  readonly #members: MemberTask;
   readonly #requests: RequestTask;
   readonly #takeOvers: TakeOverTask;
   readonly #lease: ArbiterLease;
@@ -104,7 +106,16 @@
       incarnation,
       access,
       hash,
-      isLeaving: () => false,
+      isLeaving: (target) => this.#members.isLeaving(target),
+      onHeard: ({ target, incarnation, isDraining: isLeaving }) =>
+        this.#members.hear({ target: target.name, incarnation, isLeaving }),
+      onSilent: ({ target, incarnation }) =>
+        this.#members.missSilent(target.name, incarnation),
+    });
+    this.#members = MemberTask.create({
+      logger,
+      listVms: () => store.listVms(),
+      onMembers: (members) => this.#requests.applyMembers(members),
     });
     this.#entries = EntryFollower.create({
       entry,
@@ -194,6 +205,7 @@
     this.#stopWatching();
     this.#lease.stop();
     this.#entries.stop();
+    this.#members.stop();
     this.#agents.stop();
     this.#takeOvers.stop();
     await this.#requests.stop();
@@ -272,7 +284,7 @@
 
   #createGate(): CallerGate {
     return {
-      readRefusal: () => this.#isStopping ? "STOPPING" : undefined,
+      readRefusal: () => this.#isStopping ? "stopping" : undefined,
       readConfig: () => {
         const view = this.#views.view;
         if (view?.config === undefined) return undefined;
@@ -317,6 +329,7 @@
 
   #applyView(view: View): void {
     this.#requests.applyView(view);
+    this.#members.applyView(view);
     this.#agents.applyView(view);
     this.#entries.applyView(view);
     this.#takeOvers.applyView(view);
--- a/foundation/log-events/src/entry_events.ts
+++ b/foundation/log-events/src/entry_events.ts
@@ -23,4 +23,11 @@
     text: "Callers reach entry {entry} at {callerUrl}, peers at {peerUrl}",
     help: "None needed",
   },
+  vmListDistrusted: {
+    id: 2003,
+    level: "warn",
+    text:
+      "{vanished} VMs of data centre {dataCentre} vanished from the platform's list together; their absence counts for nothing",
+    help: "Look whether the data centre is lost or the list is wrong",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
--- /dev/null
+++ b/routing/describe-outcome/src/caller_code.ts
@@ -0,0 +1,18 @@
+/** Codes as callers see them: `noTarget` becomes `DANDELIONBANK_NO_TARGET`. */
+
+const PREFIX = "DANDELIONBANK_";
+
+export function toCallerCode(code: string): string {
+  if (code.startsWith(PREFIX)) return code;
+  const words = code.replace(/[A-Z]/g, (letter) => `_${letter}`);
+  return PREFIX + words.toUpperCase();
+}
+
+/** The inverse of `toCallerCode`. */
+export function toReasonCode(code: string): string {
+  if (!code.startsWith(PREFIX)) return code;
+  return code
+    .slice(PREFIX.length)
+    .toLowerCase()
+    .replace(/_([a-z])/g, (_, letter: string) => letter.toUpperCase());
+}
--- a/routing/describe-outcome/src/describe_outcome.ts
+++ b/routing/describe-outcome/src/describe_outcome.ts
@@ -1,7 +1,8 @@
 /** Chooses status, body and the time to come back for an outcome. */
 
 import type { ErrorBody, Outcome } from "@dandelionbank/types";
-import { type Reason, REASONS } from "./reasons.ts";
+import { toCallerCode, toReasonCode } from "./caller_code.ts";
+import { findReason, type Reason } from "./reasons.ts";
 
 export interface DescribedOutcome {
   readonly status: number;
@@ -32,7 +33,8 @@
   outcome: UnansweredOutcome,
   requestId: string | undefined,
 ): DescribedOutcome {
-  const reason = REASONS[outcome.code] ?? defaultReason(outcome.kind);
+  const reason = findReason(toReasonCode(outcome.code)) ??
+    defaultReason(outcome.kind);
   const retryAfterMs = outcome.kind === "unknown" || isFinal(reason.status)
     ? undefined
     : outcome.retryAfterMs;
@@ -43,7 +45,7 @@
       : Math.ceil(retryAfterMs / 1000),
     body: {
       error: {
-        code: outcome.code,
+        code: toCallerCode(outcome.code),
         message: reason.message,
         hint: reason.hint,
         outcome: outcome.kind,
--- a/routing/read-call/src/read_call.ts
+++ b/routing/read-call/src/read_call.ts
@@ -38,16 +38,25 @@
 
 export type CallResult =
   | { readonly kind: "ok"; readonly call: Call }
-  | { readonly kind: "wrong"; readonly code: string };
+  | { readonly kind: "wrong"; readonly code: CallProblem };
+
+/** Why a call cannot be read. */
+export type CallProblem =
+  | "bodyInvalid"
+  | "bodyNotJson"
+  | "methodNotAllowed"
+  | "modelUnknown"
+  | "poolUnknown"
+  | "routeUnknown";
 
 export function readCall(input: CallInput, config: Config): CallResult {
   if (input.path.startsWith(SERVICES_PREFIX)) {
     return readPlainCall(input, config);
   }
   if (withoutQuery(input.path) !== COMPLETIONS_PATH) {
-    return wrong("ROUTE_UNKNOWN");
+    return wrong("routeUnknown");
   }
-  if (input.method !== "POST") return wrong("METHOD_NOT_ALLOWED");
+  if (input.method !== "POST") return wrong("methodNotAllowed");
   return readCompletion(input, config);
 }
 
@@ -57,7 +66,7 @@
   const pool = config.pools.find((each) =>
     each.kind === "plain" && each.name === rest.slice(0, nameLength)
   );
-  if (pool === undefined) return wrong("POOL_UNKNOWN");
+  if (pool === undefined) return wrong("poolUnknown");
   const path = asPath(rest.slice(nameLength));
   return {
     kind: "ok",
@@ -91,6 +100,6 @@
   return path.split("?", 1)[0] ?? path;
 }
 
-function wrong(code: string): CallResult {
+function wrong(code: CallProblem): CallResult {
   return { kind: "wrong", code };
 }
--- a/routing/read-call/src/read_call_test.ts
+++ b/routing/read-call/src/read_call_test.ts
@@ -6,14 +6,14 @@
 test("Calls find their pool, and wrong ones their code", () => {
   const table:
     readonly (readonly [Partial<CallInput>, string | Partial<Call>])[] = [
-      [{ path: "/v1/other" }, "ROUTE_UNKNOWN"],
-      [{ method: "GET" }, "METHOD_NOT_ALLOWED"],
-      [{ body: "{" }, "BODY_NOT_JSON"],
-      [{ body: "" }, "BODY_NOT_JSON"],
-      [{ body: "[]" }, "BODY_INVALID"],
-      [{ body: completion({ max_tokens: 0 }) }, "BODY_INVALID"],
-      [{ body: completion({ prompt: 7 }) }, "BODY_INVALID"],
-      [{ body: completion({ model: "other" }) }, "MODEL_UNKNOWN"],
+      [{ path: "/v1/other" }, "routeUnknown"],
+      [{ method: "GET" }, "methodNotAllowed"],
+      [{ body: "{" }, "bodyNotJson"],
+      [{ body: "" }, "bodyNotJson"],
+      [{ body: "[]" }, "bodyInvalid"],
+      [{ body: completion({ max_tokens: 0 }) }, "bodyInvalid"],
+      [{ body: completion({ prompt: 7 }) }, "bodyInvalid"],
+      [{ body: completion({ model: "other" }) }, "modelUnknown"],
       [
         { body: completion({ stream: true, max_tokens: 10 }) },
         {
@@ -24,8 +24,8 @@
         },
       ],
       [{ mayRepeat: false }, { pool: "review", idempotent: false }],
-      [{ path: "/services/none/x" }, "POOL_UNKNOWN"],
-      [{ path: "/services/review/x" }, "POOL_UNKNOWN"],
+      [{ path: "/services/none/x" }, "poolUnknown"],
+      [{ path: "/services/review/x" }, "poolUnknown"],
       [
         { path: "/services/parts/reels/7?a=1" },
         { pool: "parts", path: "/reels/7?a=1", idempotent: false },
--- a/routing/read-call/src/read_completion.ts
+++ b/routing/read-call/src/read_completion.ts
@@ -26,12 +26,12 @@
 
 export function readCompletion(input: CallInput, config: Config): CallResult {
   const value = readJson(input.body);
-  if (value === undefined) return { kind: "wrong", code: "BODY_NOT_JSON" };
+  if (value === undefined) return { kind: "wrong", code: "bodyNotJson" };
   const parsed = v.safeParse(COMPLETION_SCHEMA, value);
-  if (!parsed.success) return { kind: "wrong", code: "BODY_INVALID" };
+  if (!parsed.success) return { kind: "wrong", code: "bodyInvalid" };
   const { model, prompt, max_tokens: maxTokens, stream } = parsed.output;
   const pool = config.pools.find((each) => each.models.includes(model));
-  if (pool === undefined) return { kind: "wrong", code: "MODEL_UNKNOWN" };
+  if (pool === undefined) return { kind: "wrong", code: "modelUnknown" };
   return {
     kind: "ok",
     call: {
--- a/testing/quickstart/src/run_quickstart.ts
+++ b/testing/quickstart/src/run_quickstart.ts
@@ -91,7 +91,8 @@
 ): Promise<CallerReply> {
   const { status, headers, body } = await reply;
   const target = headers["dandelionbank-target"];
-  print(`  ${what}: status ${status}, ran on ${target}`);
+  const place = target === undefined ? "the kept answer" : `ran on ${target}`;
+  print(`  ${what}: status ${status}, ${place}`);
   print(`    ${textOf(body)}`);
   return await reply;
 }
