Let the configuration's timing reach the ledger

Cause: progressTimeoutMs was checked, shown to agents and then ignored by the entry, which ran on a constant, and hedging could not be switched on. The ledger takes a change of timing as an event, and requests under way follow it (new case in its table; without the event the tick at 100 ms asks nothing). hedgeAfterMs is new in the configuration, 0 by default.

--- a/daemon/route-requests/src/request_task.ts
+++ b/daemon/route-requests/src/request_task.ts
@@ -146,6 +146,7 @@
     for (const event of contractEvents(before, view)) this.#limiter.post(event);
     if (before?.entries !== view.entries) this.#takeEntries(view);
     if (before?.agents !== view.agents) this.#takeAgents(view);
+    if (before?.config !== view.config) this.#takeTiming(view);
     const placement = view.config?.value.placement;
     if (placement !== before?.config?.value.placement) {
       this.#placer.usePolicy(placement);
@@ -490,6 +491,17 @@
     if (effect.type === "invariantViolated") this.#reportViolation(effect);
   }
 
+  #takeTiming(view: View): void {
+    const config = view.config?.value;
+    if (config === undefined) return;
+    const { progressTimeoutMs, hedgeAfterMs } = config;
+    this.#tracker.post({
+      type: "timingChanged",
+      progressTimeoutMs,
+      hedgeAfterMs: hedgeAfterMs === 0 ? undefined : hedgeAfterMs,
+    });
+  }
+
   #takeEntries(view: View): void {
     const entries = [...view.entries.values()].map(({ value }) => value);
     this.#limiter.post({
--- a/foundation/types/src/config.ts
+++ b/foundation/types/src/config.ts
@@ -27,6 +27,8 @@
   readonly requestTimeoutMs: number;
   /** Longest silence of an attempt before its connection is replaced. */
   readonly progressTimeoutMs: number;
+  /** Silence of a repeatable request after which a second attempt starts; 0 is never. */
+  readonly hedgeAfterMs: number;
   readonly bodyLimitBytes: number;
   readonly ticketValidityMs: number;
   /** Names the placement policy: `powerOfTwo`, `leastRequests`, `roundRobin` or `random`. */
--- a/routing/read-call/src/read_call_test.ts
+++ b/routing/read-call/src/read_call_test.ts
@@ -80,6 +80,7 @@
     drainTimeoutMs: 1,
     requestTimeoutMs: 1,
     progressTimeoutMs: 1,
+    hedgeAfterMs: 0,
     bodyLimitBytes: 1,
     ticketValidityMs: 1,
     placement: "powerOfTwo",
--- a/routing/track-requests/src/events.ts
+++ b/routing/track-requests/src/events.ts
@@ -44,6 +44,7 @@
   | AgentLost
   | ArbiterConfirmed
   | ArbiterClosed
+  | TimingChanged
   | Tick;
 
 /** A request's key and what its ticket says. */
@@ -168,6 +169,13 @@
   readonly type: "arbiterClosed";
 }
 
+/** The configuration's timing, in place of that before. */
+export interface TimingChanged {
+  readonly type: "timingChanged";
+  readonly progressTimeoutMs: number;
+  readonly hedgeAfterMs: number | undefined;
+}
+
 export interface Tick {
   readonly type: "tick";
 }
--- a/routing/track-requests/src/state.ts
+++ b/routing/track-requests/src/state.ts
@@ -9,7 +9,7 @@
 
 /** Opaque to callers: only `step` reads and changes it. */
 export interface TrackState {
-  readonly options: TrackOptions;
+  options: TrackOptions;
   readonly requests: Map<string, Request>;
   readonly attempts: Map<string, Attempt>;
   readonly callers: Map<string, Request>;
--- a/routing/track-requests/src/track_requests.ts
+++ b/routing/track-requests/src/track_requests.ts
@@ -84,6 +84,11 @@
     case "arbiterClosed":
       state.arbiterClosed = true;
       return;
+    case "timingChanged": {
+      const { progressTimeoutMs, hedgeAfterMs } = event;
+      state.options = { ...state.options, progressTimeoutMs, hedgeAfterMs };
+      return;
+    }
     case "tick":
       return passTime(context);
   }
--- a/routing/track-requests/src/track_requests_test.ts
+++ b/routing/track-requests/src/track_requests_test.ts
@@ -489,6 +489,22 @@
       [arrived("3", KEYED), "ended merged"],
     ],
   },
+  {
+    name: "Changed timing holds for requests under way",
+    lines: [
+      ...sentToA(),
+      [
+        {
+          type: "timingChanged",
+          progressTimeoutMs: 100,
+          hedgeAfterMs: undefined,
+        },
+        "",
+      ],
+      [TICK, "", 99],
+      [TICK, "ask e1.1 A", 100],
+    ],
+  },
   {
     name: "A home that hangs up is asked again only after a while",
     lines: [
