--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -15,3 +15,4 @@
 export type * from "./target.ts";
 export type * from "./tls.ts";
 export type * from "./view.ts";
+export type * from "./view_exchange.ts";
