Tell callers one code for each reason, with its own status

Cause: three packages named codes in three ways. The cores' codes were turned into DANDELIONBANK_KEY_INVALID and the like, while the table of reasons knows KEY_INVALID, so every code of a core fell back to the default of its outcome: 503 with a time to come back, also for a key that can never be taken.

Ruled out: the checks at the edge, whose codes were right in all rows.

Before: bad_input_test saw 503 in place of 400 for a key without a ticket, of another organisation or forged, and in place of 409 for a key used with another body.

--- a/daemon/route-requests/src/caller_code.ts
+++ b/daemon/route-requests/src/caller_code.ts
@@ -1,9 +1,12 @@
-/** Codes as callers see them: `notKept` becomes `DANDELIONBANK_NOT_KEPT`. */
+/**
+ * Codes as callers see them, one form whichever core they come from: `noTarget`
+ * and `DANDELIONBANK_NO_TARGET` both become `NO_TARGET`.
+ */
 
 const PREFIX = "DANDELIONBANK_";
 
 export function toCallerCode(code: string): string {
-  if (code.startsWith(PREFIX)) return code;
+  if (code.startsWith(PREFIX)) return code.slice(PREFIX.length);
   const words = code.replace(/[A-Z]/g, (letter) => `_${letter}`);
-  return PREFIX + words.toUpperCase();
+  return words.toUpperCase();
 }
--- a/routing/describe-outcome/src/describe_outcome_test.ts
+++ b/routing/describe-outcome/src/describe_outcome_test.ts
@@ -12,7 +12,7 @@
     number | undefined,
   ])[] = [
     [
-      { kind: "notRun", proof: PROOF, code: "RATE_EXCEEDED", retryAfterMs: 1 },
+      { kind: "notRun", proof: PROOF, code: "RATE_LIMITED", retryAfterMs: 1 },
       429,
       1,
     ],
@@ -31,7 +31,7 @@
       400,
       undefined,
     ],
-    [{ kind: "unknown", code: "ANSWER_LOST" }, 502, undefined],
+    [{ kind: "unknown", code: "ATTEMPT_LOST" }, 502, undefined],
     [{ kind: "failed", code: "QUARANTINED" }, 422, undefined],
     [{ kind: "failed", code: "OTHER", retryAfterMs: 1000 }, 502, 1],
   ];
--- a/routing/describe-outcome/src/reasons.ts
+++ b/routing/describe-outcome/src/reasons.ts
@@ -13,6 +13,11 @@
     message: "No credential was given",
     hint: "Send the organisation's key as Authorization: Bearer KEY",
   },
+  ORGANISATION_UNKNOWN: {
+    status: 401,
+    message: "The organisation has no contract any longer",
+    hint: "Ask the operator for the contract",
+  },
   CREDENTIAL_UNKNOWN: {
     status: 401,
     message: "The credential belongs to no contract",
@@ -78,22 +83,22 @@
     message: "This entry is stopping",
     hint: "Use another address",
   },
-  RATE_EXCEEDED: {
+  RATE_LIMITED: {
     status: 429,
     message: "The contract's request rate is used up",
     hint: "Come back after the time given",
   },
-  CONCURRENCY_EXCEEDED: {
+  CONCURRENCY_LIMITED: {
     status: 429,
     message: "The contract's concurrent requests are used up",
     hint: "Come back after the time given",
   },
-  TOKENS_EXCEEDED: {
+  TOKENS_LIMITED: {
     status: 429,
     message: "The contract's tokens are used up",
     hint: "Come back after the time given",
   },
-  CAPACITY_EXCEEDED: {
+  OVERLOADED: {
     status: 503,
     message: "No target can take the request in time",
     hint: "Come back after the time given",
@@ -103,9 +108,9 @@
     message: "The pool has no target that takes new work",
     hint: "Come back after the time given",
   },
-  RETRY_BUDGET_SPENT: {
+  TABLE_FULL: {
     status: 503,
-    message: "The request was refused and not tried again",
+    message: "There is no room for one more idempotency key",
     hint: "Come back after the time given",
   },
   QUARANTINED: {
@@ -113,12 +118,12 @@
     message: "The request is quarantined because targets were lost running it",
     hint: "Do not send this request again; tell the operator",
   },
-  DEADLINE_PASSED: {
+  DEADLINE_EXCEEDED: {
     status: 504,
     message: "The request's time ran out",
     hint: "Send the same idempotency key again to learn how it ended",
   },
-  ANSWER_LOST: {
+  ATTEMPT_LOST: {
     status: 502,
     message: "The request may have run and its answer is lost",
     hint: "Do not repeat a call that must not run twice",
@@ -133,4 +138,29 @@
     message: "The target ended the request without a whole answer",
     hint: "Send the request again if it may run twice",
   },
+  ANSWER_CUT: {
+    status: 502,
+    message: "Part of the answer came and the rest cannot be had",
+    hint: "Send the request again if it may run twice",
+  },
+  ANSWER_DIFFERS: {
+    status: 502,
+    message: "A second attempt did not repeat what had been sent",
+    hint: "Send the request again if it may run twice",
+  },
+  ANSWER_NOT_KEPT: {
+    status: 502,
+    message: "The request was answered before and the answer is not kept",
+    hint: "Send the request under a new key if it may run twice",
+  },
+  ARBITER_UNSURE: {
+    status: 503,
+    message: "The entry cannot show that it alone answers for the key",
+    hint: "Send the same key again later",
+  },
+  INVARIANT_VIOLATED: {
+    status: 500,
+    message: "The system found itself wrong and refused",
+    hint: "Tell the operator the request's id",
+  },
 };
--- a/testing/site-tests/src/fixtures.ts
+++ b/testing/site-tests/src/fixtures.ts
@@ -1,6 +1,7 @@
 /** Sites that end with their test, and waits that are bounded. */
 
-import { Site, type SiteOptions } from "@dandelionbank/run-site";
+import { callEntry, Site, type SiteOptions } from "@dandelionbank/run-site";
+import type { AgentRegistration } from "@dandelionbank/types";
 import type { TestContext } from "node:test";
 
 const WAIT_LIMIT_MS = 15_000;
@@ -15,6 +16,21 @@
   return site;
 }
 
+/** The registered agents by target, as the platform lists them. */
+export async function readAgents(
+  site: Site,
+): Promise<ReadonlyMap<string, AgentRegistration>> {
+  const call = { key: "none", path: "/v1/objects/agent" };
+  const { body } = await callEntry(site.platformUrl, call);
+  const { items } = JSON.parse(body) as {
+    readonly items: readonly {
+      readonly name: string;
+      readonly value: AgentRegistration;
+    }[];
+  };
+  return new Map(items.map(({ name, value }) => [name, value]));
+}
+
 /** Rejects, saying `what` was waited for, if it does not come true in time. */
 export async function waitUntil(
   what: string,
--- a/testing/site-tests/src/mod.ts
+++ b/testing/site-tests/src/mod.ts
@@ -8,4 +8,4 @@
   sendUntilSettled,
 } from "./callers.ts";
 export type { CompletionWish } from "./callers.ts";
-export { startSite, waitUntil } from "./fixtures.ts";
+export { readAgents, startSite, waitUntil } from "./fixtures.ts";
