Test a planned stop of a rank under load, and operators who race

Twelve callers stream through two entries while a rank is stopped: no answer is cut, and the rank's own count of executions does not rise later than 3 s after the acceptance. The same with the store out right after it. Two operators who plan the same stop: one exits 1 and sees both reasons.

--- a/testing/run-site/src/call_entry.ts
+++ b/testing/run-site/src/call_entry.ts
@@ -16,6 +16,7 @@
   readonly path: string;
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
+  readonly onHead?: (headers: IncomingHttpHeaders) => void;
   readonly onData?: (text: string) => void;
 }
 
@@ -37,6 +38,7 @@
     outgoing.on("error", reject);
     outgoing.on("response", (response) => {
       let body = "";
+      call.onHead?.(response.headers);
       response.setEncoding("utf8");
       response.on("data", (text: string) => {
         body += text;
--- a/testing/site-tests/src/callers.ts
+++ b/testing/site-tests/src/callers.ts
@@ -86,15 +86,28 @@
   standinUrl: string,
   key: string,
 ): Promise<number> {
-  const reply = await callEntry(standinUrl, {
-    key: "none",
-    path: "/executions",
-  });
-  const { executions } = JSON.parse(reply.body) as {
-    readonly executions: readonly {
-      readonly key: string;
-      readonly count: number;
-    }[];
-  };
+  const executions = await readExecutions(standinUrl);
   return executions.find((each) => each.key === key)?.count ?? 0;
 }
+
+/** How many calls the stand-in ran, whatever their keys. */
+export async function countAllExecutions(standinUrl: string): Promise<number> {
+  const executions = await readExecutions(standinUrl);
+  return executions.reduce((sum, { count }) => sum + count, 0);
+}
+
+interface KeyExecutions {
+  readonly key: string;
+  readonly count: number;
+}
+
+async function readExecutions(
+  standinUrl: string,
+): Promise<readonly KeyExecutions[]> {
+  const call = { key: "none", path: "/executions" };
+  const { body } = await callEntry(standinUrl, call);
+  const { executions } = JSON.parse(body) as {
+    readonly executions: readonly KeyExecutions[];
+  };
+  return executions;
+}
--- a/testing/site-tests/src/mod.ts
+++ b/testing/site-tests/src/mod.ts
@@ -3,9 +3,12 @@
 export {
   assertCompletion,
   completionCall,
+  countAllExecutions,
   countExecutions,
   readError,
   sendUntilSettled,
 } from "./callers.ts";
 export type { CompletionWish } from "./callers.ts";
 export { readAgents, startSite, waitUntil } from "./fixtures.ts";
+export { SteadyLoad } from "./steady_load.ts";
+export type { LoadOptions, LoadRecord } from "./steady_load.ts";
--- /dev/null
+++ b/testing/site-tests/src/planned_stop_test.ts
@@ -0,0 +1,116 @@
+import { callEntry, type Site } from "@dandelionbank/run-site";
+import type { AgentStatus } from "@dandelionbank/types";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  assertCompletion,
+  countAllExecutions,
+  readAgents,
+  startSite,
+  SteadyLoad,
+  waitUntil,
+} from "./mod.ts";
+
+const LIMITS = { timeout: 60_000 };
+const STOPPED = "review-1";
+const STOPPED_RANK = 1;
+/** Longest time from the acceptance of a stop to the last new work. */
+const STOP_BOUND_MS = 3_000;
+const SOME_TIME_MS = 800;
+
+async function readStatus(site: Site, target: string): Promise<AgentStatus> {
+  const peerUrl = (await readAgents(site)).get(target)?.peerUrl ?? "";
+  return await readStatusAt(site, peerUrl);
+}
+
+async function readStatusAt(site: Site, peerUrl: string): Promise<AgentStatus> {
+  const call = { key: site.peerSecret, path: "/trpc/readStatus" };
+  const { body } = await callEntry(peerUrl, call);
+  const { result } = JSON.parse(body) as {
+    readonly result: { readonly data: AgentStatus };
+  };
+  return result.data;
+}
+
+function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
+
+for (
+  const [what, faults] of [
+    ["", {}],
+    [", the store out right after its acceptance", { outage: true }],
+  ] as const
+) {
+  test(
+    `A planned stop under load cuts nothing and is kept in time${what}`,
+    LIMITS,
+    async (context) => {
+      const site = await startSite(context, { entries: 2, ranks: 3 });
+      const peerUrl = (await readAgents(site)).get(STOPPED)?.peerUrl ?? "";
+      const rankUrl = site.groupUrls[STOPPED_RANK] ?? "";
+      const load = SteadyLoad.start(site, {
+        callersPerEntry: 6,
+        maxTokens: 100,
+      });
+      await waitUntil(
+        "the target has work",
+        () => load.listRunningOn(STOPPED).length > 0,
+      );
+      const command = ["stop", "set", STOPPED, "--reason=new kernel"];
+      const planned = await site.runTool(command);
+      const acceptedAtMs = performance.now();
+      await site.setFaults(site.platformUrl, faults);
+      assert.equal(planned.exitCode, 0, planned.lines.join("\n"));
+      await sleep(STOP_BOUND_MS);
+      const ranInTime = await countAllExecutions(rankUrl);
+      assert.ok((await readStatusAt(site, peerUrl)).isDraining);
+      await sleep(SOME_TIME_MS);
+      await load.stop();
+
+      const { inFlight } = (await readStatusAt(site, peerUrl)).load;
+      assert.equal(inFlight, 0);
+      assert.equal(await countAllExecutions(rankUrl), ranInTime);
+      const late = load.listStartedAfter(acceptedAtMs + STOP_BOUND_MS);
+      assert.ok(late.length > 0);
+      assert.ok(late.every(({ target }) => target !== STOPPED));
+      for (const { reply, wish } of load.records) {
+        assert.ok(reply !== undefined);
+        assertCompletion(reply, wish);
+      }
+    },
+  );
+}
+
+test(
+  "Of two operators who race for a stop, one sees both sides",
+  LIMITS,
+  async (context) => {
+    const site = await startSite(context, { entries: 2, ranks: 1 });
+    const command = ["stop", "set", "review-0", "--revision=new"];
+    const results = await Promise.all([
+      site.runTool([...command, "--reason=new kernel"], "entry-1"),
+      site.runTool([...command, "--reason=worn fan"], "entry-2"),
+    ]);
+    const codes = results.map(({ exitCode }) => exitCode);
+    assert.deepEqual([...codes].sort(), [0, 1]);
+    const [yours, current] = codes[0] === 1
+      ? ["new kernel", "worn fan"]
+      : ["worn fan", "new kernel"];
+    const lost = results[codes.indexOf(1)]?.lines.join("\n") ?? "";
+    assert.match(
+      lost,
+      new RegExp(`Yours[^]*${yours}[^]*Current[^]*${current}`),
+    );
+    await waitUntil(
+      "the agent drains",
+      async () => (await readStatus(site, "review-0")).isDraining,
+    );
+    const withdrawn = await site.runTool(["stop", "delete", "review-0"]);
+    assert.equal(withdrawn.exitCode, 0, withdrawn.lines.join("\n"));
+    await waitUntil(
+      "the agent takes work again",
+      async () => !(await readStatus(site, "review-0")).isDraining,
+    );
+  },
+);
