--- /dev/null
+++ b/testing/site-tests/src/fixtures.ts
@@ -0,0 +1,44 @@
+/** Sites that end with their test, and waits that are bounded. */
+
+import { callEntry, Site, type SiteOptions } from "@dandelionbank/run-site";
+import type { AgentRegistration } from "@dandelionbank/types";
+import type { TestContext } from "node:test";
+
+const WAIT_LIMIT_MS = 15_000;
+const POLL_MS = 20;
+
+export async function startSite(
+  context: TestContext,
+  options: SiteOptions,
+): Promise<Site> {
+  const site = await Site.start(options);
+  context.after(() => site.stop());
+  return site;
+}
+
+/** The registered agents by target, as the platform lists them. */
+export async function readAgents(
+  site: Site,
+): Promise<ReadonlyMap<string, AgentRegistration>> {
+  const call = { key: "none", path: "/v1/objects/agent" };
+  const { body } = await callEntry(site.platformUrl, call);
+  const { items } = JSON.parse(body) as {
+    readonly items: readonly {
+      readonly name: string;
+      readonly value: AgentRegistration;
+    }[];
+  };
+  return new Map(items.map(({ name, value }) => [name, value]));
+}
+
+/** Rejects, saying `what` was waited for, if it does not come true in time. */
+export async function waitUntil(
+  what: string,
+  isTrue: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const deadlineMs = performance.now() + WAIT_LIMIT_MS;
+  while (!(await isTrue())) {
+    if (performance.now() > deadlineMs) throw new Error(`Not in time: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
