Split the cores' tests by what they are about

Ruled out: nothing else changed. Conclusion: fixtures stand once and are shared with the properties.

--- /dev/null
+++ b/routing/admit-attempts/src/lifetimes_test.ts
@@ -0,0 +1,126 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  arrival,
+  asked,
+  createReadyAgent,
+  ended,
+  KEY,
+  keyOf,
+  STOP,
+  TICK,
+} from "./test_fixtures.ts";
+import type { Case } from "./test_fixtures.ts";
+
+const CASES: readonly Case[] = [
+  {
+    name: "A full table refuses new keys and forgets no live one",
+    options: { maxKeys: 2 },
+    events: [
+      [arrival({ number: 1, key: KEY }), "run e1.1"],
+      [ended(1), ""],
+      [arrival({ number: 2, key: keyOf("b") }), "run e1.2"],
+      [arrival({ number: 3, key: keyOf("c") }), "refuse e1.3 tableFull 250"],
+      [arrival({ number: 4, key: KEY }), "replay e1.4 e1.1"],
+      [TICK, "forget e1.1", 61_000],
+      [arrival({ number: 5, key: keyOf("c") }), "run e1.5", 61_000],
+    ],
+  },
+  {
+    name: "Answers are kept within their bytes: spare ones go first",
+    options: { maxKeptBytes: 100 },
+    events: [
+      [arrival({ number: 1, idempotent: true }), "run e1.1"],
+      [ended(1, 80), ""],
+      [arrival({ number: 2, key: KEY }), "run e1.2"],
+      [ended(2, 90), "forget e1.1"],
+      [arrival({ number: 3, idempotent: true }), "run e1.3"],
+      [ended(3, 20), "forget e1.3"],
+      [asked(3), "fail e1.3 answerNotKept"],
+      [arrival({ number: 4, key: keyOf("b") }), "run e1.4"],
+      [ended(4, 20), "forget e1.4"],
+      [arrival({ number: 5, key: keyOf("b") }), "fail e1.5 answerNotKept"],
+    ],
+  },
+  {
+    name: "A stop takes no new work, ends what runs, and can be withdrawn",
+    events: [
+      [arrival({ number: 1, key: KEY }), "run e1.1"],
+      [STOP, ""],
+      [arrival({ number: 2 }), "refuse e1.2 agentStopping 0"],
+      [arrival({ number: 3, key: KEY }), "join e1.3 e1.1"],
+      [ended(1), "drained"],
+      [arrival({ number: 4, key: KEY }), "replay e1.4 e1.1"],
+      [{ type: "stopBegan", reason: "leavingList" }, ""],
+      [{ type: "stopWithdrawn", reason: "plannedStop" }, "drained"],
+      [arrival({ number: 5 }), "refuse e1.5 agentStopping 0"],
+      [{ type: "stopWithdrawn", reason: "leavingList" }, ""],
+      [arrival({ number: 6 }), "run e1.6"],
+    ],
+  },
+  {
+    name: "Nothing of a closed incarnation is taken, before or after its ask",
+    events: [
+      [
+        arrival({ number: 1, entryIncarnation: "closed" }),
+        "refuse closed.1 incarnationClosed 0",
+      ],
+      [arrival({ number: 1, key: KEY }), "run e1.1"],
+      [
+        { type: "keysAsked", askId: "q", incarnations: ["e1", "closed"] },
+        `keys e1:-1:${KEY}=running closed:-1:`,
+      ],
+      [arrival({ number: 2 }), "refuse e1.2 incarnationClosed 0"],
+      [arrival({ number: 1, key: KEY }), "fail e1.1 incarnationClosed"],
+      [arrival({ number: 3, key: KEY }), "fail e1.3 incarnationClosed"],
+      [
+        arrival({ number: 1, key: KEY, entryIncarnation: "e2" }),
+        "join e2.1 e1.1",
+      ],
+    ],
+  },
+  {
+    name: "A takeover hears up to which issue time keys were forgotten",
+    events: [
+      [arrival({ number: 1, key: keyOf("a", 1_234) }), "run e1.1"],
+      [ended(1), ""],
+      [TICK, "forget e1.1", 61_000],
+      [
+        { type: "keysAsked", askId: "q", incarnations: ["e1"] },
+        "keys e1:1299:",
+        61_000,
+      ],
+    ],
+  },
+  {
+    name:
+      "A call that nobody waits for is cancelled, but for keyed and unrepeatable ones",
+    events: [
+      [arrival({ number: 1, idempotent: true }), "run e1.1"],
+      [arrival({ number: 2 }), "run e1.2"],
+      [arrival({ number: 3, key: KEY, idempotent: true }), "run e1.3"],
+      ...[1, 2, 3].map((number) =>
+        [
+          {
+            type: "listenerLeft",
+            attemptId: `e1.${number}`,
+            answeredBy: `e1.${number}`,
+          },
+          "",
+        ] as const
+      ),
+      [TICK, "cancel e1.1", 5_000],
+      [TICK, "", 5_100],
+      [TICK, "cancel e1.3", 10_000],
+    ],
+  },
+];
+
+for (const { name, options, events } of CASES) {
+  test(name, () => {
+    const agent = createReadyAgent(options);
+    for (const [event, expected, nowMs] of events) {
+      assert.equal(agent.feed(event, nowMs).join(), expected);
+    }
+  });
+}
--- a/routing/track-requests/src/track_property_test.ts
+++ b/routing/track-requests/src/track_property_test.ts
@@ -3,27 +3,14 @@
 import fc from "fast-check";
 import type { AttemptFrame } from "@dandelionbank/types";
 import { createTrackState, readFigures, step } from "./mod.ts";
-import type { RunningDigest, TrackEffect, TrackEvent } from "./mod.ts";
+import type { TrackEffect, TrackEvent } from "./mod.ts";
+import { createTextDigest, LOAD } from "./test_fixtures.ts";
 
-const LOAD = { inFlight: 0, queued: 0, cachedTokens: 0 };
 const PARTS = ["one ", "two ", "three ", "four"];
 const TEXT = PARTS.join("");
 const CALLERS = ["c1", "c2", "c3"];
 const DEADLINE_MS = 5_000;
 
-function createTextDigest(): RunningDigest {
-  let text = "";
-  return {
-    add: (data) => {
-      text += data;
-    },
-    get lengthBytes() {
-      return text.length;
-    },
-    finish: () => text,
-  };
-}
-
 const ATTEMPT = fc.integer({ min: 1, max: 4 }).map((number) => `e.${number}`);
 
 const FRAME: fc.Arbitrary<AttemptFrame> = fc.oneof(
