Find room for a key without looking through all that must stay

Cause: in a full table of keys that may not be dropped, each new key looked through all of them for one that may. Ruled out: refusing without looking (repeatable results would keep new keys out). Before and after: npm test passes. Conclusion: results that may go stand in a map of their own.

--- a/routing/track-requests/src/key_results.ts
+++ b/routing/track-requests/src/key_results.ts
@@ -39,7 +39,9 @@
 export class KeyResults {
   readonly #limits: KeyResultLimits;
   readonly #active = new Map<string, Request>();
-  readonly #results = new Map<string, KeyResult>();
+  readonly #once = new Map<string, KeyResult>();
+  /** Results of calls that may be repeated: the first to go. */
+  readonly #repeatable = new Map<string, KeyResult>();
   #keptBytes = 0;
   /** Keys whose tickets expire by then may have run and been forgotten. */
   #forgottenExpiresAtMs = -1;
@@ -53,7 +55,7 @@
   }
 
   get size(): number {
-    return this.#active.size + this.#results.size;
+    return this.#active.size + this.#once.size + this.#repeatable.size;
   }
 
   get keptBytes(): number {
@@ -65,14 +67,14 @@
   }
 
   findResult(keyId: string): KeyResult | undefined {
-    return this.#results.get(keyId);
+    return this.#once.get(keyId) ?? this.#repeatable.get(keyId);
   }
 
   /** Registers a key under way; false if there is no room for it. */
   claim(keyId: string, request: Request): boolean {
     this.#removeResult(keyId);
     if (this.size >= this.#limits.maxKeys) {
-      this.#dropIdempotent(() => this.size < this.#limits.maxKeys);
+      this.#dropRepeatable(() => this.size < this.#limits.maxKeys);
     }
     if (this.size >= this.#limits.maxKeys) return false;
     this.#active.set(keyId, request);
@@ -81,7 +83,7 @@
 
   /** Whether a key that is not under way may have run. */
   mayHaveRun(keyId: string, expiresAtMs: number): boolean {
-    return this.#results.has(keyId) ||
+    return this.findResult(keyId) !== undefined ||
       expiresAtMs <= this.#forgottenExpiresAtMs;
   }
 
@@ -95,24 +97,26 @@
     this.#active.delete(keyId);
     const bytes = bytesOf(result);
     const fits = () => this.#keptBytes + bytes <= this.#limits.maxKeptBytes;
-    if (!fits()) this.#dropIdempotent(fits);
+    if (!fits()) this.#dropRepeatable(fits);
     const kept = fits() ? result : { ...result, answer: undefined };
     this.#keptBytes += bytesOf(kept);
-    this.#results.set(keyId, kept);
+    const results = kept.idempotent ? this.#repeatable : this.#once;
+    results.set(keyId, kept);
   }
 
   /** Forgets results whose tickets have expired. */
   expire(nowMs: number): void {
-    for (const [keyId, result] of this.#results) {
-      if (result.expiresAtMs > nowMs) return;
-      this.#removeResult(keyId);
+    for (const results of [this.#once, this.#repeatable]) {
+      for (const [keyId, result] of results) {
+        if (result.expiresAtMs > nowMs) break;
+        this.#removeResult(keyId);
+      }
     }
   }
 
-  #dropIdempotent(isEnough: () => boolean): void {
-    for (const [keyId, result] of this.#results) {
+  #dropRepeatable(isEnough: () => boolean): void {
+    for (const [keyId, result] of this.#repeatable) {
       if (isEnough()) return;
-      if (!result.idempotent) continue;
       this.#removeResult(keyId);
       this.#forgottenExpiresAtMs = Math.max(
         this.#forgottenExpiresAtMs,
@@ -122,9 +126,10 @@
   }
 
   #removeResult(keyId: string): void {
-    const result = this.#results.get(keyId);
+    const result = this.findResult(keyId);
     if (result === undefined) return;
-    this.#results.delete(keyId);
+    this.#once.delete(keyId);
+    this.#repeatable.delete(keyId);
     this.#keptBytes -= bytesOf(result);
   }
 }
