Keep a refused attempt refused when its key runs by another

Ruled out: dropping the invariant (a refusal is for ever, so the agent was wrong). Conclusion: an agent's word on an attempt does not change.

--- a/routing/admit-attempts/src/admit_attempts_test.ts
+++ b/routing/admit-attempts/src/admit_attempts_test.ts
@@ -31,6 +31,16 @@
       ],
     ],
   },
+  {
+    name: "A refused attempt stays refused when its key runs by another",
+    events: [
+      [asked(1, KEY), "refuse e1.1 neverArrived 0"],
+      [arrival({ number: 1, key: KEY, entryIncarnation: "e2" }), "run e2.1"],
+      [asked(1, KEY), "refuse e1.1 neverArrived 0"],
+      [arrival({ number: 1, key: KEY }), "refuse e1.1 attemptSettled 0"],
+      [asked(2, KEY), "join e1.2 e2.1"],
+    ],
+  },
   {
     name: "An attempt that joined another is not denied when that is forgotten",
     events: [
--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -79,6 +79,9 @@
   const entry = state.incarnations.recordOf(id.entryIncarnation);
   const { number } = id;
   if (record !== undefined && matchesFingerprint(record, event.fingerprint)) {
+    if (isRefusedBeside(record, { entry, number })) {
+      return refuse(context, { attemptId, code: "neverArrived" });
+    }
     return repeat(context, { attemptId, record, entry, number });
   }
   if (entry.mayHaveForgotten(number)) {
@@ -93,13 +96,16 @@
 
 /**
  * The first rule that stands against the arrival. A refusal is the agent's
- * word that neither this attempt nor, under its key, any other ran here; where
- * one may have run, the attempt fails instead.
+ * word that this attempt never ran and never will; where it, or another one
+ * under its key before it, may have run, the attempt fails instead.
  */
 function judge(context: AdmitContext, arrival: Arrival): Verdict {
   const { entry, head, keyId } = arrival;
   const record = context.state.keys.find(keyId);
   if (record !== undefined && matchesFingerprint(record, head.fingerprint)) {
+    if (isRefusedBeside(record, arrival)) {
+      return { kind: "refuse", code: "attemptSettled" };
+    }
     if (entry.closed) return { kind: "fail", code: "incarnationClosed" };
     return { kind: "take" };
   }
@@ -111,6 +117,16 @@
   return code === undefined ? { kind: "take" } : { kind: "refuse", code };
 }
 
+/** Whether an attempt was refused before another one ran under its key. */
+function isRefusedBeside(
+  record: KeyRecord,
+  attempt: Pick<Arrival, "entry" | "number">,
+): boolean {
+  const { entry, number } = attempt;
+  const ran = record.entry === entry && record.number === number;
+  return !ran && entry.wasRefused(number);
+}
+
 /** Why an attempt with an unknown key is not run. */
 function findRefusal(
   context: AdmitContext,
--- a/routing/admit-attempts/src/incarnation_table.ts
+++ b/routing/admit-attempts/src/incarnation_table.ts
@@ -20,6 +20,11 @@
     this.incarnation = incarnation;
   }
 
+  /** Whether the attempt was refused, although its key may run since. */
+  wasRefused(number: number): boolean {
+    return this.decided.has(number) && !this.joined.has(number);
+  }
+
   /** Whether the attempt, or another under its key, may have run. */
   mayHaveForgotten(number: number): boolean {
     return number <= this.forgottenNumber || this.joined.has(number);
--- a/routing/track-requests/src/answers_test.ts
+++ b/routing/track-requests/src/answers_test.ts
@@ -85,7 +85,7 @@
     options: { hedgeAfterMs: 300 },
     lines: [
       ...sentToA(IDEMPOTENT),
-      [TICK, "pick r1 not A", 300],
+      [TICK, "hedge r1 not A", 300],
       [picked("1", "B"), "dispatch e1.2 B", 300],
       [TICK, "", 700],
       [headed("e1.2"), "1<200,cancel e1.1", 700],
--- a/routing/track-requests/src/attempts.ts
+++ b/routing/track-requests/src/attempts.ts
@@ -35,6 +35,7 @@
     pool,
     fingerprint,
     avoid: request.attempts.map(({ peer }) => peer),
+    hedge: hasOpenAttempt(request),
   });
 }
 
--- a/routing/track-requests/src/effects.ts
+++ b/routing/track-requests/src/effects.ts
@@ -48,6 +48,8 @@
   readonly fingerprint: string;
   /** Targets that were tried. */
   readonly avoid: readonly string[];
+  /** Whether another attempt is still open: a suspect gets no second one. */
+  readonly hedge: boolean;
 }
 
 /** Send the request to an agent as this attempt. */
--- a/routing/track-requests/src/test_fixtures.ts
+++ b/routing/track-requests/src/test_fixtures.ts
@@ -61,7 +61,7 @@
     case "findHome":
       return `findHome ${effect.requestId}`;
     case "pickTarget":
-      return `pick ${effect.requestId}${
+      return `${effect.hedge ? "hedge" : "pick"} ${effect.requestId}${
         effect.avoid.length === 0 ? "" : ` not ${effect.avoid.join("+")}`
       }`;
     case "dispatch":
--- a/testing/soak/src/requests/entry_sender.ts
+++ b/testing/soak/src/requests/entry_sender.ts
@@ -90,8 +90,12 @@
   pickTarget(effect: Extract<TrackEffect, { type: "pickTarget" }>): void {
     const { requestId, pool, avoid, fingerprint } = effect;
     const verdict = this.#entry.suspects.judge(fingerprint);
-    if (verdict.kind === "quarantined") {
-      const { retryAfterMs } = verdict;
+    const refused = verdict.kind === "quarantined" ||
+      (verdict.kind === "suspect" && effect.hedge);
+    if (refused) {
+      const retryAfterMs = verdict.kind === "quarantined"
+        ? verdict.retryAfterMs
+        : 0;
       const code = "quarantined";
       return this.#entry.feed({
         type: "noTarget",
