--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -31,6 +31,7 @@
   readonly entry: IncarnationRecord;
   /** Whether it is a keyed call that may not be repeated. */
   readonly once: boolean;
+  readonly suspect: boolean;
 }
 
 type Verdict =
@@ -55,6 +56,7 @@
     number: id.number,
     entry: context.state.incarnations.recordOf(id.entryIncarnation),
     once: event.keyId !== undefined && !head.idempotent,
+    suspect: event.suspect === true,
   };
   const verdict = judge(context, arrival);
   if (verdict.kind === "take") return runOrRepeat(context, arrival);
@@ -122,18 +124,28 @@
   if (state.stopReasons.size > 0) return "agentStopping";
   if (head.timeLeftMs <= 0) return "tooLate";
   if (state.running.size >= state.options.maxInFlight) return "targetBusy";
+  if (arrival.suspect && runsSuspect(context)) return "suspectRunning";
   if (arrival.once && state.keys.isFull) return "tableFull";
   return undefined;
 }
 
+function runsSuspect(context: AdmitContext): boolean {
+  for (const call of context.state.running.values()) {
+    if (call.suspect) return true;
+  }
+  return false;
+}
+
 function runOrRepeat(context: AdmitContext, arrival: Arrival): void {
   const { attemptId } = arrival.head;
-  const record = context.state.keys.find(arrival.keyId);
+  const { keyId, number, entry, once } = arrival;
+  const record = context.state.keys.find(keyId);
   if (record !== undefined) {
-    arrival.entry.decided.add(arrival.number);
-    return repeat(context, { ...arrival, attemptId, record });
+    entry.decided.add(number);
+    return repeat(context, { attemptId, record, entry, number });
   }
-  if (checkRun(context, { ...arrival, attemptId })) run(context, arrival);
+  const intended = { attemptId, keyId, number, entry, once };
+  if (checkRun(context, intended)) run(context, arrival);
   else refuse(context, { attemptId, code: "invariantViolated" });
 }
 
@@ -185,6 +197,7 @@
     keyId,
     record,
     idempotent: head.idempotent,
+    suspect: arrival.suspect,
     keyed: head.key !== undefined,
     deadlineMs: nowMs + head.timeLeftMs,
     listeners: new Set([head.attemptId]),
--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -26,8 +26,9 @@
 
 /** Refusals after which another attempt would be extra work for the pool. */
 const OVERLOAD_CODES: ReadonlySet<string> = new Set([
-  "targetBusy",
+  "suspectRunning",
   "tableFull",
+  "targetBusy",
 ]);
 
 interface Received<Frame> {
@@ -199,6 +200,7 @@
   const { requestId, organisation, fingerprint } = attempt.request.info;
   context.effects.push({
     type: "attemptCrashed",
+    attemptId: attempt.attemptId,
     requestId,
     organisation,
     fingerprint,
--- a/testing/soak/src/requests/world.ts
+++ b/testing/soak/src/requests/world.ts
@@ -6,6 +6,7 @@
 import { MessageQueue, type Random } from "@dandelionbank/message-queue";
 import type { Tally } from "../soak.ts";
 import type { Message } from "./messages.ts";
+import { type SitePlan, SMALL_SITE } from "./settings.ts";
 import { StoreFake } from "./store_fake.ts";
 
 /** One call that a caller wants made. */
@@ -18,11 +19,14 @@
   readonly key: string | undefined;
   readonly fingerprint: string;
   readonly partCount: number;
+  /** Whether it crashes each target that runs it. */
+  readonly kills: boolean;
 }
 
 export const POOLS = ["plain", "engine"] as const;
 
 export class World {
+  readonly plan: SitePlan;
   readonly queue: MessageQueue<Message>;
   readonly store: StoreFake;
   readonly operations = new Map<string, Operation>();
@@ -30,13 +34,16 @@
   readonly outcomes: Tally = {};
   readonly invariants: Tally = {};
   readonly violations: string[] = [];
+  /** Fingerprints that some entry quarantined. */
+  readonly quarantined = new Set<string>();
   /** Longest time that a target takes for one part of an answer. */
   slowestPartMs = 30;
   readonly #executions = new Map<string, number>();
   readonly #keyExecutions = new Map<string, number>();
   #lastId = 0;
 
-  constructor(seed: number) {
+  constructor(seed: number, plan: SitePlan = SMALL_SITE) {
+    this.plan = plan;
     this.queue = MessageQueue.create({ seed });
     this.store = new StoreFake(this);
   }
