--- a/testing/soak/src/map/group_world.ts
+++ b/testing/soak/src/map/group_world.ts
@@ -23,6 +23,20 @@
 /** What follows from a first violation says little. */
 const MAX_REPORTED = 2;
 
+export interface GroupOptions {
+  readonly seed: number;
+  readonly minDelayMs: number;
+  readonly maxDelayMs: number;
+  /** From 2 to 5, by the seed, if absent. */
+  readonly size?: number;
+}
+
+/** What was sent, also what was lost after. */
+export interface Traffic {
+  messages: number;
+  bytes: number;
+}
+
 export class GroupWorld {
   readonly queue: MessageQueue<SwitchMessage>;
   readonly size: number;
@@ -47,13 +61,18 @@
     previous: { mapVersion: 0, fromStep: 0 },
   };
   storeDown = false;
+  /** Counted from when it is set. */
+  traffic?: Traffic;
 
-  constructor(seed: number) {
-    this.queue = MessageQueue.create<SwitchMessage>({
-      seed,
-      faults: { minDelayMs: 1, maxDelayMs: 4 },
-    });
-    this.size = this.queue.random.int(2, 5);
+  static create(options: GroupOptions): GroupWorld {
+    return new GroupWorld(options);
+  }
+
+  private constructor(options: GroupOptions) {
+    const { seed, minDelayMs, maxDelayMs } = options;
+    const faults = { minDelayMs, maxDelayMs };
+    this.queue = MessageQueue.create<SwitchMessage>({ seed, faults });
+    this.size = options.size ?? this.queue.random.int(2, 5);
     const incarnations = Array.from(
       { length: this.size },
       () => this.#incarnation += 1,
@@ -117,6 +136,10 @@
   }
 
   send(from: string, to: Recipient, message: SwitchMessage): void {
+    if (this.traffic !== undefined) {
+      this.traffic.messages += 1;
+      this.traffic.bytes += JSON.stringify(message).length;
+    }
     if (to.kind === "coordinator") {
       this.queue.post(
         { from, to: `coordinator${to.fencingNumber}` },
--- a/testing/soak/src/map/map_soak.ts
+++ b/testing/soak/src/map/map_soak.ts
@@ -17,7 +17,7 @@
 export const MAP_SOAK: Soak = { name: "map", run };
 
 function run(seed: number): RunReport {
-  const world = new GroupWorld(seed);
+  const world = GroupWorld.create({ seed, minDelayMs: 1, maxDelayMs: 4 });
   const { queue } = world;
   queue.setFaults({
     lossShare: pickShare(world, 0.2),
--- /dev/null
+++ b/testing/soak/src/map/measure_switch.ts
@@ -0,0 +1,76 @@
+/** One switch of a large group without faults, measured for the bench. */
+
+import { GroupWorld } from "./group_world.ts";
+
+export interface SwitchOptions {
+  readonly seed: number;
+  readonly size: number;
+  readonly delayMs: number;
+  readonly leadSteps: number;
+  /** Whether the coordinator ends once it has proposed. */
+  readonly coordinatorEnds: boolean;
+}
+
+export interface SwitchFigures {
+  /** Times that a rank could have begun a step and was held. */
+  readonly stepsHeld: number;
+  readonly messages: number;
+  readonly bytes: number;
+  /** From the plan to the first step of all ranks under the new map. */
+  readonly planToInForceMs: number;
+  /** Share of that for staging, which the fake weight store decides. */
+  readonly stagingMs: number;
+  readonly violations: readonly string[];
+}
+
+const JOINED_BY_MS = 1_000;
+const LIMIT_MS = 10_000;
+
+export function measureSwitch(options: SwitchOptions): SwitchFigures {
+  const { seed, size, delayMs } = options;
+  const world = GroupWorld.create({
+    seed,
+    size,
+    minDelayMs: delayMs,
+    maxDelayMs: delayMs,
+  });
+  const { queue, report } = world;
+  queue.runAt(
+    JOINED_BY_MS / 2,
+    () => world.startCoordinator(options.leadSteps),
+  );
+  queue.runUntilQuiet({ limitMs: JOINED_BY_MS });
+  const traffic = { messages: 0, bytes: 0 };
+  world.traffic = traffic;
+  const heldBefore = report.outcomes["stepsHeld"] ?? 0;
+  world.latestCoordinator!.handle({ type: "plan" });
+  runUntil(world, () => hasProposed(world));
+  const proposedMs = queue.nowMs;
+  if (options.coordinatorEnds) queue.stop(world.latestCoordinator!.name);
+  runUntil(world, () => isInForce(world));
+  return {
+    stepsHeld: (report.outcomes["stepsHeld"] ?? 0) - heldBefore,
+    ...traffic,
+    planToInForceMs: queue.nowMs - JOINED_BY_MS,
+    stagingMs: proposedMs - JOINED_BY_MS,
+    violations: report.violations,
+  };
+}
+
+function runUntil(world: GroupWorld, isDone: () => boolean): void {
+  const { queue } = world;
+  while (!isDone() && queue.nowMs < LIMIT_MS) {
+    queue.runUntilQuiet({ limitMs: queue.nowMs + 1 });
+  }
+}
+
+function hasProposed(world: GroupWorld): boolean {
+  return world.latestCoordinator!.state.phase.kind === "voting";
+}
+
+/** Every rank has begun a step under the newest map. */
+function isInForce(world: GroupWorld): boolean {
+  return world.vms.every(({ rank, state }) =>
+    state.current.mapVersion > 1 && rank.step >= state.current.fromStep
+  );
+}
--- a/testing/soak/src/mod.ts
+++ b/testing/soak/src/mod.ts
@@ -2,6 +2,8 @@
 
 export { measureEntryKill } from "./requests/kill_run.ts";
 export type { KillFigures, KillOptions } from "./requests/kill_run.ts";
+export { measureSwitch } from "./map/measure_switch.ts";
+export type { SwitchFigures, SwitchOptions } from "./map/measure_switch.ts";
 export { SOAKS } from "./registry.ts";
 export { addTally, runSoak } from "./soak.ts";
 export type {
