Run duties and orders against seeded faults, and mend what that found

Cause: a holder that wakes after any pause acts at once, and agents are replaced with copies of orders still under way.

--- a/agreement/check-orders/src/order_core.ts
+++ b/agreement/check-orders/src/order_core.ts
@@ -20,8 +20,11 @@
   readonly effects: OrderEffect[];
 }
 
-export function startOrders(): Step<OrderState, OrderEffect> {
-  return { state: { waiting: [] }, effects: [{ type: "readFloor" }] };
+export function startOrders(
+  agentIncarnation: string,
+): Step<OrderState, OrderEffect> {
+  const state = { agentIncarnation, waiting: [] };
+  return { state, effects: [{ type: "readFloor" }] };
 }
 
 export function stepOrders(
@@ -76,7 +79,8 @@
   state: OrderState,
   order: Order,
 ): OrderRefusal | undefined {
-  const { floor, last, waiting } = state;
+  const { floor, last, waiting, agentIncarnation } = state;
+  if (order.agentIncarnation !== agentIncarnation) return "otherAgent";
   if (floor === undefined) return "floorUnknown";
   if (order.fencingNumber < floor) return "outdated";
   if (last !== undefined && !isAfter(order, last)) return "repeated";
--- a/agreement/check-orders/src/order_core_test.ts
+++ b/agreement/check-orders/src/order_core_test.ts
@@ -46,6 +46,11 @@
     events: [floor(5), order(5, 1), order(5, 2), order(6, 1), ended(5, 1)],
     effects: ["forward 5/1", "refuse 5/2 outdated", "forward 6/1"],
   },
+  {
+    name: "refuses a late copy of what its predecessor was given",
+    events: [floor(5), order(5, 1, "a0"), order(5, 2)],
+    effects: ["refuse 5/1 otherAgent", "forward 5/2"],
+  },
   {
     name: "refuses what is more than it can keep waiting",
     events: [
@@ -58,7 +63,7 @@
 
 for (const { name, events, effects } of CASES) {
   test(`An agent ${name}`, () => {
-    const started = startOrders();
+    const started = startOrders("a1");
     assert.deepEqual(started.effects, [{ type: "readFloor" }]);
     let state: OrderState = started.state;
     const seen: string[] = [];
@@ -71,11 +76,15 @@
   });
 }
 
-function order(fencingNumber: number, sequence: number): OrderEvent {
+function order(
+  fencingNumber: number,
+  sequence: number,
+  agentIncarnation = "a1",
+): OrderEvent {
   const orderId = `${fencingNumber}/${sequence}`;
   return {
     type: "order",
-    order: { fencingNumber, sequence, orderId, body: "" },
+    order: { fencingNumber, sequence, orderId, agentIncarnation, body: "" },
   };
 }
 
--- a/agreement/check-orders/src/order_state.ts
+++ b/agreement/check-orders/src/order_state.ts
@@ -9,6 +9,8 @@
 
 export interface Order extends OrderMark {
   readonly orderId: string;
+  /** The run of the agent that it was given to; a successor can't tell repeats. */
+  readonly agentIncarnation: string;
   readonly body: string;
 }
 
@@ -19,10 +21,13 @@
   | "outdated"
   /** An order after it was taken, or this one itself. */
   | "repeated"
+  /** It was given to another run of the agent: to be given anew under a new mark. */
+  | "otherAgent"
   /** Too many wait: to be sent again. */
   | "queueFull";
 
 export interface OrderState {
+  readonly agentIncarnation: string;
   /** The lowest number that is accepted; absent until it was read. */
   readonly floor?: number;
   /** The last order that was taken. */
--- a/agreement/hold-duty/src/duty_core.ts
+++ b/agreement/hold-duty/src/duty_core.ts
@@ -141,6 +141,7 @@
   const { duty, hash, self } = options;
   if (object === undefined) return undefined;
   if (object !== null && isOwn(state, object)) return undefined;
+  if (members.get(self.holder) !== self.incarnation) return undefined;
   const names = [...members.keys()];
   if (selectPreferred({ duty, members: names, hash }) !== self.holder) {
     return undefined;
--- a/agreement/hold-duty/src/duty_core_test.ts
+++ b/agreement/hold-duty/src/duty_core_test.ts
@@ -107,6 +107,16 @@
   assert.equal(run.state.fencingNumber, undefined, "older news does not count");
 });
 
+test("A former process of the same entry takes nothing back", () => {
+  const run = createHolder(7);
+  const entries = NAMES.map((name) => [name, "i2"] as const);
+  run.handle({ type: "membersChanged", members: new Map(entries) }, 10);
+  const successor = { holder: SELF, incarnation: "i2" };
+  run.handle(seen(createObject(9, successor)), 20);
+  run.handle({ type: "tick" }, 1e6);
+  assert.deepEqual(run.effects, [{ type: "lost", fencingNumber: 7 }]);
+});
+
 test("A duty object that was deleted is made again", () => {
   const run = createRun();
   run.handle(seen(createObject(5, { holder: SELF, incarnation: "old" })), 0);
--- /dev/null
+++ b/testing/soak/src/leases/agent_node.ts
@@ -0,0 +1,101 @@
+/** An agent before an engine that takes whatever order it gets. */
+
+import type {
+  Order,
+  OrderEffect,
+  OrderState,
+} from "@dandelionbank/check-orders";
+import { startOrders, stepOrders } from "@dandelionbank/check-orders";
+import type { Step } from "@dandelionbank/types";
+import type { LeasesWorld } from "./leases_world.ts";
+import type { LeaseMessage } from "./messages.ts";
+import { STORE } from "./store_node.ts";
+
+const READ_RETRY_MS = 60;
+
+/** An engine that ignores fencing numbers; it outlives its agents. */
+export interface Engine {
+  readonly executed: Order[];
+}
+
+export interface AgentOptions {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly engine: Engine;
+}
+
+export class AgentNode {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly engine: Engine;
+  readonly #world: LeasesWorld;
+  #state: OrderState;
+
+  static create(world: LeasesWorld, options: AgentOptions): AgentNode {
+    return new AgentNode(world, options);
+  }
+
+  private constructor(world: LeasesWorld, options: AgentOptions) {
+    const { name, incarnation } = options;
+    this.#world = world;
+    this.name = name;
+    this.incarnation = incarnation;
+    this.engine = options.engine;
+    const started = startOrders(incarnation);
+    this.#state = started.state;
+    world.queue.start(name, { receive: (message) => this.#receive(message) });
+    this.#perform(started);
+  }
+
+  #receive(message: LeaseMessage): void {
+    if (message.type === "order") {
+      this.#perform(stepOrders(this.#state, message));
+    }
+    if (message.type !== "object") return;
+    const fencingNumber = message.object?.revision ?? 0;
+    this.#perform(
+      stepOrders(this.#state, { type: "floorRead", fencingNumber }),
+    );
+  }
+
+  #perform(result: Step<OrderState, OrderEffect>): void {
+    this.#state = result.state;
+    for (const effect of result.effects) this.#performOne(effect);
+  }
+
+  #performOne(effect: OrderEffect): void {
+    switch (effect.type) {
+      case "readFloor":
+        return this.#read();
+      case "refuse":
+        return this.#world.count("outcomes", effect.reason);
+      case "forward":
+        return this.#execute(effect.order);
+      case "invariantViolated":
+        return this.#world.violate(effect.detail);
+    }
+  }
+
+  #read(): void {
+    const { queue } = this.#world;
+    queue.post({ from: this.name, to: STORE }, { type: "read" });
+    queue.startTimer(this.name, {
+      delayMs: READ_RETRY_MS,
+      run: () => {
+        if (this.#state.floor === undefined) this.#read();
+      },
+    });
+  }
+
+  #execute(order: Order): void {
+    const { queue } = this.#world;
+    this.#world.noteExecuted(this.engine, order);
+    queue.startTimer(this.name, {
+      delayMs: queue.random.int(1, 40),
+      run: () => {
+        const event = { type: "orderEnded", orderId: order.orderId } as const;
+        this.#perform(stepOrders(this.#state, event));
+      },
+    });
+  }
+}
--- /dev/null
+++ b/testing/soak/src/leases/leases_soak.ts
@@ -0,0 +1,156 @@
+/**
+ * Randomised runs of coordinator duties and of the agents' check of orders,
+ * with the product's cores. Nothing is a lease in time: what is checked is that
+ * no pause, however long, lets an old holder's order reach an engine.
+ */
+
+import type { RunReport, Soak } from "../soak.ts";
+import { LeasesWorld } from "./leases_world.ts";
+import { STORE } from "./store_node.ts";
+
+const FAULTS_END_MS = 3_000;
+const SETTLED_BY_MS = 6_000;
+const END_MS = 8_000;
+
+export const LEASES_SOAK: Soak = { name: "leases", run };
+
+function run(seed: number): RunReport {
+  const world = LeasesWorld.create(seed);
+  const { queue } = world;
+  queue.setFaults({
+    lossShare: queue.random.chance(0.5) ? 0.15 : 0,
+    doublingShare: queue.random.chance(0.5) ? 0.15 : 0,
+    crossingShare: queue.random.chance(0.5) ? 0.2 : 0,
+    crossingDelayMs: 500,
+  });
+  const count = queue.random.int(2, 14);
+  for (let index = 0; index < count; index += 1) {
+    const fault = queue.random.pick(FAULTS);
+    queue.runAt(queue.random.int(20, FAULTS_END_MS - 1), () => fault(world));
+  }
+  queue.runAt(FAULTS_END_MS, () => endFaults(world));
+  queue.runUntilQuiet({ limitMs: SETTLED_BY_MS });
+  checkSteady(world);
+  const { lost, doubled, crossed, cut } = queue.counts;
+  Object.assign(world.report.faults, {
+    messagesLost: lost,
+    messagesDoubled: doubled,
+    messagesCrossed: crossed,
+    messagesCut: cut,
+  });
+  return world.report;
+}
+
+const FAULTS: readonly ((world: LeasesWorld) => void)[] = [
+  (world) => replaceEntry(world, "stopped"),
+  (world) => replaceEntry(world, "paused"),
+  pauseHolder,
+  pauseHolder,
+  replaceAgent,
+  stopStore,
+  loseAnswers,
+  hideMember,
+  partition,
+];
+
+function replaceEntry(
+  world: LeasesWorld,
+  former: "stopped" | "paused",
+): void {
+  world.count(
+    "faults",
+    `entries${former === "paused" ? "Paused" : "Replaced"}`,
+  );
+  world.replaceEntry(pickIndex(world, world.entries), former);
+}
+
+/** The holder acts as soon as it wakes, whoever holds the duty by then. */
+function pauseHolder(world: LeasesWorld): void {
+  const holder = world.entries.find((entry) =>
+    entry.fencingNumber !== undefined
+  );
+  if (holder === undefined) return;
+  world.count("faults", "holdersPaused");
+  world.pause(holder.name);
+  if (world.queue.random.chance(0.7)) hide(world, holder.holder);
+}
+
+function replaceAgent(world: LeasesWorld): void {
+  world.count("faults", "agentsReplaced");
+  world.replaceAgent(pickIndex(world, world.agents));
+}
+
+function stopStore(world: LeasesWorld): void {
+  world.count("faults", "storeOutages");
+  world.store.down = true;
+  const untilMs = world.queue.nowMs + world.queue.random.int(10, 1_000);
+  world.queue.runAt(untilMs, () => world.store.down = false);
+}
+
+function loseAnswers(world: LeasesWorld): void {
+  world.store.losesAnswers = true;
+  const untilMs = world.queue.nowMs + world.queue.random.int(10, 1_000);
+  world.queue.runAt(untilMs, () => world.store.losesAnswers = false);
+}
+
+function hideMember(world: LeasesWorld): void {
+  world.count("faults", "listFlaps");
+  hide(world, world.queue.random.pick(world.entries).holder);
+}
+
+function hide(world: LeasesWorld, holder: string): void {
+  world.hidden.add(holder);
+  const untilMs = world.queue.nowMs + world.queue.random.int(10, 1_500);
+  world.queue.runAt(untilMs, () => world.hidden.delete(holder));
+}
+
+function partition(world: LeasesWorld): void {
+  world.count("faults", "partitions");
+  const { queue } = world;
+  const names = [STORE, ...world.entries, ...world.agents]
+    .map((node) => typeof node === "string" ? node : node.name);
+  const side = new Set(names.filter(() => queue.random.chance(0.5)));
+  for (const from of names) {
+    for (const to of names) {
+      if (side.has(from) !== side.has(to)) queue.cut({ from, to });
+    }
+  }
+  queue.runAt(queue.nowMs + queue.random.int(10, 800), () => queue.healAll());
+}
+
+function endFaults(world: LeasesWorld): void {
+  const { queue, store } = world;
+  store.down = false;
+  store.losesAnswers = false;
+  world.hidden.clear();
+  queue.healAll();
+  queue.setFaults({ lossShare: 0, doublingShare: 0, crossingShare: 0 });
+  for (const { name } of world.entries) queue.thaw(name);
+}
+
+/** Long after the faults: one entry holds, its orders run, and nothing is written. */
+function checkSteady(world: LeasesWorld): void {
+  const writes = world.store.writes;
+  const executed = world.agents.map(({ engine }) => engine.executed.length);
+  world.queue.runUntilQuiet({ limitMs: END_MS });
+  world.count("invariants", "steadyStateWritesNothing");
+  if (world.store.writes !== writes) {
+    world.violate(`${world.store.writes - writes} writes without a change`);
+  }
+  world.count("invariants", "heldAfterFaults");
+  const holders = world.entries.filter((entry) =>
+    entry.fencingNumber === world.store.object?.revision
+  );
+  if (holders.length !== 1) {
+    world.violate(`${holders.length} holders at the end`);
+  }
+  world.count("invariants", "ordersRunAfterFaults");
+  const idle = world.agents.filter(({ engine }, index) =>
+    engine.executed.length === executed[index]
+  );
+  if (idle.length > 0) world.violate(`No order ran at ${idle[0]!.name}`);
+}
+
+function pickIndex(world: LeasesWorld, items: readonly unknown[]): number {
+  return world.queue.random.int(0, items.length - 1);
+}
--- /dev/null
+++ b/testing/soak/src/leases/leases_world.ts
@@ -0,0 +1,130 @@
+/** Entries, agents and the store of one duty, and what is checked of them. */
+
+import { MessageQueue } from "@dandelionbank/message-queue";
+import type { Order } from "@dandelionbank/check-orders";
+import type { DutyObject } from "@dandelionbank/hold-duty";
+import type { RunReport } from "../soak.ts";
+import { AgentNode } from "./agent_node.ts";
+import type { Engine } from "./agent_node.ts";
+import { EntryNode } from "./entry_node.ts";
+import type { LeaseMessage } from "./messages.ts";
+import { StoreNode } from "./store_node.ts";
+
+const AGENTS = 2;
+
+export class LeasesWorld {
+  readonly queue: MessageQueue<LeaseMessage>;
+  readonly store: StoreNode;
+  readonly entries: EntryNode[] = [];
+  readonly agents: AgentNode[] = [];
+  readonly report = {
+    faults: {} as Record<string, number>,
+    outcomes: {} as Record<string, number>,
+    invariants: {} as Record<string, number>,
+    violations: [] as string[],
+  } satisfies RunReport;
+  /** Entries that the list leaves out, though they live. */
+  readonly hidden = new Set<string>();
+  /** Who held each number, and the duty's numbers in the order of their claims. */
+  readonly #holders = new Map<number, string>();
+  #incarnations = 0;
+
+  static create(seed: number): LeasesWorld {
+    return new LeasesWorld(seed);
+  }
+
+  private constructor(seed: number) {
+    this.queue = MessageQueue.create<LeaseMessage>({
+      seed,
+      faults: { minDelayMs: 1, maxDelayMs: 5 },
+    });
+    this.store = StoreNode.create(this);
+    const entries = this.queue.random.int(2, 5);
+    for (let index = 0; index < entries; index += 1) {
+      this.entries.push(this.#startEntry(`entry${index}`));
+    }
+    for (let index = 0; index < AGENTS; index += 1) {
+      const engine = { executed: [] };
+      this.agents.push(this.#startAgent(`agent${index}`, engine));
+    }
+  }
+
+  /** The live list, as every entry sees it. */
+  listMembers(): ReadonlyMap<string, string> {
+    const seen = this.entries.filter(({ holder }) => !this.hidden.has(holder));
+    return new Map(
+      seen.map(({ holder, incarnation }) => [holder, incarnation]),
+    );
+  }
+
+  /** A former process may be paused and wake up later. */
+  replaceEntry(index: number, former: "stopped" | "paused"): void {
+    const old = this.entries[index]!;
+    if (former === "stopped") this.queue.stop(old.name);
+    else this.pause(old.name);
+    this.entries[index] = this.#startEntry(old.holder);
+  }
+
+  replaceAgent(index: number): void {
+    const { name, engine } = this.agents[index]!;
+    this.queue.stop(name);
+    this.agents[index] = this.#startAgent(name, engine);
+  }
+
+  pause(name: string): void {
+    this.queue.freeze(name);
+    const untilMs = this.queue.nowMs + this.queue.random.int(10, 1_500);
+    this.queue.runAt(untilMs, () => this.queue.thaw(name));
+  }
+
+  noteClaim(object: DutyObject): void {
+    const { holder, incarnation } = object.record;
+    this.#holders.set(object.revision, `${holder}.${incarnation}`);
+    this.count("outcomes", "claims");
+  }
+
+  noteHeld(entry: EntryNode, fencingNumber: number): void {
+    this.count("invariants", "numberBelongsToOne");
+    if (this.#holders.get(fencingNumber) === entry.name) return;
+    this.violate(
+      `${entry.name} holds ${fencingNumber}, which it never claimed`,
+    );
+  }
+
+  noteExecuted(engine: Engine, order: Order): void {
+    const last = engine.executed.at(-1);
+    this.count("invariants", "executedNumberNeverFalls");
+    if (last !== undefined && order.fencingNumber < last.fencingNumber) {
+      this.violate(`Order ${order.orderId} ran after ${last.orderId}`);
+    }
+    this.count("invariants", "executedOnce");
+    if (engine.executed.some(({ orderId }) => orderId === order.orderId)) {
+      this.violate(`Order ${order.orderId} ran twice`);
+    }
+    this.count("invariants", "orderedByHolder");
+    if (this.#holders.get(order.fencingNumber) !== order.body) {
+      this.violate(`Order ${order.orderId} came from ${order.body}`);
+    }
+    engine.executed.push(order);
+  }
+
+  violate(detail: string): void {
+    this.report.violations.push(`${this.queue.nowMs} ms: ${detail}`);
+  }
+
+  count(tally: "faults" | "outcomes" | "invariants", name: string): void {
+    this.report[tally][name] = (this.report[tally][name] ?? 0) + 1;
+  }
+
+  #startAgent(name: string, engine: Engine): AgentNode {
+    this.#incarnations += 1;
+    const incarnation = `i${this.#incarnations}`;
+    return AgentNode.create(this, { name, incarnation, engine });
+  }
+
+  #startEntry(holder: string): EntryNode {
+    this.#incarnations += 1;
+    const incarnation = `i${this.#incarnations}`;
+    return EntryNode.create(this, { holder, incarnation });
+  }
+}
--- /dev/null
+++ b/testing/soak/src/leases/messages.ts
@@ -0,0 +1,23 @@
+/** What entries, agents and the store say to each other in this soak. */
+
+import type { DutyObject, DutyRecord } from "@dandelionbank/hold-duty";
+import type { Order } from "@dandelionbank/check-orders";
+
+export interface WriteRequest {
+  readonly type: "write";
+  readonly changeId: string;
+  readonly record: DutyRecord;
+  readonly expectedRevision: number | undefined;
+}
+
+export type LeaseMessage =
+  | WriteRequest
+  | { readonly type: "read" }
+  | {
+    readonly type: "object";
+    readonly object: DutyObject | null;
+    /** The change that it answers; absent for a read or a watch. */
+    readonly changeId?: string;
+    readonly written: boolean;
+  }
+  | { readonly type: "order"; readonly order: Order };
--- a/testing/soak/src/soak_test.ts
+++ b/testing/soak/src/soak_test.ts
@@ -9,6 +9,15 @@
 
 /** What a fixed set of runs of each soak must at least have exercised. */
 const EXERCISED: Readonly<Record<string, readonly string[]>> = {
+  leases: [
+    "executedNumberNeverFalls",
+    "executedOnce",
+    "orderedByHolder",
+    "numberBelongsToOne",
+    "steadyStateWritesNothing",
+    "heldAfterFaults",
+    "ordersRunAfterFaults",
+  ],
   map: [
     "oneMapPerStep",
     "oneOutcomePerProposal",
