--- a/daemon/route-requests/src/attempt_sender.ts
+++ b/daemon/route-requests/src/attempt_sender.ts
@@ -38,6 +38,7 @@
 interface SentAttempt {
   readonly requestId: string;
   readonly organisation: string;
+  readonly fingerprint: string;
   readonly keyText: string | undefined;
   readonly target: string;
   running: RunningRequest | undefined;
@@ -148,6 +149,7 @@
       agentIncarnation,
       attemptId,
       organisation: sent.organisation,
+      fingerprint: sent.fingerprint,
       ...(sent.keyText === undefined ? {} : { key: sent.keyText }),
     };
     const listener = this.#listen(attemptId, { isFirst: false });
@@ -182,10 +184,11 @@
   }
 
   #remember(attemptId: string, open: OpenRequest, target: string): void {
-    const { requestId, organisation, keyText } = open;
+    const { requestId, organisation, fingerprint, keyText } = open;
     this.#sent.set(attemptId, {
       requestId,
       organisation,
+      fingerprint,
       keyText,
       target,
       running: undefined,
--- a/daemon/run-attempts/src/attempt_task.ts
+++ b/daemon/run-attempts/src/attempt_task.ts
@@ -345,6 +345,7 @@
     type: "attemptAsked",
     attemptId: message.attemptId,
     agentIncarnation,
+    fingerprint: message.fingerprint,
     ...withKeyId(message.organisation, message.key),
   };
 }
--- a/daemon/serve-entry/src/entry_process.ts
+++ b/daemon/serve-entry/src/entry_process.ts
@@ -137,7 +137,10 @@
       incarnation,
       leaseMs: ARBITER_LEASE_MS,
       store,
-      onConfirmed: (untilMs) => this.#requests.confirmArbiter(untilMs),
+      onConfirmed: (untilMs) => {
+        this.#requests.confirmArbiter(untilMs);
+        this.#takeOvers.confirmOwn(untilMs);
+      },
       onClosed: () => this.#requests.closeArbiter(),
     });
     this.#views = ViewKeeper.create({
--- a/daemon/take-over-entries/src/take_over_task.ts
+++ b/daemon/take-over-entries/src/take_over_task.ts
@@ -78,7 +78,8 @@
 
   /** The incarnation that answers for another's keys, as far as is known. */
   arbiterOf(incarnation: string): string {
-    return findArbiter(this.#runner.state.closings, incarnation);
+    const { closings } = this.#runner.state;
+    return findArbiter(closings, incarnation) ?? incarnation;
   }
 
   takeWatchEvent(event: WatchEvent): void {
@@ -97,6 +98,11 @@
     for (const { value } of view.closings.values()) this.#seeClosing(value);
   }
 
+  /** This entry's own incarnation was found open; it may close others. */
+  confirmOwn(untilMs: number): void {
+    this.#runner.post({ type: "ownConfirmed", untilMs });
+  }
+
   /** The entry does not answer, on new connections either. */
   loseEntry(incarnation: string): void {
     this.#runner.post({ type: "entryLost", incarnation });
--- a/foundation/types/src/attempt.ts
+++ b/foundation/types/src/attempt.ts
@@ -53,6 +53,7 @@
   readonly agentIncarnation: string;
   readonly attemptId: string;
   readonly organisation: string;
+  readonly fingerprint: string;
   readonly key?: string;
 }
 
--- a/peers/exchange-attempts/src/exchange_attempts_test.ts
+++ b/peers/exchange-attempts/src/exchange_attempts_test.ts
@@ -91,6 +91,7 @@
     agentIncarnation: "g1",
     attemptId: "e1.1",
     organisation: "acme",
+    fingerprint: "00112233445566",
   };
   for (const each of [message, question]) {
     const line = encodeMessage(each).trimEnd();
--- a/peers/exchange-attempts/src/message_codec.ts
+++ b/peers/exchange-attempts/src/message_codec.ts
@@ -43,6 +43,7 @@
     agentIncarnation: v.string(),
     attemptId: v.pipe(v.string(), v.minLength(1), v.maxLength(200)),
     organisation: v.pipe(v.string(), v.minLength(1)),
+    fingerprint: v.string(),
     key: v.optional(v.pipe(v.string(), v.minLength(1), v.maxLength(600))),
   }),
 ]);
--- a/routing/admit-attempts/src/admit_attempts_test.ts
+++ b/routing/admit-attempts/src/admit_attempts_test.ts
@@ -15,6 +15,8 @@
   retryAfterMs: 250,
 };
 
+const FINGERPRINT = "0123456789abcdef";
+
 interface Agent {
   /** Steps the core and shows its effects shortly. */
   readonly feed: (event: AdmitEvent, nowMs?: number) => readonly string[];
@@ -76,7 +78,7 @@
       attemptId: `${entryIncarnation}.${number}`,
       requestId: "r",
       organisation: "acme",
-      fingerprint: "0123456789abcdef",
+      fingerprint: FINGERPRINT,
       entry: "entry",
       entryIncarnation,
       idempotent: false,
@@ -96,10 +98,15 @@
   return `${formatTicket(ticket, "s")}/${suffix}`;
 }
 
-function asked(number: number, key?: string): AdmitEvent {
+function asked(
+  number: number,
+  key?: string,
+  fingerprint = FINGERPRINT,
+): AdmitEvent {
   return {
     type: "attemptAsked",
     attemptId: `e1.${number}`,
+    fingerprint,
     agentIncarnation: "agent1",
     ...(key === undefined ? {} : { keyId: key }),
   };
@@ -138,6 +145,40 @@
       ],
     ],
   },
+  {
+    name: "An attempt that joined another is not denied when that is forgotten",
+    events: [
+      [arrival({ number: 1, key: KEY, idempotent: true }), "run e1.1"],
+      [
+        arrival({ number: 1, key: KEY, entryIncarnation: "e2" }),
+        "join e2.1 e1.1",
+      ],
+      [asked(7, KEY), "join e1.7 e1.1"],
+      [ended(1), ""],
+      [TICK, "forget e1.1", 6_000],
+      [asked(7, KEY), "fail e1.7 attemptForgotten"],
+      [asked(6, KEY), "refuse e1.6 neverArrived 0"],
+      [
+        arrival({ number: 1, key: KEY, entryIncarnation: "e2" }),
+        "fail e2.1 attemptForgotten",
+      ],
+    ],
+  },
+  {
+    name: "An attempt that was forgotten is not denied when its key is reused",
+    events: [
+      [arrival({ number: 1, key: KEY, idempotent: true }), "run e1.1"],
+      [ended(1), ""],
+      [TICK, "forget e1.1", 6_000],
+      [
+        arrival({ number: 2, key: KEY, fingerprint: "1123456789abcdef" }),
+        "run e1.2",
+      ],
+      [asked(1, KEY), "fail e1.1 attemptForgotten"],
+      [arrival({ number: 1, key: KEY }), "fail e1.1 attemptForgotten"],
+      [asked(3, KEY), "refuse e1.3 keyReused 0"],
+    ],
+  },
   {
     name: "A key with another fingerprint is an error, running or ended",
     events: [
@@ -146,6 +187,7 @@
         arrival({ number: 2, key: KEY, fingerprint: "0123456789abddef" }),
         "refuse e1.2 keyReused 0",
       ],
+      [asked(9, KEY, "1123456789abcdef"), "refuse e1.9 keyReused 0"],
       [ended(1), ""],
       [
         arrival({ number: 3, key: KEY, fingerprint: "1123456789abcdef" }),
@@ -197,6 +239,7 @@
         {
           type: "attemptAsked",
           attemptId: "e1.1",
+          fingerprint: FINGERPRINT,
           agentIncarnation: "agent0",
         },
         "fail e1.1 wrongIncarnation",
@@ -325,6 +368,19 @@
       [TICK, "cancel e1.3", 10_000],
     ],
   },
+  {
+    name: "Of calls that may crash the target one runs at a time",
+    events: [
+      [{ ...arrival({ number: 1 }), suspect: true } as AdmitEvent, "run e1.1"],
+      [
+        { ...arrival({ number: 2 }), suspect: true } as AdmitEvent,
+        "refuse e1.2 suspectRunning 250",
+      ],
+      [arrival({ number: 3 }), "run e1.3"],
+      [ended(1), ""],
+      [{ ...arrival({ number: 4 }), suspect: true } as AdmitEvent, "run e1.4"],
+    ],
+  },
   {
     name: "No attempt is taken out of time or without its parts",
     events: [
--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -31,6 +31,7 @@
   readonly entry: IncarnationRecord;
   /** Whether it is a keyed call that may not be repeated. */
   readonly once: boolean;
+  readonly suspect: boolean;
 }
 
 type Verdict =
@@ -55,6 +56,7 @@
     number: id.number,
     entry: context.state.incarnations.recordOf(id.entryIncarnation),
     once: event.keyId !== undefined && !head.idempotent,
+    suspect: event.suspect === true,
   };
   const verdict = judge(context, arrival);
   if (verdict.kind === "take") return runOrRepeat(context, arrival);
@@ -74,12 +76,18 @@
     return fail(context, { attemptId, code: "wrongIncarnation" });
   }
   const record = state.keys.find(event.keyId ?? unkeyedId(attemptId));
-  if (record !== undefined) return repeat(context, { attemptId, record });
   const entry = state.incarnations.recordOf(id.entryIncarnation);
-  if (id.number <= entry.forgottenNumber) {
+  const { number } = id;
+  if (record !== undefined && matchesFingerprint(record, event.fingerprint)) {
+    return repeat(context, { attemptId, record, entry, number });
+  }
+  if (entry.mayHaveForgotten(number)) {
     return fail(context, { attemptId, code: "attemptForgotten" });
   }
-  entry.decided.add(id.number);
+  if (record !== undefined) {
+    return refuse(context, { attemptId, code: "keyReused" });
+  }
+  entry.decided.add(number);
   refuse(context, { attemptId, code: "neverArrived" });
 }
 
@@ -91,16 +99,14 @@
 function judge(context: AdmitContext, arrival: Arrival): Verdict {
   const { entry, head, keyId } = arrival;
   const record = context.state.keys.find(keyId);
-  if (record !== undefined) {
-    if (!matchesFingerprint(record, head.fingerprint)) {
-      return { kind: "refuse", code: "keyReused" };
-    }
+  if (record !== undefined && matchesFingerprint(record, head.fingerprint)) {
     if (entry.closed) return { kind: "fail", code: "incarnationClosed" };
     return { kind: "take" };
   }
-  if (arrival.number <= entry.forgottenNumber) {
+  if (entry.mayHaveForgotten(arrival.number)) {
     return { kind: "fail", code: "attemptForgotten" };
   }
+  if (record !== undefined) return { kind: "refuse", code: "keyReused" };
   const code = findRefusal(context, arrival);
   return code === undefined ? { kind: "take" } : { kind: "refuse", code };
 }
@@ -118,28 +124,44 @@
   if (state.stopReasons.size > 0) return "agentStopping";
   if (head.timeLeftMs <= 0) return "tooLate";
   if (state.running.size >= state.options.maxInFlight) return "targetBusy";
+  if (arrival.suspect && runsSuspect(context)) return "suspectRunning";
   if (arrival.once && state.keys.isFull) return "tableFull";
   return undefined;
 }
 
+function runsSuspect(context: AdmitContext): boolean {
+  for (const call of context.state.running.values()) {
+    if (call.suspect) return true;
+  }
+  return false;
+}
+
 function runOrRepeat(context: AdmitContext, arrival: Arrival): void {
   const { attemptId } = arrival.head;
-  const record = context.state.keys.find(arrival.keyId);
+  const { keyId, number, entry, once } = arrival;
+  const record = context.state.keys.find(keyId);
   if (record !== undefined) {
-    arrival.entry.decided.add(arrival.number);
-    return repeat(context, { attemptId, record });
+    entry.decided.add(number);
+    return repeat(context, { attemptId, record, entry, number });
   }
-  if (checkRun(context, { ...arrival, attemptId })) run(context, arrival);
+  const intended = { attemptId, keyId, number, entry, once };
+  if (checkRun(context, intended)) run(context, arrival);
   else refuse(context, { attemptId, code: "invariantViolated" });
 }
 
 /** Answers from what is known of a key, and runs nothing. */
 function repeat(
   context: AdmitContext,
-  asked: { readonly attemptId: string; readonly record: KeyRecord },
+  asked: {
+    readonly attemptId: string;
+    readonly entry: IncarnationRecord;
+    readonly number: number;
+    readonly record: KeyRecord;
+  },
 ): void {
-  const { attemptId, record } = asked;
+  const { attemptId, record, entry, number } = asked;
   const answeredBy = attemptIdOf(record);
+  if (attemptId !== answeredBy) entry.joined.add(number);
   switch (record.standing) {
     case "running":
       return join(context, { attemptId, answeredBy });
@@ -175,6 +197,7 @@
     keyId,
     record,
     idempotent: head.idempotent,
+    suspect: arrival.suspect,
     keyed: head.key !== undefined,
     deadlineMs: nowMs + head.timeLeftMs,
     listeners: new Set([head.attemptId]),
--- a/routing/take-over-keys/src/take_over_keys.ts
+++ b/routing/take-over-keys/src/take_over_keys.ts
@@ -55,6 +55,9 @@
     case "closingSeen":
       state.closings.set(event.incarnation, event.successor);
       return coverInherited(context);
+    case "ownConfirmed":
+      state.confirmedUntilMs = Math.max(state.confirmedUntilMs, event.untilMs);
+      return;
     case "entryLost":
       return begin(context, event.incarnation);
     case "closingWritten":
@@ -71,11 +74,18 @@
   }
 }
 
-/** Closes an incarnation, unless it is closed or is this entry's own. */
+/**
+ * Closes an incarnation, unless it is closed or is this entry's own. An entry
+ * that was paused may have been closed itself and must not close its successor.
+ */
 function begin(context: TakeOverContext, incarnation: string): void {
   const { state, effects } = context;
+  const { closings } = state;
   const successor = state.options.incarnation;
-  if (incarnation === successor || state.closings.has(incarnation)) return;
+  if (incarnation === successor || closings.has(incarnation)) return;
+  if (context.nowMs >= state.confirmedUntilMs || closings.has(successor)) {
+    return;
+  }
   effects.push({ type: "writeClosing", incarnation, successor });
 }
 
@@ -112,7 +122,7 @@
   const { takeover, agent } = found;
   if (event.agentIncarnation !== agent.sighting.incarnation) {
     agent.answer = "replaced";
-  } else {
+  } else if (takeover.isCoveredBy(event.homes)) {
     takeover.takeAnswer(agent, event.homes);
   }
   askWaiting(context, takeover);
@@ -126,9 +136,14 @@
 }
 
 function passTime(context: TakeOverContext): void {
-  const { askTimeoutMs } = context.state.options;
+  const { askTimeoutMs, keyLifeMs } = context.state.options;
   for (const takeover of listTakeovers(context.state)) {
+    if (takeover.stage === "expired") continue;
     takeover.wait(context.nowMs);
+    if (context.nowMs - takeover.closedAtMs >= keyLifeMs) {
+      takeover.expire();
+      continue;
+    }
     for (const agent of takeover.agents.values()) {
       const silent = context.nowMs - agent.askedAtMs >= askTimeoutMs;
       if (agent.answer === "asked" && silent) agent.answer = "waiting";
@@ -165,8 +180,7 @@
 
 /** An agent that comes back may still free the keys nobody asked for yet. */
 function askUnreachable(context: TakeOverContext, takeover: Takeover): void {
-  const { askTimeoutMs, keyLifeMs } = context.state.options;
-  if (context.nowMs - takeover.closedAtMs >= keyLifeMs) return;
+  const { askTimeoutMs } = context.state.options;
   for (const agent of takeover.agents.values()) {
     if (agent.answer !== "unreachable") continue;
     if (context.nowMs - agent.askedAtMs < askTimeoutMs) continue;
--- a/routing/track-requests/src/effects.ts
+++ b/routing/track-requests/src/effects.ts
@@ -76,6 +76,7 @@
   readonly type: "askAbout";
   readonly attemptId: string;
   readonly keyId: string | undefined;
+  readonly fingerprint: string;
   readonly target: string;
   readonly agentIncarnation: string;
 }
@@ -123,6 +124,7 @@
 /** A target was lost, or lost its process, while it ran this request. */
 export interface AttemptCrashed {
   readonly type: "attemptCrashed";
+  readonly attemptId: string;
   readonly requestId: string;
   readonly organisation: string;
   readonly fingerprint: string;
--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -12,7 +12,13 @@
 import type { FrameDropped } from "./effects.ts";
 import type { FrameArrived, OutcomeFrame } from "./events.ts";
 import { acceptFromHome } from "./not_run.ts";
-import { abandon, endAnswered, endWith, giveUp } from "./outcomes.ts";
+import {
+  abandon,
+  endAnswered,
+  endWith,
+  giveUp,
+  releaseKey,
+} from "./outcomes.ts";
 import { type Attempt, isOpen, keepsAnswer } from "./request.ts";
 import { seekHomeLater } from "./seek_home.ts";
 import { SentAnswer } from "./sent_answer.ts";
@@ -20,8 +26,9 @@
 
 /** Refusals after which another attempt would be extra work for the pool. */
 const OVERLOAD_CODES: ReadonlySet<string> = new Set([
-  "targetBusy",
+  "suspectRunning",
   "tableFull",
+  "targetBusy",
 ]);
 
 interface Received<Frame> {
@@ -76,6 +83,7 @@
   const { code, retryAfterMs } = frame;
   if (code === "incarnationClosed") context.state.arbiterClosed = true;
   if (code === "keyReused") {
+    releaseKey(context, request);
     return giveUp(context, { request, reason: { code: "keyReused" } });
   }
   const charged = OVERLOAD_CODES.has(code);
@@ -192,6 +200,7 @@
   const { requestId, organisation, fingerprint } = attempt.request.info;
   context.effects.push({
     type: "attemptCrashed",
+    attemptId: attempt.attemptId,
     requestId,
     organisation,
     fingerprint,
--- /dev/null
+++ b/testing/soak/src/mod.ts
@@ -0,0 +1,14 @@
+/** Long randomised runs over the real cores. */
+
+export { measureEntryKill } from "./requests/kill_run.ts";
+export type { KillFigures, KillOptions } from "./requests/kill_run.ts";
+export { SOAKS } from "./registry.ts";
+export { addTally, runSoak } from "./soak.ts";
+export type {
+  RunReport,
+  Soak,
+  SoakOptions,
+  SoakSummary,
+  SoakViolation,
+  Tally,
+} from "./soak.ts";
