--- a/testing/bench/src/registry.ts
+++ b/testing/bench/src/registry.ts
@@ -2,7 +2,9 @@
 
 import type { Bench } from "./bench.ts";
 import { LEDGER_BENCH } from "./ledger/ledger_bench.ts";
+import { RELAY_BENCH } from "./relay/relay_bench.ts";
 
 export const BENCHES: readonly Bench[] = [
   LEDGER_BENCH,
+  RELAY_BENCH,
 ];
--- a/testing/run-site/src/site.ts
+++ b/testing/run-site/src/site.ts
@@ -21,9 +21,12 @@
 export interface SiteOptions {
   readonly entries: number;
   readonly ranks: number;
+  /** Engine stand-ins, each with an agent of its own; none if left out. */
+  readonly engines?: number;
   /** Settings of the stand-ins, as flags. */
   readonly groupArgs?: readonly string[];
   readonly plainArgs?: readonly string[];
+  readonly engineArgs?: readonly string[];
   /** Further settings of every agent and entry, as flags. */
   readonly agentArgs?: readonly string[];
   readonly entryArgs?: readonly string[];
@@ -43,11 +46,12 @@
   readonly entryUrls = new Map<string, string>();
   readonly #options: SiteOptions;
   readonly #folder = mkdtempSync(join(tmpdir(), "dandelionbank-site-"));
-  readonly #standins: ChildProgram[] = [];
+  readonly standins: ChildProgram[] = [];
   readonly #files: string[] = [];
   platformUrl = "";
   plainUrl = "";
   groupUrls: readonly string[] = [];
+  engineUrls: readonly string[] = [];
 
   private constructor(options: SiteOptions) {
     this.#options = options;
@@ -162,7 +166,7 @@
   async stop(): Promise<void> {
     const daemons = [...this.entries.values(), ...this.agents.values()];
     await Promise.all(daemons.map((daemon) => daemon.stop("SIGKILL")));
-    await Promise.all(this.#standins.map((standin) => standin.stop("SIGKILL")));
+    await Promise.all(this.standins.map((standin) => standin.stop("SIGKILL")));
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
@@ -176,6 +180,7 @@
     this.platformUrl = String(platform);
     this.plainUrl = String(plain);
     this.groupUrls = group as readonly string[];
+    this.engineUrls = await this.#startEngines();
     const names = Array.from(
       { length: entries },
       (_, index) => `entry-${index + 1}`,
@@ -184,6 +189,7 @@
       ...names.map((name) => this.startEntry(name)),
       ...this.groupUrls.map((_, rank) => this.startRankAgent(rank)),
       this.startPlainAgent("parts-0"),
+      ...this.engineUrls.map((_, index) => this.startEngineAgent(index)),
     ]);
     await this.#writeObjects();
     await this.waitUntilServed();
@@ -209,10 +215,28 @@
     ]);
   }
 
+  startEngineAgent(index: number): Promise<void> {
+    return this.startAgent(`chat-${index}`, [
+      "--target-kind=engine",
+      `--target-url=${this.engineUrls[index]}`,
+      "--pool=chat",
+    ]);
+  }
+
+  async #startEngines(): Promise<readonly string[]> {
+    const { engines = 0, engineArgs = [] } = this.#options;
+    const starts = Array.from(
+      { length: engines },
+      () => this.#startStandin("engine", engineArgs),
+    );
+    return (await Promise.all(starts)).map(String);
+  }
+
   async #writeObjects(): Promise<void> {
     const config = {
       pools: [
         { name: "review", kind: "rank", models: ["plaque-7b"], routes: [] },
+        { name: "chat", kind: "engine", models: ["reel-2b"], routes: [] },
         {
           name: "parts",
           kind: "plain",
@@ -259,7 +283,7 @@
       script: `testing/standin-${name}/dist/main.js`,
       args: [`--listen=${LOOPBACK}`, ...args],
     });
-    this.#standins.push(standin);
+    this.standins.push(standin);
     const line = await standin.waitFor((each) => "listening" in each);
     return line["listening"];
   }
