--- a/peers/serve-peers/src/peer_server.ts
+++ b/peers/serve-peers/src/peer_server.ts
@@ -8,7 +8,6 @@
 import type { TlsMaterial } from "@dandelionbank/load-tls";
 import type { PeerFrame, PeerMessage } from "@dandelionbank/types";
 import type { AnyRouter } from "@trpc/server";
-import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import {
   createServer,
   type IncomingMessage,
@@ -18,6 +17,7 @@
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
+import { serveCall } from "./serve_call.ts";
 
 const TRPC_PREFIX = "/trpc/";
 const ATTEMPTS_PATH = "/attempts";
@@ -59,14 +59,9 @@
 export class PeerServer {
   readonly #options: PeerServerOptions;
   readonly #server: Server;
-  readonly #trpcListener: RequestListener;
 
   private constructor(options: PeerServerOptions) {
     this.#options = options;
-    this.#trpcListener = createHTTPHandler({
-      router: options.router,
-      basePath: TRPC_PREFIX,
-    });
     const listener: RequestListener = (request, response) =>
       this.#serve(request, response);
     this.#server = options.tls === undefined
@@ -111,7 +106,8 @@
       return;
     }
     if (path.startsWith(TRPC_PREFIX)) {
-      this.#trpcListener(request, response);
+      const { router } = this.#options;
+      void serveCall(request, response, { router, pathPrefix: TRPC_PREFIX });
       return;
     }
     response.writeHead(404).end();
