--- a/daemon/run-attempts/src/attempt_task.ts
+++ b/daemon/run-attempts/src/attempt_task.ts
@@ -345,8 +345,8 @@
   return {
     type: "attemptAsked",
     attemptId: message.attemptId,
-    fingerprint: message.fingerprint,
     agentIncarnation,
+    fingerprint: message.fingerprint,
     ...withKeyId(message.organisation, message.key),
   };
 }
--- a/testing/bench/src/registry.ts
+++ b/testing/bench/src/registry.ts
@@ -6,6 +6,7 @@
 import { LIMITS_BENCH } from "./limits/limits_bench.ts";
 import { PLACEMENT_BENCH } from "./placement/placement_bench.ts";
 import { MAP_SWITCH_BENCH } from "./map/map_switch_bench.ts";
+import { RELAY_BENCH } from "./relay/relay_bench.ts";
 
 export const BENCHES: readonly Bench[] = [
   CONFIG_SPREAD_BENCH,
@@ -13,4 +14,5 @@
   LIMITS_BENCH,
   PLACEMENT_BENCH,
   MAP_SWITCH_BENCH,
+  RELAY_BENCH,
 ];
--- a/testing/run-site/src/site.ts
+++ b/testing/run-site/src/site.ts
@@ -21,9 +21,12 @@
 export interface SiteOptions {
   readonly entries: number;
   readonly ranks: number;
+  /** Engine stand-ins, each with an agent of its own; none if left out. */
+  readonly engines?: number;
   /** Settings of the stand-ins, as flags. */
   readonly groupArgs?: readonly string[];
   readonly plainArgs?: readonly string[];
+  readonly engineArgs?: readonly string[];
   /** Further settings of every agent and entry, as flags. */
   readonly agentArgs?: readonly string[];
   readonly entryArgs?: readonly string[];
@@ -48,6 +51,7 @@
   platformUrl = "";
   plainUrl = "";
   groupUrls: readonly string[] = [];
+  engineUrls: readonly string[] = [];
 
   private constructor(options: SiteOptions) {
     this.#options = options;
@@ -177,6 +181,7 @@
     this.platformUrl = String(platform);
     this.plainUrl = String(plain);
     this.groupUrls = group as readonly string[];
+    this.engineUrls = await this.#startEngines();
     const names = Array.from(
       { length: entries },
       (_, index) => `entry-${index + 1}`,
@@ -185,6 +190,7 @@
       ...names.map((name) => this.startEntry(name)),
       ...this.groupUrls.map((_, rank) => this.startRankAgent(rank)),
       this.startPlainAgent("parts-0"),
+      ...this.engineUrls.map((_, index) => this.startEngineAgent(index)),
     ]);
     await this.#writeObjects();
     await this.waitUntilServed();
@@ -210,10 +216,28 @@
     ]);
   }
 
+  startEngineAgent(index: number): Promise<void> {
+    return this.startAgent(`chat-${index}`, [
+      "--target-kind=engine",
+      `--target-url=${this.engineUrls[index]}`,
+      "--pool=chat",
+    ]);
+  }
+
+  async #startEngines(): Promise<readonly string[]> {
+    const { engines = 0, engineArgs = [] } = this.#options;
+    const names = Array.from({ length: engines }, (_, i) => `engine-${i}`);
+    const starts = names.map((name) =>
+      this.#startStandin("engine", engineArgs, { name })
+    );
+    return (await Promise.all(starts)).map(String);
+  }
+
   async #writeObjects(): Promise<void> {
     const config = {
       pools: [
         { name: "review", kind: "rank", models: ["plaque-7b"], routes: [] },
+        { name: "chat", kind: "engine", models: ["reel-2b"], routes: [] },
         {
           name: "parts",
           kind: "plain",
@@ -255,9 +279,13 @@
     }
   }
 
-  async #startStandin(name: string, args: readonly string[]): Promise<unknown> {
+  async #startStandin(
+    program: string,
+    args: readonly string[],
+    { name } = { name: program },
+  ): Promise<unknown> {
     const standin = ChildProgram.start(name, {
-      script: `testing/standin-${name}/dist/main.js`,
+      script: `testing/standin-${program}/dist/main.js`,
       args: [`--listen=${LOOPBACK}`, ...args],
     });
     this.standins.set(name, standin);
