Smooth late reports of load, and bound affinity by the entry's own part

Cause: entries that go by one report a second late run to the same target, and a prefix's engine took more than its part before any report showed it. Reports are smoothed over some seconds and show lasting differences; the entry's own count shows this moment; a preferred target must be near the mean in both, and is taken from the entry's subset. The default policy is leastRequests now.

--- a/routing/pick-target/src/pick_target.ts
+++ b/routing/pick-target/src/pick_target.ts
@@ -10,8 +10,13 @@
  */
 
 import type { Step } from "@dandelionbank/types";
+import { isAffinityBounded } from "./bound_affinity.ts";
 import type { PlacementPolicy, RandomSource } from "./policies.ts";
-import { createPolicy, DEFAULT_POLICY, PowerOfTwoPolicy } from "./policies.ts";
+import {
+  createPolicy,
+  DEFAULT_POLICY,
+  LeastRequestsPolicy,
+} from "./policies.ts";
 import { TargetPool } from "./target_pool.ts";
 import { TargetRecord } from "./target_record.ts";
 import type {
@@ -25,9 +30,6 @@
 } from "./types.ts";
 
 const DEFAULT_SUBSET_SIZE = 48;
-/** A preferred target may be this much busier than the mean. */
-const AFFINITY_FACTOR = 1.25;
-const AFFINITY_SLACK = 2;
 const SUSPICION_MS = 1_000;
 const MAX_SUSPICION_MS = 30_000;
 /** Told when no target is known; membership is looked at about as often. */
@@ -64,7 +66,7 @@
     pools: new Map(),
     picks: new Map(),
     policy: createPolicy(options.policy ?? DEFAULT_POLICY) ??
-      PowerOfTwoPolicy.create(),
+      LeastRequestsPolicy.create(),
   };
 }
 
@@ -146,10 +148,9 @@
   const preferred = event.prefixHash === undefined
     ? undefined
     : pool.preferredFor(event.prefixHash, isSound);
-  if (preferred !== undefined) {
-    const bound = AFFINITY_FACTOR * mean(candidates, estimate) + AFFINITY_SLACK;
-    if (estimate(preferred) <= bound) return preferred;
-  }
+  const mayPrefer = preferred !== undefined &&
+    isAffinityBounded(preferred, { candidates, estimate });
+  if (mayPrefer) return preferred;
   return state.policy.choose(candidates, {
     random: state.options.random,
     estimate,
@@ -166,15 +167,6 @@
   return [];
 }
 
-function mean(
-  targets: readonly TargetRecord[],
-  estimate: (target: TargetRecord) => number,
-): number {
-  let sum = 0;
-  for (const target of targets) sum += estimate(target);
-  return sum / targets.length;
-}
-
 function refuseBusy(
   event: PickWanted,
   pool: TargetPool,
--- a/routing/pick-target/src/policies.ts
+++ b/routing/pick-target/src/policies.ts
@@ -22,7 +22,7 @@
   ): TargetRecord;
 }
 
-export const DEFAULT_POLICY = "powerOfTwo";
+export const DEFAULT_POLICY = "leastRequests";
 
 /** The policy of that name, or `undefined` if there is none. */
 export function createPolicy(name: string): PlacementPolicy | undefined {
--- a/routing/pick-target/src/target_pool.ts
+++ b/routing/pick-target/src/target_pool.ts
@@ -63,14 +63,17 @@
     return sum / (count + 1);
   }
 
-  /** The first target that may be chosen, in an order given by the prefix. */
+  /**
+   * The first target of the subset that may be chosen, in an order given by
+   * the prefix. Beyond the subset too little is known of a target's load.
+   */
   preferredFor(
     prefixHash: number,
     mayChoose: (target: TargetRecord) => boolean,
   ): TargetRecord | undefined {
     let best: TargetRecord | undefined;
     let bestWeight = Infinity;
-    for (const target of this.#members) {
+    for (const target of this.#subset) {
       const weight = mixHashes(prefixHash, target.nameHash);
       if (weight >= bestWeight || !mayChoose(target)) continue;
       best = target;
--- a/routing/pick-target/src/target_record.ts
+++ b/routing/pick-target/src/target_record.ts
@@ -1,14 +1,18 @@
 /**
  * What an entry knows of one target's load: its own attempts there, counted
- * exactly, and the attempts of others, known from reports that age. As a
- * report ages, the others' part fades from what it said to the pool's mean,
- * so that a target is neither avoided nor flooded for an old report's sake.
+ * exactly, and the attempts of others, known from reports that are late. A
+ * single late report says little about this moment, and entries that all go
+ * by it run to the same target; so reports are smoothed, and show which
+ * targets are busier for long, while the entry's own count shows this moment.
+ * As the last report ages, the others' part fades to the pool's mean.
  */
 
 import type { TargetLoad } from "@dandelionbank/types";
 import type { PlacementState } from "./types.ts";
 
-const REPORT_HALF_LIFE_MS = 1_000;
+const REPORT_HALF_LIFE_MS = 5_000;
+/** Time in which what was known before a report loses half of its weight. */
+const SMOOTHING_HALF_LIFE_MS = 6_000;
 
 export interface TargetRecordOptions {
   readonly name: string;
@@ -42,7 +46,13 @@
   report(load: TargetLoad, nowMs: number): void {
     const total = load.inFlight + load.queued;
     if (!Number.isFinite(total) || total < 0) return;
-    this.#reportedOthers = Math.max(0, total - this.ownInFlight);
+    const others = Math.max(0, total - this.ownInFlight);
+    const known = this.#reportedOthers;
+    const sinceMs = Math.max(0, nowMs - this.#reportedAtMs);
+    const kept = 2 ** (-sinceMs / SMOOTHING_HALF_LIFE_MS);
+    this.#reportedOthers = known === undefined
+      ? others
+      : others + (known - others) * kept;
     this.#reportedAtMs = nowMs;
   }
 
--- a/testing/bench/src/placement/placement_bench.ts
+++ b/testing/bench/src/placement/placement_bench.ts
@@ -8,11 +8,25 @@
 import { runPlacement } from "./placement_run.ts";
 import type { PlacementResult, PlacementVariant } from "./placement_run.ts";
 
-const LOADS = [0.6, 0.8, 0.95, 1.2];
-const SIZES = [{ engines: 16, entries: 6 }];
+const SIZES = [
+  {
+    engines: 16,
+    entries: 6,
+    loads: [0.6, 0.8, 0.95, 1.2],
+    durationMs: 20_000,
+    warmUpMs: 5_000,
+  },
+  {
+    engines: 1_700,
+    entries: 340,
+    loads: [0.95],
+    durationMs: 4_000,
+    warmUpMs: 2_000,
+  },
+];
 const OURS: PlacementVariant = {
   name: "dandelionbank",
-  policy: "powerOfTwo",
+  policy: "leastRequests",
   affinity: true,
 };
 const BASELINES: readonly PlacementVariant[] = [
@@ -33,8 +47,8 @@
   run(seed: number): BenchReport {
     const figures: Figure[] = [];
     const baselines: Record<string, number> = {};
-    for (const size of SIZES) {
-      for (const load of LOADS) {
+    for (const { loads, ...size } of SIZES) {
+      for (const load of loads) {
         const setup = { ...size, load, seed };
         const place = `${size.engines}EnginesAt${Math.round(load * 100)}`;
         figures.push(...describe(place, runPlacement(setup, OURS), load));
--- a/testing/bench/src/placement/placement_run.ts
+++ b/testing/bench/src/placement/placement_run.ts
@@ -14,8 +14,6 @@
   MEAN_PROMPT_TOKENS,
 } from "./engine_model.ts";
 
-const DURATION_MS = 20_000;
-const WARM_UP_MS = 5_000;
 const REPORT_LAG_MS = 1_000;
 const REFUSED_FOR_MS = 100;
 const PREFIXES_PER_ENGINE = 10;
@@ -29,6 +27,9 @@
   readonly entries: number;
   /** Arrivals as a share of what the engines can end. */
   readonly load: number;
+  readonly durationMs: number;
+  /** Requests that arrive before aren't counted. */
+  readonly warmUpMs: number;
   readonly seed: number;
 }
 
@@ -72,7 +73,7 @@
 
   function arrive(): void {
     const nowMs = queue.nowMs;
-    const isCounted = nowMs >= WARM_UP_MS;
+    const isCounted = nowMs >= setup.warmUpMs;
     const entry = entries[random.int(0, entries.length - 1)]!;
     const request = {
       arrivedAtMs: nowMs,
@@ -110,7 +111,7 @@
 
   const arrivals = createArrivals(setup);
   for (const atMs of arrivals) queue.runAt(atMs, arrive);
-  queue.runUntilQuiet({ limitMs: DURATION_MS * 3 });
+  queue.runUntilQuiet({ limitMs: setup.durationMs * 3 });
   const possible = arrived / Math.max(1, setup.load);
   return {
     firstTokenP99Ms: percentile99(firstTokens),
@@ -121,12 +122,14 @@
 }
 
 /** The same for all variants, whatever they draw themselves. */
-function createArrivals({ engines, load, seed }: PlacementSetup): number[] {
+function createArrivals(
+  { engines, load, seed, durationMs }: PlacementSetup,
+): number[] {
   const random = MessageQueue.create<never>({ seed: seed + 1 }).random;
   const perMs = engines * ENGINE_CAPACITY * load / 1_000;
   const times: number[] = [];
   let atMs = 0;
-  while (atMs < DURATION_MS) {
+  while (atMs < durationMs) {
     atMs += -Math.log(1 - drawUnit(random)) / perMs;
     times.push(atMs);
   }
