Let a lowered limit come into force when earlier loans have lapsed

It now counts no offer for more than its maker's reserved share by the limits it knows, and grants nothing once its own view is stale.

--- a/agreement/grant-allowances/src/divide_offers.ts
+++ b/agreement/grant-allowances/src/divide_offers.ts
@@ -20,28 +20,25 @@
   AllowanceMessage,
   LimitShare,
   Step,
-  TimedShare,
 } from "@dandelionbank/types";
-import { fairCeiling } from "./divide_fairly.ts";
-import {
-  addShares,
-  isNoShare,
-  isWithin,
-  minShares,
-  NO_SHARE,
-  roundDown,
-  subtractShares,
-} from "./limit_share.ts";
+import { decideGrant } from "./decide_grant.ts";
+import type { Division } from "./decide_grant.ts";
+import { addShares, isNoShare, isWithin, NO_SHARE } from "./limit_share.ts";
 import { Participant } from "./participant.ts";
-import {
-  CALL_FOR_OFFERS_MS,
-  CONTENTION_MS,
-  LOAN_MS,
-  SHORT_LOAN_MS,
-} from "./timing.ts";
+import { CALL_FOR_OFFERS_MS, CONTENTION_MS, LOAN_MS } from "./timing.ts";
 
 export type DivisionEvent =
   | { readonly type: "asked"; readonly ask: AllowanceAsk }
+  | {
+    readonly type: "contractChanged";
+    readonly organisation: string;
+    readonly limits: LimitShare;
+  }
+  | {
+    /** Until when the view is known to be fresh; nothing is granted later. */
+    readonly type: "freshnessShown";
+    readonly freshUntilMs: number;
+  }
   | {
     /** The entries that share the organisation's limits. */
     readonly type: "entriesChanged";
@@ -62,26 +59,18 @@
     readonly detail: string;
   };
 
-interface Division {
-  readonly organisation: string;
-  /** By entry and incarnation. */
-  readonly participants: Map<string, Participant>;
-  entries: readonly string[];
-  contendedUntilMs: number;
-  calledAtMs: number;
-}
-
 /** Opaque; made by `createDivisionState`. */
 export interface DivisionState {
   readonly coordinator: string;
   readonly incarnation: string;
   readonly divisions: Map<string, Division>;
+  freshUntilMs: number;
 }
 
 export function createDivisionState(
   options: { readonly coordinator: string; readonly incarnation: string },
 ): DivisionState {
-  return { ...options, divisions: new Map() };
+  return { ...options, divisions: new Map(), freshUntilMs: -Infinity };
 }
 
 export function divideOffers(
@@ -100,6 +89,12 @@
   switch (event.type) {
     case "asked":
       return answer(state, event.ask, nowMs);
+    case "contractChanged":
+      divisionOf(state, event.organisation).limits = event.limits;
+      return [];
+    case "freshnessShown":
+      state.freshUntilMs = event.freshUntilMs;
+      return [];
     case "entriesChanged":
       divisionOf(state, event.organisation).entries = event.entries;
       return [];
@@ -125,7 +120,9 @@
   if (!isNoShare(ask.wanted)) {
     division.contendedUntilMs = nowMs + CONTENTION_MS;
   }
-  const granted = decideGrant(division, participant, nowMs);
+  const granted = nowMs < state.freshUntilMs
+    ? decideGrant(division, participant, nowMs)
+    : { share: NO_SHARE, untilMs: nowMs + LOAN_MS };
   participant.grant(granted);
   if (!isCovered(division, nowMs)) {
     participant.revokeLast();
@@ -151,67 +148,6 @@
   ];
 }
 
-/**
- * The largest loan, and the longest of equal ones. A short one can be made
- * from what a lender that wants its share back is still bound to.
- */
-function decideGrant(
-  division: Division,
-  participant: Participant,
-  nowMs: number,
-): TimedShare {
-  const untilMs = nowMs + LOAN_MS;
-  const long = sizeGrant(division, participant, { nowMs, untilMs });
-  const shortUntilMs = nowMs + SHORT_LOAN_MS;
-  const short = sizeGrant(division, participant, {
-    nowMs,
-    untilMs: shortUntilMs,
-  });
-  if (isWithin(short, long)) return { share: long, untilMs };
-  return { share: short, untilMs: shortUntilMs };
-}
-
-function sizeGrant(
-  division: Division,
-  participant: Participant,
-  { nowMs, untilMs }: { readonly nowMs: number; readonly untilMs: number },
-): LimitShare {
-  const wanted = participant.wantedAt(nowMs);
-  if (isNoShare(wanted)) return NO_SHARE;
-  let offered = NO_SHARE;
-  let used = NO_SHARE;
-  const wants: LimitShare[] = [];
-  for (const other of division.participants.values()) {
-    offered = addShares(offered, other.boundUntil(untilMs));
-    wants.push(other.wantedAt(nowMs));
-    if (other !== participant) used = addShares(used, other.grantedAt(nowMs));
-  }
-  const free = subtractShares(offered, used);
-  const part = minShares(free, fairPart(wants, offered));
-  return roundDown(minShares(wanted, part));
-}
-
-/** Whole requests are rounded up, since the free ones bound the grant anyway. */
-function fairPart(
-  wants: readonly LimitShare[],
-  offered: LimitShare,
-): LimitShare {
-  return {
-    requestsPerSecond: fairCeiling(
-      wants.map((want) => want.requestsPerSecond),
-      offered.requestsPerSecond,
-    ),
-    concurrentRequests: Math.ceil(fairCeiling(
-      wants.map((want) => want.concurrentRequests),
-      offered.concurrentRequests,
-    )),
-    tokensPerMinute: fairCeiling(
-      wants.map((want) => want.tokensPerMinute),
-      offered.tokensPerMinute,
-    ),
-  };
-}
-
 /** Whether what binds the lenders covers all grants that may be in use. */
 function isCovered(division: Division, nowMs: number): boolean {
   let bound = NO_SHARE;
@@ -268,6 +204,7 @@
   if (known !== undefined) return known;
   const created: Division = {
     organisation,
+    limits: NO_SHARE,
     participants: new Map(),
     entries: [],
     contendedUntilMs: -Infinity,
--- a/agreement/grant-allowances/src/exchange_test.ts
+++ b/agreement/grant-allowances/src/exchange_test.ts
@@ -85,11 +85,13 @@
     entry.send({ type: "freshnessShown", freshUntilMs: Infinity }, 0);
     entry.send({ type: "contractChanged", organisation, limits: LIMITS }, 0);
     entry.send({ type: "entriesChanged", organisation, entries: names }, 0);
-    divideOffers(
-      divisions.get(name)!,
-      { type: "entriesChanged", organisation, entries: names },
-      0,
-    );
+    for (
+      const event of [
+        { type: "freshnessShown", freshUntilMs: Infinity },
+        { type: "contractChanged", organisation, limits: LIMITS },
+        { type: "entriesChanged", organisation, entries: names },
+      ] as const
+    ) divideOffers(divisions.get(name)!, event, 0);
   }
   const demand = (name: string, concurrent: number, nowMs: number) => {
     entries.get(name)!.send({
@@ -108,7 +110,22 @@
   };
   const heldAt = (nowMs: number) =>
     names.map((name) => entries.get(name)!.concurrentAt(nowMs));
-  return { demand, tick, runUntil, heldAt };
+  const lowerLimits = (limits: LimitShare, nowMs: number) => {
+    const event = {
+      type: "contractChanged",
+      organisation: "o",
+      limits,
+    } as const;
+    for (const name of names) {
+      entries.get(name)!.send(event, nowMs);
+      divideOffers(divisions.get(name)!, event, nowMs);
+    }
+  };
+  const loseFreshness = (nowMs: number) => {
+    const event = { type: "freshnessShown", freshUntilMs: nowMs } as const;
+    for (const name of names) divideOffers(divisions.get(name)!, event, nowMs);
+  };
+  return { demand, tick, runUntil, heldAt, lowerLimits, loseFreshness };
 }
 
 test("Nothing is held before the list has settled, then an even part", () => {
@@ -173,3 +190,22 @@
   runUntil(18_000, 10_500);
   assert.deepEqual(heldAt(18_000), [0, 12, 0]);
 });
+
+test("A lowered limit is in force when the loans made before have lapsed", () => {
+  const { demand, runUntil, heldAt, lowerLimits } = createEntries();
+  runUntil(SETTLE_MS, SETTLE_MS);
+  demand("b", 12, 10_000);
+  runUntil(13_000, 10_500);
+  lowerLimits(createShare(3), 13_000);
+  runUntil(13_000 + LOAN_MS, 13_500);
+  assert.deepEqual(heldAt(13_000 + LOAN_MS), [0, 3, 0]);
+});
+
+test("A coordinator whose view is stale grants nothing", () => {
+  const { demand, runUntil, heldAt, loseFreshness } = createEntries();
+  runUntil(SETTLE_MS, SETTLE_MS);
+  loseFreshness(SETTLE_MS);
+  demand("b", 12, 10_000);
+  runUntil(13_000, 10_500);
+  assert.equal(heldAt(13_000)[1], 4);
+});
--- a/testing/bench/src/limits/limits_entry.ts
+++ b/testing/bench/src/limits/limits_entry.ts
@@ -97,6 +97,8 @@
     const limits = createShare(requestsPerSecond);
     this.#hold({ type: "contractChanged", organisation, limits });
     this.#hold({ type: "entriesChanged", organisation, entries });
+    this.#divide({ type: "freshnessShown", freshUntilMs: Infinity });
+    this.#divide({ type: "contractChanged", organisation, limits });
     this.#divide({ type: "entriesChanged", organisation, entries });
   }
 
--- a/testing/soak/src/limits/limit_node.ts
+++ b/testing/soak/src/limits/limit_node.ts
@@ -95,6 +95,8 @@
     this.#hold({ type: "freshnessShown", freshUntilMs });
     this.#hold({ type: "contractChanged", organisation, limits });
     this.#hold({ type: "entriesChanged", organisation, entries });
+    this.#divide({ type: "freshnessShown", freshUntilMs });
+    this.#divide({ type: "contractChanged", organisation, limits });
     this.#divide({ type: "entriesChanged", organisation, entries });
     this.#limit({
       type: "contractChanged",
