--- a/agreement/spread-configuration/src/freshness.ts
+++ b/agreement/spread-configuration/src/freshness.ts
@@ -47,7 +47,11 @@
     this.#readFailedAtMs = Math.max(this.#readFailedAtMs, askedAtMs);
   }
 
-  /** Claims an outage oneself, from the beginning that most others claim. */
+  /**
+   * Claims an outage oneself. It goes on from the last failed read, or from
+   * the beginning that most others claim, only if these are recent: in a
+   * longer gap the platform may have been back.
+   */
   claim(
     watcher: string,
     { askedAtMs, watchers }: {
@@ -56,10 +60,12 @@
     },
   ): void {
     const own = this.#claims.get(watcher);
-    const isGoingOn = own !== undefined && own.asOfMs > this.#freshAtMs;
+    const isGoingOn = own !== undefined && own.asOfMs > this.#freshAtMs &&
+      askedAtMs < own.asOfMs + UNSEEN_MS;
     const sinceMs = isGoingOn
       ? own.sinceMs
-      : this.#majoritySinceMs(watchers, askedAtMs) ?? askedAtMs;
+      : this.#majoritySinceMs(watchers, askedAtMs + FRESH_MS - UNSEEN_MS) ??
+        askedAtMs;
     this.noteClaim({ watcher, asOfMs: askedAtMs, sinceMs });
   }
 
--- a/agreement/spread-configuration/src/spread_view_test.ts
+++ b/agreement/spread-configuration/src/spread_view_test.ts
@@ -320,6 +320,23 @@
   assert.equal(mayTakeWork(state, 200), false);
 });
 
+for (
+  const { title, failedAtMs, may } of [
+    { title: "its reads failed without a gap", failedAtMs: 3_000, may: true },
+    { title: "it slept between failed reads", failedAtMs: 30_000, may: false },
+  ]
+) {
+  test(`A watcher ${may ? "works" : "doesn't work"} on in an outage when ${title}`, () => {
+    const { state, send } = createNode("a", ["a"]);
+    const delta = createDelta(undefined, 5);
+    send({ type: "platformRead", askedAtMs: 0, delta });
+    send({ type: "readFailed", askedAtMs: 1_000 }, 2_500);
+    send({ type: "readFailed", askedAtMs: failedAtMs }, failedAtMs + 1_500);
+    const atMs = Math.max(failedAtMs + 1_500, FRESH_MS + 1);
+    assert.equal(mayTakeWork(state, atMs), may);
+  });
+}
+
 test("A reply to a predecessor under the same name shows nothing", () => {
   const { state, send } = createNode("d");
   send({ type: "tick" }, 100);
