--- a/routing/digest-bodies/src/key_digest.ts
+++ b/routing/digest-bodies/src/key_digest.ts
@@ -2,13 +2,9 @@
 
 import { createHash, hash } from "node:crypto";
 
-/** Bytes of the digest that stands for a key. */
-const KEY_ID_BYTES = 16;
-
 /** Stands for organisation and key together. */
 export function digestKey(organisation: string, key: string): string {
-  const digest = hash("sha256", `${organisation}\n${key}`, "buffer");
-  return digest.toString("base64url", 0, KEY_ID_BYTES);
+  return hash("sha256", `${organisation}\n${key}`, "base64url");
 }
 
 export interface FingerprintedRequest {
