Say with an answer's head where it runs

Cause: callers are told the target in a header, which goes out with the head; the end of a hedged request named the last target, not the one that answered. Ruled out: looking it up at the end (the header is gone by then). Before: the changed lines of the tests fail. After: npm test, 115 passed. Conclusion: sendHead carries the target; a relayed one is the home's to tell.

--- a/routing/track-requests/src/answers_test.ts
+++ b/routing/track-requests/src/answers_test.ts
@@ -20,7 +20,7 @@
     lines: [
       ...sentToA(),
       [admitted("e1.1"), ""],
-      [headed("e1.1"), "1<200"],
+      [headed("e1.1"), "1<200A"],
       [data("e1.1", 0, "ab"), "1<ab"],
       [data("e1.1", 0, "ab"), "dropped repeated"],
       [data("e1.1", 1, "c"), "1<c"],
@@ -32,7 +32,7 @@
     name: "A short answer is asked about, and a corrupt one ends in an error",
     lines: [
       ...sentToA(),
-      [headed("e1.1"), "1<200"],
+      [headed("e1.1"), "1<200A"],
       [data("e1.1", 0, "ab"), "1<ab"],
       [data("e1.1", 2, "d"), "dropped gap,ask e1.1 A"],
       [ended("e1.1", "abcd"), ""],
@@ -44,7 +44,7 @@
     name: "A cut answer is started again, compared and continued",
     lines: [
       ...sentToA(IDEMPOTENT),
-      [headed("e1.1"), "1<200"],
+      [headed("e1.1"), "1<200A"],
       [data("e1.1", 0, "abc"), "1<abc"],
       [AGENT_A_LOST, "crashed A,pick r1 not A"],
       [picked("1", "B"), "dispatch e1.2 B"],
@@ -59,7 +59,7 @@
     name: "An answer that differs from what was sent ends in an error",
     lines: [
       ...sentToA(IDEMPOTENT),
-      [headed("e1.1"), "1<200"],
+      [headed("e1.1"), "1<200A"],
       [data("e1.1", 0, "abc"), "1<abc"],
       [AGENT_A_LOST, "crashed A,pick r1 not A"],
       [picked("1", "B"), "dispatch e1.2 B"],
@@ -71,7 +71,7 @@
     name: "A second answer that is shorter than what was sent is no end",
     lines: [
       ...sentToA(IDEMPOTENT),
-      [headed("e1.1"), "1<200"],
+      [headed("e1.1"), "1<200A"],
       [data("e1.1", 0, "abc"), "1<abc"],
       [AGENT_A_LOST, "crashed A,pick r1 not A"],
       [picked("1", "B"), "dispatch e1.2 B"],
@@ -88,7 +88,7 @@
       [TICK, "hedge r1 not A", 300],
       [picked("1", "B"), "dispatch e1.2 B", 300],
       [TICK, "", 700],
-      [headed("e1.2"), "1<200,cancel e1.1", 700],
+      [headed("e1.2"), "1<200B,cancel e1.1", 700],
       [headed("e1.1"), "dropped closedAttempt", 700],
     ],
   },
@@ -116,7 +116,7 @@
     name: "A refusal after part of an answer is a violation and no proof",
     lines: [
       ...sentToA(),
-      [headed("e1.1"), "1<200"],
+      [headed("e1.1"), "1<200A"],
       [
         refused("e1.1"),
         "violation refusedNeverAnswered,1<failed noTarget,ended failed",
--- a/routing/track-requests/src/callers.ts
+++ b/routing/track-requests/src/callers.ts
@@ -134,16 +134,17 @@
   context: TrackContext,
   sending: {
     readonly callerId: string;
-    readonly sent: Pick<SentAnswer, "head">;
+    readonly sent: Pick<SentAnswer, "head" | "target">;
   },
 ): void {
   const { status, contentType, encoding } = sending.sent.head;
-  const { callerId } = sending;
+  const { callerId, sent: { target } } = sending;
   context.effects.push({
     type: "sendHead",
     callerId,
     status,
     contentType,
     encoding,
+    target,
   });
 }
--- a/routing/track-requests/src/effects.ts
+++ b/routing/track-requests/src/effects.ts
@@ -97,6 +97,8 @@
   readonly status: number;
   readonly contentType: string;
   readonly encoding: "utf8" | "base64";
+  /** Where the request ran; absent if another entry arbitrates its key. */
+  readonly target: string | undefined;
 }
 
 export interface SendData {
--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -115,7 +115,10 @@
   }
   request.leader = attempt;
   if (sent === undefined) {
-    request.sent = new SentAnswer(frame, { keep: keepsAnswer(request) });
+    const relayed = attempt.agentIncarnation === undefined;
+    const target = relayed ? undefined : attempt.peer;
+    const keep = keepsAnswer(request);
+    request.sent = new SentAnswer(frame, { keep, target });
     sendHeads(context, request);
   }
   for (const other of request.attempts) {
--- a/routing/track-requests/src/key_results.ts
+++ b/routing/track-requests/src/key_results.ts
@@ -14,6 +14,7 @@
 export interface KeptAnswer {
   readonly head: AttemptAnswerHead;
   readonly parts: readonly string[];
+  readonly target: string | undefined;
   readonly lengthBytes: number;
   readonly digest: string;
 }
--- a/routing/track-requests/src/keys_test.ts
+++ b/routing/track-requests/src/keys_test.ts
@@ -25,12 +25,12 @@
     name: "A repeat joins the request and has the answer from its beginning",
     lines: [
       ...keyedToA(),
-      [headed("e1.1"), "1<200"],
+      [headed("e1.1"), "1<200A"],
       [data("e1.1", 0, "ab"), "1<ab"],
-      [arrived("2", KEYED), "2<200,2<ab,ended merged"],
+      [arrived("2", KEYED), "2<200A,2<ab,ended merged"],
       [data("e1.1", 1, "c"), "1<c,2<c"],
       [ended("e1.1", "abc"), "1<end,2<end,ended answered"],
-      [arrived("3", KEYED), "3<200,3<ab,3<c,3<end,ended merged"],
+      [arrived("3", KEYED), "3<200A,3<ab,3<c,3<end,ended merged"],
     ],
   },
   {
@@ -41,7 +41,7 @@
         arrived("2", { ...KEYED, fingerprint: "g" }),
         "2<notRun keyReused neverDispatched,ended merged",
       ],
-      [headed("e1.1"), "1<200"],
+      [headed("e1.1"), "1<200A"],
       [ended("e1.1", ""), "1<end,ended answered"],
       [
         arrived("3", { ...KEYED, fingerprint: "g" }),
@@ -66,7 +66,7 @@
       [TICK, "1<unknown deadlineExceeded", 10_000],
       [headed("e1.1"), "", 11_000],
       [ended("e1.1", ""), "ended answered", 11_000],
-      [arrived("2", KEYED), "2<200,2<end,ended merged", 11_000],
+      [arrived("2", KEYED), "2<200A,2<end,ended merged", 11_000],
     ],
   },
   {
--- a/routing/track-requests/src/outcomes.ts
+++ b/routing/track-requests/src/outcomes.ts
@@ -38,11 +38,9 @@
   closeAttempts(context, request);
   const { key, idempotent } = request.info;
   if (request.claimed && key !== undefined) {
+    const result = idempotent ? {} : { outcome };
     if (outcome.kind === "notRun") context.state.keys.release(key.keyId);
-    else {keepResult(context, {
-        request,
-        result: idempotent ? {} : { outcome },
-      });}
+    else keepResult(context, { request, result });
   }
   removeRequest(context, { request, outcome: outcome.kind });
 }
@@ -57,8 +55,8 @@
   sendEnds(context, { request, answer: { characters, lengthBytes, digest } });
   closeAttempts(context, request);
   if (request.claimed && sent !== undefined) {
-    const { head, parts } = sent;
-    const answer = { head, parts, lengthBytes, digest };
+    const { head, parts, target } = sent;
+    const answer = { head, parts, target, lengthBytes, digest };
     keepResult(context, { request, result: { answer } });
   }
   removeRequest(context, { request, outcome: "answered" });
@@ -107,7 +105,9 @@
     context.state.attempts.delete(attemptId);
   }
   context.state.requests.delete(requestId);
-  const target = request.attempts.at(-1)?.peer;
+  const { attempts } = request;
+  const whole = attempts.find(({ state }) => state === "whole");
+  const target = (whole ?? attempts.at(-1))?.peer;
   context.effects.push({ type: "requestEnded", requestId, outcome, target });
 }
 
--- a/routing/track-requests/src/outcomes_test.ts
+++ b/routing/track-requests/src/outcomes_test.ts
@@ -45,7 +45,7 @@
     name: "A call that broke off after its head has failed",
     lines: [
       ...sentToA(),
-      [headed("e1.1"), "1<200"],
+      [headed("e1.1"), "1<200A"],
       [failed("e1.1", true), "1<failed targetFailed,ended failed"],
     ],
   },
--- a/routing/track-requests/src/sent_answer.ts
+++ b/routing/track-requests/src/sent_answer.ts
@@ -5,16 +5,25 @@
 
 import type { AttemptAnswerHead } from "@dandelionbank/types";
 
+export interface SentAnswerOptions {
+  /** Whether what is sent is kept, for repeats and comparison. */
+  readonly keep: boolean;
+  /** The target whose answer began; `undefined` if another entry knows it. */
+  readonly target: string | undefined;
+}
+
 export class SentAnswer {
   readonly head: AttemptAnswerHead;
+  readonly target: string | undefined;
   /** Characters of data sent. */
   characters = 0;
   readonly #parts: string[] = [];
   readonly #keep: boolean;
   #joined: string | undefined;
 
-  constructor(head: AttemptAnswerHead, options: { readonly keep: boolean }) {
+  constructor(head: AttemptAnswerHead, options: SentAnswerOptions) {
     this.head = head;
+    this.target = options.target;
     this.#keep = options.keep;
   }
 
--- a/routing/track-requests/src/test_fixtures.ts
+++ b/routing/track-requests/src/test_fixtures.ts
@@ -73,7 +73,7 @@
     case "cancelAttempt":
       return `cancel ${effect.attemptId}`;
     case "sendHead":
-      return `${effect.callerId}<${effect.status}`;
+      return `${effect.callerId}<${effect.status}${effect.target ?? ""}`;
     case "sendData":
       return `${effect.callerId}<${effect.data}`;
     case "sendEnd":
--- a/testing/soak/src/requests/entry_node.ts
+++ b/testing/soak/src/requests/entry_node.ts
@@ -144,7 +144,7 @@
       case "frame":
         return this.#feed({ type: "frameArrived", frame: message.frame });
       default:
-        return this.#view.receive(message, from);
+        return this.#view.receive(message);
     }
   }
 
--- a/testing/soak/src/requests/entry_view.ts
+++ b/testing/soak/src/requests/entry_view.ts
@@ -70,7 +70,7 @@
     this.#suspects.add(incarnation);
   }
 
-  receive(message: Message, from: string): void {
+  receive(message: Message): void {
     if (message.type === "beat") {
       const known = this.#entries.get(message.incarnation);
       const heardAtMs = this.#nowMs;
@@ -81,7 +81,6 @@
     }
     if (message.type !== "keysReply") return;
     const { askId, agentIncarnation, homes } = message;
-    void from;
     this.#feed({ type: "keysAnswered", askId, agentIncarnation, homes });
   }
 
