Hold a request to its contract only where its key is arbitrated

The new test over processes failed so: 429 with notRun where the kept answer was due, at both entries. The limiter is now asked once a request, when the ledger wants a target, which a repeat of a known key never does; the contract's codes are the ledger's, so that it alone judges whether notRun is proved. At the edge, a refusal that depends on the system's state (not ready, stopping, unknown model or pool) says unknown if a key came with it. One digest of keys and bodies serves entry and agent in place of three. Ruled out: limiting before the ledger and excepting keyed requests, which leaves them without limits.

--- a/daemon/route-requests/src/attempt_sender.ts
+++ b/daemon/route-requests/src/attempt_sender.ts
@@ -129,6 +129,7 @@
         homeIncarnation: incarnation,
         pool: open.pool,
         resumable: open.resumable,
+        estimatedTokens: open.estimatedTokens,
         supersedes: effect.supersedes,
         head: this.#headOf(open, effect),
       },
--- a/daemon/route-requests/src/request_table.ts
+++ b/daemon/route-requests/src/request_table.ts
@@ -19,8 +19,9 @@
   readonly keyText: string | undefined;
   readonly body: Buffer;
   readonly arrivedMs: number;
+  readonly estimatedTokens: number;
   /** Whether this entry's limiter admitted it. */
-  readonly isLimited: boolean;
+  isLimited: boolean;
 }
 
 export class RequestTable {
--- a/daemon/route-requests/src/request_task.ts
+++ b/daemon/route-requests/src/request_task.ts
@@ -3,9 +3,11 @@
  * this task sends, relays and answers as their effects say.
  */
 
+import { createBodyDigest, digestKey } from "@dandelionbank/digest-bodies";
 import type { TextHash } from "@dandelionbank/hash-text";
 import {
   createLimitState,
+  type LimitCode,
   type LimitEffect,
   type LimitEvent,
   limitRequests,
@@ -21,6 +23,7 @@
 import type { FoundHome, HomeQuestion } from "@dandelionbank/take-over-keys";
 import {
   createTrackState,
+  type GiveUpCode,
   readFigures,
   step as trackStep,
   type TrackEffect,
@@ -30,7 +33,6 @@
 import type { RelayMessage, View } from "@dandelionbank/types";
 import { randomUUID } from "node:crypto";
 import { AttemptSender } from "./attempt_sender.ts";
-import { toCallerCode } from "@dandelionbank/describe-outcome";
 import { CallerTable } from "./caller_table.ts";
 import { HttpCallerPort } from "./http_caller_port.ts";
 import { Placer } from "./placer.ts";
@@ -38,8 +40,7 @@
 import { RelayPort } from "./relay_port.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 import { type OpenRequest, RequestTable } from "./request_table.ts";
-import { createRunningDigest } from "./running_digest.ts";
-import { keyIdOf, type TicketOffice } from "./ticket_office.ts";
+import type { TicketOffice } from "./ticket_office.ts";
 import { contractEvents } from "./contract_events.ts";
 
 const TICK_MS = 50;
@@ -81,6 +82,19 @@
   readonly readNowMs: () => number;
 }
 
+interface LimitRefusal {
+  readonly code: GiveUpCode;
+  readonly retryAfterMs: number;
+}
+
+const LIMIT_CODES: Readonly<Record<LimitCode, GiveUpCode>> = {
+  DANDELIONBANK_ORGANISATION_UNKNOWN: "organisationUnknown",
+  DANDELIONBANK_RATE_LIMITED: "rateLimited",
+  DANDELIONBANK_CONCURRENCY_LIMITED: "concurrencyLimited",
+  DANDELIONBANK_TOKENS_LIMITED: "tokensLimited",
+  DANDELIONBANK_OVERLOADED: "overloaded",
+};
+
 export class RequestTask {
   readonly #options: RequestTaskOptions;
   readonly #tracker: CoreRunner<TrackState, TrackEvent, TrackEffect>;
@@ -93,9 +107,7 @@
   readonly #timer: NodeJS.Timeout;
   #view: View | undefined;
   #ticks = 0;
-  #lastRefusal:
-    | { readonly code: string; readonly retryAfterMs: number }
-    | undefined;
+  #lastRefusal: LimitRefusal | undefined;
 
   private constructor(options: RequestTaskOptions) {
     this.#options = options;
@@ -104,7 +116,7 @@
       initial: createTrackState({
         ...TRACK_OPTIONS,
         incarnation,
-        createDigest: createRunningDigest,
+        createDigest: createBodyDigest,
       }),
       step: trackStep,
       perform: (effect) => this.#perform(effect),
@@ -174,15 +186,6 @@
         retryAfterMs: 0,
       });
     }
-    const refusal = this.#admit(request);
-    if (refusal !== undefined) {
-      this.#options.metrics.countRefusal(toCallerCode(refusal.code));
-      return port.giveUp({
-        kind: "notRun",
-        proof: { kind: "neverDispatched" },
-        ...refusal,
-      });
-    }
     this.#begin({
       open: {
         requestId,
@@ -201,7 +204,8 @@
         keyText: request.key,
         body: request.body,
         arrivedMs: this.#options.readNowMs(),
-        isLimited: true,
+        estimatedTokens: call.estimatedTokens,
+        isLimited: false,
       },
       port,
       timeLeftMs: request.config.requestTimeoutMs,
@@ -238,6 +242,7 @@
         keyText: head.key,
         body,
         arrivedMs: this.#options.readNowMs(),
+        estimatedTokens: message.estimatedTokens,
         isLimited: false,
       },
       port,
@@ -305,7 +310,7 @@
         timeLeftMs,
         ...(open.keyText === undefined || open.ticket === undefined ? {} : {
           key: {
-            keyId: keyIdOf(open.organisation, open.keyText),
+            keyId: digestKey(open.organisation, open.keyText),
             homeIncarnation: open.ticket.incarnation,
           },
         }),
@@ -404,6 +409,12 @@
       this.#tracker.post({ type: "noTarget", requestId, code, retryAfterMs });
       return;
     }
+    const refusal = this.#limit(requestId);
+    if (refusal !== undefined) {
+      this.#options.metrics.countRefusal(refusal.code);
+      this.#tracker.post({ type: "noTarget", requestId, ...refusal });
+      return;
+    }
     const suspected = verdict.kind === "suspect" ? verdict.avoid : [];
     const avoid = [...wanted.avoid, ...suspected];
     const promptPrefix = this.#requests.get(requestId)?.promptPrefix ?? "";
@@ -475,22 +486,35 @@
     this.#limiter.post({ type: "requestEnded", requestId, actualTokens: 0 });
   }
 
-  #admit(
-    request: CallerRequest,
-  ): { readonly code: string; readonly retryAfterMs: number } | undefined {
+  /**
+   * Holds the organisation to its contract, once a request. A repeat of a key
+   * that is known never comes this far, so that no refusal speaks for it.
+   */
+  #limit(requestId: string): LimitRefusal | undefined {
+    const open = this.#requests.get(requestId);
+    if (open === undefined || open.isLimited) return undefined;
     this.#lastRefusal = undefined;
     this.#limiter.post({
       type: "requestArrived",
-      requestId: request.requestId,
-      organisation: request.contract.organisation,
-      pool: request.call.pool,
-      estimatedTokens: request.call.estimatedTokens,
+      requestId,
+      organisation: open.organisation,
+      pool: open.pool,
+      estimatedTokens: open.estimatedTokens,
     });
+    const refusal = this.#readRefusal();
+    open.isLimited = refusal === undefined;
+    return refusal;
+  }
+
+  #readRefusal(): LimitRefusal | undefined {
     return this.#lastRefusal;
   }
 
   #takeLimit(effect: LimitEffect): void {
-    if (effect.type === "refuse") this.#lastRefusal = effect;
+    if (effect.type === "refuse") {
+      const { retryAfterMs } = effect;
+      this.#lastRefusal = { code: LIMIT_CODES[effect.code], retryAfterMs };
+    }
     if (effect.type === "invariantViolated") this.#reportViolation(effect);
   }
 
--- a/daemon/route-requests/src/ticket_office.ts
+++ b/daemon/route-requests/src/ticket_office.ts
@@ -10,9 +10,7 @@
   type Ticket,
   ticketSigningText,
 } from "@dandelionbank/read-ticket";
-import { createHash, createHmac, timingSafeEqual } from "node:crypto";
-
-const KEY_ID_CHARACTERS = 32;
+import { createHmac, timingSafeEqual } from "node:crypto";
 
 export interface TicketOfficeOptions {
   readonly incarnation: string;
@@ -63,10 +61,3 @@
       .digest("base64url");
   }
 }
-
-/** Stands for organisation and key together, equal at entries and agents. */
-export function keyIdOf(organisation: string, key: string): string {
-  const text = JSON.stringify([organisation, key]);
-  const digest = createHash("sha256").update(text).digest("base64url");
-  return digest.slice(0, KEY_ID_CHARACTERS);
-}
--- a/daemon/run-attempts/src/attempt_task.ts
+++ b/daemon/run-attempts/src/attempt_task.ts
@@ -15,6 +15,7 @@
   type StopReason,
 } from "@dandelionbank/admit-attempts";
 import type { TargetAdapter } from "@dandelionbank/call-target";
+import { digestKey } from "@dandelionbank/digest-bodies";
 import { AnswerLog } from "@dandelionbank/keep-answers";
 import type { Logger } from "@dandelionbank/log-events";
 import { CoreRunner } from "@dandelionbank/run-core";
@@ -28,13 +29,12 @@
   AttemptQuestion,
   TargetLoad,
 } from "@dandelionbank/types";
-import { createHash, randomUUID } from "node:crypto";
+import { randomUUID } from "node:crypto";
 import type { AttemptMetrics } from "./attempt_metrics.ts";
 import { type AttemptRun, startRun } from "./attempt_run.ts";
 import { AttemptReader } from "./attempt_reader.ts";
 
 const TICK_MS = 100;
-const KEY_ID_CHARACTERS = 32;
 
 /** Heartbeats in one progress timeout. */
 const HEARTBEATS_PER_TIMEOUT = 3;
@@ -355,8 +355,5 @@
   organisation: string,
   key: string | undefined,
 ): { readonly keyId?: string } {
-  if (key === undefined) return {};
-  const text = JSON.stringify([organisation, key]);
-  const digest = createHash("sha256").update(text).digest("base64url");
-  return { keyId: digest.slice(0, KEY_ID_CHARACTERS) };
+  return key === undefined ? {} : { keyId: digestKey(organisation, key) };
 }
--- a/daemon/serve-callers/src/caller_request.ts
+++ b/daemon/serve-callers/src/caller_request.ts
@@ -2,7 +2,7 @@
 
 import type { Call } from "@dandelionbank/read-call";
 import type { Config, Contract } from "@dandelionbank/types";
-import { createHash, randomUUID } from "node:crypto";
+import { randomUUID } from "node:crypto";
 
 export interface CallerRequest {
   readonly requestId: string;
@@ -23,16 +23,3 @@
 export function createRequestId(): string {
   return randomUUID();
 }
-
-export function fingerprintOf(parts: {
-  readonly organisation: string;
-  readonly method: string;
-  readonly path: string;
-  readonly body: Buffer;
-}): string {
-  const operation = [parts.organisation, parts.method, parts.path];
-  return createHash("sha256")
-    .update(JSON.stringify(operation))
-    .update(parts.body)
-    .digest("hex");
-}
--- a/daemon/serve-callers/src/caller_server.ts
+++ b/daemon/serve-callers/src/caller_server.ts
@@ -6,10 +6,11 @@
 
 import { readBearerKey } from "@dandelionbank/check-credential";
 import type { TlsMaterial } from "@dandelionbank/load-tls";
+import { digestRequest } from "@dandelionbank/digest-bodies";
 import type { EdgeCode } from "@dandelionbank/describe-outcome";
 import { OPERATOR_PATH } from "@dandelionbank/operator-api";
 import { readCall } from "@dandelionbank/read-call";
-import type { Config, Contract, Outcome } from "@dandelionbank/types";
+import type { Config, Contract } from "@dandelionbank/types";
 import {
   createServer,
   type IncomingMessage,
@@ -20,16 +21,22 @@
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import { type CallerAnswer, HttpCallerAnswer } from "./caller_answer.ts";
-import {
-  type CallerRequest,
-  createRequestId,
-  fingerprintOf,
-} from "./caller_request.ts";
+import { type CallerRequest, createRequestId } from "./caller_request.ts";
 import { readBody } from "./read_body.ts";
 
 const ADDRESSES_PATH = "/v1/addresses";
 const KEY_LIMIT_CHARACTERS = 512;
 
+/** Codes of requests that no state of the system ever admits. */
+const ALWAYS_REFUSED: ReadonlySet<EdgeCode> = new Set([
+  "bodyInvalid",
+  "bodyNotJson",
+  "credentialMissing",
+  "keyInvalid",
+  "methodNotAllowed",
+  "routeUnknown",
+]);
+
 /** Time after which a caller may try again when this entry is not ready. */
 const NOT_READY_RETRY_MS = 1_000;
 
@@ -112,7 +119,9 @@
       entry: this.#options.entry,
     });
     const checked = await this.#check(request, path);
-    if (typeof checked === "string") return refuse(answer, checked);
+    if (typeof checked === "string") {
+      return refuse(answer, checked, request.headers["idempotency-key"]);
+    }
     if (checked.kind === "addresses") return sendJson(response, checked.value);
     this.#options.gate.handle({ ...checked.request, requestId }, answer);
   }
@@ -179,7 +188,7 @@
       method,
       contentType: request.headers["content-type"] ?? "",
       key: typeof key === "string" ? key : undefined,
-      fingerprint: fingerprintOf({
+      fingerprint: digestRequest({
         organisation: context.contract.organisation,
         method,
         path: context.path,
@@ -190,14 +199,24 @@
   };
 }
 
-function refuse(answer: CallerAnswer, code: EdgeCode): void {
-  const outcome: Outcome = {
-    kind: "notRun",
-    proof: { kind: "neverDispatched" },
-    code,
-    retryAfterMs: NOT_READY_RETRY_MS,
-  };
-  answer.giveUp(outcome);
+/** Nothing was dispatched; an earlier request under the same key may have been. */
+function refuse(
+  answer: CallerAnswer,
+  code: EdgeCode,
+  key: string | readonly string[] | undefined,
+): void {
+  const retryAfterMs = NOT_READY_RETRY_MS;
+  const isProved = key === undefined || ALWAYS_REFUSED.has(code);
+  answer.giveUp(
+    isProved
+      ? {
+        kind: "notRun",
+        proof: { kind: "neverDispatched" },
+        code,
+        retryAfterMs,
+      }
+      : { kind: "unknown", code, retryAfterMs },
+  );
 }
 
 function sendJson(response: ServerResponse, value: unknown): void {
--- a/foundation/types/src/attempt.ts
+++ b/foundation/types/src/attempt.ts
@@ -41,6 +41,7 @@
   readonly homeIncarnation: string;
   readonly pool: string;
   readonly resumable: boolean;
+  readonly estimatedTokens: number;
   /** Numbers of the relaying entry's earlier attempts of the same request. */
   readonly supersedes: readonly number[];
   readonly head: AttemptHead;
--- a/foundation/types/src/outcome.ts
+++ b/foundation/types/src/outcome.ts
@@ -26,6 +26,8 @@
 export interface UnknownOutcome {
   readonly kind: "unknown";
   readonly code: string;
+  /** When the same key may be sent again to learn how the request ended. */
+  readonly retryAfterMs?: number;
 }
 
 /** The request ran and ended without a whole answer. */
--- a/peers/exchange-attempts/src/frame_codec.ts
+++ b/peers/exchange-attempts/src/frame_codec.ts
@@ -27,7 +27,11 @@
     code: v.string(),
     retryAfterMs: v.pipe(v.number(), v.minValue(0)),
   }),
-  v.object({ kind: v.literal("unknown"), code: v.string() }),
+  v.object({
+    kind: v.literal("unknown"),
+    code: v.string(),
+    retryAfterMs: v.optional(v.pipe(v.number(), v.minValue(0))),
+  }),
   v.object({
     kind: v.literal("failed"),
     code: v.string(),
--- a/peers/exchange-attempts/src/message_codec.ts
+++ b/peers/exchange-attempts/src/message_codec.ts
@@ -36,6 +36,7 @@
     homeIncarnation: v.string(),
     pool: v.pipe(v.string(), v.minLength(1)),
     resumable: v.boolean(),
+    estimatedTokens: v.pipe(v.number(), v.minValue(0)),
     supersedes: v.array(v.pipe(v.number(), v.integer(), v.minValue(1))),
     head: HEAD_SCHEMA,
   }),
--- a/routing/describe-outcome/src/describe_outcome.ts
+++ b/routing/describe-outcome/src/describe_outcome.ts
@@ -35,7 +35,7 @@
 ): DescribedOutcome {
   const reason = findReason(toReasonCode(outcome.code)) ??
     defaultReason(outcome.kind);
-  const retryAfterMs = outcome.kind === "unknown" || isFinal(reason.status)
+  const retryAfterMs = isFinal(reason.status)
     ? undefined
     : outcome.retryAfterMs;
   return {
--- a/routing/describe-outcome/src/reasons.ts
+++ b/routing/describe-outcome/src/reasons.ts
@@ -24,15 +24,7 @@
   | "notReady"
   | "stopping";
 
-/** Refused for the organisation's contract, or for want of capacity. */
-export type LimitReason =
-  | "organisationUnknown"
-  | "rateLimited"
-  | "concurrencyLimited"
-  | "tokensLimited"
-  | "overloaded";
-
-export type ReasonCode = EdgeCode | LimitReason | GiveUpCode;
+export type ReasonCode = EdgeCode | GiveUpCode;
 
 export const REASONS: Readonly<Record<ReasonCode, Reason>> = {
   credentialMissing: {
--- a/routing/track-requests/src/events.ts
+++ b/routing/track-requests/src/events.ts
@@ -187,13 +187,17 @@
   | "answerNotKept"
   | "arbiterUnsure"
   | "attemptLost"
+  | "concurrencyLimited"
   | "deadlineExceeded"
   | "homeUnreachable"
   | "invariantViolated"
   | "keyReused"
   | "noTarget"
+  | "organisationUnknown"
   | "overloaded"
   | "quarantined"
+  | "rateLimited"
   | "tableFull"
   | "targetFailed"
-  | "ticketExpired";
+  | "ticketExpired"
+  | "tokensLimited";
--- /dev/null
+++ b/testing/site-tests/src/keyed_limit_test.ts
@@ -0,0 +1,74 @@
+import {
+  callEntry,
+  type CallerReply,
+  readTicket,
+  type Site,
+} from "@dandelionbank/run-site";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { readError } from "./callers.ts";
+import { startSite, waitUntil } from "./fixtures.ts";
+
+const ORGANISATION = "harnessa";
+const MOST_SAVED_UP = 5;
+const CALLER_KEY = "caller-key-of-a-small-contract";
+
+test("A repeat beyond the contract's rate gets the kept answer, not a refusal", async (t) => {
+  const site = await startSite(t, { entries: 2, ranks: 1 });
+  await setRate(site, 1_000);
+  const first = site.urlOf("entry-1");
+  const { ticket } = await readTicket(first, CALLER_KEY);
+  const answered = await book(first, `${ticket}/reel`);
+  assert.equal(answered.status, 200, answered.body);
+
+  await setRate(site, 0.02);
+  const refused = await bookUntilRefused(first, ticket);
+  assert.equal(refused.status, 429, refused.body);
+  assert.equal(readError(refused)?.outcome, "notRun");
+  assert.ok(Number(refused.headers["retry-after"]) >= 1);
+
+  for (const entry of ["entry-1", "entry-2"]) {
+    const repeat = await book(site.urlOf(entry), `${ticket}/reel`);
+    assert.equal(repeat.status, 200, repeat.body);
+    assert.equal(repeat.body, answered.body);
+  }
+});
+
+/** Returns when every entry holds the organisation to the new rate. */
+async function setRate(site: Site, requestsPerSecond: number): Promise<void> {
+  const contract = site.createContract(ORGANISATION, CALLER_KEY);
+  const value = { ...contract, requestsPerSecond };
+  const path = site.writeFile("contract.json", value);
+  const set = await site.runTool(["contract", "set", ORGANISATION, path]);
+  assert.equal(set.exitCode, 0, set.lines.join("\n"));
+  const revision = Number(/revision (\d+)/.exec(set.lines.join("\n"))?.[1]);
+  for (const entry of site.entries.keys()) {
+    await waitUntil(`Revision ${revision} at ${entry}`, async () => {
+      const { lines } = await site.runTool(["status", "--json"], entry);
+      const status = JSON.parse(lines.join("\n")) as {
+        readonly viewRevision: number;
+      };
+      return status.viewRevision >= revision;
+    });
+  }
+}
+
+/** What the bucket had saved up may still admit some. */
+async function bookUntilRefused(
+  entryUrl: string,
+  ticket: string,
+): Promise<CallerReply> {
+  for (let other = 1;; other++) {
+    const reply = await book(entryUrl, `${ticket}/other-${other}`);
+    if (reply.status !== 200 || other === MOST_SAVED_UP) return reply;
+  }
+}
+
+function book(entryUrl: string, key: string): ReturnType<typeof callEntry> {
+  return callEntry(entryUrl, {
+    key: CALLER_KEY,
+    path: "/services/parts/reels/book",
+    body: JSON.stringify({ gauge: 7 }),
+    headers: { "idempotency-key": key },
+  });
+}
