Keep the count of attempts in flight when the list loses a target for a moment

A target that left the list and came back counted as idle, though this entry's attempts there went on (a test failed first).

--- a/routing/pick-target/src/pick_target.ts
+++ b/routing/pick-target/src/pick_target.ts
@@ -243,6 +243,7 @@
   targets: readonly PlacementTarget[],
 ): readonly PlacementEffect[] {
   const known = new Map(state.targets);
+  for (const record of state.picks.values()) known.set(record.name, record);
   state.targets.clear();
   state.pools.clear();
   for (const { name, pool, state: targetState } of targets) {
--- a/routing/pick-target/src/pick_target_test.ts
+++ b/routing/pick-target/src/pick_target_test.ts
@@ -232,6 +232,31 @@
   assert.notEqual(targetOf(pick()), first);
 });
 
+test("What an entry has in flight survives a gap in the list", () => {
+  const { send, pick } = createPlacement({
+    policy: "leastRequests",
+    targets: createTargets(2),
+  });
+  for (let i = 0; i < 4; i++) pick(0, { exclude: ["t1"] });
+  send({ type: "targetsChanged", targets: [] });
+  send({ type: "targetsChanged", targets: createTargets(2) });
+  const used = Array.from({ length: 4 }, () => targetOf(pick()));
+  assert.deepEqual(used, ["t1", "t1", "t1", "t1"]);
+});
+
+for (const inFlight of [-1_000, NaN, Infinity]) {
+  test(`A report of ${inFlight} in flight is dropped`, () => {
+    const { send, pick } = createPlacement({ policy: "leastRequests" });
+    for (const name of ["t0", "t1", "t2"]) {
+      send({ type: "loadReported", target: name, load: createLoad(1) });
+    }
+    send({ type: "loadReported", target: "t3", load: createLoad(3) });
+    send({ type: "loadReported", target: "t3", load: createLoad(inFlight) });
+    const used = Array.from({ length: 3 }, () => targetOf(pick()));
+    assert.deepEqual(used.sort(), ["t0", "t1", "t2"]);
+  });
+}
+
 test("An attempt that ends twice is reported and not counted", () => {
   const { send, pick } = createPlacement();
   pick(0, { attemptId: "x" });
