--- /dev/null
+++ b/routing/limit-requests/src/lent_limits_test.ts
@@ -0,0 +1,126 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  createDivisionState,
+  createHoldingState,
+  divideOffers,
+  holdShares,
+} from "@dandelionbank/grant-allowances";
+import type { HoldingEvent } from "@dandelionbank/grant-allowances";
+import type { AllowanceMessage, Contract } from "@dandelionbank/types";
+import { createLimitState, limitRequests } from "./mod.ts";
+import type { LimitEffect, LimitEvent } from "./mod.ts";
+
+const NAMES = ["a", "b"];
+const SETTLE_MS = 12_000;
+const TICK_MS = 1_000;
+
+const CONTRACT: Contract = {
+  organisation: "malabar",
+  keyDigests: [],
+  requestsPerSecond: 20,
+  concurrentRequests: 40,
+  tokensPerMinute: 60_000,
+  shareWeight: 1,
+  priority: 5,
+  objective: { firstTokenMs: 1, betweenTokensMs: 1, answeredMs: 1 },
+};
+
+/** Two entries whose limiter and shares are joined as an entry's task does. */
+function createEntries() {
+  const pending: { to: string; message: AllowanceMessage }[] = [];
+  const entries = new Map(NAMES.map((name) => [name, createEntry(name)]));
+  const division = createDivisionState({ coordinator: "a", incarnation: "a1" });
+  const { organisation } = CONTRACT;
+  for (
+    const event of [
+      { type: "freshnessShown", freshUntilMs: Infinity },
+      { type: "contractChanged", organisation, limits: CONTRACT },
+      { type: "entriesChanged", organisation, entries: NAMES },
+    ] as const
+  ) {
+    divideOffers(division, event, 0);
+    for (const entry of entries.values()) entry.hold(event, 0);
+  }
+
+  function createEntry(name: string) {
+    const limiter = createLimitState(name);
+    const shares = createHoldingState({
+      entry: name,
+      incarnation: `${name}1`,
+      settleMs: SETTLE_MS,
+    });
+    const limit = (event: LimitEvent, nowMs: number) => {
+      const { effects } = limitRequests(limiter, event, nowMs);
+      for (const effect of effects) {
+        if (effect.type === "demandMeasured") hold(effect, nowMs);
+      }
+      return effects;
+    };
+    const hold = (event: HoldingEvent, nowMs: number) => {
+      for (const effect of holdShares(shares, event, nowMs).effects) {
+        if (effect.type === "send") pending.push(effect);
+        else limit(effect, nowMs);
+      }
+    };
+    limit({ type: "contractChanged", contract: CONTRACT }, 0);
+    return { limit, hold };
+  }
+
+  function deliver(nowMs: number): void {
+    for (let next = pending.shift(); next; next = pending.shift()) {
+      const { to, message } = next;
+      const entry = entries.get(to)!;
+      if (message.type === "allowanceAnswer") {
+        entry.hold({ type: "answered", answer: message }, nowMs);
+      } else if (message.type === "offersWanted") {
+        entry.hold({ type: "offersWanted", call: message }, nowMs);
+      } else {
+        const event = { type: "asked", ask: message } as const;
+        for (const effect of divideOffers(division, event, nowMs).effects) {
+          if (effect.type === "send") pending.push(effect);
+        }
+      }
+    }
+  }
+
+  /** Sends so many requests through an entry for a second; counts the admitted. */
+  function runSecond(name: string, count: number, fromMs: number): number {
+    const { limit } = entries.get(name)!;
+    let admitted = 0;
+    for (let index = 0; index < count; index++) {
+      const nowMs = fromMs + index * TICK_MS / count;
+      const requestId = `${name}-${nowMs}`;
+      const effects: readonly LimitEffect[] = limit({
+        type: "requestArrived",
+        requestId,
+        organisation: CONTRACT.organisation,
+        pool: "p",
+        estimatedTokens: 1,
+      }, nowMs);
+      if (effects[0]?.type !== "admit") continue;
+      admitted += 1;
+      limit({ type: "requestEnded", requestId, actualTokens: 1 }, nowMs);
+    }
+    for (const entry of entries.values()) {
+      entry.limit({ type: "tick" }, fromMs + TICK_MS);
+      entry.hold({ type: "tick" }, fromMs + TICK_MS);
+    }
+    deliver(fromMs + TICK_MS);
+    return admitted;
+  }
+
+  return { runSecond };
+}
+
+test("An entry admits what another one doesn't need, within the limit", () => {
+  const { runSecond } = createEntries();
+  let atMs = SETTLE_MS;
+  const admitted: number[] = [];
+  for (let second = 0; second < 10; second++) {
+    admitted.push(runSecond("a", 40, atMs));
+    atMs += TICK_MS;
+  }
+  assert.ok(admitted[0]! <= 10, `${admitted}`);
+  assert.ok(admitted.slice(-3).every((n) => n >= 19 && n <= 20), `${admitted}`);
+});
