--- a/testing/site-tests/src/planned_stop_test.ts
+++ b/testing/site-tests/src/planned_stop_test.ts
@@ -36,12 +36,21 @@
   return new Promise((resolve) => setTimeout(resolve, delayMs));
 }
 
-for (
-  const [what, faults] of [
-    ["", {}],
-    [", the store out right after its acceptance", { outage: true }],
-  ] as const
-) {
+const CASES = [
+  { what: "", before: {}, after: {} },
+  {
+    what: ", the store out right after its acceptance",
+    before: {},
+    after: { outage: true },
+  },
+  {
+    what: ", every connection to the store silent just before",
+    before: { freezeConnections: true },
+    after: {},
+  },
+];
+
+for (const { what, before, after } of CASES) {
   test(
     `A planned stop under load cuts nothing and is kept in time${what}`,
     LIMITS,
@@ -57,10 +66,11 @@
         "the target has work",
         () => load.listRunningOn(STOPPED).length > 0,
       );
+      await site.setFaults(site.platformUrl, before);
       const command = ["stop", "set", STOPPED, "--reason=new kernel"];
       const planned = await site.runTool(command);
       const acceptedAtMs = performance.now();
-      await site.setFaults(site.platformUrl, faults);
+      await site.setFaults(site.platformUrl, after);
       assert.equal(planned.exitCode, 0, planned.lines.join("\n"));
       await sleep(STOP_BOUND_MS);
       const ranInTime = await countAllExecutions(rankUrl);
