Let a call go on when the entry that read it slowly has gone

Cause: an agent pauses the target's answer while no reader has room. A reader whose connection was dropped has none, and nothing resumed the call when it left, nor when another one joined: the call never ended.

Seen when an agent was frozen for 1.5 s with SIGSTOP: the entry asked on a new connection, the answer arrived before the end of the old one, and the call was paused for good.

Ruled out: the entry's asks (they were joined), the service (it had answered), cancelling (never done to a call that may not be repeated).

--- a/daemon/run-attempts/src/attempt_task.ts
+++ b/daemon/run-attempts/src/attempt_task.ts
@@ -250,6 +250,7 @@
     responder.onDrained(() => this.#runs.get(answeredBy)?.resume());
     responder.onAbandoned(() => this.#leave(reader, log));
     log.addReader(reader);
+    this.#runs.get(answeredBy)?.resume();
   }
 
   #leave(reader: AttemptReader, log: AnswerLog): void {
@@ -258,6 +259,8 @@
     if (this.#readers.get(attemptId) !== reader) return;
     this.#readers.delete(attemptId);
     const answeredBy = log.attemptId;
+    // The run may have waited for this reader alone.
+    this.#runs.get(answeredBy)?.resume();
     this.#runner.post({ type: "listenerLeft", attemptId, answeredBy });
   }
 
--- a/testing/run-site/src/site.ts
+++ b/testing/run-site/src/site.ts
@@ -4,7 +4,7 @@
  */
 
 import { digestKey } from "@dandelionbank/check-credential";
-import type { Contract } from "@dandelionbank/types";
+import type { Config, Contract } from "@dandelionbank/types";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -27,6 +27,8 @@
   /** Further settings of every agent and entry, as flags. */
   readonly agentArgs?: readonly string[];
   readonly entryArgs?: readonly string[];
+  /** Settings of the configuration other than its pools. */
+  readonly config?: Partial<Config>;
 }
 
 export interface ToolResult {
@@ -212,6 +214,7 @@
 
   async #writeObjects(): Promise<void> {
     const config = {
+      ...this.#options.config,
       pools: [
         { name: "review", kind: "rank", models: ["plaque-7b"], routes: [] },
         {
--- a/testing/site-tests/src/fixtures.ts
+++ b/testing/site-tests/src/fixtures.ts
@@ -39,6 +39,10 @@
   const deadlineMs = performance.now() + WAIT_LIMIT_MS;
   while (!(await isTrue())) {
     if (performance.now() > deadlineMs) throw new Error(`Not in time: ${what}`);
-    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    await sleep(POLL_MS);
   }
 }
+
+export function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- a/testing/site-tests/src/mod.ts
+++ b/testing/site-tests/src/mod.ts
@@ -9,6 +9,6 @@
   sendUntilSettled,
 } from "./callers.ts";
 export type { CompletionWish } from "./callers.ts";
-export { readAgents, startSite, waitUntil } from "./fixtures.ts";
+export { readAgents, sleep, startSite, waitUntil } from "./fixtures.ts";
 export { SteadyLoad } from "./steady_load.ts";
 export type { LoadOptions, LoadRecord } from "./steady_load.ts";
--- a/testing/site-tests/src/planned_stop_test.ts
+++ b/testing/site-tests/src/planned_stop_test.ts
@@ -6,6 +6,7 @@
   assertCompletion,
   countAllExecutions,
   readAgents,
+  sleep,
   startSite,
   SteadyLoad,
   waitUntil,
@@ -32,10 +33,6 @@
   return result.data;
 }
 
-function sleep(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 const CASES = [
   { what: "", before: {}, after: {} },
   {
