--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -35,7 +35,8 @@
 }
 
 type Verdict =
-  | { readonly kind: "take" }
+  | { readonly kind: "run" }
+  | { readonly kind: "repeat"; readonly record: KeyRecord }
   | { readonly kind: "refuse"; readonly code: RefusalCode }
   | { readonly kind: "fail"; readonly code: FailureCode };
 
@@ -59,10 +60,19 @@
     suspect: event.suspect === true,
   };
   const verdict = judge(context, arrival);
-  if (verdict.kind === "take") return runOrRepeat(context, arrival);
-  arrival.entry.decided.add(arrival.number);
-  if (verdict.kind === "refuse") refuse(context, { attemptId, ...verdict });
-  else fail(context, { attemptId, ...verdict });
+  if (verdict.kind === "run") return runChecked(context, arrival);
+  const { entry, number } = arrival;
+  entry.decided.add(number);
+  switch (verdict.kind) {
+    case "repeat": {
+      const { record } = verdict;
+      return repeat(context, { attemptId, record, entry, number });
+    }
+    case "refuse":
+      return refuse(context, { attemptId, code: verdict.code });
+    case "fail":
+      return fail(context, { attemptId, code: verdict.code });
+  }
 }
 
 export function ask(context: AdmitContext, event: AttemptAsked): void {
@@ -79,6 +89,9 @@
   const entry = state.incarnations.recordOf(id.entryIncarnation);
   const { number } = id;
   if (record !== undefined && matchesFingerprint(record, event.fingerprint)) {
+    if (isRefusedBeside(record, { entry, number })) {
+      return refuse(context, { attemptId, code: "neverArrived" });
+    }
     return repeat(context, { attemptId, record, entry, number });
   }
   if (entry.mayHaveForgotten(number)) {
@@ -93,22 +106,35 @@
 
 /**
  * The first rule that stands against the arrival. A refusal is the agent's
- * word that neither this attempt nor, under its key, any other ran here; where
- * one may have run, the attempt fails instead.
+ * word that this attempt never ran and never will; where it, or another one
+ * under its key before it, may have run, the attempt fails instead.
  */
 function judge(context: AdmitContext, arrival: Arrival): Verdict {
   const { entry, head, keyId } = arrival;
   const record = context.state.keys.find(keyId);
   if (record !== undefined && matchesFingerprint(record, head.fingerprint)) {
+    if (isRefusedBeside(record, arrival)) {
+      return { kind: "refuse", code: "attemptSettled" };
+    }
     if (entry.closed) return { kind: "fail", code: "incarnationClosed" };
-    return { kind: "take" };
+    return { kind: "repeat", record };
   }
   if (entry.mayHaveForgotten(arrival.number)) {
     return { kind: "fail", code: "attemptForgotten" };
   }
   if (record !== undefined) return { kind: "refuse", code: "keyReused" };
   const code = findRefusal(context, arrival);
-  return code === undefined ? { kind: "take" } : { kind: "refuse", code };
+  return code === undefined ? { kind: "run" } : { kind: "refuse", code };
+}
+
+/** Whether an attempt was refused before another one ran under its key. */
+function isRefusedBeside(
+  record: KeyRecord,
+  attempt: Pick<Arrival, "entry" | "number">,
+): boolean {
+  const { entry, number } = attempt;
+  const ran = record.entry === entry && record.number === number;
+  return !ran && entry.wasRefused(number);
 }
 
 /** Why an attempt with an unknown key is not run. */
@@ -136,14 +162,9 @@
   return false;
 }
 
-function runOrRepeat(context: AdmitContext, arrival: Arrival): void {
+function runChecked(context: AdmitContext, arrival: Arrival): void {
   const { attemptId } = arrival.head;
   const { keyId, number, entry, once } = arrival;
-  const record = context.state.keys.find(keyId);
-  if (record !== undefined) {
-    entry.decided.add(number);
-    return repeat(context, { attemptId, record, entry, number });
-  }
   const intended = { attemptId, keyId, number, entry, once };
   if (checkRun(context, intended)) run(context, arrival);
   else refuse(context, { attemptId, code: "invariantViolated" });
--- a/routing/track-requests/src/effects.ts
+++ b/routing/track-requests/src/effects.ts
@@ -48,6 +48,8 @@
   readonly fingerprint: string;
   /** Targets that were tried. */
   readonly avoid: readonly string[];
+  /** Whether another attempt is still open: a suspect gets no second one. */
+  readonly hedge: boolean;
 }
 
 /** Send the request to an agent as this attempt. */
@@ -96,6 +98,8 @@
   readonly status: number;
   readonly contentType: string;
   readonly encoding: "utf8" | "base64";
+  /** Where the request ran; absent if another entry arbitrates its key. */
+  readonly target: string | undefined;
 }
 
 export interface SendData {
