Send an attempt that never arrived to the same target again

Cause: an attempt sent on a connection that had gone silent is asked about on a new one, and the agent says that it never saw it. The entry then avoided that target as if it had refused, so a pool of one target answered NO_TARGET, though the agent had just answered.

Before: silent_connection_test, third way of silence: 503 for calls on idle connections that had gone silent. After: the test passes in 5.9 s. Ruled out: the asks (they came on new connections), the agent's admission.

silent_connection_test: relays between the entry and two agents fall silent for the open connections, both ways and each way alone; streams come whole, plain calls are answered, and each runs once.

--- a/routing/track-requests/src/attempts.ts
+++ b/routing/track-requests/src/attempts.ts
@@ -34,7 +34,9 @@
     organisation,
     pool,
     fingerprint,
-    avoid: request.attempts.map(({ peer }) => peer),
+    avoid: request.attempts
+      .filter(({ neverArrived }) => !neverArrived)
+      .map(({ peer }) => peer),
     hedge: hasOpenAttempt(request),
   });
 }
@@ -202,6 +204,7 @@
     heardAtMs: nowMs,
     askedAtMs: -Infinity,
     askAgainAtMs: undefined,
+    neverArrived: false,
     asks: 0,
   };
 }
--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -81,6 +81,8 @@
     detail: attempt.attemptId,
   });
   attempt.state = truthful ? "refused" : "failed";
+  // The connection was at fault, and the agent has answered on another one.
+  attempt.neverArrived = frame.code === "neverArrived";
   const { code, retryAfterMs } = frame;
   if (code === "incarnationClosed") context.state.arbiterClosed = true;
   if (code === "keyReused") {
--- a/routing/track-requests/src/request.ts
+++ b/routing/track-requests/src/request.ts
@@ -32,6 +32,8 @@
   state: AttemptState;
   heardAtMs: number;
   askedAtMs: number;
+  /** The agent said that it had not seen the attempt. */
+  neverArrived: boolean;
   /** When to ask again, as the connection of the last ask was lost. */
   askAgainAtMs: number | undefined;
   /** Asks since the attempt was last heard of. */
--- a/testing/run-site/src/site.ts
+++ b/testing/run-site/src/site.ts
@@ -4,7 +4,12 @@
  */
 
 import { digestKey } from "@dandelionbank/check-credential";
-import type { Config, Contract } from "@dandelionbank/types";
+import type {
+  Config,
+  Contract,
+  ObjectKind,
+  StoredObject,
+} from "@dandelionbank/types";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -165,6 +170,24 @@
     if (reply.status !== 200) throw new Error(`Faults: ${reply.body}`);
   }
 
+  /** Writes a value at the platform, past the entries. */
+  async rewriteObject(
+    { kind, name }: { readonly kind: ObjectKind; readonly name: string },
+    value: unknown,
+  ): Promise<void> {
+    const path = `/v1/objects/${kind}/${name}`;
+    const found = await callEntry(this.platformUrl, { key: "none", path });
+    const { revision } = JSON.parse(found.body) as StoredObject;
+    const written = await callEntry(this.platformUrl, {
+      key: "none",
+      method: "PUT",
+      path,
+      headers: { "if-match": String(revision) },
+      body: JSON.stringify({ changeId: `rewrite-${revision}`, value }),
+    });
+    if (written.status !== 200) throw new Error(`Rewrite: ${written.body}`);
+  }
+
   async stop(): Promise<void> {
     const daemons = [...this.entries.values(), ...this.agents.values()];
     await Promise.all(daemons.map((daemon) => daemon.stop("SIGKILL")));
--- a/testing/site-tests/src/mod.ts
+++ b/testing/site-tests/src/mod.ts
@@ -12,3 +12,5 @@
 export { readAgents, sleep, startSite, waitUntil } from "./fixtures.ts";
 export { SteadyLoad } from "./steady_load.ts";
 export type { LoadOptions, LoadRecord } from "./steady_load.ts";
+export { Relay } from "./relay.ts";
+export type { Silence } from "./relay.ts";
