--- a/routing/track-requests/src/attempts.ts
+++ b/routing/track-requests/src/attempts.ts
@@ -34,7 +34,9 @@
     organisation,
     pool,
     fingerprint,
-    avoid: request.attempts.map(({ peer }) => peer),
+    avoid: request.attempts
+      .filter(({ neverArrived }) => !neverArrived)
+      .map(({ peer }) => peer),
     hedge: hasOpenAttempt(request),
   });
 }
@@ -169,6 +171,7 @@
 function sendAsk(context: TrackContext, attempt: Attempt): void {
   attempt.asks += 1;
   attempt.askedAtMs = context.nowMs;
+  attempt.askAgainAtMs = undefined;
   const { key, fingerprint } = attempt.request.info;
   context.effects.push({
     type: "askAbout",
@@ -200,6 +203,8 @@
     state: "sent",
     heardAtMs: nowMs,
     askedAtMs: -Infinity,
+    askAgainAtMs: undefined,
+    neverArrived: false,
     asks: 0,
   };
 }
--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -48,6 +48,7 @@
   }
   attempt.heardAtMs = context.nowMs;
   attempt.asks = 0;
+  attempt.askAgainAtMs = undefined;
   switch (frame.type) {
     case "admitted":
     case "heartbeat":
@@ -80,6 +81,8 @@
     detail: attempt.attemptId,
   });
   attempt.state = truthful ? "refused" : "failed";
+  // The connection was at fault, and the agent has answered on another one.
+  attempt.neverArrived = frame.code === "neverArrived";
   const { code, retryAfterMs } = frame;
   if (code === "incarnationClosed") context.state.arbiterClosed = true;
   if (code === "keyReused") {
--- a/testing/run-site/src/site.ts
+++ b/testing/run-site/src/site.ts
@@ -4,7 +4,12 @@
  */
 
 import { digestKey } from "@dandelionbank/check-credential";
-import type { Contract } from "@dandelionbank/types";
+import type {
+  Config,
+  Contract,
+  ObjectKind,
+  StoredObject,
+} from "@dandelionbank/types";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -30,6 +35,8 @@
   /** Further settings of every agent and entry, as flags. */
   readonly agentArgs?: readonly string[];
   readonly entryArgs?: readonly string[];
+  /** Settings of the configuration other than its pools. */
+  readonly config?: Partial<Config>;
 }
 
 export interface ToolResult {
@@ -144,13 +151,13 @@
 
   /** Waits until a caller with this key gets addresses from every entry. */
   async waitUntilServed(key = this.callerKey): Promise<void> {
-    for (const url of this.entryUrls.values()) {
-      await waitUntil(async () => {
-        const call = { key, path: "/v1/addresses" };
-        const reply = await callEntry(url, call).catch(() => undefined);
-        return reply?.status === 200;
-      });
-    }
+    const serves = async (url: string): Promise<boolean> => {
+      const call = { key, path: "/v1/addresses" };
+      const reply = await callEntry(url, call).catch(() => undefined);
+      return reply?.status === 200;
+    };
+    const urls = [...this.entryUrls.values()];
+    await Promise.all(urls.map((url) => waitUntil(() => serves(url))));
   }
 
   /** Sets faults of a stand-in. */
@@ -163,6 +170,24 @@
     if (reply.status !== 200) throw new Error(`Faults: ${reply.body}`);
   }
 
+  /** Writes a value at the platform, past the entries. */
+  async rewriteObject(
+    { kind, name }: { readonly kind: ObjectKind; readonly name: string },
+    value: unknown,
+  ): Promise<void> {
+    const path = `/v1/objects/${kind}/${name}`;
+    const found = await callEntry(this.platformUrl, { key: "none", path });
+    const { revision } = JSON.parse(found.body) as StoredObject;
+    const written = await callEntry(this.platformUrl, {
+      key: "none",
+      method: "PUT",
+      path,
+      headers: { "if-match": String(revision) },
+      body: JSON.stringify({ changeId: `rewrite-${revision}`, value }),
+    });
+    if (written.status !== 200) throw new Error(`Rewrite: ${written.body}`);
+  }
+
   async stop(): Promise<void> {
     const daemons = [...this.entries.values(), ...this.agents.values()];
     await Promise.all(daemons.map((daemon) => daemon.stop("SIGKILL")));
@@ -235,6 +260,7 @@
 
   async #writeObjects(): Promise<void> {
     const config = {
+      ...this.#options.config,
       pools: [
         { name: "review", kind: "rank", models: ["plaque-7b"], routes: [] },
         { name: "chat", kind: "engine", models: ["reel-2b"], routes: [] },
@@ -247,12 +273,14 @@
       ],
     };
     const contract = this.createContract("malabar", this.callerKey);
-    await this.#setObject(["config", "set"], "config.json", config);
-    await this.#setObject(
-      ["contract", "set", "malabar"],
-      "contract.json",
-      contract,
-    );
+    await Promise.all([
+      this.#setObject(["config", "set"], "config.json", config),
+      this.#setObject(
+        ["contract", "set", "malabar"],
+        "contract.json",
+        contract,
+      ),
+    ]);
   }
 
   async #setObject(
@@ -268,15 +296,17 @@
   /** Every entry sees every target. */
   async #waitForTargets(): Promise<void> {
     const wanted = this.agents.size;
-    for (const entry of this.entries.keys()) {
-      await waitUntil(async () => {
-        const { lines } = await this.runTool(["status", "--json"], entry);
-        const status = JSON.parse(lines.join("\n")) as {
-          readonly targets: readonly unknown[];
-        };
-        return status.targets.length === wanted;
-      });
-    }
+    const seesAll = async (entry: string): Promise<boolean> => {
+      const { lines } = await this.runTool(["status", "--json"], entry);
+      const status = JSON.parse(lines.join("\n")) as {
+        readonly targets: readonly unknown[];
+      };
+      return status.targets.length === wanted;
+    };
+    const entries = [...this.entries.keys()];
+    await Promise.all(
+      entries.map((entry) => waitUntil(() => seesAll(entry))),
+    );
   }
 
   async #startStandin(
--- a/testing/site-tests/src/mod.ts
+++ b/testing/site-tests/src/mod.ts
@@ -9,6 +9,8 @@
   sendUntilSettled,
 } from "./callers.ts";
 export type { CompletionWish } from "./callers.ts";
-export { readAgents, startSite, waitUntil } from "./fixtures.ts";
+export { readAgents, sleep, startSite, waitUntil } from "./fixtures.ts";
 export { SteadyLoad } from "./steady_load.ts";
 export type { LoadOptions, LoadRecord } from "./steady_load.ts";
+export { Relay } from "./relay.ts";
+export type { Silence } from "./relay.ts";
