--- a/routing/describe-outcome/src/caller_code.ts
+++ b/routing/describe-outcome/src/caller_code.ts
@@ -1,19 +1,20 @@
 /**
- * Codes as callers see them, one form whichever core they come from: `noTarget`
- * and `DANDELIONBANK_NO_TARGET` both become `NO_TARGET`.
+ * Codes as callers see them, in the form of every other error: `noTarget`
+ * becomes `DANDELIONBANK_NO_TARGET`.
  */
 
 const PREFIX = "DANDELIONBANK_";
 
 export function toCallerCode(code: string): string {
-  if (code.startsWith(PREFIX)) return code.slice(PREFIX.length);
+  if (code.startsWith(PREFIX)) return code;
   const words = code.replace(/[A-Z]/g, (letter) => `_${letter}`);
-  return words.toUpperCase();
+  return PREFIX + words.toUpperCase();
 }
 
 /** The name in the table of reasons. */
 export function toReasonCode(code: string): string {
   return toCallerCode(code)
+    .slice(PREFIX.length)
     .toLowerCase()
     .replace(/_([a-z])/g, (_, letter: string) => letter.toUpperCase());
 }
--- a/routing/describe-outcome/src/describe_outcome_test.ts
+++ b/routing/describe-outcome/src/describe_outcome_test.ts
@@ -51,7 +51,7 @@
     assert.equal(described.retryAfterSeconds, seconds);
     assert.equal(described.body.error.outcome, outcome.kind);
     assert.equal(described.body.error.code, toCallerCode(outcome.code));
-    assert.match(described.body.error.code, /^[A-Z_]+$/);
+    assert.match(described.body.error.code, /^DANDELIONBANK_[A-Z_]+$/);
     assert.equal(described.body.error.requestId, "r1");
   }
 });
