Let undici's parser be optimised only under load

Cause: undici parses HTTP in WebAssembly. V8 compiles it again with its optimising compiler soon after the start, and the allocator keeps some 10 MB of that compiler's memory in a thread's arena (seen in smaps: one arena of 37 MB, 10 MB of it resident). With a higher budget that happens only under load.

--- a/testing/run-site/src/site.ts
+++ b/testing/run-site/src/site.ts
@@ -13,7 +13,10 @@
 
 const DAEMON = "daemon/dandelionbankd/dist/main.js";
 const TOOL = "cli/dandelionbank/dist/main.js";
-const DAEMON_NODE_ARGS = ["--max-semi-space-size=2"];
+const DAEMON_NODE_ARGS = [
+  "--max-semi-space-size=2",
+  "--wasm-tiering-budget=1000000000",
+];
 const LOOPBACK = "127.0.0.1:0";
 const READY_TIMEOUT_MS = 15_000;
 const READY_POLL_MS = 25;
