--- a/daemon/dandelionbankd/src/main.ts
+++ b/daemon/dandelionbankd/src/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env -S node --max-semi-space-size=2 --wasm-tiering-budget=1000000000
+#!/usr/bin/env -S node --max-semi-space-size=2 --wasm-tiering-budget=1000000000 --single-threaded-gc --v8-pool-size=1
 /** Runs the daemon with this process's arguments, variables and streams. */
 
 import process from "node:process";
--- a/testing/run-site/src/site.ts
+++ b/testing/run-site/src/site.ts
@@ -16,6 +16,8 @@
 const DAEMON_NODE_ARGS = [
   "--max-semi-space-size=2",
   "--wasm-tiering-budget=1000000000",
+  "--single-threaded-gc",
+  "--v8-pool-size=1",
 ];
 const LOOPBACK = "127.0.0.1:0";
 const READY_TIMEOUT_MS = 15_000;
