--- a/testing/run-site/src/site.ts
+++ b/testing/run-site/src/site.ts
@@ -14,10 +14,11 @@
 const DAEMON = "daemon/dandelionbankd/dist/main.js";
 const TOOL = "cli/dandelionbank/dist/main.js";
 const DAEMON_NODE_ARGS = [
-  "--max-semi-space-size=2",
+  "--max-semi-space-size=1",
   "--wasm-tiering-budget=1000000000",
   "--single-threaded-gc",
   "--v8-pool-size=1",
+  "--optimize-for-size",
 ];
 const LOOPBACK = "127.0.0.1:0";
 const READY_TIMEOUT_MS = 15_000;
