--- /dev/null
+++ b/testing/bench/src/capacity/path_cost.ts
@@ -0,0 +1,107 @@
+/**
+ * Processor time of an entry and an agent for each request and each token, in
+ * processes of their own, from streams of different lengths.
+ */
+
+import { Site } from "@dandelionbank/run-site";
+import { type Figure, unbounded } from "../bench.ts";
+import {
+  completionBody,
+  CompletionCaller,
+} from "../relay/completion_caller.ts";
+import { readUsage } from "../relay/process_usage.ts";
+import { fitLine, type Point } from "./slope.ts";
+
+const TOKENS = [8, 64, 256] as const;
+const STREAMS = 16;
+const WARM_UP_MS = 1_500;
+const WINDOW_MS = 5_000;
+
+interface Cost {
+  readonly entryUs: number;
+  readonly agentUs: number;
+}
+
+export async function measurePathCost(
+  seed: number,
+): Promise<readonly Figure[]> {
+  const site = await Site.start({
+    entries: 1,
+    ranks: 1,
+    engines: 1,
+    engineArgs: ["--token-interval-ms=1", "--first-token-ms=0"],
+  });
+  try {
+    const entry: Point[] = [];
+    const agent: Point[] = [];
+    for (const size of TOKENS) {
+      const { entryUs, agentUs } = await measure(site, { size, seed });
+      entry.push({ size, value: entryUs });
+      agent.push({ size, value: agentUs });
+    }
+    return [...describe("entry", entry), ...describe("agent", agent)];
+  } finally {
+    await site.stop();
+  }
+}
+
+function describe(
+  role: string,
+  points: readonly Point[],
+): readonly Figure[] {
+  const { slope, base, fit } = fitLine(points);
+  return [
+    unbounded({ name: `${role}CpuPerToken`, value: slope, unit: "us" }),
+    unbounded({ name: `${role}CpuPerRequest`, value: base, unit: "us" }),
+    unbounded({ name: `${role}CpuFit`, value: fit, unit: "" }),
+  ];
+}
+
+async function measure(
+  site: Site,
+  options: { readonly size: number; readonly seed: number },
+): Promise<Cost> {
+  const { size, seed } = options;
+  const caller = CompletionCaller.create({
+    url: site.urlOf("entry-1"),
+    key: site.callerKey,
+    connections: STREAMS,
+  });
+  let answered = 0;
+  let isOver = false;
+  const over = Promise.all(
+    Array.from({ length: STREAMS }, async (_, stream) => {
+      for (let call = 0; !isOver; call++) {
+        await caller.call(completionBody(`${seed} ${stream} ${call}`, size));
+        answered += 1;
+      }
+    }),
+  );
+  await Promise.race([wait(WARM_UP_MS), over]);
+  const before = { answered, ...read(site) };
+  await Promise.race([wait(WINDOW_MS), over]);
+  const after = { answered, ...read(site) };
+  isOver = true;
+  await over;
+  caller.close();
+  const requests = after.answered - before.answered;
+  return {
+    entryUs: (after.entryUs - before.entryUs) / requests,
+    agentUs: (after.agentUs - before.agentUs) / requests,
+  };
+}
+
+function read(site: Site): Cost {
+  return {
+    entryUs: cpuUsOf(site.entries.get("entry-1")?.pid),
+    agentUs: cpuUsOf(site.agents.get("chat-0")?.pid),
+  };
+}
+
+function cpuUsOf(pid = 0): number {
+  return readUsage(pid).cpuSeconds * 1e6;
+}
+
+function wait(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
