Show an agent only the closings that it has not answered for

An agent's answer tells the highest revision it was shown. Every view so far held the closings up to its own revision beyond what the agent had answered for, so the agent has all of them up to there. A lost answer leaves the old revision, and they are shown again.

--- a/daemon/follow-peers/src/agent_follower.ts
+++ b/daemon/follow-peers/src/agent_follower.ts
@@ -2,6 +2,8 @@
  * Shows agents this entry's view: their planned stop, closings and timeouts.
  * Each agent is shown the view by a few entries only, chosen by rendezvous
  * hashing, at once when something for it changed and else once an interval.
+ * An agent that has seen a revision has seen every closing up to it, so only
+ * later ones are shown: closings grow in number for as long as a site lives.
  */
 
 import type { TextHash } from "@dandelionbank/hash-text";
@@ -128,7 +130,7 @@
     agent.isAsking = true;
     agent.isChanged = false;
     try {
-      const shown = this.#viewFor(agent.registration, view);
+      const shown = this.#viewFor(agent, view);
       agent.status = await agent.client.applyView.mutate({
         ...shown,
         closings: [...shown.closings],
@@ -143,7 +145,7 @@
     }
   }
 
-  #viewFor(registration: AgentRegistration, view: View): AgentView {
+  #viewFor({ registration, status }: FollowedAgent, view: View): AgentView {
     const { entry, incarnation, isLeaving } = this.#options;
     const { name } = registration.target;
     const stop = view.stops.get(name)?.value;
@@ -154,7 +156,9 @@
       revision: view.revision,
       ...(stop === undefined ? {} : { stop }),
       isLeaving: isLeaving(name),
-      closings: [...view.closings.values()].map(({ value }) => value),
+      closings: [...view.closings.values()]
+        .filter(({ revision }) => revision > (status?.viewRevision ?? 0))
+        .map(({ value }) => value),
       progressTimeoutMs: config?.progressTimeoutMs ?? 2_000,
       drainTimeoutMs: config?.drainTimeoutMs ?? 30_000,
     };
--- /dev/null
+++ b/daemon/follow-peers/src/agent_follower_test.ts
@@ -0,0 +1,183 @@
+import assert from "node:assert/strict";
+import { EventEmitter, once } from "node:events";
+import { test, type TestContext } from "node:test";
+import { createTextHash } from "@dandelionbank/hash-text";
+import { createAgentRouter } from "@dandelionbank/peer-api";
+import { PeerServer } from "@dandelionbank/serve-peers";
+import type {
+  AgentRegistration,
+  AgentStatus,
+  AgentView,
+  ObjectKind,
+  StoredObject,
+  View,
+} from "@dandelionbank/types";
+import { AgentFollower } from "./mod.ts";
+
+const PEER_SECRET = "secret-of-the-peers";
+const INTERVAL_MS = 1_000;
+
+test("A closing is shown until the agent's answer covers its revision", async (t) => {
+  t.mock.timers.enable({ apis: ["setInterval"] });
+  const agent = await FakeAgent.start(t);
+  const follower = await createFollower(t);
+  const first = agent.nextView();
+  follower.applyView(createView(agent.peerUrl, { revision: 9, closings: [4] }));
+  assert.deepEqual(closingsOf(await first), ["closed-4"]);
+
+  await agent.answered();
+  assert.deepEqual(closingsOf(await agent.askAgain(t)), []);
+
+  const second = agent.nextView();
+  follower.applyView(
+    createView(agent.peerUrl, { revision: 12, closings: [4, 11] }),
+  );
+  assert.deepEqual(closingsOf(await second), ["closed-11"]);
+});
+
+test("A closing is shown again when the agent's answer was lost", async (t) => {
+  t.mock.timers.enable({ apis: ["setInterval"] });
+  const agent = await FakeAgent.start(t);
+  const follower = await createFollower(t);
+  agent.failsNext = true;
+  const first = agent.nextView();
+  follower.applyView(createView(agent.peerUrl, { revision: 9, closings: [4] }));
+  await first;
+  await agent.answered();
+  assert.deepEqual(closingsOf(await agent.askAgain(t)), ["closed-4"]);
+});
+
+class FakeAgent {
+  failsNext = false;
+  peerUrl = "";
+  readonly #events = new EventEmitter();
+  #viewRevision = 0;
+
+  static async start(t: TestContext): Promise<FakeAgent> {
+    const agent = new FakeAgent();
+    const server = PeerServer.create({
+      host: "127.0.0.1",
+      port: 0,
+      peerSecret: PEER_SECRET,
+      router: createAgentRouter({
+        applyView: (view) => agent.#take(view),
+        readStatus: () => agent.#status(),
+        askKeys: () => Promise.reject(new Error("Not asked here")),
+      }),
+      onAttempt: (_, responder) => responder.end(),
+    });
+    agent.peerUrl = `http://127.0.0.1:${await server.listen()}`;
+    t.after(() => server.close());
+    return agent;
+  }
+
+  async nextView(): Promise<AgentView> {
+    const [view] = await once(this.#events, "view");
+    return view as AgentView;
+  }
+
+  /** Lets the reply reach the follower. */
+  async answered(): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+
+  async askAgain(t: TestContext): Promise<AgentView> {
+    const next = this.nextView();
+    t.mock.timers.tick(INTERVAL_MS);
+    return await next;
+  }
+
+  #take(view: AgentView): AgentStatus {
+    queueMicrotask(() => this.#events.emit("view", view));
+    if (this.failsNext) {
+      this.failsNext = false;
+      throw new Error("Not taken");
+    }
+    this.#viewRevision = view.revision;
+    return this.#status();
+  }
+
+  #status(): AgentStatus {
+    return {
+      target: createRegistration("").target,
+      incarnation: "agent-1",
+      viewRevision: this.#viewRevision,
+      isDraining: false,
+      load: { inFlight: 0, queued: 0, cachedTokens: 0 },
+    };
+  }
+}
+
+async function createFollower(t: TestContext): Promise<AgentFollower> {
+  const follower = AgentFollower.create({
+    entry: "entry-1",
+    incarnation: "entry-incarnation",
+    access: { peerSecret: PEER_SECRET, timeoutMs: 1_000 },
+    hash: await createTextHash(),
+    isLeaving: () => false,
+  });
+  t.after(() => follower.stop());
+  return follower;
+}
+
+function createView(
+  peerUrl: string,
+  { revision, closings }: {
+    readonly revision: number;
+    readonly closings: readonly number[];
+  },
+): View {
+  const { name } = createRegistration(peerUrl).target;
+  const entry = {
+    name: "entry-1",
+    incarnation: "entry-incarnation",
+    callerUrl: peerUrl,
+    peerUrl,
+    dataCentre: "kochi-1",
+  };
+  return {
+    revision,
+    config: undefined,
+    contracts: new Map(),
+    operators: new Map(),
+    stops: new Map(),
+    agents: new Map([[
+      name,
+      store({ kind: "agent", name }, createRegistration(peerUrl)),
+    ]]),
+    entries: new Map([[
+      "entry-1",
+      store({ kind: "entry", name: "entry-1" }, entry),
+    ]]),
+    closings: new Map(closings.map((closedAt) => {
+      const incarnation = `closed-${closedAt}`;
+      const value = { entry: "entry-2", incarnation, successor: "entry-3" };
+      const object = store({ kind: "closing", name: incarnation }, value);
+      return [incarnation, { ...object, revision: closedAt }];
+    })),
+  };
+}
+
+function createRegistration(peerUrl: string): AgentRegistration {
+  return {
+    target: {
+      name: "target-1",
+      kind: "engine",
+      pool: "chat",
+      dataCentre: "kochi-1",
+    },
+    incarnation: "agent-1",
+    peerUrl,
+  };
+}
+
+function store<Value>(
+  { kind, name }: { readonly kind: ObjectKind; readonly name: string },
+  value: Value,
+): StoredObject<Value> {
+  return { kind, name, uid: name, revision: 1, changeId: name, value };
+}
+
+function closingsOf(view: AgentView): readonly string[] {
+  return view.closings.map(({ incarnation }) => incarnation);
+}
