--- a/daemon/follow-peers/src/agent_follower.ts
+++ b/daemon/follow-peers/src/agent_follower.ts
@@ -33,7 +33,8 @@
 
 interface FollowedAgent {
   readonly registration: AgentRegistration;
-  readonly client: AgentClient;
+  /** Opened at the first call: an entry calls few of a fleet's agents. */
+  client: AgentClient | undefined;
   status: AgentStatus | undefined;
   failures: number;
   isAsking: boolean;
@@ -71,7 +72,7 @@
   find(target: string, incarnation: string): AgentClient | undefined {
     const agent = this.#agents.get(target);
     return agent?.registration.incarnation === incarnation
-      ? agent.client
+      ? this.#clientOf(agent)
       : undefined;
   }
 
@@ -96,10 +97,9 @@
     }
     for (const { name, value } of view.agents.values()) {
       if (this.#agents.has(name)) continue;
-      const { peerUrl } = value;
       this.#agents.set(name, {
         registration: value,
-        client: createAgentClient({ ...this.#options.access, peerUrl }),
+        client: undefined,
         status: undefined,
         failures: 0,
         isAsking: false,
@@ -108,6 +108,12 @@
     }
   }
 
+  #clientOf(agent: FollowedAgent): AgentClient {
+    const { peerUrl } = agent.registration;
+    agent.client ??= createAgentClient({ ...this.#options.access, peerUrl });
+    return agent.client;
+  }
+
   #chooseShown(view: View): void {
     const { entry, hash } = this.#options;
     const entries = [...view.entries.keys()];
@@ -131,7 +137,7 @@
     agent.isChanged = false;
     try {
       const shown = this.#viewFor(agent, view);
-      agent.status = await agent.client.applyView.mutate({
+      agent.status = await this.#clientOf(agent).applyView.mutate({
         ...shown,
         closings: [...shown.closings],
       });
--- a/daemon/route-requests/src/peer_links.ts
+++ b/daemon/route-requests/src/peer_links.ts
@@ -20,7 +20,8 @@
 }
 
 interface Link extends PeerAddress {
-  connection: PeerConnection;
+  /** Opened at the first message: an entry uses few of a fleet's links. */
+  connection: PeerConnection | undefined;
 }
 
 export class PeerLinks {
@@ -44,7 +45,7 @@
     const gone = [...known.values()].filter((link) =>
       this.#links.get(link.name)?.incarnation !== link.incarnation
     );
-    for (const link of gone) void link.connection.drain();
+    for (const link of gone) void link.connection?.drain();
     return gone;
   }
 
@@ -54,19 +55,21 @@
 
   find(name: string, incarnation: string): PeerConnection | undefined {
     const link = this.#links.get(name);
-    return link?.incarnation === incarnation ? link.connection : undefined;
+    if (link?.incarnation !== incarnation) return undefined;
+    link.connection ??= this.#open(link);
+    return link.connection;
   }
 
   renew(name: string): void {
     const link = this.#links.get(name);
     if (link === undefined) return;
-    void link.connection.drain();
-    link.connection = this.#open(link);
+    void link.connection?.drain();
+    link.connection = undefined;
   }
 
   async close(): Promise<void> {
     const links = [...this.#links.values()];
-    await Promise.all(links.map((link) => link.connection.close()));
+    await Promise.all(links.map((link) => link.connection?.close()));
   }
 
   #keep(known: ReadonlyMap<string, Link>, address: PeerAddress): Link {
@@ -74,7 +77,7 @@
     const isSame = link?.incarnation === address.incarnation &&
       link.peerUrl === address.peerUrl;
     if (link !== undefined && isSame) return link;
-    return { ...address, connection: this.#open(address) };
+    return { ...address, connection: undefined };
   }
 
   #open({ peerUrl }: PeerAddress): PeerConnection {
--- /dev/null
+++ b/daemon/route-requests/src/peer_links_test.ts
@@ -0,0 +1,38 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { PeerLinks } from "./peer_links.ts";
+
+const PEER_URL = "http://127.0.0.1:9";
+
+test("A link keeps one connection until it is renewed or replaced", (t) => {
+  const links = PeerLinks.create({ peerSecret: "secret-of-the-peers" });
+  t.after(() => links.close());
+  links.replaceAll([{ name: "a", incarnation: "a1", peerUrl: PEER_URL }]);
+  assert.equal(links.find("a", "a2"), undefined);
+  const first = links.find("a", "a1");
+  assert.notEqual(first, undefined);
+  assert.equal(links.find("a", "a1"), first);
+
+  links.renew("a");
+  const renewed = links.find("a", "a1");
+  assert.notEqual(renewed, undefined);
+  assert.notEqual(renewed, first);
+
+  const gone = links.replaceAll([
+    { name: "a", incarnation: "a2", peerUrl: PEER_URL },
+  ]);
+  assert.deepEqual(gone.map(({ incarnation }) => incarnation), ["a1"]);
+  assert.equal(links.find("a", "a1"), undefined);
+});
+
+test("A link that is never used opens nothing", async () => {
+  const links = PeerLinks.create({ peerSecret: "secret-of-the-peers" });
+  const names = Array.from({ length: 5_000 }, (_, number) => `a${number}`);
+  links.replaceAll(
+    names.map((name) => ({ name, incarnation: name, peerUrl: "not a URL" })),
+  );
+  links.renew("a1");
+  await links.close();
+  assert.equal(links.incarnationOf("a1"), "a1");
+  assert.throws(() => links.find("a1", "a1"));
+});
