Send a stream's head together with the data that came with it

Cause: the head was flushed on its own, a write on the connection that the data behind it, read from the agent in the same turn, had to follow with a second. In a profile of the entry (2,500 requests of 8 tokens, one caller) writev was the largest single cost, 1.5 s of 7.8 s. The head now waits for the end of the turn. The first test failed before: 2 writes, now 1.

--- a/daemon/serve-callers/src/caller_answer.ts
+++ b/daemon/serve-callers/src/caller_answer.ts
@@ -3,6 +3,7 @@
 import { describeOutcome } from "@dandelionbank/describe-outcome";
 import type { Outcome } from "@dandelionbank/types";
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
+import process from "node:process";
 
 export interface StartOptions {
   readonly status: number;
@@ -31,6 +32,7 @@
   readonly #requestId: string;
   readonly #entry: string;
   #isEventStream = false;
+  #hasWritten = false;
 
   private constructor(
     response: ServerResponse,
@@ -62,14 +64,16 @@
         ? {}
         : { "content-length": String(options.lengthBytes) }),
     });
-    if (this.#isEventStream) this.#response.flushHeaders();
+    if (this.#isEventStream) process.nextTick(() => this.#flushHead());
   }
 
   write(chunk: string | Buffer): boolean {
+    this.#hasWritten = true;
     return this.#response.write(chunk);
   }
 
   end(): void {
+    this.#hasWritten = true;
     this.#response.end();
   }
 
@@ -89,6 +93,7 @@
       return;
     }
     if (this.#isEventStream) {
+      this.#hasWritten = true;
       this.#response.end(`event: error\ndata: ${body}\n\n`);
       return;
     }
@@ -105,6 +110,11 @@
     });
   }
 
+  /** Data that came with the head has taken it along. */
+  #flushHead(): void {
+    if (!this.#hasWritten) this.#response.flushHeaders();
+  }
+
   #ownHeaders(): OutgoingHttpHeaders {
     return {
       "dandelionbank-request-id": this.#requestId,
--- /dev/null
+++ b/daemon/serve-callers/src/caller_answer_test.ts
@@ -0,0 +1,102 @@
+import assert from "node:assert/strict";
+import { createServer, request, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { HttpCallerAnswer } from "./caller_answer.ts";
+
+const HEAD = {
+  status: 200,
+  contentType: "text/event-stream",
+  target: "target-1",
+} as const;
+
+test("A head and the data that came with it leave in one write", async (t) => {
+  const { writes, text } = await answer(t, (response) => {
+    const caller = createAnswer(response);
+    caller.start(HEAD);
+    caller.write("data: 1\n\n");
+    caller.end();
+  });
+  assert.equal(text, "data: 1\n\n");
+  assert.equal(writes, 1);
+});
+
+test("A head leaves at once when no data came with it", async (t) => {
+  let finish = (): void => {};
+  const { writes, text } = await answer(t, (response) => {
+    const caller = createAnswer(response);
+    caller.start(HEAD);
+    finish = () => {
+      caller.write("data: 1\n\n");
+      caller.end();
+    };
+  }, () => finish());
+  assert.equal(text, "data: 1\n\n");
+  assert.equal(writes, 2);
+});
+
+test("An error that came with the head still reaches the caller", async (t) => {
+  const { status, text } = await answer(t, (response) => {
+    const caller = createAnswer(response);
+    caller.start(HEAD);
+    caller.giveUp({ kind: "unknown", code: "answerCut" });
+  });
+  assert.equal(status, 200);
+  assert.match(text, /^event: error\n/);
+});
+
+function createAnswer(response: ServerResponse): HttpCallerAnswer {
+  return HttpCallerAnswer.create(response, {
+    requestId: "request-1",
+    entry: "entry-1",
+  });
+}
+
+interface Answered {
+  readonly status: number;
+  readonly text: string;
+  /** Writes on the connection. */
+  readonly writes: number;
+}
+
+async function answer(
+  t: TestContext,
+  respond: (response: ServerResponse) => void,
+  onHead: () => void = () => {},
+): Promise<Answered> {
+  let writes = 0;
+  const server = createServer((_, response) => respond(response));
+  server.on("connection", (socket) => countWrites(socket, () => writes += 1));
+  t.after(() => server.close());
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  return await new Promise((resolve, reject) => {
+    const options = { host: "127.0.0.1", port, agent: false };
+    const sent = request(options, (response) => {
+      let text = "";
+      onHead();
+      response.setEncoding("utf8");
+      response.on("data", (part: string) => text += part);
+      response.on("end", () => {
+        resolve({ status: response.statusCode ?? 0, text, writes });
+      });
+    });
+    sent.on("error", reject);
+    sent.end();
+  });
+}
+
+function countWrites(socket: Socket, count: () => void): void {
+  const writeOne = socket._write.bind(socket);
+  const writeMany = socket._writev?.bind(socket);
+  socket._write = (chunk, encoding, done) => {
+    count();
+    writeOne(chunk, encoding, done);
+  };
+  socket._writev = (chunks, done) => {
+    count();
+    writeMany?.(chunks, done);
+  };
+}
