--- a/daemon/follow-peers/src/agent_follower.ts
+++ b/daemon/follow-peers/src/agent_follower.ts
@@ -2,6 +2,8 @@
  * Shows agents this entry's view: their planned stop, closings and timeouts.
  * Each agent is shown the view by a few entries only, chosen by rendezvous
  * hashing, at once when something for it changed and else once an interval.
+ * An agent that has seen a revision has seen every closing up to it, so only
+ * later ones are shown: closings grow in number for as long as a site lives.
  */
 
 import type { TextHash } from "@dandelionbank/hash-text";
@@ -33,7 +35,8 @@
 
 interface FollowedAgent {
   readonly registration: AgentRegistration;
-  readonly client: AgentClient;
+  /** Opened at the first call: an entry calls few of a fleet's agents. */
+  client: AgentClient | undefined;
   status: AgentStatus | undefined;
   failures: number;
   isAsking: boolean;
@@ -71,7 +74,7 @@
   find(target: string, incarnation: string): AgentClient | undefined {
     const agent = this.#agents.get(target);
     return agent?.registration.incarnation === incarnation
-      ? agent.client
+      ? this.#clientOf(agent)
       : undefined;
   }
 
@@ -96,10 +99,9 @@
     }
     for (const { name, value } of view.agents.values()) {
       if (this.#agents.has(name)) continue;
-      const { peerUrl } = value;
       this.#agents.set(name, {
         registration: value,
-        client: createAgentClient({ ...this.#options.access, peerUrl }),
+        client: undefined,
         status: undefined,
         failures: 0,
         isAsking: false,
@@ -108,6 +110,12 @@
     }
   }
 
+  #clientOf(agent: FollowedAgent): AgentClient {
+    const { peerUrl } = agent.registration;
+    agent.client ??= createAgentClient({ ...this.#options.access, peerUrl });
+    return agent.client;
+  }
+
   #chooseShown(view: View): void {
     const { entry, hash } = this.#options;
     const entries = [...view.entries.keys()];
@@ -130,8 +138,8 @@
     agent.isAsking = true;
     agent.isChanged = false;
     try {
-      const shown = this.#viewFor(agent.registration, view);
-      agent.status = await agent.client.applyView.mutate({
+      const shown = this.#viewFor(agent, view);
+      agent.status = await this.#clientOf(agent).applyView.mutate({
         ...shown,
         closings: [...shown.closings],
       });
@@ -147,7 +155,7 @@
     }
   }
 
-  #viewFor(registration: AgentRegistration, view: View): AgentView {
+  #viewFor({ registration, status }: FollowedAgent, view: View): AgentView {
     const { entry, incarnation, isLeaving } = this.#options;
     const { name } = registration.target;
     const stop = view.stops.get(name)?.value;
@@ -158,7 +166,9 @@
       revision: view.revision,
       ...(stop === undefined ? {} : { stop }),
       isLeaving: isLeaving(name),
-      closings: [...view.closings.values()].map(({ value }) => value),
+      closings: [...view.closings.values()]
+        .filter(({ revision }) => revision > (status?.viewRevision ?? 0))
+        .map(({ value }) => value),
       progressTimeoutMs: config?.progressTimeoutMs ?? 2_000,
       drainTimeoutMs: config?.drainTimeoutMs ?? 30_000,
     };
