--- a/agreement/hold-duty/src/duty_core.ts
+++ b/agreement/hold-duty/src/duty_core.ts
@@ -24,7 +24,7 @@
 }
 
 export function startDuty(options: DutyOptions): DutyState {
-  return { options, members: new Map(), claimCount: 0 };
+  return { options, members: new Map(), claimCount: 0, claimAtMs: 0 };
 }
 
 export function stepDuty(
@@ -76,6 +76,8 @@
 /** The object is not as the claim expected it; it may be gone. */
 function takeConflict(draft: DutyDraft, current: DutyObject | null): void {
   endClaim(draft);
+  const claimAtMs = draft.nowMs + draft.state.options.retryAfterMs;
+  draft.state = { ...draft.state, claimAtMs };
   if (current === null) draft.state = { ...draft.state, object: null };
   else takeObject(draft, current);
 }
@@ -123,6 +125,7 @@
   const known = draft.state.reason;
   const reason = known?.kind === kind ? known : { kind, sinceMs: draft.nowMs };
   draft.state = { ...draft.state, reason };
+  if (draft.nowMs < draft.state.claimAtMs) return;
   if (draft.nowMs - reason.sinceMs < findWait(options, kind)) return;
   const claimCount = draft.state.claimCount + 1;
   const { self, duty } = options;
--- a/agreement/hold-duty/src/duty_core_test.ts
+++ b/agreement/hold-duty/src/duty_core_test.ts
@@ -121,6 +121,9 @@
   const run = createRun();
   run.handle(seen(createObject(5, { holder: SELF, incarnation: "old" })), 0);
   run.handle({ type: "conflict", current: null }, 1);
+  run.handle({ type: "tick" }, 500);
+  assert.equal(run.effects.length, 1, "a conflict is not met with haste");
+  run.handle({ type: "tick" }, 501);
   const writes = run.effects.filter((effect) => effect.type === "write");
   assert.deepEqual(writes.map((write) => write.expectedRevision), [
     5,
--- a/agreement/hold-duty/src/duty_state.ts
+++ b/agreement/hold-duty/src/duty_state.ts
@@ -52,6 +52,8 @@
   readonly reason?: ClaimReason;
   readonly claim?: Claim;
   readonly claimCount: number;
+  /** No new claim before then, after one that met a conflict. */
+  readonly claimAtMs: number;
   /** The number under which this entry gives orders. */
   readonly fencingNumber?: number;
 }
