--- a/agreement/switch-map/src/rank_join.ts
+++ b/agreement/switch-map/src/rank_join.ts
@@ -111,6 +111,7 @@
   if (memories.length > 0) learnFromPeers(draft, memories);
   else learnFromRecords(draft, answers);
   adoptMaps(draft);
+  update(draft, { evidence: NO_EVIDENCE });
   releaseHold(draft);
 }
 
--- a/agreement/switch-map/src/rank_state.ts
+++ b/agreement/switch-map/src/rank_state.ts
@@ -50,6 +50,7 @@
   readonly group: string;
   readonly self: RankIncarnation;
   readonly groupSize: number;
+  /** Used until the agent serves. */
   readonly evidence: RankEvidence;
   readonly askIntervalMs: number;
   /** Newest incarnation known, by rank. */
