Give an agent of the soak that has ended no answers

The rank's answer to a command started a timer on an agent that had ended, which ran on beside its successor and released the rank's hold: a fault of the fake, not of the core, which relies on a predecessor's orders having ended. Ruled out by the trace: every message between agents was as it should be.

--- a/testing/soak/src/map/rank_vm.ts
+++ b/testing/soak/src/map/rank_vm.ts
@@ -176,7 +176,9 @@
     return { type: "mapSwitched", mapVersion };
   }
 
+  /** An agent that has ended gets no answer. */
   #reply(event: RankEvent): void {
+    if (!this.#world.queue.isRunning(this.name)) return;
     const run = () => this.#handle(event);
     this.#world.queue.startTimer(this.name, { delayMs: 0, run });
   }
