--- a/testing/check-switch/src/explore_test.ts
+++ b/testing/check-switch/src/explore_test.ts
@@ -23,6 +23,18 @@
   assert.ok(result.states > 10_000, `${result.states} states`);
 });
 
+test("Every order with one replacement after all promises leaves one map per step", () => {
+  const result = checkSwitch({
+    scenario: "promised",
+    replacements: 1,
+    changes: 0,
+    maxStates: MAX_STATES,
+  });
+  assert.equal(result.violation, undefined);
+  assert.equal(result.truncated, false);
+  assert.ok(result.continuations > 1_000, `${result.continuations} continued`);
+});
+
 interface Mutant {
   readonly name: string;
   readonly scenario?: ScenarioName;
