--- a/agreement/switch-map/src/rank_core.ts
+++ b/agreement/switch-map/src/rank_core.ts
@@ -34,8 +34,8 @@
   finishSwitch,
   orderStaging,
 } from "./rank_takeover.ts";
+import { abortOpen } from "./rank_outcomes.ts";
 import {
-  abortOpen,
   considerProposal,
   listMissing,
   recordPromises,
--- a/agreement/switch-map/src/rank_votes.ts
+++ b/agreement/switch-map/src/rank_votes.ts
@@ -7,26 +7,20 @@
  * rank, because its successor answers for it.
  */
 
-import type {
-  MapProposal,
-  RankIncarnation,
-  Recipient,
-  VoteKind,
-  VoteMessage,
-} from "./messages.ts";
-import {
-  describeProposal,
-  listPeers,
-  reportViolation,
-  sendVote,
-  update,
-} from "./rank_draft.ts";
+import type { MapProposal, RankIncarnation, Recipient } from "./messages.ts";
+import { listPeers, sendVote, update } from "./rank_draft.ts";
 import type { RankDraft } from "./rank_draft.ts";
-import type { OpenProposal, RankState } from "./rank_state.ts";
-import { holdStep, releaseHold, takeOver } from "./rank_takeover.ts";
-
-/** What a rank knows of a proposal. */
-export type KnownVote = Omit<VoteMessage, "type" | "toIncarnation">;
+import {
+  abortOpen,
+  answerAll,
+  checkNotCommitted,
+  checkSameOutcome,
+  commitOpen,
+  findOutcome,
+} from "./rank_outcomes.ts";
+import type { KnownVote } from "./rank_outcomes.ts";
+import type { RankState } from "./rank_state.ts";
+import { holdStep } from "./rank_takeover.ts";
 
 /** Votes on a proposal, or tells what became of it. */
 export function considerProposal(
@@ -185,35 +179,6 @@
   });
 }
 
-export function abortOpen(draft: RankDraft): void {
-  const { open, closedVersion } = draft.state;
-  if (open === undefined) return;
-  const { mapVersion, fromStep } = open.proposal;
-  const { open: _, ...rest } = draft.state;
-  draft.state = {
-    ...rest,
-    closedVersion: Math.max(closedVersion, mapVersion),
-  };
-  draft.effects.push({
-    type: "settled",
-    mapVersion,
-    fromStep,
-    committed: false,
-  });
-  answerAll(draft, open, "aborted");
-  releaseHold(draft);
-}
-
-function findOutcome(
-  state: RankState,
-  mapVersion: number,
-): VoteKind | undefined {
-  if (state.current.mapVersion === mapVersion) return "committed";
-  if (state.previous.mapVersion === mapVersion) return "committed";
-  if (state.open?.proposal.mapVersion === mapVersion) return undefined;
-  return mapVersion <= state.closedVersion ? "aborted" : undefined;
-}
-
 function mayPromise(state: RankState, proposal: MapProposal): boolean {
   if (state.open !== undefined || state.switching.length > 0) return false;
   if (proposal.fencingNumber < state.fencingFloor) return false;
@@ -245,74 +210,8 @@
   return JSON.stringify(one) === JSON.stringify(other);
 }
 
-function answerAll(
-  draft: RankDraft,
-  open: OpenProposal,
-  vote: VoteKind,
-): void {
-  const { mapVersion } = open.proposal;
-  for (const asker of open.askedBy) {
-    sendVote(draft, asker, { mapVersion, vote });
-  }
-}
-
 function commitIfUnanimous(draft: RankDraft): void {
   const { open } = draft.state;
   if (open === undefined || !open.promised) return;
   if (listMissing(draft.state).length === 0) commitOpen(draft, open);
 }
-
-function commitOpen(draft: RankDraft, open: OpenProposal): void {
-  const { mapVersion, fromStep } = open.proposal;
-  if (draft.state.step >= fromStep) {
-    reportViolation(
-      draft,
-      "noStepBeforeOutcome",
-      `${
-        describeProposal(open.proposal)
-      } committed at step ${draft.state.step}`,
-    );
-  }
-  const { open: _, ...rest } = draft.state;
-  draft.state = {
-    ...rest,
-    previous: draft.state.current,
-    current: { mapVersion, fromStep },
-    closedVersion: Math.max(draft.state.closedVersion, mapVersion),
-  };
-  draft.effects.push({
-    type: "settled",
-    mapVersion,
-    fromStep,
-    committed: true,
-  });
-  answerAll(draft, open, "committed");
-  takeOver(draft, [{ mapVersion, fromStep }]);
-}
-
-function checkSameOutcome(
-  draft: RankDraft,
-  message: KnownVote,
-  known: VoteKind,
-): void {
-  if (message.vote === known) return;
-  if (message.mapVersion < draft.state.previous.mapVersion) return;
-  reportViolation(
-    draft,
-    "oneOutcomePerProposal",
-    `Map ${message.mapVersion} is ${known} here and ${message.vote} at rank ${message.from.rank}`,
-  );
-}
-
-/** A commit needs this rank's promise, so it can't be news here. */
-function checkNotCommitted(
-  draft: RankDraft,
-  message: KnownVote,
-): void {
-  if (message.vote !== "committed") return;
-  reportViolation(
-    draft,
-    "oneOutcomePerProposal",
-    `Map ${message.mapVersion} is committed at rank ${message.from.rank} and was not promised here`,
-  );
-}
