Tell an attempt that ran and was forgotten from one that was refused

An idempotent keyed attempt ran, its record was forgotten, and a second attempt ran under the key; asked about the first, the agent took 'decided and not joined' for refused and said neverArrived, which a notRun can be built on. Runs are now remembered beside joins.

--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -211,6 +211,7 @@
   const { head, keyId, entry } = arrival;
   const record = createRecord(context, arrival);
   entry.decided.add(arrival.number);
+  entry.ran.add(arrival.number);
   state.keys.add(keyId, { record, once: arrival.once });
   state.keys.trimSpare((dropped) => forgetRecord(context, dropped));
   state.running.set(head.attemptId, {
--- a/routing/admit-attempts/src/incarnation_table.ts
+++ b/routing/admit-attempts/src/incarnation_table.ts
@@ -10,6 +10,8 @@
   readonly decided = DecidedNumbers.create();
   /** Attempts that were answered from another attempt under their key. */
   readonly joined = DecidedNumbers.create();
+  /** Attempts that ran here. */
+  readonly ran = DecidedNumbers.create();
   closed = false;
   /** Attempts up to this number may have run and been forgotten. */
   forgottenNumber = 0;
@@ -22,7 +24,8 @@
 
   /** Whether the attempt was refused, although its key may run since. */
   wasRefused(number: number): boolean {
-    return this.decided.has(number) && !this.joined.has(number);
+    return this.decided.has(number) && !this.joined.has(number) &&
+      !this.ran.has(number);
   }
 
   /** Whether the attempt, or another under its key, may have run. */
--- a/routing/admit-attempts/src/lifetimes_test.ts
+++ b/routing/admit-attempts/src/lifetimes_test.ts
@@ -13,6 +13,21 @@
 import type { Case } from "./test_fixtures.ts";
 
 const CASES: readonly Case[] = [
+  {
+    name: "An attempt that ran and was forgotten is not called refused",
+    options: { lingerMs: 1_000 },
+    events: [
+      [arrival({ number: 1, key: KEY, idempotent: true }), "run e1.1"],
+      [ended(1), ""],
+      [TICK, "forget e1.1", 2_000],
+      [
+        arrival({ number: 2, key: KEY, idempotent: true }),
+        "run e1.2",
+        2_000,
+      ],
+      [asked(1, KEY), "join e1.1 e1.2", 2_000],
+    ],
+  },
   {
     name: "A full table refuses new keys and forgets no live one",
     options: { maxKeys: 2 },
