Charge tokens of requests that ran, and part the request task

A request that ended other than notRun now keeps its estimate; settling by the tokens an engine reports is left. The test's four cases of requests that ran fail with the old end (run on the built file), and pass now.

--- /dev/null
+++ b/daemon/route-requests/src/answer_writer.ts
@@ -0,0 +1,70 @@
+/** Writes answers to everyone who waits, as the ledger's effects say. */
+
+import type {
+  Answer,
+  SendData,
+  SendEnd,
+  SendHead,
+} from "@dandelionbank/track-requests";
+import type { CallerTable } from "./caller_table.ts";
+import type { RequestMetrics } from "./request_metrics.ts";
+import type { RequestTable } from "./request_table.ts";
+
+export interface AnswerWriterOptions {
+  readonly callers: CallerTable;
+  readonly requests: RequestTable;
+  readonly metrics: RequestMetrics;
+  readonly readNowMs: () => number;
+  /** The caller reads more slowly than the answer comes. */
+  readonly onSlowCaller: (requestId: string) => void;
+}
+
+export class AnswerWriter {
+  readonly #options: AnswerWriterOptions;
+
+  private constructor(options: AnswerWriterOptions) {
+    this.#options = options;
+  }
+
+  static create(options: AnswerWriterOptions): AnswerWriter {
+    return new AnswerWriter(options);
+  }
+
+  writeHead(head: SendHead): void {
+    const caller = this.#options.callers.get(head.callerId);
+    if (caller === undefined) return;
+    const { status, contentType, encoding, target = "" } = head;
+    caller.port.sendHead({ status, contentType, encoding, target });
+    const elapsedMs = this.#elapsedMs(caller.requestId);
+    if (elapsedMs !== undefined) {
+      this.#options.metrics.observeFirstByte(elapsedMs);
+    }
+  }
+
+  writeData({ callerId, data }: SendData): void {
+    const caller = this.#options.callers.get(callerId);
+    if (caller === undefined || caller.port.sendData(data)) return;
+    this.#options.onSlowCaller(caller.requestId);
+  }
+
+  writeEnd(end: SendEnd): void {
+    const caller = this.#options.callers.take(end.callerId);
+    if (caller === undefined) return;
+    const { lengthBytes, digest } = end;
+    caller.port.sendEnd({ lengthBytes, digest });
+    const elapsedMs = this.#elapsedMs(caller.requestId);
+    if (elapsedMs !== undefined) {
+      this.#options.metrics.observeAnswered(elapsedMs);
+    }
+  }
+
+  giveUp({ callerId, outcome }: Answer): void {
+    this.#options.callers.take(callerId)?.port.giveUp(outcome);
+  }
+
+  /** None for a repeat, whose request was merged with an earlier one. */
+  #elapsedMs(requestId: string): number | undefined {
+    const open = this.#options.requests.get(requestId);
+    return open && this.#options.readNowMs() - open.arrivedMs;
+  }
+}
--- a/daemon/route-requests/src/request_task.ts
+++ b/daemon/route-requests/src/request_task.ts
@@ -5,14 +5,6 @@
 
 import { createBodyDigest, digestKey } from "@dandelionbank/digest-bodies";
 import type { TextHash } from "@dandelionbank/hash-text";
-import {
-  createLimitState,
-  type LimitCode,
-  type LimitEffect,
-  type LimitEvent,
-  limitRequests,
-  type LimitState,
-} from "@dandelionbank/limit-requests";
 import type { Logger } from "@dandelionbank/log-events";
 import type { HttpConnector } from "@dandelionbank/open-http";
 import type { PlacementTarget } from "@dandelionbank/pick-target";
@@ -23,7 +15,6 @@
 import type { FoundHome, HomeQuestion } from "@dandelionbank/take-over-keys";
 import {
   createTrackState,
-  type GiveUpCode,
   readFigures,
   step as trackStep,
   type TrackEffect,
@@ -31,17 +22,18 @@
   type TrackState,
 } from "@dandelionbank/track-requests";
 import type { RelayMessage, View } from "@dandelionbank/types";
-import { randomUUID } from "node:crypto";
+import { AnswerWriter } from "./answer_writer.ts";
 import { AttemptSender } from "./attempt_sender.ts";
 import { CallerTable } from "./caller_table.ts";
 import { HttpCallerPort } from "./http_caller_port.ts";
 import { Placer } from "./placer.ts";
 import { SuspectTask } from "./suspect_task.ts";
 import { RelayPort } from "./relay_port.ts";
+import { openFromCaller, openFromRelay } from "./open_request.ts";
+import { RequestLimiter } from "./request_limiter.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 import { type OpenRequest, RequestTable } from "./request_table.ts";
 import type { TicketOffice } from "./ticket_office.ts";
-import { contractEvents } from "./contract_events.ts";
 
 const TICK_MS = 50;
 /** Between two looks at a takeover that is not decided. */
@@ -82,32 +74,24 @@
   readonly readNowMs: () => number;
 }
 
-interface LimitRefusal {
-  readonly code: GiveUpCode;
-  readonly retryAfterMs: number;
+interface InvariantViolation {
+  readonly invariant: string;
+  readonly detail: string;
 }
 
-const LIMIT_CODES: Readonly<Record<LimitCode, GiveUpCode>> = {
-  DANDELIONBANK_ORGANISATION_UNKNOWN: "organisationUnknown",
-  DANDELIONBANK_RATE_LIMITED: "rateLimited",
-  DANDELIONBANK_CONCURRENCY_LIMITED: "concurrencyLimited",
-  DANDELIONBANK_TOKENS_LIMITED: "tokensLimited",
-  DANDELIONBANK_OVERLOADED: "overloaded",
-};
-
 export class RequestTask {
   readonly #options: RequestTaskOptions;
   readonly #tracker: CoreRunner<TrackState, TrackEvent, TrackEffect>;
-  readonly #limiter: CoreRunner<LimitState, LimitEvent, LimitEffect>;
+  readonly #limiter: RequestLimiter;
   readonly #placer: Placer;
   readonly #suspects: SuspectTask;
   readonly #sender: AttemptSender;
   readonly #requests = RequestTable.create();
   readonly #callers = CallerTable.create();
+  readonly #answers: AnswerWriter;
   readonly #timer: NodeJS.Timeout;
   #view: View | undefined;
   #ticks = 0;
-  #lastRefusal: LimitRefusal | undefined;
 
   private constructor(options: RequestTaskOptions) {
     this.#options = options;
@@ -122,16 +106,10 @@
       perform: (effect) => this.#perform(effect),
       readNowMs,
     });
-    this.#limiter = CoreRunner.create({
-      initial: createLimitState(options.entry),
-      step: limitRequests,
-      perform: (effect) => this.#takeLimit(effect),
-      readNowMs,
-    });
-    this.#placer = Placer.create({
-      ...options,
-      onViolation: (violation) => this.#reportViolation(violation),
-    });
+    const onViolation = (violation: InvariantViolation): void =>
+      this.#reportViolation(violation);
+    this.#limiter = RequestLimiter.create({ ...options, onViolation });
+    this.#placer = Placer.create({ ...options, onViolation });
     this.#suspects = SuspectTask.create(options);
     this.#sender = AttemptSender.create({
       ...options,
@@ -140,6 +118,12 @@
       onHomeSilent: options.onHomeSilent,
       placer: this.#placer,
     });
+    this.#answers = AnswerWriter.create({
+      ...options,
+      callers: this.#callers,
+      requests: this.#requests,
+      onSlowCaller: (requestId) => this.#sender.pause(requestId),
+    });
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
   }
 
@@ -155,7 +139,7 @@
   applyView(view: View): void {
     const before = this.#view;
     this.#view = view;
-    for (const event of contractEvents(before, view)) this.#limiter.post(event);
+    this.#limiter.applyView(before, view);
     if (before?.entries !== view.entries) this.#takeEntries(view);
     if (before?.agents !== view.agents) this.#takeAgents(view);
     if (before?.config !== view.config) this.#takeTiming(view);
@@ -172,8 +156,7 @@
 
   /** Takes a caller's request that passed the checks at the edge. */
   handle(request: CallerRequest, answer: CallerAnswer): void {
-    const { requestId, contract, call } = request;
-    const { organisation } = contract;
+    const { organisation } = request.contract;
     const port = HttpCallerPort.create(answer);
     const key = request.key === undefined
       ? undefined
@@ -187,26 +170,7 @@
       });
     }
     this.#begin({
-      open: {
-        requestId,
-        organisation,
-        pool: call.pool,
-        fingerprint: request.fingerprint,
-        idempotent: call.idempotent,
-        resumable: call.idempotent && call.estimatedTokens > 0,
-        promptPrefix: call.promptPrefix,
-        method: request.method,
-        path: call.path,
-        contentType: request.contentType,
-        priority: contract.priority,
-        viewRevision: request.viewRevision,
-        ticket: key?.ticket,
-        keyText: request.key,
-        body: request.body,
-        arrivedMs: this.#options.readNowMs(),
-        estimatedTokens: call.estimatedTokens,
-        isLimited: false,
-      },
+      open: openFromCaller(request, { key, nowMs: this.#options.readNowMs() }),
       port,
       timeLeftMs: request.config.requestTimeoutMs,
     });
@@ -224,27 +188,9 @@
       ? undefined
       : this.#options.tickets.readKey(head.organisation, head.key);
     if (key === undefined) return responder.end();
+    const nowMs = this.#options.readNowMs();
     this.#begin({
-      open: {
-        requestId: randomUUID(),
-        organisation: head.organisation,
-        pool: message.pool,
-        fingerprint: head.fingerprint,
-        idempotent: head.idempotent,
-        resumable: message.resumable,
-        promptPrefix: "",
-        method: head.method,
-        path: head.path,
-        contentType: head.contentType,
-        priority: head.priority,
-        viewRevision: head.viewRevision,
-        ticket: key.ticket,
-        keyText: head.key,
-        body,
-        arrivedMs: this.#options.readNowMs(),
-        estimatedTokens: message.estimatedTokens,
-        isLimited: false,
-      },
+      open: openFromRelay(message, body, { key, nowMs }),
       port,
       timeLeftMs: head.timeLeftMs,
       relay: {
@@ -349,14 +295,13 @@
       case "cancelAttempt":
         return this.#sender.cancel(effect.attemptId);
       case "sendHead":
-        return this.#sendHead(effect);
+        return this.#answers.writeHead(effect);
       case "sendData":
-        return this.#sendData(effect.callerId, effect.data);
+        return this.#answers.writeData(effect);
       case "sendEnd":
-        return this.#sendEnd(effect);
+        return this.#answers.writeEnd(effect);
       case "answer":
-        this.#callers.take(effect.callerId)?.port.giveUp(effect.outcome);
-        return;
+        return this.#answers.giveUp(effect);
       case "attemptCrashed":
         this.#suspects.lose(effect);
         this.#options.logger.log("attemptCrashed", {
@@ -409,7 +354,8 @@
       this.#tracker.post({ type: "noTarget", requestId, code, retryAfterMs });
       return;
     }
-    const refusal = this.#limit(requestId);
+    const open = this.#requests.get(requestId);
+    const refusal = open && this.#limiter.admit(open);
     if (refusal !== undefined) {
       this.#options.metrics.countRefusal(refusal.code);
       this.#tracker.post({ type: "noTarget", requestId, ...refusal });
@@ -417,7 +363,7 @@
     }
     const suspected = verdict.kind === "suspect" ? verdict.avoid : [];
     const avoid = [...wanted.avoid, ...suspected];
-    const promptPrefix = this.#requests.get(requestId)?.promptPrefix ?? "";
+    const promptPrefix = open?.promptPrefix ?? "";
     const picked = this.#placer.pick({ requestId, pool, avoid, promptPrefix });
     if (picked.kind === "refused") {
       const code = picked.code === "DANDELIONBANK_POOL_BUSY"
@@ -437,41 +383,6 @@
     });
   }
 
-  #sendHead(head: {
-    readonly callerId: string;
-    readonly status: number;
-    readonly contentType: string;
-    readonly encoding: "utf8" | "base64";
-  }): void {
-    const caller = this.#callers.get(head.callerId);
-    if (caller === undefined) return;
-    const open = this.#requests.get(caller.requestId);
-    const target = this.#sender.targetOf(caller.requestId) ?? "";
-    caller.port.sendHead({ ...head, target });
-    if (open === undefined) return;
-    const elapsedMs = this.#options.readNowMs() - open.arrivedMs;
-    this.#options.metrics.observeFirstByte(elapsedMs);
-  }
-
-  #sendData(callerId: string, data: string): void {
-    const caller = this.#callers.get(callerId);
-    if (caller === undefined || caller.port.sendData(data)) return;
-    this.#sender.pause(caller.requestId);
-  }
-
-  #sendEnd(end: {
-    readonly callerId: string;
-    readonly lengthBytes: number;
-    readonly digest: string;
-  }): void {
-    const caller = this.#callers.take(end.callerId);
-    const open = this.#requests.get(caller?.requestId ?? "");
-    caller?.port.sendEnd(end);
-    if (open === undefined) return;
-    const elapsedMs = this.#options.readNowMs() - open.arrivedMs;
-    this.#options.metrics.observeAnswered(elapsedMs);
-  }
-
   #endRequest(ended: Extract<TrackEffect, { type: "requestEnded" }>): void {
     const { requestId, outcome, target } = ended;
     const { metrics, logger } = this.#options;
@@ -482,40 +393,7 @@
     if (open === undefined) return;
     const { organisation } = open;
     logger.log("requestEnded", { requestId, organisation, outcome, target });
-    if (!open.isLimited) return;
-    this.#limiter.post({ type: "requestEnded", requestId, actualTokens: 0 });
-  }
-
-  /**
-   * Holds the organisation to its contract, once a request. A repeat of a key
-   * that is known never comes this far, so that no refusal speaks for it.
-   */
-  #limit(requestId: string): LimitRefusal | undefined {
-    const open = this.#requests.get(requestId);
-    if (open === undefined || open.isLimited) return undefined;
-    this.#lastRefusal = undefined;
-    this.#limiter.post({
-      type: "requestArrived",
-      requestId,
-      organisation: open.organisation,
-      pool: open.pool,
-      estimatedTokens: open.estimatedTokens,
-    });
-    const refusal = this.#readRefusal();
-    open.isLimited = refusal === undefined;
-    return refusal;
-  }
-
-  #readRefusal(): LimitRefusal | undefined {
-    return this.#lastRefusal;
-  }
-
-  #takeLimit(effect: LimitEffect): void {
-    if (effect.type === "refuse") {
-      const { retryAfterMs } = effect;
-      this.#lastRefusal = { code: LIMIT_CODES[effect.code], retryAfterMs };
-    }
-    if (effect.type === "invariantViolated") this.#reportViolation(effect);
+    this.#limiter.end(open, outcome);
   }
 
   #takeTiming(view: View): void {
@@ -531,11 +409,6 @@
 
   #takeEntries(view: View): void {
     const entries = [...view.entries.values()].map(({ value }) => value);
-    this.#limiter.post({
-      type: "entriesChanged",
-      entry: this.#options.entry,
-      entries: entries.map(({ name }) => name).sort(),
-    });
     this.#sender.replaceEntries(
       entries.map(({ incarnation, peerUrl }) => ({
         name: incarnation,
@@ -556,12 +429,7 @@
     );
   }
 
-  #reportViolation(
-    { invariant, detail }: {
-      readonly invariant: string;
-      readonly detail: string;
-    },
-  ): void {
+  #reportViolation({ invariant, detail }: InvariantViolation): void {
     this.#options.metrics.countViolation(invariant);
     this.#options.logger.log("invariantViolated", { invariant, detail });
   }
@@ -569,7 +437,7 @@
   #tick(): void {
     this.#ticks += 1;
     this.#tracker.post({ type: "tick" });
-    this.#limiter.post({ type: "tick" });
+    this.#limiter.tick();
     this.#suspects.tick();
     if (this.#ticks % TICKS_PER_BEAT === 0) this.#callers.beat();
   }
