--- a/daemon/serve-callers/src/caller_server.ts
+++ b/daemon/serve-callers/src/caller_server.ts
@@ -5,21 +5,18 @@
  */
 
 import { readBearerKey } from "@dandelionbank/check-credential";
+import { HttpListener } from "@dandelionbank/listen-http";
 import type { TlsMaterial } from "@dandelionbank/load-tls";
 import { digestRequest } from "@dandelionbank/digest-bodies";
 import type { EdgeCode } from "@dandelionbank/describe-outcome";
 import { OPERATOR_PATH } from "@dandelionbank/operator-api";
 import { readCall } from "@dandelionbank/read-call";
 import type { Config, Contract } from "@dandelionbank/types";
-import {
-  createServer,
-  type IncomingMessage,
-  type RequestListener,
-  type Server,
-  type ServerResponse,
+import type {
+  IncomingMessage,
+  RequestListener,
+  ServerResponse,
 } from "node:http";
-import { createServer as createTlsServer } from "node:https";
-import type { AddressInfo } from "node:net";
 import { type CallerAnswer, HttpCallerAnswer } from "./caller_answer.ts";
 import { type CallerRequest, createRequestId } from "./caller_request.ts";
 import { readBody } from "./read_body.ts";
@@ -69,15 +66,14 @@
 
 export class CallerServer {
   readonly #options: CallerServerOptions;
-  readonly #server: Server;
+  readonly #server: HttpListener;
 
   private constructor(options: CallerServerOptions) {
     this.#options = options;
-    const listener: RequestListener = (request, response) =>
-      void this.#serve(request, response);
-    this.#server = options.tls === undefined
-      ? createServer(listener)
-      : createSecureServer(options.tls, listener);
+    this.#server = HttpListener.create({
+      ...options,
+      listener: (request, response) => void this.#serve(request, response),
+    });
   }
 
   static create(options: CallerServerOptions): CallerServer {
@@ -86,22 +82,12 @@
 
   /** Resolves with the port that it listens on. */
   listen(): Promise<number> {
-    const { host, port } = this.#options;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        this.#server.removeListener("error", reject);
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    return this.#server.listen();
   }
 
-  /** Takes no new connections and waits for those under way. */
+  /** Takes no new connections and waits for the requests under way. */
   close(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
-    });
+    return this.#server.close();
   }
 
   async #serve(
@@ -227,12 +213,3 @@
   });
   response.end(body);
 }
-
-function createSecureServer(
-  tls: TlsMaterial,
-  listener: RequestListener,
-): Server {
-  const server = createTlsServer(tls.serverOptions(), listener);
-  tls.follow(server);
-  return server;
-}
--- a/peers/serve-peers/src/peer_server.ts
+++ b/peers/serve-peers/src/peer_server.ts
@@ -5,23 +5,18 @@
 
 import { encodeFrame, parseMessage } from "@dandelionbank/exchange-attempts";
 import { isSameSecret, readBearerKey } from "@dandelionbank/check-credential";
+import { HttpListener } from "@dandelionbank/listen-http";
 import type { TlsMaterial } from "@dandelionbank/load-tls";
 import type { PeerFrame, PeerMessage } from "@dandelionbank/types";
 import type { AnyRouter } from "@trpc/server";
-import {
-  createServer,
-  type IncomingMessage,
-  type RequestListener,
-  type Server,
-  type ServerResponse,
-} from "node:http";
-import { createServer as createTlsServer } from "node:https";
-import type { AddressInfo } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { serveCall } from "./serve_call.ts";
 
 const TRPC_PREFIX = "/trpc/";
 const ATTEMPTS_PATH = "/attempts";
 const LINE_FEED = 10;
+/** Longer than entries keep their connections, so that they close first. */
+const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
 /** Longest body of an attempt: the callers' limit and the head. */
 const ATTEMPT_LIMIT_BYTES = 64 * 1024 * 1024;
@@ -58,16 +53,15 @@
 
 export class PeerServer {
   readonly #options: PeerServerOptions;
-  readonly #server: Server;
+  readonly #server: HttpListener;
 
   private constructor(options: PeerServerOptions) {
     this.#options = options;
-    const listener: RequestListener = (request, response) =>
-      this.#serve(request, response);
-    this.#server = options.tls === undefined
-      ? createServer(listener)
-      : createMutualTlsServer(options.tls, listener);
-    this.#server.keepAliveTimeout = 60_000;
+    this.#server = HttpListener.create({
+      ...options,
+      listener: (request, response) => this.#serve(request, response),
+      keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
+    });
   }
 
   static create(options: PeerServerOptions): PeerServer {
@@ -76,22 +70,12 @@
 
   /** Resolves with the port that it listens on. */
   listen(): Promise<number> {
-    const { host, port } = this.#options;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        this.#server.removeListener("error", reject);
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    return this.#server.listen();
   }
 
-  /** Takes no new connections and waits for the attempts under way. */
+  /** Takes no new connections and waits for the requests under way. */
   close(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
-    });
+    return this.#server.close();
   }
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
@@ -166,12 +150,3 @@
     },
   };
 }
-
-function createMutualTlsServer(
-  tls: TlsMaterial,
-  listener: RequestListener,
-): Server {
-  const server = createTlsServer(tls.serverOptions(), listener);
-  tls.follow(server);
-  return server;
-}
