Do not pass on a home's notRun after the request's deadline

An entry slept with the home's notRun in its queue, woke after the request's deadline and passed the word on, while the caller had sent the call again and another entry had run it. The word was true when the home spoke and not when the caller heard it. The entry now looks at the clock after the wait and before the act. Ruled out: judging the soak's check too strict.

--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -198,6 +198,10 @@
   if (outcome.kind !== "notRun" && outcome.code === "homeUnreachable") {
     return seekHomeLater(context, request);
   }
+  if (outcome.kind === "notRun" && context.nowMs >= request.deadlineMs) {
+    // The caller may have sent it again since, and that may have run.
+    return giveUp(context, { request, reason: { code: "deadlineExceeded" } });
+  }
   endWith(context, { request, outcome: acceptFromHome(outcome) });
 }
 
--- a/routing/track-requests/src/homes_test.ts
+++ b/routing/track-requests/src/homes_test.ts
@@ -15,6 +15,33 @@
 import type { Case } from "./test_fixtures.ts";
 
 const CASES: readonly Case[] = [
+  {
+    name: "A word of the home that comes after the deadline is not passed on",
+    lines: [
+      [arrived("1", { ...KEYED, timeLeftMs: 900 }), "findHome r1"],
+      [
+        home("1", { kind: "elsewhere", incarnation: "e2" }),
+        "pass e1.1 e2 over ",
+      ],
+      [
+        {
+          type: "frameArrived",
+          frame: {
+            type: "outcome",
+            attemptId: "e1.1",
+            outcome: {
+              kind: "notRun",
+              proof: { kind: "neverDispatched" },
+              code: "keyReused",
+              retryAfterMs: 0,
+            },
+          },
+        },
+        "1<unknown deadlineExceeded,ended unknown",
+        900,
+      ],
+    ],
+  },
   {
     name: "A home that hangs up is asked again only after a while",
     lines: [
