Tell a suspect's caller when its targets count no longer

Cause: found on processes: after the loss of its one target, a call was refused by a pool of that target for up to five minutes, each time with 10 ms as the time to come back, which was untrue. The verdict on a suspect now says when the loss is forgotten, and the refusal carries it; the memory is one minute, as in the soak, in place of five. The test of the verdict expects the new field besides what it expected before. 21 tests of quarantine, its soak and the request task pass. Left: trying a lost target again sooner once it is known why it was lost.

--- a/daemon/route-requests/src/request_task.ts
+++ b/daemon/route-requests/src/request_task.ts
@@ -369,7 +369,8 @@
       const code = picked.code === "DANDELIONBANK_POOL_BUSY"
         ? "overloaded"
         : "noTarget";
-      const { retryAfterMs } = picked;
+      const clearInMs = verdict.kind === "suspect" ? verdict.clearInMs : 0;
+      const retryAfterMs = Math.max(picked.retryAfterMs, clearInMs);
       this.#tracker.post({ type: "noTarget", requestId, code, retryAfterMs });
       return;
     }
--- a/daemon/route-requests/src/suspect_task.ts
+++ b/daemon/route-requests/src/suspect_task.ts
@@ -16,7 +16,7 @@
 const QUARANTINE_OPTIONS = {
   quarantineMs: 600_000,
   settleMs: 1_000,
-  memoryMs: 300_000,
+  memoryMs: 60_000,
   maxFingerprints: 10_000,
 } as const;
 
--- a/routing/quarantine-requests/src/events.ts
+++ b/routing/quarantine-requests/src/events.ts
@@ -43,5 +43,10 @@
  */
 export type Verdict =
   | { readonly kind: "clear" }
-  | { readonly kind: "suspect"; readonly avoid: readonly string[] }
+  | {
+    readonly kind: "suspect";
+    readonly avoid: readonly string[];
+    /** When the lost targets count no longer, if nothing more is lost. */
+    readonly clearInMs: number;
+  }
   | { readonly kind: "quarantined"; readonly retryAfterMs: number };
--- a/routing/quarantine-requests/src/quarantine_requests.ts
+++ b/routing/quarantine-requests/src/quarantine_requests.ts
@@ -71,9 +71,19 @@
   const held = judgeAtMs !== undefined && losses.size > 1;
   const untilMs = Math.max(quarantinedUntilMs, held ? judgeAtMs : 0);
   const leftMs = untilMs - state.nowMs;
-  return leftMs > 0
-    ? { kind: "quarantined", retryAfterMs: leftMs }
-    : { kind: "suspect", avoid: [...losses.keys()] };
+  if (leftMs > 0) return { kind: "quarantined", retryAfterMs: leftMs };
+  const rememberedMs = rememberedSinceMs(suspicion);
+  const clearInMs = rememberedMs + state.options.memoryMs - state.nowMs;
+  const avoid = [...losses.keys()];
+  return { kind: "suspect", avoid, clearInMs: Math.max(0, clearInMs) };
+}
+
+/** From then on the suspicion is kept for the time of memory. */
+function rememberedSinceMs(suspicion: Suspicion): number {
+  const { losses, quarantinedUntilMs } = suspicion;
+  return quarantinedUntilMs > 0
+    ? quarantinedUntilMs
+    : Math.max(0, ...[...losses.values()].map(({ atMs }) => atMs));
 }
 
 function handle(context: Context, event: QuarantineEvent): void {
@@ -164,10 +174,7 @@
     for (const target of [...losses.keys()].slice(1)) {
       if (quarantinedUntilMs > 0) losses.delete(target);
     }
-    const rememberedMs = quarantinedUntilMs > 0
-      ? quarantinedUntilMs
-      : Math.max(0, ...[...losses.values()].map(({ atMs }) => atMs));
-    if (nowMs - rememberedMs >= options.memoryMs) {
+    if (nowMs - rememberedSinceMs(suspicion) >= options.memoryMs) {
       suspicions.delete(fingerprint);
     }
   }
--- a/routing/quarantine-requests/src/quarantine_requests_test.ts
+++ b/routing/quarantine-requests/src/quarantine_requests_test.ts
@@ -60,6 +60,7 @@
   assert.deepEqual(judge(entry.state, "innocent"), {
     kind: "suspect",
     avoid: ["A"],
+    clearInMs: OPTIONS.memoryMs - 200,
   });
   assert.equal(entry.kind("other"), "clear");
 });
