Give the choice of a target a module of its own

Cause: the request task still did three jobs; who may run where, asked of the quarantine, the contract and placement in that order, now reads in one place.

--- a/daemon/route-requests/src/request_task.ts
+++ b/daemon/route-requests/src/request_task.ts
@@ -33,6 +33,7 @@
 import { RequestLimiter } from "./request_limiter.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 import { type OpenRequest, RequestTable } from "./request_table.ts";
+import { TargetChooser } from "./target_chooser.ts";
 import type { TicketOffice } from "./ticket_office.ts";
 
 const TICK_MS = 50;
@@ -89,6 +90,7 @@
   readonly #requests = RequestTable.create();
   readonly #callers = CallerTable.create();
   readonly #answers: AnswerWriter;
+  readonly #chooser: TargetChooser;
   readonly #timer: NodeJS.Timeout;
   #view: View | undefined;
   #ticks = 0;
@@ -124,6 +126,14 @@
       requests: this.#requests,
       onSlowCaller: (requestId) => this.#sender.pause(requestId),
     });
+    this.#chooser = TargetChooser.create({
+      ...options,
+      requests: this.#requests,
+      suspects: this.#suspects,
+      limiter: this.#limiter,
+      placer: this.#placer,
+      sender: this.#sender,
+    });
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
   }
 
@@ -276,7 +286,7 @@
       case "findHome":
         return this.#findHome(effect);
       case "pickTarget":
-        return this.#pick(effect);
+        return this.#tracker.post(this.#chooser.choose(effect));
       case "dispatch":
         return this.#sender.dispatch(
           effect,
@@ -340,50 +350,6 @@
     this.#tracker.post({ type: "homeFound", requestId, home: found });
   }
 
-  #pick(wanted: {
-    readonly requestId: string;
-    readonly pool: string;
-    readonly fingerprint: string;
-    readonly avoid: readonly string[];
-  }): void {
-    const { requestId, pool, fingerprint } = wanted;
-    const verdict = this.#suspects.judge(fingerprint);
-    if (verdict.kind === "quarantined") {
-      const { retryAfterMs } = verdict;
-      const code = "quarantined";
-      this.#tracker.post({ type: "noTarget", requestId, code, retryAfterMs });
-      return;
-    }
-    const open = this.#requests.get(requestId);
-    const refusal = open && this.#limiter.admit(open);
-    if (refusal !== undefined) {
-      this.#options.metrics.countRefusal(refusal.code);
-      this.#tracker.post({ type: "noTarget", requestId, ...refusal });
-      return;
-    }
-    const suspected = verdict.kind === "suspect" ? verdict.avoid : [];
-    const avoid = [...wanted.avoid, ...suspected];
-    const promptPrefix = open?.promptPrefix ?? "";
-    const picked = this.#placer.pick({ requestId, pool, avoid, promptPrefix });
-    if (picked.kind === "refused") {
-      const code = picked.code === "DANDELIONBANK_POOL_BUSY"
-        ? "overloaded"
-        : "noTarget";
-      const clearInMs = verdict.kind === "suspect" ? verdict.clearInMs : 0;
-      const retryAfterMs = Math.max(picked.retryAfterMs, clearInMs);
-      this.#tracker.post({ type: "noTarget", requestId, code, retryAfterMs });
-      return;
-    }
-    const { target } = picked;
-    const agentIncarnation = this.#sender.agentIncarnationOf(target) ?? "";
-    this.#tracker.post({
-      type: "targetPicked",
-      requestId,
-      target,
-      agentIncarnation,
-    });
-  }
-
   #endRequest(ended: Extract<TrackEffect, { type: "requestEnded" }>): void {
     const { requestId, outcome, target } = ended;
     const { metrics, logger } = this.#options;
--- /dev/null
+++ b/daemon/route-requests/src/target_chooser.ts
@@ -0,0 +1,81 @@
+/**
+ * Chooses a target for a request: first what is held against the request
+ * itself, then its organisation's contract, then placement.
+ */
+
+import type {
+  GiveUpCode,
+  NoTarget,
+  PickTarget,
+  TargetPicked,
+} from "@dandelionbank/track-requests";
+import type { AttemptSender } from "./attempt_sender.ts";
+import type { Placer } from "./placer.ts";
+import type { RequestLimiter } from "./request_limiter.ts";
+import type { RequestMetrics } from "./request_metrics.ts";
+import type { RequestTable } from "./request_table.ts";
+import type { SuspectTask } from "./suspect_task.ts";
+
+export interface TargetChooserOptions {
+  readonly requests: RequestTable;
+  readonly suspects: SuspectTask;
+  readonly limiter: RequestLimiter;
+  readonly placer: Placer;
+  readonly sender: AttemptSender;
+  readonly metrics: RequestMetrics;
+}
+
+export class TargetChooser {
+  readonly #options: TargetChooserOptions;
+
+  private constructor(options: TargetChooserOptions) {
+    this.#options = options;
+  }
+
+  static create(options: TargetChooserOptions): TargetChooser {
+    return new TargetChooser(options);
+  }
+
+  choose(wanted: PickTarget): TargetPicked | NoTarget {
+    const { suspects, requests, limiter, metrics } = this.#options;
+    const { requestId } = wanted;
+    const verdict = suspects.judge(wanted.fingerprint);
+    if (verdict.kind === "quarantined") {
+      const { retryAfterMs } = verdict;
+      return refuse(requestId, { code: "quarantined", retryAfterMs });
+    }
+    const open = requests.get(requestId);
+    const refusal = open && limiter.admit(open);
+    if (refusal !== undefined) {
+      metrics.countRefusal(refusal.code);
+      return refuse(requestId, refusal);
+    }
+    if (verdict.kind === "clear") return this.#place(wanted, 0);
+    const avoid = [...wanted.avoid, ...verdict.avoid];
+    return this.#place({ ...wanted, avoid }, verdict.clearInMs);
+  }
+
+  /** `leastRetryMs` is when targets that are avoided for now may serve again. */
+  #place(wanted: PickTarget, leastRetryMs: number): TargetPicked | NoTarget {
+    const { placer, requests, sender } = this.#options;
+    const { requestId, pool, avoid } = wanted;
+    const promptPrefix = requests.get(requestId)?.promptPrefix ?? "";
+    const picked = placer.pick({ requestId, pool, avoid, promptPrefix });
+    if (picked.kind === "refused") {
+      const isBusy = picked.code === "DANDELIONBANK_POOL_BUSY";
+      const code = isBusy ? "overloaded" : "noTarget";
+      const retryAfterMs = Math.max(picked.retryAfterMs, leastRetryMs);
+      return refuse(requestId, { code, retryAfterMs });
+    }
+    const { target } = picked;
+    const agentIncarnation = sender.agentIncarnationOf(target) ?? "";
+    return { type: "targetPicked", requestId, target, agentIncarnation };
+  }
+}
+
+function refuse(
+  requestId: string,
+  refusal: { readonly code: GiveUpCode; readonly retryAfterMs: number },
+): NoTarget {
+  return { type: "noTarget", requestId, ...refusal };
+}
