--- a/daemon/take-over-entries/src/take_over_task.ts
+++ b/daemon/take-over-entries/src/take_over_task.ts
@@ -22,6 +22,7 @@
 import type { WatchEvent } from "@dandelionbank/watch-objects";
 import { randomUUID } from "node:crypto";
 import { readSightings, toTakeOverEvents } from "./watch_to_events.ts";
+import { setTimeout as wait } from "node:timers/promises";
 
 const TICK_MS = 200;
 const RETRY_MS = 500;
@@ -213,7 +214,3 @@
     }
   }
 }
-
-function wait(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
--- a/peers/exchange-attempts/src/frame_codec.ts
+++ b/peers/exchange-attempts/src/frame_codec.ts
@@ -5,6 +5,7 @@
 
 import type { AttemptData, PeerFrame } from "@dandelionbank/types";
 import * as v from "valibot";
+import { checkValue, readJson } from "./read_line.ts";
 
 export type FrameResult =
   | { readonly kind: "ok"; readonly frame: PeerFrame }
@@ -87,13 +88,8 @@
 export function parseFrame(line: string): FrameResult {
   const value = readJson(line);
   if (isData(value)) return { kind: "ok", frame: value };
-  const parsed = v.safeParse(FRAME_SCHEMA, value);
-  if (parsed.success) return { kind: "ok", frame: parsed.output };
-  const issue = parsed.issues[0];
-  return {
-    kind: "invalid",
-    problem: `${v.getDotPath(issue) ?? "frame"}: ${issue.message}`,
-  };
+  const checked = checkValue(FRAME_SCHEMA, { value, what: "frame" });
+  return checked.kind === "ok" ? { kind: "ok", frame: checked.value } : checked;
 }
 
 function isData(value: unknown): value is AttemptData {
@@ -103,11 +99,3 @@
     typeof data.data === "string" &&
     Number.isInteger(data.sequence);
 }
-
-function readJson(line: string): unknown {
-  try {
-    return JSON.parse(line);
-  } catch {
-    return undefined;
-  }
-}
--- a/peers/exchange-attempts/src/message_codec.ts
+++ b/peers/exchange-attempts/src/message_codec.ts
@@ -2,6 +2,7 @@
 
 import type { PeerMessage } from "@dandelionbank/types";
 import * as v from "valibot";
+import { checkValue, readJson } from "./read_line.ts";
 
 export type MessageResult =
   | { readonly kind: "ok"; readonly message: PeerMessage }
@@ -57,19 +58,9 @@
 }
 
 export function parseMessage(line: string): MessageResult {
-  const parsed = v.safeParse(MESSAGE_SCHEMA, readJson(line));
-  if (parsed.success) return { kind: "ok", message: parsed.output };
-  const issue = parsed.issues[0];
-  return {
-    kind: "invalid",
-    problem: `${v.getDotPath(issue) ?? "message"}: ${issue.message}`,
-  };
-}
-
-function readJson(line: string): unknown {
-  try {
-    return JSON.parse(line);
-  } catch {
-    return undefined;
-  }
+  const value = readJson(line);
+  const checked = checkValue(MESSAGE_SCHEMA, { value, what: "message" });
+  return checked.kind === "ok"
+    ? { kind: "ok", message: checked.value }
+    : checked;
 }
