Put a site's objects and the violation counter in one place each

Cause: entry and agent each defined the metric of invariant violations, and the module that runs a site's processes also held its configuration and contracts.

--- a/daemon/route-requests/src/request_metrics.ts
+++ b/daemon/route-requests/src/request_metrics.ts
@@ -2,6 +2,7 @@
 
 import {
   Counter,
+  createViolationCounter,
   Gauge,
   Histogram,
   type Registry,
@@ -63,12 +64,7 @@
       labelNames: ["reason"],
       registers,
     });
-    this.#violations = new Counter({
-      name: "dandelionbank_invariant_violations_total",
-      help: "Violations of an invariant, each refused",
-      labelNames: ["invariant"],
-      registers,
-    });
+    this.#violations = createViolationCounter(registry);
     this.#inFlight = new Gauge({
       name: "dandelionbank_requests_in_flight",
       help: "Requests that have not ended",
--- a/daemon/run-attempts/src/attempt_metrics.ts
+++ b/daemon/run-attempts/src/attempt_metrics.ts
@@ -1,6 +1,11 @@
 /** What an agent counts. */
 
-import { Counter, Gauge, type Registry } from "@dandelionbank/metrics";
+import {
+  Counter,
+  createViolationCounter,
+  Gauge,
+  type Registry,
+} from "@dandelionbank/metrics";
 
 export type AttemptResult = "answered" | "failed" | "refused" | "repeated";
 
@@ -17,12 +22,7 @@
       labelNames: ["result", "code"],
       registers,
     });
-    this.#violations = new Counter({
-      name: "dandelionbank_invariant_violations_total",
-      help: "Violations of an invariant, each refused",
-      labelNames: ["invariant"],
-      registers,
-    });
+    this.#violations = createViolationCounter(registry);
     this.#inFlight = new Gauge({
       name: "dandelionbank_attempts_in_flight",
       help: "Attempts that run on the target",
--- /dev/null
+++ b/foundation/metrics/src/violation_counter.ts
@@ -0,0 +1,14 @@
+/** Counts violations of invariants, under one name in every process. */
+
+import { Counter, type Registry } from "./prom_client.ts";
+
+export function createViolationCounter(
+  registry: Registry,
+): Counter<"invariant"> {
+  return new Counter({
+    name: "dandelionbank_invariant_violations_total",
+    help: "Violations of an invariant, each refused",
+    labelNames: ["invariant"],
+    registers: [registry],
+  });
+}
--- a/testing/run-site/src/mod.ts
+++ b/testing/run-site/src/mod.ts
@@ -5,3 +5,4 @@
 export { ChildProgram } from "./child_program.ts";
 export { Site } from "./site.ts";
 export type { SiteOptions } from "./site.ts";
+export { createContract } from "./site_objects.ts";
--- a/testing/run-site/src/site.ts
+++ b/testing/run-site/src/site.ts
@@ -4,17 +4,13 @@
  */
 
 import { digestKey } from "@dandelionbank/check-credential";
-import type {
-  Config,
-  Contract,
-  ObjectKind,
-  StoredObject,
-} from "@dandelionbank/types";
+import type { Config, ObjectKind, StoredObject } from "@dandelionbank/types";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { callEntry } from "./call_entry.ts";
 import { ChildProgram } from "./child_program.ts";
+import { createContract, SITE_POOLS } from "./site_objects.ts";
 
 const DAEMON = "daemon/dandelionbankd/dist/main.js";
 const TOOL = "cli/dandelionbank/dist/main.js";
@@ -138,23 +134,6 @@
     return path;
   }
 
-  createContract(organisation: string, callerKey: string): Contract {
-    return {
-      organisation,
-      keyDigests: [digestKey(callerKey)],
-      requestsPerSecond: 1_000,
-      concurrentRequests: 1_000,
-      tokensPerMinute: 60_000_000,
-      shareWeight: 1,
-      priority: 5,
-      objective: {
-        firstTokenMs: 1_100,
-        betweenTokensMs: 72,
-        answeredMs: 10_000,
-      },
-    };
-  }
-
   /** Waits until a caller with this key gets addresses from every entry. */
   async waitUntilServed(key = this.callerKey): Promise<void> {
     const serves = async (url: string): Promise<boolean> => {
@@ -267,18 +246,9 @@
   async #writeObjects(): Promise<void> {
     const config = {
       ...this.#options.config,
-      pools: [
-        { name: "review", kind: "rank", models: ["plaque-7b"], routes: [] },
-        { name: "chat", kind: "engine", models: ["reel-2b"], routes: [] },
-        {
-          name: "parts",
-          kind: "plain",
-          models: [],
-          routes: [{ method: "GET", pathPrefix: "/", idempotent: true }],
-        },
-      ],
+      pools: SITE_POOLS,
     };
-    const contract = this.createContract("malabar", this.callerKey);
+    const contract = createContract("malabar", this.callerKey);
     await Promise.all([
       this.#setObject(["config", "set"], "config.json", config),
       this.#setObject(
--- a/testing/site-tests/src/bad_input_test.ts
+++ b/testing/site-tests/src/bad_input_test.ts
@@ -1,6 +1,7 @@
 import {
   callEntry,
   type CallerCall,
+  createContract,
   readTicket,
 } from "@dandelionbank/run-site";
 import assert from "node:assert/strict";
@@ -93,7 +94,7 @@
   async (context) => {
     const site = await startSite(context, { entries: 2, ranks: 1 });
     const { callerKey: key } = site;
-    const contract = site.createContract("harnessa", OTHER_KEY);
+    const contract = createContract("harnessa", OTHER_KEY);
     const path = site.writeFile("harnessa.json", contract);
     const set = await site.runTool(["contract", "set", "harnessa", path]);
     assert.equal(set.exitCode, 0, set.lines.join("\n"));
@@ -139,7 +140,7 @@
   LIMITS,
   async (context) => {
     const site = await startSite(context, { entries: 1, ranks: 1 });
-    const contract = site.createContract("malabar", site.callerKey);
+    const contract = createContract("malabar", site.callerKey);
     const wrong = site.writeFile("wrong.json", {
       ...contract,
       priority: "high",
--- a/testing/site-tests/src/keyed_limit_test.ts
+++ b/testing/site-tests/src/keyed_limit_test.ts
@@ -1,6 +1,7 @@
 import {
   callEntry,
   type CallerReply,
+  createContract,
   readTicket,
   type Site,
 } from "@dandelionbank/run-site";
@@ -36,7 +37,7 @@
 
 /** Returns when every entry holds the organisation to the new rate. */
 async function setRate(site: Site, requestsPerSecond: number): Promise<void> {
-  const contract = site.createContract(ORGANISATION, CALLER_KEY);
+  const contract = createContract(ORGANISATION, CALLER_KEY);
   const value = { ...contract, requestsPerSecond };
   const path = site.writeFile("contract.json", value);
   const set = await site.runTool(["contract", "set", ORGANISATION, path]);
