Move the product's own object API out of platform/

The folder platform/ is kept for the adapter to the users' platform, which holds names, formats and calls alone.

--- a/scripts/write_docs.mjs
+++ b/scripts/write_docs.mjs
@@ -17,7 +17,7 @@
   DEFAULT_CONFIG,
   FIELD_HELP,
   parseValue,
-} from "../platform/parse-objects/dist/mod.js";
+} from "../objects/parse-objects/dist/mod.js";
 import { renderTable } from "./markdown_table.mjs";
 import { ROOT } from "./workspace.mjs";
 
