Serve callers on the users' platform: adapter, entry and deploy file

The first run of the whole path. platform/adapter holds names, formats and calls; the decisions are cores in routing/ (match-route, hold-configuration, follow-targets, follow-entries, budget-retries, admit-streams, steer-request, read-events) beside pick-target, which is used as it was; the tasks round them are daemon/forward-requests, watch-kind, exchange-status, answer-directory and serve-ingress.

--- /dev/null
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -0,0 +1,26 @@
+/** What all requests of an entry share. */
+
+import type { RetryBudget } from "@dandelionbank/budget-retries";
+import type { HeldConfiguration } from "@dandelionbank/hold-configuration";
+import type { Logger } from "@dandelionbank/log-events";
+import type { PlacementCoreState } from "@dandelionbank/pick-target";
+import type { MemberTarget } from "@dandelionbank/types";
+import type { ForwardMetrics } from "./forward_metrics.ts";
+import type { StreamGate } from "./stream_gate.ts";
+import type { TargetPools } from "./target_pools.ts";
+
+export interface ForwardContext {
+  readonly logger: Logger;
+  readonly metrics: ForwardMetrics;
+  readonly held: HeldConfiguration;
+  readonly placement: PlacementCoreState;
+  readonly pools: TargetPools;
+  readonly gate: StreamGate;
+  readonly budget: RetryBudget;
+  /** How long a group stalls on a rank that is lost. */
+  readonly stallMs: number;
+  readonly findTarget: (id: string) => MemberTarget | undefined;
+  /** Entries that run, this one included. */
+  readonly countEntries: () => number;
+  readonly isLeaving: () => boolean;
+}
--- /dev/null
+++ b/daemon/forward-requests/src/forward_metrics.ts
@@ -0,0 +1,77 @@
+/** Counters and histograms of requests and attempts. */
+
+import { Counter, Histogram, type Registry } from "@dandelionbank/metrics";
+
+/** From plain calls of some ms to streams of seconds. */
+const LATENCY_BUCKETS_S = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.2,
+  0.5,
+  1,
+  2,
+  4,
+  8,
+] as const;
+const MS_PER_S = 1_000;
+
+export class ForwardMetrics {
+  readonly #requests: Counter<"service" | "outcome">;
+  readonly #attempts: Counter<"service" | "result">;
+  readonly #firstByte: Histogram<"service">;
+  readonly #duration: Histogram<"service">;
+
+  private constructor(registry: Registry) {
+    const registers = [registry];
+    this.#requests = new Counter({
+      name: "dandelionbank_requests_total",
+      help: "Requests that have ended, by service and outcome",
+      labelNames: ["service", "outcome"],
+      registers,
+    });
+    this.#attempts = new Counter({
+      name: "dandelionbank_attempts_total",
+      help: "Attempts that have ended, by service and result",
+      labelNames: ["service", "result"],
+      registers,
+    });
+    this.#firstByte = new Histogram({
+      name: "dandelionbank_first_byte_seconds",
+      help: "Time from a request's arrival to the first byte of its answer",
+      labelNames: ["service"],
+      buckets: [...LATENCY_BUCKETS_S],
+      registers,
+    });
+    this.#duration = new Histogram({
+      name: "dandelionbank_request_duration_seconds",
+      help: "Time from a request's arrival to the end of its answer",
+      labelNames: ["service"],
+      buckets: [...LATENCY_BUCKETS_S],
+      registers,
+    });
+  }
+
+  static create(registry: Registry): ForwardMetrics {
+    return new ForwardMetrics(registry);
+  }
+
+  noteAttempt(service: string, result: string): void {
+    this.#attempts.inc({ service, result });
+  }
+
+  noteRequest(
+    { service, outcome, firstMs, elapsedMs }: {
+      readonly service: string;
+      readonly outcome: string;
+      readonly firstMs: number | undefined;
+      readonly elapsedMs: number;
+    },
+  ): void {
+    this.#requests.inc({ service, outcome });
+    this.#duration.observe({ service }, elapsedMs / MS_PER_S);
+    if (firstMs === undefined) return;
+    this.#firstByte.observe({ service }, firstMs / MS_PER_S);
+  }
+}
--- /dev/null
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -0,0 +1,129 @@
+/**
+ * Takes requests from the callers' server: reads the body, finds the route, and
+ * starts a task for each request that may be served.
+ */
+
+import { readProofAgeMs } from "@dandelionbank/hold-configuration";
+import { decodeCallerHead } from "@dandelionbank/platform-adapter";
+import { readInstant } from "@dandelionbank/read-instant";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { CallerAnswer } from "./caller_answer.ts";
+import type { ForwardContext } from "./forward_context.ts";
+import { RequestTask } from "./request_task.ts";
+import { routeCall } from "./route_call.ts";
+
+/** When an entry that cannot serve now is worth asking again. */
+const PUT_OFF_RETRY_MS = 200;
+const STATUS_TOO_LARGE = 413;
+
+export class Forwarder {
+  readonly #context: ForwardContext;
+  readonly #tasks = new Set<RequestTask>();
+  #lastId = 0;
+  #isRefusing = false;
+
+  private constructor(context: ForwardContext) {
+    this.#context = context;
+  }
+
+  static create(context: ForwardContext): Forwarder {
+    return new Forwarder(context);
+  }
+
+  /** Requests under way. */
+  get activeCount(): number {
+    return this.#tasks.size;
+  }
+
+  /** Refuses every request from now on, as not run. */
+  refuseNew(): void {
+    this.#isRefusing = true;
+  }
+
+  /** Ends the streams that callers can resume elsewhere. */
+  handOver(): void {
+    for (const task of [...this.#tasks]) task.handOver();
+  }
+
+  handle(request: IncomingMessage, response: ServerResponse): void {
+    const arrivedAtMs = performance.now();
+    const answer = CallerAnswer.create(response, this.#context.isLeaving);
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    request.on("error", () => undefined);
+    response.on("error", () => undefined);
+    request.on("data", (chunk: Buffer) => {
+      sizeBytes += chunk.length;
+      if (sizeBytes > this.#maxBodyBytes) return this.#rejectLong(answer);
+      chunks.push(chunk);
+    });
+    request.on("end", () => {
+      if (answer.hasBegun) return;
+      const body = Buffer.concat(chunks);
+      this.#serve(request, { response, answer, body, arrivedAtMs });
+    });
+  }
+
+  get #maxBodyBytes(): number {
+    const limits = this.#context.held.table?.configuration.limits;
+    return limits?.maxBodyBytes ?? Number.POSITIVE_INFINITY;
+  }
+
+  #rejectLong(answer: CallerAnswer): void {
+    answer.finish({
+      status: STATUS_TOO_LARGE,
+      headers: { connection: "close" },
+    });
+  }
+
+  #serve(
+    message: IncomingMessage,
+    { response, answer, body, arrivedAtMs }: {
+      readonly response: ServerResponse;
+      readonly answer: CallerAnswer;
+      readonly body: Buffer;
+      readonly arrivedAtMs: number;
+    },
+  ): void {
+    const context = this.#context;
+    const fields = message.headers;
+    const path = message.url ?? "/";
+    const head = decodeCallerHead(fields);
+    const now = readInstant();
+    const call = this.#isRefusing
+      ? { kind: "putOff" as const, reason: "stopping" }
+      : routeCall(context.held, { head, target: path, now });
+    if (call.kind !== "routed") {
+      const status = call.kind === "denied" ? call.status : 503;
+      context.logger.log("requestDenied", {
+        requestId: head.attemptId,
+        status,
+        reason: call.reason,
+        version: context.held.table?.configuration.version,
+        proofAgeMs: Math.round(readProofAgeMs(context.held, now)),
+      });
+      if (call.kind === "denied") answer.finish({ status });
+      else answer.refuse(PUT_OFF_RETRY_MS);
+      return;
+    }
+    this.#lastId += 1;
+    const task = RequestTask.start(context, {
+      id: String(this.#lastId),
+      answer,
+      request: {
+        head,
+        method: message.method ?? "GET",
+        path,
+        fields,
+        body,
+        route: call.route,
+        organisation: call.organisation,
+        priority: call.priority,
+        arrivedAtMs,
+      },
+    });
+    this.#tasks.add(task);
+    task.onOver(() => this.#tasks.delete(task));
+    response.on("close", () => task.abandon());
+  }
+}
--- /dev/null
+++ b/daemon/forward-requests/src/mod.ts
@@ -0,0 +1,8 @@
+/** Forwards requests to targets. */
+
+export type { ForwardContext } from "./forward_context.ts";
+export { ForwardMetrics } from "./forward_metrics.ts";
+export { Forwarder } from "./forwarder.ts";
+export { StreamGate } from "./stream_gate.ts";
+export type { GroupLoad } from "./stream_gate.ts";
+export { TargetPools } from "./target_pools.ts";
--- /dev/null
+++ b/daemon/platform-node/src/create_role.ts
@@ -0,0 +1,27 @@
+/** The roles of the program, each with the code that only it needs. */
+
+import type { Logger } from "@dandelionbank/log-events";
+import type { Registry } from "@dandelionbank/metrics";
+import type { BootSettings } from "@dandelionbank/platform-adapter";
+import { IngressProcess } from "@dandelionbank/serve-ingress";
+
+export interface RunningRole {
+  start(): Promise<void>;
+  /** Resolves when nothing is under way any more. */
+  stop(): Promise<void>;
+}
+
+export interface RoleParts {
+  readonly settings: BootSettings;
+  readonly logger: Logger;
+  readonly registry: Registry;
+}
+
+export const ROLES: ReadonlySet<string> = new Set(["entry"]);
+
+export async function createRole(
+  _role: string,
+  parts: RoleParts,
+): Promise<RunningRole> {
+  return await IngressProcess.create(parts);
+}
--- /dev/null
+++ b/daemon/platform-node/src/run_node.ts
@@ -0,0 +1,140 @@
+/**
+ * Runs the role that the arguments name, with the settings that the platform
+ * gives, until SIGTERM. Returns the exit code: 0 after a graceful stop, 1 if
+ * the process could not start, 2 if an argument or a setting is wrong.
+ */
+
+import { DandelionError } from "@dandelionbank/error";
+import type { Logger } from "@dandelionbank/log-events";
+import { registerProcessMetrics, Registry } from "@dandelionbank/metrics";
+import {
+  BOOT_FILE_VARIABLE,
+  type BootSettings,
+  decodeBootSettings,
+} from "@dandelionbank/platform-adapter";
+import {
+  BoundedLogStream,
+  createLogReporter,
+} from "@dandelionbank/report-logs";
+import { ObservabilityServer } from "@dandelionbank/serve-observability";
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { createRole, ROLES } from "./create_role.ts";
+
+const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
+/** How often dropped log lines are told. */
+const DROPPED_INTERVAL_MS = 5_000;
+const DEFAULT_METRICS_PORT = 9_464;
+
+export interface NodeOptions {
+  /** Role, then flags. */
+  readonly args: readonly string[];
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  readonly version: string;
+}
+
+export async function runNode(options: NodeOptions): Promise<number> {
+  const { args, environment, version } = options;
+  const [role] = args;
+  if (role === undefined || !ROLES.has(role)) {
+    const names = [...ROLES].join(" or ");
+    process.stderr.write(`usage: dandelionbank ${names}\n`);
+    return EXIT_USAGE;
+  }
+  const stream = BoundedLogStream.create({ fd: process.stdout.fd });
+  const logger = await createLogReporter({
+    format: "json",
+    level: environment["DANDELIONBANK_LOG_LEVEL"] === "info" ? "info" : "debug",
+    stream,
+  });
+  try {
+    const settings = readSettings(environment);
+    await run({ role, settings, logger, stream, version });
+    return 0;
+  } catch (error) {
+    process.stderr.write(`${describe(error)}\n`);
+    return error instanceof DandelionError ? EXIT_USAGE : EXIT_FAILED;
+  } finally {
+    await stream.flush();
+  }
+}
+
+interface RunOptions {
+  readonly role: string;
+  readonly settings: BootSettings;
+  readonly logger: Logger;
+  readonly stream: BoundedLogStream;
+  readonly version: string;
+}
+
+async function run(options: RunOptions): Promise<void> {
+  const { role, settings, logger, stream, version } = options;
+  const { name } = settings;
+  const registry = new Registry();
+  registerProcessMetrics(registry, { role, name, version });
+  const stopSignal = waitForSignal();
+  const running = await createRole(role, { settings, logger, registry });
+  await running.start();
+  const observability = await ObservabilityServer.create({
+    host: settings.ip,
+    port: DEFAULT_METRICS_PORT,
+    registry,
+    readReadiness: () => ({ isReady: true, reasons: [] }),
+  });
+  logger.log("processStarted", { role, name, version });
+  const reload = () => reloadSettings(logger);
+  process.on("SIGHUP", reload);
+  const timer = setInterval(
+    () => tellDropped(stream, logger),
+    DROPPED_INTERVAL_MS,
+  );
+  const signal = await stopSignal;
+  logger.log("processStopping", { signal });
+  const startedMs = performance.now();
+  await running.stop();
+  clearInterval(timer);
+  await observability.close();
+  const elapsedMs = Math.round(performance.now() - startedMs);
+  logger.log("processStopped", { elapsedMs });
+}
+
+function readSettings(
+  environment: Readonly<Record<string, string | undefined>>,
+): BootSettings {
+  const path = environment[BOOT_FILE_VARIABLE] ?? "";
+  return decodeBootSettings(readFileSync(path, "utf8"));
+}
+
+/** Addresses of a running process stay; a wrong file is told and ignored. */
+function reloadSettings(logger: Logger): void {
+  try {
+    readSettings(process.env);
+    logger.log("settingsReloaded", { outcome: "valid" });
+  } catch (error) {
+    logger.log("settingsReloaded", { outcome: describe(error) });
+  }
+}
+
+function tellDropped(stream: BoundedLogStream, logger: Logger): void {
+  const dropped = stream.takeDropped();
+  if (dropped > 0) logger.log("linesDropped", { dropped });
+}
+
+function waitForSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+      process.on(signal, () => resolve(signal));
+    }
+  });
+}
+
+function describe(error: unknown): string {
+  if (!(error instanceof DandelionError)) {
+    return error instanceof Error
+      ? error.stack ?? error.message
+      : String(error);
+  }
+  const { code, message, step, hint } = error;
+  return `${code}: ${message} (${step}). ${hint}`;
+}
--- /dev/null
+++ b/daemon/serve-ingress/src/configuration_view.ts
@@ -0,0 +1,67 @@
+/** Follows the operator's configuration in the store. */
+
+import {
+  applyConfiguration,
+  type HeldConfiguration,
+  noteProof,
+} from "@dandelionbank/hold-configuration";
+import type { Logger } from "@dandelionbank/log-events";
+import {
+  CONFIGURATION_NAME,
+  decodeConfiguration,
+  type StoredItem,
+} from "@dandelionbank/platform-adapter";
+import type { IngressConfiguration } from "@dandelionbank/types";
+import type { KindEvent } from "@dandelionbank/watch-kind";
+
+export interface ConfigurationViewOptions {
+  readonly held: HeldConfiguration;
+  readonly logger: Logger;
+  readonly onApplied: (configuration: IngressConfiguration) => void;
+}
+
+export class ConfigurationView {
+  readonly #options: ConfigurationViewOptions;
+
+  private constructor(options: ConfigurationViewOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ConfigurationViewOptions): ConfigurationView {
+    return new ConfigurationView(options);
+  }
+
+  take(event: KindEvent): void {
+    switch (event.type) {
+      case "listed":
+        for (const item of event.items) this.#apply(item);
+        return;
+      case "changed":
+        if (!event.change.isDeleted) this.#apply(event.change.item);
+        return;
+      case "proven":
+        noteProof(this.#options.held, event.sentAt);
+        return;
+      case "lost":
+      case "regained":
+        return;
+    }
+  }
+
+  #apply({ name, revision, spec }: StoredItem): void {
+    if (name !== CONFIGURATION_NAME) return;
+    const { held, logger, onApplied } = this.#options;
+    const configuration = decodeConfiguration(spec);
+    if (configuration === undefined) {
+      logger.log("configurationRefused", { revision, reason: "malformed" });
+      return;
+    }
+    if (!applyConfiguration(held, { configuration, revision })) return;
+    logger.log("configurationApplied", {
+      version: configuration.version,
+      revision,
+      routes: configuration.routes.length,
+    });
+    onApplied(configuration);
+  }
+}
--- /dev/null
+++ b/daemon/serve-ingress/src/register_entry.ts
@@ -0,0 +1,64 @@
+/**
+ * Registers an entry in the store, once for each start, and reads which others
+ * have registered. An entry keeps its name across restarts.
+ */
+
+import {
+  KINDS,
+  type StoreClient,
+  type StoredItem,
+} from "@dandelionbank/platform-adapter";
+import { setTimeout as delay } from "node:timers/promises";
+
+const MIN_BACKOFF_MS = 200;
+const MAX_BACKOFF_MS = 3_000;
+
+export interface RegisteredEntry {
+  readonly peerAddress: string;
+}
+
+/** Resolves with where the others may be; tries until the store answers. */
+export async function registerEntry(
+  client: StoreClient,
+  { name, peerAddress, isStopped }: {
+    readonly name: string;
+    readonly peerAddress: string;
+    readonly isStopped: () => boolean;
+  },
+): Promise<readonly string[]> {
+  for (let backoffMs = MIN_BACKOFF_MS; !isStopped();) {
+    const spec: RegisteredEntry = { peerAddress };
+    if (await write(client, { name, spec })) {
+      const result = await client.list(KINDS.entries);
+      if (result.kind === "ok") return result.value.items.flatMap(readAddress);
+    }
+    await delay(backoffMs * (0.5 + Math.random() / 2));
+    backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+  }
+  return [];
+}
+
+/** True if the store holds the entry. */
+async function write(
+  client: StoreClient,
+  { name, spec }: { readonly name: string; readonly spec: RegisteredEntry },
+): Promise<boolean> {
+  const created = await client.create(KINDS.entries, { name, spec });
+  if (created.kind === "ok") return true;
+  if (created.kind !== "conflict") return false;
+  const known = await client.read(KINDS.entries, name);
+  if (known.kind !== "ok") return false;
+  if (readAddress(known.value)[0] === spec.peerAddress) return true;
+  const { revision } = known.value;
+  const replaced = await client.replace(KINDS.entries, {
+    name,
+    revision,
+    spec,
+  });
+  return replaced.kind === "ok";
+}
+
+function readAddress({ spec }: StoredItem): readonly string[] {
+  const address = (spec as Partial<RegisteredEntry> | null)?.peerAddress;
+  return typeof address === "string" ? [address] : [];
+}
--- /dev/null
+++ b/daemon/watch-kind/src/watch_kind.ts
@@ -0,0 +1,144 @@
+/**
+ * Follows one kind of objects: lists them, then waits for changes. Each wait is
+ * short, since a connection that has gone silent shows only by a timeout, and
+ * since each answer proves how new the view is. After a failure the objects are
+ * listed anew, which answers at once.
+ */
+
+import type { Logger } from "@dandelionbank/log-events";
+import type {
+  StoreClient,
+  StoredChange,
+  StoredItem,
+} from "@dandelionbank/platform-adapter";
+import { readInstant } from "@dandelionbank/read-instant";
+import type { Instant } from "@dandelionbank/types";
+import { setTimeout as delay } from "node:timers/promises";
+
+const MIN_BACKOFF_MS = 100;
+/** Short against the bounds, so that a store that returns is seen in time. */
+const MAX_BACKOFF_MS = 800;
+
+export type KindEvent =
+  | {
+    readonly type: "listed";
+    readonly items: readonly StoredItem[];
+    readonly revision: number;
+  }
+  | { readonly type: "changed"; readonly change: StoredChange }
+  /** All changes made before `sentAt` have been told. */
+  | { readonly type: "proven"; readonly sentAt: Instant }
+  | { readonly type: "lost" }
+  | { readonly type: "regained" };
+
+export interface KindWatcherOptions {
+  readonly client: StoreClient;
+  readonly kind: string;
+  /** Longest wait for a change in one call. */
+  readonly waitMs: number;
+  readonly logger: Logger;
+  readonly onEvent: (event: KindEvent) => void;
+}
+
+export class KindWatcher {
+  readonly #options: KindWatcherOptions;
+  #revision: number | undefined;
+  #lostSinceMs: number | undefined;
+  #failures = 0;
+  #isStopped = false;
+
+  private constructor(options: KindWatcherOptions) {
+    this.#options = options;
+  }
+
+  /** Follows from the start on, until `stop`. */
+  static create(options: KindWatcherOptions): KindWatcher {
+    const watcher = new KindWatcher(options);
+    void watcher.#run();
+    return watcher;
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#isStopped) {
+      const isAnswered = this.#revision === undefined
+        ? await this.#list()
+        : await this.#watch(this.#revision);
+      if (!isAnswered) await this.#backOff();
+    }
+  }
+
+  async #list(): Promise<boolean> {
+    const { client, kind, onEvent } = this.#options;
+    const sentAt = readInstant();
+    const result = await client.list(kind);
+    if (this.#isStopped) return true;
+    if (result.kind !== "ok") return this.#noteFailure(result);
+    this.#noteAnswer();
+    const { items, revision } = result.value;
+    this.#revision = revision;
+    onEvent({ type: "listed", items, revision });
+    onEvent({ type: "proven", sentAt });
+    return true;
+  }
+
+  async #watch(fromRevision: number): Promise<boolean> {
+    const { client, kind, waitMs, onEvent } = this.#options;
+    const sentAt = readInstant();
+    const result = await client.watch(kind, { fromRevision, waitMs });
+    if (this.#isStopped) return true;
+    if (result.kind === "historyGone") {
+      this.#revision = undefined;
+      return true;
+    }
+    if (result.kind !== "ok") return this.#noteFailure(result);
+    this.#noteAnswer();
+    const { changes, revision } = result.value;
+    if (revision < fromRevision) {
+      return this.#noteFailure({ kind: "lost", reason: "older revision" });
+    }
+    this.#revision = revision;
+    for (const change of changes) onEvent({ type: "changed", change });
+    onEvent({ type: "proven", sentAt });
+    return true;
+  }
+
+  #noteFailure(
+    result: {
+      readonly kind: string;
+      readonly reason?: string;
+      readonly status?: number;
+    },
+  ): false {
+    const { kind, logger, onEvent } = this.#options;
+    this.#revision = undefined;
+    this.#failures += 1;
+    if (this.#lostSinceMs !== undefined) return false;
+    this.#lostSinceMs = performance.now();
+    const reason = result.reason ?? `${result.kind} ${result.status ?? ""}`;
+    logger.log("storeLost", { kind, reason });
+    onEvent({ type: "lost" });
+    return false;
+  }
+
+  #noteAnswer(): void {
+    this.#failures = 0;
+    if (this.#lostSinceMs === undefined) return;
+    const { kind, logger, onEvent } = this.#options;
+    const lostMs = Math.round(performance.now() - this.#lostSinceMs);
+    this.#lostSinceMs = undefined;
+    logger.log("storeRegained", { kind, lostMs });
+    onEvent({ type: "regained" });
+  }
+
+  async #backOff(): Promise<void> {
+    const limitMs = Math.min(
+      MAX_BACKOFF_MS,
+      MIN_BACKOFF_MS * 2 ** this.#failures,
+    );
+    await delay(limitMs * (0.5 + Math.random() / 2));
+  }
+}
--- a/foundation/log-events/src/catalogue.ts
+++ b/foundation/log-events/src/catalogue.ts
@@ -9,6 +9,8 @@
 import { LEDGER_EVENTS } from "./ledger_events.ts";
 import { OPERATOR_EVENTS } from "./operator_events.ts";
 import { TLS_EVENTS } from "./tls_events.ts";
+import { INGRESS_EVENTS } from "./ingress_events.ts";
+import { RANK_EVENTS } from "./rank_events.ts";
 
 export const LOG_EVENTS = {
   ...PROCESS_EVENTS,
@@ -20,4 +22,6 @@
   ...LEDGER_EVENTS,
   ...OPERATOR_EVENTS,
   ...TLS_EVENTS,
+  ...INGRESS_EVENTS,
+  ...RANK_EVENTS,
 } as const;
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -19,6 +19,8 @@
   /** Most connections at a time; any number if left out. */
   readonly connections?: number;
   readonly connectTimeoutMs?: number;
+  /** Longest idle time of a connection; less if the peer names less. */
+  readonly keepAliveMs?: number;
   readonly connector?: HttpConnector;
 }
 
@@ -59,7 +61,7 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
       connect: options.connector ?? {
         timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
       },
--- /dev/null
+++ b/foundation/read-instant/src/mod.ts
@@ -0,0 +1,3 @@
+/** Clocks. */
+
+export { readInstant } from "./read_instant.ts";
--- a/foundation/report-logs/src/mod.ts
+++ b/foundation/report-logs/src/mod.ts
@@ -2,3 +2,4 @@
 
 export { createLogReporter } from "./log_reporter.ts";
 export type { LogReporterOptions, LogStream } from "./log_reporter.ts";
+export { BoundedLogStream } from "./bounded_stream.ts";
--- /dev/null
+++ b/foundation/types/src/group.ts
@@ -0,0 +1,36 @@
+/** What a rank of a group tells of itself and what a group's map holds. */
+
+/** Experts by layer set and rank: `[set][rank]` lists the experts held there. */
+export type ExpertMap = readonly (readonly (readonly number[])[])[];
+
+/** A rank's own state, as of some hundred ms ago unless read beside the rank. */
+export interface RankReport {
+  readonly group: string;
+  /** Rises whenever the group forms anew; everything set before is gone. */
+  readonly epoch: number;
+  readonly rank: number;
+  readonly groupSize: number;
+  readonly isOpen: boolean;
+  /** The last pass that was begun. */
+  readonly step: number;
+  /** Version of the map in force; 0 is the one a group starts with. */
+  readonly mapVersion: number;
+  /** Latest version whose experts have all been copied; 0 if none. */
+  readonly preparedVersion: number;
+  /** Version that a coming pass switches to; 0 if none. */
+  readonly armedVersion: number;
+  /** The pass that the rank holds back; undefined if none. */
+  readonly heldStep: number | undefined;
+  readonly queued: number;
+  readonly active: number;
+  /** Over 1 for a slow rank. */
+  readonly pace: number;
+  /** Unix time of the engine's start; what was known before it is void. */
+  readonly startedAtMs: number;
+}
+
+/** How often a rank's requests chose each expert, by set, since it started. */
+export interface ChoiceCounts {
+  readonly epoch: number;
+  readonly counts: readonly (readonly number[])[];
+}
--- /dev/null
+++ b/foundation/types/src/member_target.ts
@@ -0,0 +1,14 @@
+/** A target as it tells of itself in the platform's store. */
+
+export interface MemberTarget {
+  /** Names one run of the target, or its place if it starts again. */
+  readonly id: string;
+  readonly service: string;
+  /** `IP:PORT`. */
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly slots: number;
+  readonly isDraining: boolean;
+  /** How much longer the target stays slow after its start. */
+  readonly warmUpLeftMs: number;
+}
--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -16,3 +16,7 @@
 export type * from "./tls.ts";
 export type * from "./view.ts";
 export type * from "./view_exchange.ts";
+export type * from "./group.ts";
+export type * from "./ingress.ts";
+export type * from "./member_target.ts";
+export type * from "./instant.ts";
--- a/peers/listen-http/src/http_listener.ts
+++ b/peers/listen-http/src/http_listener.ts
@@ -54,6 +54,11 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Changes how long an idle connection is kept for its next request. */
+  setKeepAlive(keepAliveTimeoutMs: number): void {
+    this.#server.keepAliveTimeout = keepAliveTimeoutMs;
+  }
+
   /** Resolves when every request under way has ended. */
   close(): Promise<void> {
     return new Promise((resolve) => {
--- /dev/null
+++ b/routing/admit-streams/src/mod.ts
@@ -0,0 +1,10 @@
+/** Admission of streams to a group. */
+
+export { createAdmission, stepAdmission } from "./admit_streams.ts";
+export type {
+  AdmissionEffect,
+  AdmissionEvent,
+  AdmissionOptions,
+  AdmissionState,
+  StreamArrival,
+} from "./admit_streams.ts";
--- /dev/null
+++ b/routing/hold-configuration/src/hold_configuration.ts
@@ -0,0 +1,82 @@
+/**
+ * Holds the newest configuration that this process has seen. It never goes
+ * back to an older one, and says how long ago the store proved that it was
+ * still the newest: a key may be used only while the proof is younger than the
+ * bound on revocations, and an unknown route or key is denied only while no
+ * newer configuration can be in force.
+ */
+
+import { createRouteTable, type RouteTable } from "@dandelionbank/match-route";
+import type { IngressConfiguration, Instant } from "@dandelionbank/types";
+
+/** Part of the bound kept for what passes until an engine begins to work. */
+const REVOCATION_MARGIN = 0.1;
+
+export interface FreshnessBounds {
+  /** From the loss of a key to the last request with it. */
+  readonly revocationMs: number;
+  /** From an accepted configuration to its being in force. */
+  readonly configurationMs: number;
+}
+
+/** Opaque; changed in place. */
+export interface HeldConfiguration {
+  readonly bounds: FreshnessBounds;
+  table: RouteTable | undefined;
+  /** The store's revision of the configuration's last change. */
+  revision: number;
+  /** When the call that proved it the newest was sent. */
+  provenAt: Instant | undefined;
+}
+
+export interface ReadConfiguration {
+  readonly configuration: IngressConfiguration;
+  readonly revision: number;
+}
+
+export function createHeldConfiguration(
+  bounds: FreshnessBounds,
+): HeldConfiguration {
+  return { bounds, table: undefined, revision: 0, provenAt: undefined };
+}
+
+/** Takes a configuration in if it is newer; true if it now is in force. */
+export function applyConfiguration(
+  held: HeldConfiguration,
+  { configuration, revision }: ReadConfiguration,
+): boolean {
+  if (revision <= held.revision) return false;
+  const known = held.table?.configuration.version ?? -1;
+  if (configuration.version < known) return false;
+  held.revision = revision;
+  held.table = createRouteTable(configuration);
+  return true;
+}
+
+/** Notes that a call sent at `sentAt` proved the held one the newest. */
+export function noteProof(held: HeldConfiguration, sentAt: Instant): void {
+  if (held.table === undefined) return;
+  held.provenAt = sentAt;
+}
+
+/** Age of the proof in milliseconds; infinite before the first. */
+export function readProofAgeMs(held: HeldConfiguration, now: Instant): number {
+  const { provenAt } = held;
+  if (provenAt === undefined) return Number.POSITIVE_INFINITY;
+  return Math.max(
+    now.steadyMs - provenAt.steadyMs,
+    now.wallMs - provenAt.wallMs,
+    now.bootMs - provenAt.bootMs,
+  );
+}
+
+/** False once a key that is held here may have been revoked for too long. */
+export function mayUseKeys(held: HeldConfiguration, now: Instant): boolean {
+  const limitMs = held.bounds.revocationMs * (1 - REVOCATION_MARGIN);
+  return readProofAgeMs(held, now) < limitMs;
+}
+
+/** False while a newer configuration may know a route or key that this lacks. */
+export function mayDeny(held: HeldConfiguration, now: Instant): boolean {
+  return readProofAgeMs(held, now) < held.bounds.configurationMs;
+}
--- /dev/null
+++ b/routing/steer-request/src/mod.ts
@@ -0,0 +1,8 @@
+/** What follows an attempt. */
+
+export { decideFinal, decideNext, isRepeatable } from "./steer_request.ts";
+export type {
+  AttemptOutcome,
+  NextMove,
+  RequestProgress,
+} from "./steer_request.ts";
--- a/scripts/write_docs.mjs
+++ b/scripts/write_docs.mjs
@@ -32,6 +32,8 @@
   [7, "Requests' keys"],
   [8, "Operators' calls"],
   [9, "Keys and certificates"],
+  [10, "Entry on the platform"],
+  [11, "Agent beside a rank"],
 ];
 const KINDS = [
   ["contract", "Contract"],
