Even the ranks: agents follow the experts in demand and switch maps

An agent beside each rank reads its engine for nothing; one of them, by the lowest rank that is heard, sums the choices of all ranks every 250 ms, plans the next map from the one in force, and switches all ranks forward: prepare, hold a pass, arm every rank, release. Every agent passes on orders of the newest term alone.

--- /dev/null
+++ b/agreement/lead-group/src/lead_group.ts
@@ -0,0 +1,99 @@
+/**
+ * Which agent coordinates a group. An agent that hears no coordinator for a
+ * while takes the duty with a higher term; agents wait the longer the higher
+ * their rank, so that seldom two begin at once.
+ *
+ * Safety does not rest on there being one: an agent passes orders to its rank
+ * only for the highest term that it has heard of, and a coordinator begins a
+ * switch only when every agent has answered to its own term.
+ */
+
+/** The agents' name for who coordinates. */
+export interface Leadership {
+  /** Rises with each coordinator. */
+  readonly term: number;
+  readonly coordinator: string;
+}
+
+/** Opaque; changed in place. */
+export interface LeadState {
+  readonly name: string;
+  known: Leadership;
+  heardAtMs: number;
+  isLeading: boolean;
+}
+
+/** Silence of a coordinator after which rank 0 takes over. */
+const TAKE_OVER_MS = 1_000;
+/** Added for each rank: longer than a new coordinator takes to be heard. */
+const RANK_STAGGER_MS = 400;
+/** Ranks above this wait hardly longer; all below would have to be lost. */
+const STAGGERED_RANKS = 12;
+const HIGH_RANK_STAGGER_MS = 50;
+/** Terms are made of the second and the rank, which makes them unique. */
+const RANKS_PER_TERM = 1_024;
+const MS_PER_S = 1_000;
+/** Terms by the time of day begin again after so many seconds, some years. */
+const TERM_SECONDS = 2 ** 28;
+
+export function createLeadState(
+  { name, nowMs }: { readonly name: string; readonly nowMs: number },
+): LeadState {
+  return {
+    name,
+    known: { term: 0, coordinator: "" },
+    heardAtMs: nowMs,
+    isLeading: false,
+  };
+}
+
+/** Takes a coordinator's call in; false if a newer one is known. */
+export function followCoordinator(
+  state: LeadState,
+  { leadership, nowMs }: {
+    readonly leadership: Leadership;
+    readonly nowMs: number;
+  },
+): boolean {
+  const { term, coordinator } = leadership;
+  if (term < state.known.term) return false;
+  const isOther = coordinator !== state.known.coordinator;
+  if (term === state.known.term && isOther) return false;
+  if (coordinator !== state.name) state.isLeading = false;
+  state.known = leadership;
+  state.heardAtMs = nowMs;
+  return true;
+}
+
+/** Steps down before a newer term that another agent has told of. */
+export function noteNewerTerm(state: LeadState, term: number): void {
+  if (term <= state.known.term) return;
+  state.isLeading = false;
+  state.known = { term, coordinator: "" };
+}
+
+/** Takes the duty if no coordinator was heard for long enough. */
+export function takeDuty(
+  state: LeadState,
+  { rank, nowMs, wallMs }: {
+    readonly rank: number;
+    readonly nowMs: number;
+    /** Time of day; makes terms of agents that know of none unique. */
+    readonly wallMs: number;
+  },
+): boolean {
+  if (state.isLeading) return false;
+  const waitMs = TAKE_OVER_MS +
+    Math.min(rank, STAGGERED_RANKS) * RANK_STAGGER_MS +
+    Math.max(0, rank - STAGGERED_RANKS) * HIGH_RANK_STAGGER_MS;
+  if (nowMs - state.heardAtMs < waitMs) return false;
+  const bySecond = Math.floor(wallMs / MS_PER_S) % TERM_SECONDS *
+      RANKS_PER_TERM + rank;
+  const above = (Math.floor(state.known.term / RANKS_PER_TERM) + 1) *
+      RANKS_PER_TERM + rank;
+  const term = Math.max(bySecond, above);
+  state.known = { term, coordinator: state.name };
+  state.heardAtMs = nowMs;
+  state.isLeading = true;
+  return true;
+}
--- /dev/null
+++ b/agreement/lead-group/src/mod.ts
@@ -0,0 +1,9 @@
+/** Coordination of a group. */
+
+export {
+  createLeadState,
+  followCoordinator,
+  noteNewerTerm,
+  takeDuty,
+} from "./lead_group.ts";
+export type { Leadership, LeadState } from "./lead_group.ts";
--- /dev/null
+++ b/agreement/plan-experts/src/follow_demand.ts
@@ -0,0 +1,107 @@
+/**
+ * Follows which experts are in demand, from counts since the last look. Old
+ * counts fade; when the newest ones contradict them, they are dropped, since
+ * demand changes at once and an average across the change fits neither side.
+ */
+
+/** Time in which a count loses all but a third of its weight. */
+const FADE_MS = 1_500;
+/** The newest counts that are compared with the faded ones. */
+const RECENT_MS = 450;
+/** Part of the choices that has to differ for demand to have changed. */
+const CHANGE_SHARE = 0.25;
+
+interface Look {
+  readonly atMs: number;
+  readonly counts: readonly number[];
+}
+
+/** Opaque; changed in place. */
+export interface FollowedDemand {
+  recent: Look[];
+  faded: number[] | undefined;
+  lastAtMs: number | undefined;
+  /** When the demand was last seen to change. */
+  changedAtMs: number | undefined;
+}
+
+export function createFollowedDemand(): FollowedDemand {
+  return {
+    recent: [],
+    faded: undefined,
+    lastAtMs: undefined,
+    changedAtMs: undefined,
+  };
+}
+
+/** Takes in how often each expert was chosen since the last look. */
+export function noteChoices(
+  state: FollowedDemand,
+  { counts, nowMs }: {
+    /** Of all ranks together, set after set. */
+    readonly counts: readonly number[];
+    readonly nowMs: number;
+  },
+): void {
+  state.recent = [
+    ...state.recent.filter(({ atMs }) => nowMs - atMs < RECENT_MS),
+    { atMs: nowMs, counts },
+  ];
+  const recent = sumLooks(state.recent);
+  const { faded, lastAtMs = nowMs } = state;
+  state.lastAtMs = nowMs;
+  if (faded === undefined || faded.length !== counts.length) {
+    state.faded = [...counts];
+    return;
+  }
+  if (differ(faded, recent) > CHANGE_SHARE) {
+    state.faded = [...recent];
+    state.changedAtMs = nowMs;
+    return;
+  }
+  const kept = Math.exp(-(nowMs - lastAtMs) / FADE_MS);
+  state.faded = faded.map((value, index) => value * kept + counts[index]!);
+}
+
+/** Demand by set; `undefined` before any choice. */
+export function readDemand(
+  { faded }: FollowedDemand,
+  expertsPerSet: number,
+): readonly (readonly number[])[] | undefined {
+  if (faded === undefined || faded.every((value) => value === 0)) {
+    return undefined;
+  }
+  const sets = Math.floor(faded.length / expertsPerSet);
+  return Array.from(
+    { length: sets },
+    (_, set) => faded.slice(set * expertsPerSet, (set + 1) * expertsPerSet),
+  );
+}
+
+function sumLooks(looks: readonly Look[]): readonly number[] {
+  const [first, ...rest] = looks;
+  const sum = [...(first?.counts ?? [])];
+  for (const { counts } of rest) {
+    counts.forEach((count, index) => sum[index]! += count);
+  }
+  return sum;
+}
+
+/** Part of the choices, from 0 to 1, that went elsewhere. */
+function differ(
+  left: readonly number[],
+  right: readonly number[],
+): number {
+  const leftTotal = total(left);
+  const rightTotal = total(right);
+  if (leftTotal === 0 || rightTotal === 0) return 0;
+  let distance = 0;
+  left.forEach((value, index) => {
+    distance += Math.abs(value / leftTotal - right[index]! / rightTotal);
+  });
+  return distance / 2;
+}
+
+function total(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0);
+}
--- /dev/null
+++ b/agreement/switch-group/src/mod.ts
@@ -0,0 +1,12 @@
+/** Switches of a group's map. */
+
+export { createSwitch, isIdle, stepSwitch } from "./switch_group.ts";
+export type { SwitchOptions, SwitchState } from "./switch_group.ts";
+export type {
+  GroupOrder,
+  GroupOrderResult,
+  Phase,
+  PhaseName,
+  SwitchEffect,
+  SwitchEvent,
+} from "./types.ts";
--- /dev/null
+++ b/agreement/switch-group/src/types.ts
@@ -0,0 +1,96 @@
+/** What the coordinator's core is told and what it asks for. */
+
+import type { ExpertMap, RankReport } from "@dandelionbank/types";
+
+export type GroupOrder =
+  | {
+    readonly kind: "prepare";
+    readonly version: number;
+    readonly map: ExpertMap;
+  }
+  | { readonly kind: "arm"; readonly version: number; readonly step: number }
+  | { readonly kind: "hold"; readonly step: number }
+  | { readonly kind: "release"; readonly step: number };
+
+/** `lost` orders may be carried out later, after newer ones. */
+export type GroupOrderResult = "done" | "conflict" | "invalid" | "lost";
+
+export type SwitchEvent =
+  /** Reports of all ranks that could be read, newer than any before. */
+  | { readonly type: "reported"; readonly reports: readonly RankReport[] }
+  | {
+    readonly type: "planned";
+    readonly map: ExpertMap;
+  }
+  | {
+    readonly type: "orderEnded";
+    readonly rank: number;
+    readonly order: GroupOrder;
+    readonly epoch: number;
+    readonly result: GroupOrderResult;
+  };
+
+export type SwitchEffect =
+  | {
+    readonly type: "send";
+    readonly rank: number;
+    readonly order: GroupOrder;
+    readonly epoch: number;
+    /**
+     * True for orders that only end what has begun. They may go past a rank's
+     * agent that does not answer.
+     */
+    readonly isForward: boolean;
+  }
+  | {
+    readonly type: "advanced";
+    readonly phase: PhaseName;
+    readonly version: number;
+    readonly epoch: number;
+    readonly step: number | undefined;
+  };
+
+export type PhaseName = Phase["name"] | "abandoned";
+
+export type Phase =
+  | { readonly name: "idle" }
+  | {
+    readonly name: "preparing";
+    readonly version: number;
+    readonly epoch: number;
+    readonly map: ExpertMap;
+    readonly sinceMs: number;
+  }
+  | {
+    readonly name: "holding";
+    readonly version: number;
+    readonly epoch: number;
+    /** The pass that begins with the new map. */
+    readonly step: number;
+    readonly holder: number;
+    readonly sinceMs: number;
+  }
+  | {
+    readonly name: "arming";
+    readonly version: number;
+    readonly epoch: number;
+    readonly step: number;
+    readonly holder: number;
+    readonly armed: ReadonlySet<number>;
+    readonly sinceMs: number;
+  }
+  | {
+    readonly name: "releasing";
+    readonly version: number;
+    readonly epoch: number;
+    readonly step: number;
+    readonly holder: number;
+    readonly sinceMs: number;
+  }
+  | {
+    readonly name: "settling";
+    readonly version: number;
+    readonly epoch: number;
+    readonly step: number | undefined;
+    readonly sinceMs: number;
+  };
--- a/daemon/platform-node/src/create_role.ts
+++ b/daemon/platform-node/src/create_role.ts
@@ -4,6 +4,7 @@
 import type { Registry } from "@dandelionbank/metrics";
 import type { BootSettings } from "@dandelionbank/platform-adapter";
 import { IngressProcess } from "@dandelionbank/serve-ingress";
+import { RankProcess } from "@dandelionbank/serve-rank";
 
 export interface RunningRole {
   start(): Promise<void>;
@@ -17,11 +18,12 @@
   readonly registry: Registry;
 }
 
-export const ROLES: ReadonlySet<string> = new Set(["entry"]);
+export const ROLES: ReadonlySet<string> = new Set(["entry", "rank"]);
 
 export async function createRole(
-  _role: string,
+  role: string,
   parts: RoleParts,
 ): Promise<RunningRole> {
+  if (role === "rank") return RankProcess.create(parts);
   return await IngressProcess.create(parts);
 }
--- /dev/null
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -0,0 +1,299 @@
+/**
+ * Coordinates one group while this agent has the duty: looks at all ranks,
+ * follows which experts are in demand, plans maps and switches to them.
+ */
+
+import {
+  type Leadership,
+  type LeadState,
+  noteNewerTerm,
+} from "@dandelionbank/lead-group";
+import type { Logger } from "@dandelionbank/log-events";
+import {
+  createFirstMap,
+  createFollowedDemand,
+  type ExpertPlan,
+  type FollowedDemand,
+  isChangeWorthwhile,
+  noteChoices,
+  planExperts,
+  readDemand,
+} from "@dandelionbank/plan-experts";
+import { decodeCounts, type PollReply } from "@dandelionbank/rank-api";
+import {
+  createSwitch,
+  isIdle,
+  stepSwitch,
+  type SwitchEffect,
+  type SwitchEvent,
+  type SwitchState,
+} from "@dandelionbank/switch-group";
+import type {
+  ExpertMap,
+  ExpertProfile,
+  RankReport,
+} from "@dandelionbank/types";
+import { setTimeout as delay } from "node:timers/promises";
+import type { RankLink } from "./rank_link.ts";
+
+/** Counts come from all ranks so often; passes take some tens of ms. */
+const LOOK_INTERVAL_MS = 250;
+/** While experts are copied, which takes some hundred ms. */
+const PREPARE_INTERVAL_MS = 50;
+/** While the group may be held. */
+const SWITCH_INTERVAL_MS = 15;
+/** Sets below this are even enough not to be touched. */
+const TARGET_SKEW = 1.06;
+/** Copies to one rank in one change; more take longer than they gain. */
+const MAX_COPIES_PER_RANK = 5;
+/** Versions of one coordinator. */
+const VERSIONS_PER_TERM = 64;
+
+export interface CoordinatorOptions {
+  readonly group: string;
+  readonly lead: LeadState;
+  readonly logger: Logger;
+  /** Ways to every target of the service, whatever group it is in. */
+  readonly listLinks: () => readonly RankLink[];
+  readonly readProfile: () => ExpertProfile | undefined;
+}
+
+interface Poll {
+  readonly link: RankLink;
+  readonly reply: PollReply | undefined;
+}
+
+export class Coordinator {
+  readonly #options: CoordinatorOptions;
+  readonly #leadership: Leadership;
+  readonly #switch: SwitchState;
+  readonly #links = new Map<number, RankLink>();
+  #demand: FollowedDemand = createFollowedDemand();
+  #map: { readonly version: number; readonly map: ExpertMap } | undefined;
+  #epoch = 0;
+  #plan: ExpertPlan | undefined;
+  #lookedAtMs = 0;
+  #phaseSinceMs = 0;
+
+  private constructor(options: CoordinatorOptions) {
+    this.#options = options;
+    this.#leadership = options.lead.known;
+    this.#switch = createSwitch({
+      firstVersion: this.#leadership.term * VERSIONS_PER_TERM,
+    });
+  }
+
+  static create(options: CoordinatorOptions): Coordinator {
+    return new Coordinator(options);
+  }
+
+  /** Resolves when another agent has the duty. */
+  async run(): Promise<void> {
+    while (this.#isLeading) {
+      await this.#round();
+      await delay(this.#intervalMs);
+    }
+  }
+
+  get #isLeading(): boolean {
+    const { lead } = this.#options;
+    return lead.isLeading && lead.known.term === this.#leadership.term;
+  }
+
+  get #intervalMs(): number {
+    switch (this.#switch.phase.name) {
+      case "idle":
+        return LOOK_INTERVAL_MS;
+      case "preparing":
+      case "settling":
+        return PREPARE_INTERVAL_MS;
+      default:
+        return SWITCH_INTERVAL_MS;
+    }
+  }
+
+  async #round(): Promise<void> {
+    const nowMs = performance.now();
+    const withChoices = nowMs - this.#lookedAtMs >= LOOK_INTERVAL_MS;
+    if (withChoices) this.#lookedAtMs = nowMs;
+    const links = this.#options.listLinks();
+    const polls = await Promise.all(links.map(async (link): Promise<Poll> => {
+      const request = { leadership: this.#leadership, withChoices };
+      return { link, reply: await link.poll(request) };
+    }));
+    const reports = this.#takeReplies(polls);
+    if (!this.#isLeading) return;
+    this.#noteEpoch(reports);
+    if (withChoices) this.#takeChoices(polls);
+    this.#post({ type: "reported", reports });
+    if (withChoices && isIdle(this.#switch)) await this.#planNext(reports);
+  }
+
+  #takeReplies(polls: readonly Poll[]): readonly RankReport[] {
+    const reports: RankReport[] = [];
+    for (const { link, reply } of polls) {
+      if (reply?.kind === "newer") this.#stepDown(reply.term);
+      if (reply?.kind !== "polled" || reply.report === undefined) continue;
+      if (reply.report.group !== this.#options.group) continue;
+      reports.push(reply.report);
+      this.#links.set(reply.report.rank, link);
+    }
+    return reports;
+  }
+
+  #stepDown(term: number): void {
+    const { lead, logger, group } = this.#options;
+    if (!this.#isLeading) return;
+    noteNewerTerm(lead, term);
+    logger.log("coordinatorEnded", { group, reason: `term ${term} is newer` });
+  }
+
+  /** A group that has formed anew chooses and counts from the beginning. */
+  #noteEpoch(reports: readonly RankReport[]): void {
+    const epoch = Math.max(this.#epoch, ...reports.map((each) => each.epoch));
+    if (epoch === this.#epoch) return;
+    this.#epoch = epoch;
+    this.#map = undefined;
+  }
+
+  #takeChoices(polls: readonly Poll[]): void {
+    let sum: number[] | undefined;
+    for (const { reply } of polls) {
+      if (reply?.kind !== "polled" || reply.choices === undefined) continue;
+      if (reply.report?.group !== this.#options.group) continue;
+      const counts = decodeCounts(reply.choices.counts);
+      if (sum === undefined) sum = [...counts];
+      else counts.forEach((count, index) => sum![index]! += count);
+    }
+    if (sum === undefined || sum.every((count) => count === 0)) return;
+    noteChoices(this.#demand, { counts: sum, nowMs: performance.now() });
+  }
+
+  async #planNext(reports: readonly RankReport[]): Promise<void> {
+    const profile = this.#options.readProfile();
+    if (profile === undefined) return;
+    const demand = readDemand(this.#demand, profile.expertsPerSet);
+    const map = await this.#readMap(reports, profile);
+    if (demand === undefined || map === undefined) return;
+    if (!isIdle(this.#switch)) return;
+    const paces = [...reports].sort((left, right) => left.rank - right.rank)
+      .map(({ pace }) => pace);
+    const plan = planExperts({
+      profile,
+      map,
+      demand,
+      paces,
+      maxCopiesPerRank: MAX_COPIES_PER_RANK,
+      targetSkew: TARGET_SKEW,
+    });
+    if (!isChangeWorthwhile(plan, profile)) return;
+    this.#plan = plan;
+    this.#post({ type: "planned", map: plan.map });
+    this.#logPlan(plan);
+  }
+
+  /** The map in force, from the ranks unless this coordinator set it. */
+  async #readMap(
+    reports: readonly RankReport[],
+    profile: ExpertProfile,
+  ): Promise<ExpertMap | undefined> {
+    const version = reports[0]?.mapVersion;
+    if (version === undefined) return undefined;
+    if (reports.some(({ mapVersion }) => mapVersion !== version)) {
+      return undefined;
+    }
+    if (this.#map?.version === version) return this.#map.map;
+    const map = version === 0
+      ? createFirstMap(profile, reports.length)
+      : await this.#collectMap(reports, { version, profile });
+    if (map !== undefined) this.#map = { version, map };
+    return map;
+  }
+
+  async #collectMap(
+    reports: readonly RankReport[],
+    { version, profile }: {
+      readonly version: number;
+      readonly profile: ExpertProfile;
+    },
+  ): Promise<ExpertMap | undefined> {
+    const ranks = await Promise.all(
+      reports.map(({ rank }) => this.#links.get(rank)?.readExperts()),
+    );
+    const held = new Map(
+      reports.map(({ rank }, index) => [rank, ranks[index]] as const),
+    );
+    const isComplete = [...held.values()].every((each) =>
+      each?.version === version && each.epoch === this.#epoch
+    );
+    if (!isComplete) return undefined;
+    return Array.from(
+      { length: profile.layerSets },
+      (_, set) =>
+        Array.from(
+          { length: reports.length },
+          (_, rank) => held.get(rank)?.sets[set] ?? [],
+        ),
+    );
+  }
+
+  #post(event: SwitchEvent): void {
+    const { effects } = stepSwitch(this.#switch, event, performance.now());
+    for (const effect of effects) this.#perform(effect);
+  }
+
+  #perform(effect: SwitchEffect): void {
+    if (effect.type === "send") {
+      void this.#send(effect);
+      return;
+    }
+    const { phase, version, epoch, step } = effect;
+    const nowMs = performance.now();
+    if (phase === "preparing") this.#phaseSinceMs = nowMs;
+    this.#options.logger.log("switchAdvanced", {
+      version,
+      epoch,
+      phase,
+      step,
+      elapsedMs: Math.round(nowMs - this.#phaseSinceMs),
+    });
+    if (phase === "settling" && this.#plan !== undefined) {
+      this.#map = { version, map: this.#plan.map };
+      this.#plan = undefined;
+    }
+    if (phase === "abandoned") this.#plan = undefined;
+  }
+
+  async #send(
+    { rank, order, epoch, isForward }: Extract<
+      SwitchEffect,
+      { readonly type: "send" }
+    >,
+  ): Promise<void> {
+    const link = this.#links.get(rank);
+    if (link === undefined || !this.#isLeading) return;
+    const result = await link.order({
+      leadership: this.#leadership,
+      order,
+      epoch,
+      isForward,
+    });
+    if (typeof result === "object") return this.#stepDown(result.newerTerm);
+    if (!this.#isLeading) return;
+    this.#post({ type: "orderEnded", rank, order, epoch, result });
+  }
+
+  #logPlan(plan: ExpertPlan): void {
+    const { phase } = this.#switch;
+    this.#options.logger.log("mapPlanned", {
+      version: phase.name === "idle" ? 0 : phase.version,
+      choices: Math.round(
+        (this.#demand.faded ?? []).reduce((sum, count) => sum + count, 0),
+      ),
+      windowMs: LOOK_INTERVAL_MS,
+      skewBefore: Number(plan.skewBefore.toFixed(2)),
+      skewAfter: Number(plan.skewAfter.toFixed(2)),
+      copies: plan.copies,
+    });
+  }
+}
--- /dev/null
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -0,0 +1,125 @@
+/**
+ * The agent's part: reads the engine beside it, and passes orders on for the
+ * newest coordinator alone.
+ */
+
+import {
+  followCoordinator,
+  type Leadership,
+  type LeadState,
+} from "@dandelionbank/lead-group";
+import type { Logger } from "@dandelionbank/log-events";
+import type { EngineClient } from "@dandelionbank/platform-adapter";
+import {
+  encodeCounts,
+  type NewerTerm,
+  type OrderReply,
+  type OrderRequest,
+  type PollReply,
+  type PollRequest,
+  type RankHandlers,
+} from "@dandelionbank/rank-api";
+import type { HeldExperts, RankReport } from "@dandelionbank/types";
+import { ChoiceLooks } from "./choice_looks.ts";
+
+export interface RankAgentOptions {
+  readonly engine: EngineClient;
+  readonly lead: LeadState;
+  readonly logger: Logger;
+}
+
+export class RankAgent implements RankHandlers {
+  readonly #options: RankAgentOptions;
+  readonly #looks = ChoiceLooks.create();
+  #report: RankReport | undefined;
+  #isEngineLost = false;
+
+  private constructor(options: RankAgentOptions) {
+    this.#options = options;
+  }
+
+  static create(options: RankAgentOptions): RankAgent {
+    return new RankAgent(options);
+  }
+
+  /** The engine's last report. */
+  get report(): RankReport | undefined {
+    return this.#report;
+  }
+
+  async poll(request: PollRequest): Promise<PollReply> {
+    const newer = this.#follow(request);
+    if (newer !== undefined) return newer;
+    const { engine } = this.#options;
+    const [report, choices] = await Promise.all([
+      this.readReport(),
+      request.withChoices ? engine.readChoices() : undefined,
+    ]);
+    if (choices === undefined) {
+      return { kind: "polled", report, choices: undefined };
+    }
+    const since = this.#looks.take(choices, request.sinceLook);
+    const counts = encodeCounts(since.counts);
+    return { kind: "polled", report, choices: { ...since, counts } };
+  }
+
+  async order(request: OrderRequest): Promise<OrderReply> {
+    const newer = this.#follow(request);
+    if (newer !== undefined) return newer;
+    const { order, epoch, term } = request;
+    const { engine, logger } = this.#options;
+    const result = await engine.sendOrder(order, epoch);
+    if (result !== "done") {
+      logger.log("orderFailed", {
+        order: order.kind,
+        term,
+        result,
+        detail: "step" in order
+          ? `step ${order.step}, epoch ${epoch}`
+          : `version ${order.version}, epoch ${epoch}`,
+      });
+    }
+    return { kind: "ordered", result };
+  }
+
+  readExperts(): Promise<HeldExperts | undefined> {
+    return this.#options.engine.readExperts();
+  }
+
+  async readReport(): Promise<RankReport | undefined> {
+    const report = await this.#options.engine.readReport();
+    this.#noteEngine(report);
+    this.#report = report ?? this.#report;
+    return report;
+  }
+
+  #follow({ term, coordinator }: Leadership): NewerTerm | undefined {
+    const { lead, logger } = this.#options;
+    const known = lead.known;
+    const isFollowed = followCoordinator(lead, {
+      leadership: { term, coordinator },
+      nowMs: performance.now(),
+    });
+    if (!isFollowed) {
+      logger.log("ordersDiscarded", { term, known: known.term });
+      return { kind: "newer", term: known.term };
+    }
+    if (known.term !== term) {
+      logger.log("coordinatorFollowed", { coordinator, term });
+    }
+    return undefined;
+  }
+
+  #noteEngine(report: RankReport | undefined): void {
+    const { logger } = this.#options;
+    if (report === undefined && !this.#isEngineLost) {
+      this.#isEngineLost = true;
+      logger.log("engineLost", {});
+    }
+    if (report !== undefined && (this.#isEngineLost || !this.#report)) {
+      this.#isEngineLost = false;
+      const { rank, group, epoch } = report;
+      logger.log("engineRegained", { rank, group, epoch });
+    }
+  }
+}
--- /dev/null
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -0,0 +1,133 @@
+/** The coordinator's way to one rank: by its agent, or past it. */
+
+import type { Leadership } from "@dandelionbank/lead-group";
+import { EngineClient } from "@dandelionbank/platform-adapter";
+import {
+  createRankClient,
+  type PollReply,
+  type RankClient,
+  type RankHandlers,
+} from "@dandelionbank/rank-api";
+import type { GroupOrder, GroupOrderResult } from "@dandelionbank/switch-group";
+import type { HeldExperts } from "@dandelionbank/types";
+
+/** Agents are near; one that takes longer is frozen or gone. */
+const CALL_TIMEOUT_MS = 200;
+/** Polls that fail in a row before a rank is asked less often. */
+const MAX_FAILURES = 3;
+const FAILED_INTERVAL_MS = 500;
+
+export interface RankLinkOptions {
+  /** `IP:PORT` of the agent. */
+  readonly agentAddress: string;
+  /** `IP:PORT` of the engine. */
+  readonly engineAddress: string;
+  /** The agent in this process, for the coordinator's own rank. */
+  readonly local: RankHandlers | undefined;
+}
+
+export interface LinkPoll {
+  readonly leadership: Leadership;
+  readonly withChoices: boolean;
+}
+
+export class RankLink {
+  readonly #options: RankLinkOptions;
+  readonly #client: RankClient | undefined;
+  #engine: EngineClient | undefined;
+  #lastLook = 0;
+  #failures = 0;
+  #askedAtMs = 0;
+
+  private constructor(options: RankLinkOptions) {
+    this.#options = options;
+    const { local, agentAddress } = options;
+    if (local !== undefined) return;
+    this.#client = createRankClient({
+      address: agentAddress,
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+
+  static create(options: RankLinkOptions): RankLink {
+    return new RankLink(options);
+  }
+
+  /** `undefined` if the agent does not answer. */
+  async poll(
+    { leadership, withChoices }: LinkPoll,
+  ): Promise<PollReply | undefined> {
+    const nowMs = performance.now();
+    const isFailing = this.#failures >= MAX_FAILURES;
+    if (isFailing && nowMs - this.#askedAtMs < FAILED_INTERVAL_MS) {
+      return undefined;
+    }
+    this.#askedAtMs = nowMs;
+    const request = { ...leadership, withChoices, sinceLook: this.#lastLook };
+    try {
+      const reply = await (this.#options.local?.poll(request) ??
+        this.#client!.calls.poll.mutate(request));
+      this.#failures = 0;
+      if (reply.kind === "polled" && reply.choices !== undefined) {
+        this.#lastLook = reply.choices.look;
+      }
+      return reply as PollReply;
+    } catch {
+      this.#failures += 1;
+      return undefined;
+    }
+  }
+
+  /** The term of a newer coordinator if the agent knows one. */
+  async order(
+    { leadership, order, epoch, isForward }: {
+      readonly leadership: Leadership;
+      readonly order: GroupOrder;
+      readonly epoch: number;
+      readonly isForward: boolean;
+    },
+  ): Promise<GroupOrderResult | { readonly newerTerm: number }> {
+    const request = { ...leadership, order, epoch };
+    try {
+      const reply = await (this.#options.local?.order(request) ??
+        this.#client!.calls.order.mutate(toMutable(request)));
+      if (reply.kind === "newer") return { newerTerm: reply.term };
+      return reply.result;
+    } catch {
+      // The agent may be gone while its engine waits for the order.
+      return isForward ? await this.#orderEngine(order, epoch) : "lost";
+    }
+  }
+
+  async readExperts(): Promise<HeldExperts | undefined> {
+    try {
+      return await (this.#options.local?.readExperts() ??
+        this.#client!.calls.readExperts.query());
+    } catch {
+      return undefined;
+    }
+  }
+
+  close(): void {
+    this.#client?.close();
+    void this.#engine?.close().catch(() => undefined);
+  }
+
+  #orderEngine(order: GroupOrder, epoch: number): Promise<GroupOrderResult> {
+    this.#engine ??= EngineClient.create(this.#options.engineAddress);
+    return this.#engine.sendOrder(order, epoch);
+  }
+}
+
+interface SentOrder extends Leadership {
+  readonly order: GroupOrder;
+  readonly epoch: number;
+}
+
+/** The client's types know no read-only lists. */
+function toMutable(request: SentOrder) {
+  const { order } = request;
+  if (order.kind !== "prepare") return { ...request, order };
+  const map = order.map.map((set) => set.map((experts) => [...experts]));
+  return { ...request, order: { ...order, map } };
+}
--- /dev/null
+++ b/daemon/serve-rank/src/rank_process.ts
@@ -0,0 +1,167 @@
+/**
+ * An agent beside a rank: answers the group's coordinator, and coordinates the
+ * group itself when no coordinator is heard.
+ */
+
+import {
+  createLeadState,
+  type LeadState,
+  takeDuty,
+} from "@dandelionbank/lead-group";
+import { HttpListener } from "@dandelionbank/listen-http";
+import type { Logger } from "@dandelionbank/log-events";
+import {
+  type BootSettings,
+  EngineClient,
+  parseAddress,
+  StoreClient,
+} from "@dandelionbank/platform-adapter";
+import { createRankRouter, RANK_PATH } from "@dandelionbank/rank-api";
+import { serveCall } from "@dandelionbank/trpc-over-http";
+import { setTimeout as delay } from "node:timers/promises";
+import { Coordinator } from "./coordinator.ts";
+import { GroupView } from "./group_view.ts";
+import { RankAgent } from "./rank_agent.ts";
+import { RankLink } from "./rank_link.ts";
+
+const WATCH_INTERVAL_MS = 200;
+const STORE_RETRY_MS = 1_000;
+
+export interface RankProcessOptions {
+  readonly settings: BootSettings;
+  readonly logger: Logger;
+}
+
+export class RankProcess {
+  readonly #options: RankProcessOptions;
+  readonly #engineAddress: string;
+  readonly #lead: LeadState;
+  readonly #agent: RankAgent;
+  readonly #view: GroupView;
+  readonly #server: HttpListener;
+  readonly #links = new Map<string, RankLink>();
+  #isStopped = false;
+
+  private constructor(
+    options: RankProcessOptions,
+    { engineAddress, service }: {
+      readonly engineAddress: string;
+      readonly service: string;
+    },
+  ) {
+    const { settings, logger } = options;
+    this.#options = options;
+    this.#engineAddress = engineAddress;
+    const { name, ip, peerPort, store } = settings;
+    this.#lead = createLeadState({ name, nowMs: performance.now() });
+    this.#agent = RankAgent.create({
+      engine: EngineClient.create(engineAddress),
+      lead: this.#lead,
+      logger,
+    });
+    const client = StoreClient.create(`${store.host}:${store.port}`);
+    this.#view = GroupView.create({ client, service, logger });
+    const router = createRankRouter(this.#agent);
+    this.#server = HttpListener.create({
+      host: ip,
+      port: peerPort,
+      listener: (request, response) => {
+        const pathPrefix = `${RANK_PATH}/`;
+        void serveCall(request, response, { router, pathPrefix });
+      },
+    });
+  }
+
+  static create(options: RankProcessOptions): RankProcess {
+    const { engine, engineService } = options.settings;
+    if (engine === undefined || engineService === undefined) {
+      throw new Error("The settings name no engine beside this process");
+    }
+    return new RankProcess(options, {
+      engineAddress: `${engine.host}:${engine.port}`,
+      service: engineService,
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.#server.listen();
+    const { name } = this.#options.settings;
+    this.#options.logger.log("rankAgentStarted", {
+      name,
+      engine: this.#engineAddress,
+    });
+    void this.#readView();
+    void this.#watchLeadership();
+  }
+
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    this.#lead.isLeading = false;
+    this.#view.unfollow();
+    await this.#server.close();
+  }
+
+  async #readView(): Promise<void> {
+    while (!this.#isStopped && !await this.#view.read()) {
+      await delay(STORE_RETRY_MS * (0.5 + Math.random() / 2));
+    }
+  }
+
+  async #watchLeadership(): Promise<void> {
+    while (!this.#isStopped) {
+      await delay(WATCH_INTERVAL_MS);
+      const report = this.#agent.report ?? await this.#agent.readReport();
+      if (report === undefined) continue;
+      const hasDuty = takeDuty(this.#lead, {
+        rank: report.rank,
+        nowMs: performance.now(),
+        wallMs: Date.now(),
+      });
+      if (hasDuty) await this.#coordinate(report.group);
+    }
+  }
+
+  async #coordinate(group: string): Promise<void> {
+    const { logger } = this.#options;
+    const { term } = this.#lead.known;
+    const reason = "no coordinator was heard";
+    logger.log("coordinatorStarted", { group, term, reason });
+    this.#view.follow();
+    await Coordinator.create({
+      group,
+      lead: this.#lead,
+      logger,
+      listLinks: () => this.#listLinks(),
+      readProfile: () => this.#view.profile,
+    }).run();
+    this.#view.unfollow();
+    for (const link of this.#links.values()) link.close();
+    this.#links.clear();
+  }
+
+  /** A link for each target of the service, kept as long as it is there. */
+  #listLinks(): readonly RankLink[] {
+    const addresses = new Set(this.#view.targets.map((each) => each.address));
+    addresses.add(this.#engineAddress);
+    for (const address of addresses) {
+      if (this.#links.has(address)) continue;
+      this.#links.set(address, this.#openLink(address));
+    }
+    for (const [address, link] of this.#links) {
+      if (addresses.has(address)) continue;
+      link.close();
+      this.#links.delete(address);
+    }
+    return [...this.#links.values()];
+  }
+
+  /** Agents run on the VMs of their engines. */
+  #openLink(engineAddress: string): RankLink {
+    const host = parseAddress(engineAddress)?.host ?? "";
+    return RankLink.create({
+      agentAddress: `${host}:${this.#options.settings.peerPort}`,
+      engineAddress,
+      local: engineAddress === this.#engineAddress ? this.#agent : undefined,
+    });
+  }
+}
--- a/foundation/types/src/group.ts
+++ b/foundation/types/src/group.ts
@@ -29,8 +29,16 @@
   readonly startedAtMs: number;
 }
 
-/** How often a rank's requests chose each expert, by set, since it started. */
+/** How often a rank's requests chose each expert since it started. */
 export interface ChoiceCounts {
   readonly epoch: number;
-  readonly counts: readonly (readonly number[])[];
+  /** Set after set. */
+  readonly counts: readonly number[];
+}
+
+/** The experts that one rank holds, by set. */
+export interface HeldExperts {
+  readonly epoch: number;
+  readonly version: number;
+  readonly sets: readonly (readonly number[])[];
 }
--- a/foundation/types/src/instant.ts
+++ b/foundation/types/src/instant.ts
@@ -7,6 +7,4 @@
   readonly steadyMs: number;
   /** Time of day. */
   readonly wallMs: number;
-  /** Counts suspended time. */
-  readonly bootMs: number;
 }
--- a/peers/peer-api/src/peer_client.ts
+++ b/peers/peer-api/src/peer_client.ts
@@ -1,17 +1,13 @@
-/**
- * Clients of the routers. They go over the same kind of pool as everything
- * else: Node's own `fetch` would load a second HTTP client.
- */
+/** Clients of the routers. */
 
-import {
-  type HttpConnector,
-  HttpPool,
-  readWhole,
-} from "@dandelionbank/open-http";
-import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { type HttpConnector, HttpPool } from "@dandelionbank/open-http";
+import { createPeerLink } from "@dandelionbank/trpc-over-http";
+import { createTRPCClient, type TRPCClient } from "@trpc/client";
 import type { AgentRouter } from "./agent_router.ts";
 import type { EntryRouter } from "./entry_router.ts";
 
+type PeerLink = ReturnType<typeof createPeerLink>;
+
 export type AgentClient = TRPCClient<AgentRouter>;
 export type EntryClient = TRPCClient<EntryRouter>;
 
@@ -30,49 +26,17 @@
   return createTRPCClient<EntryRouter>({ links: [createLink(options)] });
 }
 
-interface FetchInit {
-  readonly method?: string;
-  readonly headers?: unknown;
-  readonly body?: unknown;
-}
-
-interface FetchAnswer {
-  readonly ok: boolean;
-  json(): Promise<unknown>;
-}
-
-function createLink(options: PeerClientOptions): ReturnType<typeof httpLink> {
+function createLink(options: PeerClientOptions): PeerLink {
+  const { peerUrl, peerSecret, timeoutMs, connector } = options;
   const pool = HttpPool.create({
-    origin: options.peerUrl,
+    origin: peerUrl,
     connections: 1,
-    ...(options.connector === undefined
-      ? {}
-      : { connector: options.connector }),
+    ...(connector === undefined ? {} : { connector }),
   });
-  return httpLink({
-    url: `${options.peerUrl}/trpc`,
-    headers: { authorization: `Bearer ${options.peerSecret}` },
-    fetch: (url, init) => fetchOver(pool, String(url), { init, options }),
+  return createPeerLink({
+    pool,
+    path: "/trpc",
+    timeoutMs,
+    headers: { authorization: `Bearer ${peerSecret}` },
   });
 }
-
-async function fetchOver(
-  pool: HttpPool,
-  url: string,
-  context: {
-    readonly init: FetchInit | undefined;
-    readonly options: PeerClientOptions;
-  },
-): Promise<FetchAnswer> {
-  const { init, options } = context;
-  const answer = await readWhole(pool, {
-    method: init?.method ?? "GET",
-    path: url.slice(pool.origin.length),
-    headers: init?.headers as Record<string, string>,
-    ...(typeof init?.body === "string" ? { body: init.body } : {}),
-  }, { timeoutMs: options.timeoutMs });
-  return {
-    ok: answer.status >= 200 && answer.status < 300,
-    json: () => Promise.resolve(JSON.parse(answer.body.toString("utf8"))),
-  };
-}
--- /dev/null
+++ b/peers/rank-api/src/mod.ts
@@ -0,0 +1,16 @@
+/** Calls between agents beside ranks. */
+
+export { decodeCounts, encodeCounts } from "./encode_counts.ts";
+export { createRankClient, RANK_PATH } from "./rank_client.ts";
+export type { RankClient } from "./rank_client.ts";
+export { createRankRouter } from "./rank_router.ts";
+export type {
+  Choices,
+  NewerTerm,
+  OrderReply,
+  OrderRequest,
+  PollReply,
+  PollRequest,
+  RankHandlers,
+  RankRouter,
+} from "./rank_router.ts";
--- a/peers/serve-peers/src/peer_server.ts
+++ b/peers/serve-peers/src/peer_server.ts
@@ -7,10 +7,10 @@
 import { isSameSecret, readBearerKey } from "@dandelionbank/check-credential";
 import { HttpListener } from "@dandelionbank/listen-http";
 import type { TlsMaterial } from "@dandelionbank/load-tls";
+import { serveCall } from "@dandelionbank/trpc-over-http";
 import type { PeerFrame, PeerMessage } from "@dandelionbank/types";
 import type { AnyRouter } from "@trpc/server";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { serveCall } from "./serve_call.ts";
 
 const TRPC_PREFIX = "/trpc/";
 const ATTEMPTS_PATH = "/attempts";
--- /dev/null
+++ b/peers/trpc-over-http/src/create_link.ts
@@ -0,0 +1,56 @@
+/**
+ * The client's side of tRPC over the same kind of pool as everything else:
+ * Node's own `fetch` would load a second HTTP client.
+ */
+
+import { type HttpPool, readWhole } from "@dandelionbank/open-http";
+import { httpLink } from "@trpc/client";
+
+export interface PeerLinkOptions {
+  readonly pool: HttpPool;
+  /** Path at which the peer serves its router, such as `/trpc`. */
+  readonly path: string;
+  readonly timeoutMs: number;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+interface FetchInit {
+  readonly method?: string;
+  readonly headers?: unknown;
+  readonly body?: unknown;
+}
+
+interface FetchAnswer {
+  readonly ok: boolean;
+  json(): Promise<unknown>;
+}
+
+export function createPeerLink(
+  options: PeerLinkOptions,
+): ReturnType<typeof httpLink> {
+  const { pool, path, headers } = options;
+  return httpLink({
+    url: `${pool.origin}${path}`,
+    ...(headers === undefined ? {} : { headers }),
+    fetch: (url, init) => fetchOver(String(url), { init, options }),
+  });
+}
+
+async function fetchOver(
+  url: string,
+  { init, options: { pool, timeoutMs } }: {
+    readonly init: FetchInit | undefined;
+    readonly options: PeerLinkOptions;
+  },
+): Promise<FetchAnswer> {
+  const answer = await readWhole(pool, {
+    method: init?.method ?? "GET",
+    path: url.slice(pool.origin.length),
+    headers: init?.headers as Record<string, string>,
+    ...(typeof init?.body === "string" ? { body: init.body } : {}),
+  }, { timeoutMs });
+  return {
+    ok: answer.status >= 200 && answer.status < 300,
+    json: () => Promise.resolve(JSON.parse(answer.body.toString("utf8"))),
+  };
+}
--- a/routing/hold-configuration/src/hold_configuration.ts
+++ b/routing/hold-configuration/src/hold_configuration.ts
@@ -66,7 +66,6 @@
   return Math.max(
     now.steadyMs - provenAt.steadyMs,
     now.wallMs - provenAt.wallMs,
-    now.bootMs - provenAt.bootMs,
   );
 }
 
