--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -101,15 +101,10 @@
   }
 
   get #intervalMs(): number {
-    switch (this.#switch.phase.name) {
-      case "idle":
-        return LOOK_INTERVAL_MS;
-      case "preparing":
-      case "settling":
-        return PREPARE_INTERVAL_MS;
-      default:
-        return SWITCH_INTERVAL_MS;
-    }
+    const { name } = this.#switch.phase;
+    if (name === "idle") return LOOK_INTERVAL_MS;
+    const isCopying = name === "preparing" || name === "settling";
+    return isCopying ? PREPARE_INTERVAL_MS : SWITCH_INTERVAL_MS;
   }
 
   async #round(): Promise<void> {
