Test an entry on the platform over real sockets

A stand-in of the store (pages, watches, conditional writes, dropped history, silence) and of engines that answer wrongly in any way, and 40 tests of what an entry may hand on, refuse, repeat and deny.

Found by the test of a stop: a call whose only target was slow was given up as silent after two objectives and ended as 502. An attempt is now given up only where another target could serve the request.

--- a/daemon/forward-requests/src/forward_context.ts
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -20,6 +20,11 @@
   /** How long a group stalls on a rank that is lost. */
   readonly stallMs: number;
   readonly findTarget: (id: string) => MemberTarget | undefined;
+  /** True if a target of the service is open that was not tried yet. */
+  readonly hasOtherTarget: (
+    service: string,
+    tried: readonly string[],
+  ) => boolean;
   /** Entries that run, this one included. */
   readonly countEntries: () => number;
   readonly isLeaving: () => boolean;
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -359,7 +359,6 @@
       outcome === "notSent";
     this.#releaseTarget(isLoss ? "lost" : "replied", load);
     const wasAtFault = targetAtFault === undefined || targetAtFault === target;
-    const before = this.#progress;
     const move = this.#steer(outcome);
     this.#context.logger.log("attemptFailed", {
       requestId: this.#requestId,
@@ -380,7 +379,7 @@
       this.#sendNext();
       return;
     }
-    this.#perform(move, { failure, before });
+    this.#perform(move, failure);
   }
 
   #steer(outcome: AttemptOutcome): NextMove {
@@ -397,17 +396,10 @@
 
   /** Ends the request without a further attempt. */
   #conclude(outcome: AttemptOutcome, failure: TargetFailure | undefined): void {
-    const before = this.#progress;
-    this.#perform(decideFinal(before, outcome), { failure, before });
+    this.#perform(decideFinal(this.#progress, outcome), failure);
   }
 
-  #perform(
-    move: NextMove,
-    { failure }: {
-      readonly failure: TargetFailure | undefined;
-      readonly before: RequestProgress;
-    },
-  ): void {
+  #perform(move: NextMove, failure: TargetFailure | undefined): void {
     switch (move.type) {
       case "passFailure":
         if (failure === undefined) return this.#fail(502);
@@ -466,13 +458,19 @@
       : SILENT_OBJECTIVES * route.objectiveMs;
     if (route.kind !== "stream" && this.#hasAnswer) return;
     if (this.#targetsSent >= route.maxTargets) return;
-    const attempt = this.#attempt;
     this.#silenceTimer = setTimeout(
-      () => attempt?.giveUp("silent", `nothing for ${silenceMs} ms`),
+      () => this.#giveUpSilent(silenceMs),
       silenceMs,
     );
   }
 
+  /** Waits on where no other target could serve the request sooner. */
+  #giveUpSilent(silenceMs: number): void {
+    const { hasOtherTarget } = this.#context;
+    if (!hasOtherTarget(this.#service, this.#tried)) return;
+    this.#attempt?.giveUp("silent", `nothing for ${silenceMs} ms`);
+  }
+
   #releaseTarget(how: "replied" | "lost" | "left", load?: TargetLoad): void {
     clearTimeout(this.#silenceTimer);
     if (this.#target === undefined) return;
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -83,6 +83,7 @@
   #refreshTimer: NodeJS.Timeout | undefined;
   #isLeaving = false;
   #isStopped = false;
+  #stopped: Promise<void> | undefined;
   #others: readonly EntryStatus[] = [];
 
   private constructor(
@@ -127,6 +128,8 @@
       }),
       stallMs: bounds.stallMs,
       findTarget: (id) => this.#targets.find(id),
+      hasOtherTarget: (service, tried) =>
+        this.#targets.hasOther(service, tried),
       countEntries: () => this.#others.length + 1,
       isLeaving: () => this.#isLeaving,
     };
@@ -185,7 +188,12 @@
   }
 
   /** Leaves the directory at once and serves what still comes for a while. */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const { graceMs } = this.#options.settings.bounds;
     const startedMs = performance.now();
     const elapsedMs = () => performance.now() - startedMs;
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -43,6 +43,15 @@
     return this.#followed.targets.get(id);
   }
 
+  hasOther(service: string, tried: readonly string[]): boolean {
+    for (
+      const { id, service: own, isDraining } of this.#followed.targets.values()
+    ) {
+      if (own === service && !isDraining && !tried.includes(id)) return true;
+    }
+    return false;
+  }
+
   /** Slots of a service's targets that take work. */
   countSlots(service: string): number {
     let slots = 0;
--- /dev/null
+++ b/testing/ingress-tests/src/answers_test.ts
@@ -0,0 +1,260 @@
+import { HEADERS } from "@dandelionbank/platform-adapter";
+import {
+  answerWhole,
+  type EngineScript,
+  refuseRun,
+  resetConnection,
+  streamEvents,
+} from "@dandelionbank/standin-site";
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { call, startSite, waitFor } from "./fixtures.ts";
+
+test("A success goes back whole, with its seal", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const answer = await call(site, { path: "/safe/a?b=c", body: "question" });
+  assert.equal(answer.status, 200);
+  assert.equal(answer.body, "whole answer question");
+  assert.equal(answer.headers[HEADERS.answerSeal], "seal-e0");
+});
+
+test("A target gets the organisation of the key, never the key", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  await call(site, {
+    path: "/safe/a?b=c",
+    headers: {
+      [HEADERS.organisation]: "forged",
+      [HEADERS.expectedTarget]: "forged",
+      [HEADERS.deadlineMs]: "1500",
+      "connection": "close, x-private",
+      "x-private": "1",
+      "x-kept": "2",
+    },
+  });
+  const { headers, path, method } = site.engines[0]!.calls[0]!;
+  assert.equal(method, "POST");
+  assert.equal(path, "/safe/a?b=c");
+  assert.equal(headers[HEADERS.organisation], "org-1");
+  assert.equal(headers[HEADERS.credential], undefined);
+  assert.equal(headers[HEADERS.expectedTarget], "e0");
+  assert.equal(headers["x-private"], undefined);
+  assert.equal(headers["x-kept"], "2");
+  const leftMs = Number(headers[HEADERS.deadlineMs]);
+  assert.ok(leftMs > 1_000 && leftMs <= 1_500, String(leftMs));
+});
+
+test("A public route passes no organisation on", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const headers = { [HEADERS.organisation]: "forged" };
+  await call(site, { path: "/open/a", headers });
+  const sent = site.engines[0]!.calls[0]!.headers;
+  assert.equal(sent[HEADERS.organisation], undefined);
+});
+
+interface WrongAnswer {
+  readonly name: string;
+  readonly script: EngineScript;
+}
+
+const WRONG_ANSWERS: readonly WrongAnswer[] = [
+  {
+    name: "of another request",
+    script: (each) => {
+      const sealed = { ...each.sealed, [HEADERS.attemptId]: "another" };
+      answerWhole({ ...each, sealed });
+    },
+  },
+  {
+    name: "without a seal",
+    script: (each) => answerWhole({ ...each, sealed: {} }),
+  },
+  {
+    name: "with an encoded body",
+    script: (each) => {
+      const sealed = { ...each.sealed, "content-encoding": "gzip" };
+      answerWhole({ ...each, sealed });
+    },
+  },
+  {
+    name: "cut short",
+    script: ({ response, sealed }) => {
+      response.writeHead(200, { ...sealed, "content-length": 100 });
+      response.write("half", () => response.socket?.destroy());
+    },
+  },
+  {
+    name: "that is none",
+    script: ({ response }) => {
+      response.socket?.end("these are not the bytes\r\n\r\n");
+    },
+  },
+  {
+    name: "that promises not to have run, without proof",
+    script: ({ response, sealed }) => {
+      response.writeHead(503, { ...sealed, "content-length": 0 }).end();
+    },
+  },
+  { name: "lost", script: resetConnection },
+];
+
+for (const { name, script } of WRONG_ANSWERS) {
+  test(`An answer ${name} is a failure, and is not tried again`, async (t) => {
+    const site = await startSite(t);
+    for (const engine of site.engines) engine.script = script;
+    const answer = await call(site, { path: "/once/a" });
+    assert.equal(answer.status, 502);
+    assert.equal(answer.headers[HEADERS.answerSeal], undefined);
+    const runs = site.engines.flatMap(({ calls }) => calls);
+    assert.equal(runs.length, 1);
+  });
+
+  test(`After an answer ${name}, an idempotent call goes elsewhere`, async (t) => {
+    const site = await startSite(t);
+    let isFirst = true;
+    for (const engine of site.engines) {
+      engine.script = (each) => {
+        const chosen = isFirst ? script : answerWhole;
+        isFirst = false;
+        chosen(each);
+      };
+    }
+    const answer = await call(site, { path: "/safe/a" });
+    assert.equal(answer.status, 200);
+    assert.equal(answer.body, "whole answer x");
+  });
+}
+
+test("A target's own failure goes back as it was", async (t) => {
+  const site = await startSite(t);
+  for (const engine of site.engines) {
+    engine.script = ({ response, sealed }) => {
+      response.writeHead(500, { ...sealed, "content-length": 3 }).end("bad");
+    };
+  }
+  const answer = await call(site, { path: "/once/a" });
+  assert.equal(answer.status, 500);
+  assert.equal(answer.body, "bad");
+  assert.match(String(answer.headers[HEADERS.answerSeal]), /^seal-/);
+});
+
+test("A call that targets refuse has not run, and is told when to return", async (t) => {
+  const site = await startSite(t);
+  for (const engine of site.engines) engine.script = refuseRun;
+  const answer = await call(site, { path: "/safe/a" });
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers["retry-after"]) > 0);
+  const runs = site.engines.flatMap(({ calls }) => calls);
+  assert.equal(runs.length, 2);
+});
+
+test("A call that was lost and then refused is not called not run", async (t) => {
+  const site = await startSite(t);
+  let isFirst = true;
+  for (const engine of site.engines) {
+    engine.script = (each) => {
+      const chosen = isFirst ? resetConnection : refuseRun;
+      isFirst = false;
+      chosen(each);
+    };
+  }
+  assert.equal((await call(site, { path: "/safe/a" })).status, 502);
+});
+
+test("A second answer on a kept connection reaches nobody", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const [engine] = site.engines;
+  engine!.script = (each) => {
+    answerWhole(each);
+    const { response } = each;
+    setTimeout(() => {
+      response.socket?.write(
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra",
+      );
+    }, 20);
+  };
+  const agent = new Agent({ keepAlive: true });
+  for (let index = 0; index < 4; index++) {
+    const body = `q${index}`;
+    const answer = await call(site, { path: "/safe/a", body, agent });
+    assert.equal(answer.body, `whole answer ${body}`);
+    await delay(index * 15);
+  }
+  agent.destroy();
+});
+
+test("A stream that is cut within an event goes on at another target", async (t) => {
+  const site = await startSite(t);
+  let isFirst = true;
+  for (const engine of site.engines) {
+    engine.script = (each) => {
+      const script = isFirst
+        ? streamEvents({ last: 6, cutAfter: 3 })
+        : streamEvents({ last: 6 });
+      isFirst = false;
+      script(each);
+    };
+  }
+  const answer = await call(site, { path: "/stream/a" });
+  assert.equal(answer.status, 200);
+  assert.ok(answer.isWhole);
+  const ids = [...answer.body.matchAll(/id: (\d+)\ndata: token/g)];
+  assert.deepEqual(ids.map(([, id]) => Number(id)), [1, 2, 3, 4, 5, 6]);
+});
+
+test("A stream that no target completes does not look whole", async (t) => {
+  const site = await startSite(t);
+  for (const engine of site.engines) {
+    engine.script = streamEvents({ last: 6, cutAfter: 4 });
+  }
+  const answer = await call(site, { path: "/stream/a" });
+  assert.ok(!answer.isWhole);
+  const ids = [...answer.body.matchAll(/id: (\d+)\ndata: token/g)];
+  assert.deepEqual(ids.map(([, id]) => Number(id)), [1, 2, 3, 4]);
+});
+
+test("A stream that falls silent goes on at another target", async (t) => {
+  const site = await startSite(t);
+  let isFirst = true;
+  for (const engine of site.engines) {
+    engine.script = (each) => {
+      if (!isFirst) return streamEvents({ last: 4 })(each);
+      isFirst = false;
+      each.response.writeHead(200, each.sealed);
+      each.response.write("id: 1\ndata: token 1\n\n");
+    };
+  }
+  const answer = await call(site, { path: "/stream/a" });
+  assert.ok(answer.isWhole);
+  assert.equal([...answer.body.matchAll(/id: /g)].length, 4);
+});
+
+test("At the route's timeout the caller has an answer and the target stops", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const [engine] = site.engines;
+  engine!.script = () => undefined;
+  const answer = await call(site, { path: "/open/a" });
+  assert.equal(answer.status, 504);
+  assert.ok(answer.elapsedMs >= 390 && answer.elapsedMs < 900);
+  await waitFor(() => engine!.abandoned === 1);
+});
+
+test("When a caller leaves, its target stops", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const [engine] = site.engines;
+  engine!.script = () => undefined;
+  const leave = new AbortController();
+  const left = call(site, { path: "/safe/a", signal: leave.signal });
+  await waitFor(() => engine!.calls.length === 1);
+  leave.abort();
+  await assert.rejects(left);
+  await waitFor(() => engine!.abandoned === 1);
+});
+
+test("A body over the limit is turned away", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const body = "x".repeat(8_192);
+  assert.equal((await call(site, { path: "/safe/a", body })).status, 413);
+  assert.equal(site.engines[0]!.calls.length, 0);
+});
--- /dev/null
+++ b/testing/ingress-tests/src/fixtures.ts
@@ -0,0 +1,267 @@
+/** An entry with a store and engines, and a caller that speaks bare HTTP. */
+
+import type { Logger } from "@dandelionbank/log-events";
+import { Registry } from "@dandelionbank/metrics";
+import {
+  type BootSettings,
+  decodeBootSettings,
+  HEADERS,
+} from "@dandelionbank/platform-adapter";
+import { IngressProcess } from "@dandelionbank/serve-ingress";
+import { SiteEngine, SiteStore } from "@dandelionbank/standin-site";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { Agent, type IncomingHttpHeaders, request } from "node:http";
+import { createServer } from "node:net";
+import type { TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+
+export const HOST = "calls.example";
+export const KEY = "key-1";
+
+export interface Site {
+  readonly store: SiteStore;
+  readonly engines: readonly SiteEngine[];
+  readonly entry: IngressProcess;
+  readonly settings: BootSettings;
+  readonly lines: readonly LoggedLine[];
+}
+
+export interface LoggedLine {
+  readonly name: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+export interface SiteOptions {
+  readonly engines?: number;
+  readonly routes?: readonly Readonly<Record<string, unknown>>[];
+  readonly graceS?: number;
+}
+
+const ROUTE = {
+  host: HOST,
+  "timeout_ms": 2_000,
+  "latency_goal_ms": 300,
+  priority: 1,
+  service: "s",
+  attempts: 2,
+};
+
+/** One route of each kind, by its prefix. */
+export const ROUTES = [
+  { ...ROUTE, name: "safe", "path_prefix": "/safe/", type: "idempotent" },
+  {
+    ...ROUTE,
+    name: "once",
+    "path_prefix": "/once/",
+    type: "non_idempotent",
+    attempts: 1,
+  },
+  {
+    ...ROUTE,
+    name: "stream",
+    "path_prefix": "/stream/",
+    type: "streaming",
+    resumable: true,
+    "target_gap_ms": 120,
+  },
+  {
+    ...ROUTE,
+    name: "open",
+    "path_prefix": "/open/",
+    type: "idempotent",
+    public: true,
+    "timeout_ms": 400,
+  },
+] as const;
+
+export function createConfiguration(
+  { version = 1, routes = ROUTES, keys = [KEY] }: {
+    readonly version?: number;
+    readonly routes?: readonly unknown[];
+    readonly keys?: readonly string[];
+  } = {},
+) {
+  return {
+    version,
+    routes,
+    services: [{ name: "s", "health_path": "/healthz", "max_conns": 40 }],
+    limits: {
+      "max_header_bytes": 16_384,
+      "max_body_bytes": 4_096,
+      "header_timeout_ms": 3_000,
+      "idle_timeout_ms": 15_000,
+    },
+    tenants: [{ name: "org-1", "api_keys": keys }],
+  };
+}
+
+export async function startSite(
+  t: TestContext,
+  options: SiteOptions = {},
+): Promise<Site> {
+  const { engines: count = 2, graceS = 2 } = options;
+  const store = await SiteStore.create();
+  const engines = await Promise.all(
+    Array.from({ length: count }, (_, index) => SiteEngine.create(`e${index}`)),
+  );
+  store.put("config", "main", createConfiguration());
+  for (const engine of engines) {
+    store.put("servers", engine.id, engine.describe({ service: "s" }));
+  }
+  const settings = await createSettings({ store, graceS });
+  const lines: LoggedLine[] = [];
+  const logger: Logger = {
+    log: (name, fields) => void lines.push({ name, fields }),
+  };
+  const entry = await IngressProcess.create({
+    settings,
+    logger,
+    registry: new Registry(),
+  });
+  await entry.start();
+  const site = { store, engines, entry, settings, lines };
+  t.after(async () => {
+    store.mood = "sound";
+    await entry.stop();
+    await Promise.all(engines.map((engine) => engine.close()));
+    await store.close();
+  });
+  await waitFor(async () => (await readReady(site)) === 200);
+  await waitFor(() => lines.some(({ name }) => name === "targetsChanged"));
+  return site;
+}
+
+async function createSettings(
+  { store, graceS }: { readonly store: SiteStore; readonly graceS: number },
+): Promise<BootSettings> {
+  const [callers, ready, registry, peers] = await Promise.all(
+    Array.from({ length: 4 }, findPort),
+  );
+  return decodeBootSettings(`
+node_name=edge-1
+ip=127.0.0.1
+zone=a
+listen.frontend=127.0.0.1:${callers}
+listen.ready=127.0.0.1:${ready}
+listen.registry=127.0.0.1:${registry}
+port_range=${peers},${peers}
+limits.memory_mb=350
+bounds.drain_ms=2000
+bounds.grace_s=${graceS}
+bounds.config_apply_ms=1000
+bounds.revoke_ms=2000
+bounds.reuse_after_s=2
+bounds.stall_ms=300
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.retry_budget_slack=90
+bounds.ttl_max_s=5
+platform.address=${store.address}
+`);
+}
+
+async function findPort(): Promise<number> {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as { readonly port: number };
+  server.close();
+  await once(server, "close");
+  return port;
+}
+
+export interface CallOptions {
+  readonly path: string;
+  readonly body?: string;
+  readonly key?: string | undefined;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly agent?: Agent;
+  readonly signal?: AbortSignal;
+}
+
+export interface CallAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  readonly isWhole: boolean;
+  readonly elapsedMs: number;
+}
+
+let lastAttempt = 0;
+
+/** Rejects if the connection ends before an answer has begun. */
+export function call(
+  { settings }: Pick<Site, "settings">,
+  options: CallOptions,
+): Promise<CallAnswer> {
+  const { path, body = "x", key = KEY, headers, agent, signal } = options;
+  const startedMs = performance.now();
+  lastAttempt += 1;
+  return new Promise((resolve, reject) => {
+    const sent = request({
+      host: settings.callers!.host,
+      port: settings.callers!.port,
+      path,
+      method: "POST",
+      agent: agent ?? false,
+      ...(signal === undefined ? {} : { signal }),
+      headers: {
+        host: HOST,
+        [HEADERS.attemptId]: `attempt-${lastAttempt}`,
+        [HEADERS.credential]: key,
+        ...headers,
+      },
+    }, (response) => {
+      let text = "";
+      const end = (isWhole: boolean) =>
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: text,
+          isWhole,
+          elapsedMs: performance.now() - startedMs,
+        });
+      response.on("data", (chunk) => text += String(chunk));
+      response.on("end", () => end(response.complete));
+      response.on("error", () => end(false));
+    });
+    sent.on("error", reject);
+    sent.end(body);
+  });
+}
+
+export function readReady({ settings }: Pick<Site, "settings">) {
+  return readStatus({ ...settings.readiness!, path: "/-/readyz" });
+}
+
+export async function readDirectory({ settings }: Pick<Site, "settings">) {
+  const { host, port } = settings.directory!;
+  const path = `/-/resolve?name=${HOST}&zone=a`;
+  const response = await fetch(`http://${host}:${port}${path}`);
+  return { status: response.status, text: await response.text() };
+}
+
+async function readStatus(
+  { host, port, path }: {
+    readonly host: string;
+    readonly port: number;
+    readonly path: string;
+  },
+): Promise<number> {
+  const response = await fetch(`http://${host}:${port}${path}`);
+  await response.body?.cancel();
+  return response.status;
+}
+
+const WAIT_LIMIT_MS = 8_000;
+const WAIT_POLL_MS = 10;
+
+export async function waitFor(
+  isDone: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const untilMs = performance.now() + WAIT_LIMIT_MS;
+  while (!await isDone()) {
+    assert.ok(performance.now() < untilMs, "waited in vain");
+    await delay(WAIT_POLL_MS);
+  }
+}
--- /dev/null
+++ b/testing/ingress-tests/src/mod.ts
@@ -0,0 +1,3 @@
+/** Tests of an entry on the platform; nothing is exported. */
+
+export {};
--- /dev/null
+++ b/testing/ingress-tests/src/views_test.ts
@@ -0,0 +1,201 @@
+import { KINDS } from "@dandelionbank/platform-adapter";
+import { refuseRun, SiteEngine } from "@dandelionbank/standin-site";
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import {
+  call,
+  createConfiguration,
+  readDirectory,
+  readReady,
+  ROUTES,
+  type Site,
+  startSite,
+  waitFor,
+} from "./fixtures.ts";
+
+test("An unknown route or key is denied by a fresh configuration", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  assert.equal((await call(site, { path: "/none/a" })).status, 404);
+  const unknown = await call(site, { path: "/safe/a", key: "guessed" });
+  assert.equal(unknown.status, 401);
+  assert.equal((await call(site, { path: "/open/a", key: "" })).status, 200);
+  assert.equal(site.engines[0]!.calls.length, 1);
+});
+
+test("While the store is silent, nothing is denied that may be allowed", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  site.store.mood = "silent";
+  await delay(1_300);
+  const answer = await call(site, { path: "/none/a" });
+  assert.equal(answer.status, 503);
+  assert.ok(answer.headers["retry-after"] !== undefined);
+});
+
+test("A key that may be revoked is refused once the store is away too long", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  site.store.mood = "silent";
+  await delay(2_100);
+  assert.equal((await call(site, { path: "/safe/a" })).status, 503);
+  assert.equal((await call(site, { path: "/open/a" })).status, 200);
+  site.store.mood = "sound";
+  await waitFor(async () =>
+    (await call(site, { path: "/safe/a" })).status === 200
+  );
+});
+
+test("A key that was taken away is refused on open connections too", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const agent = new Agent({ keepAlive: true });
+  assert.equal((await call(site, { path: "/safe/a", agent })).status, 200);
+  site.store.put(
+    "config",
+    "main",
+    createConfiguration({ version: 2, keys: [] }),
+  );
+  await waitForVersion(site, 2);
+  assert.equal((await call(site, { path: "/safe/a", agent })).status, 401);
+  agent.destroy();
+});
+
+test("An older configuration does not come back", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const routes = ROUTES.filter(({ name }) => name !== "safe");
+  site.store.put("config", "main", createConfiguration({ version: 5, routes }));
+  await waitForVersion(site, 5);
+  site.store.put("config", "main", createConfiguration({ version: 4 }));
+  await delay(200);
+  assert.equal((await call(site, { path: "/safe/a" })).status, 404);
+});
+
+test("Changes are seen after the store has dropped its history", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  site.store.put("config", "main", createConfiguration({ version: 2 }));
+  site.store.dropHistory();
+  await waitForVersion(site, 2);
+});
+
+test("A target that drains or is gone gets no new work", async (t) => {
+  const site = await startSite(t);
+  const [first, second] = site.engines;
+  const draining = first!.describe({ service: "s", state: "draining" });
+  site.store.put("servers", first!.id, draining);
+  await waitForTargets(site, { open: 1, closed: 1 });
+  for (let index = 0; index < 6; index++) await call(site, { path: "/safe/a" });
+  assert.equal(first!.calls.length, 0);
+  assert.equal(second!.calls.length, 6);
+  site.store.remove("servers", first!.id);
+  await waitForTargets(site, { open: 1, closed: 0 });
+  assert.equal((await call(site, { path: "/safe/a" })).status, 200);
+});
+
+test("A malformed entry names no target and harms no other", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const [engine] = site.engines;
+  const good = engine!.describe({ service: "s" });
+  const entries: readonly unknown[] = [
+    "text",
+    null,
+    { ...good, address: 5 },
+    { ...good, address: "nowhere" },
+    { ...good, state: "sleeping" },
+    { ...good, service: undefined },
+    { ...good, slots: "8" },
+  ];
+  entries.forEach((entry, index) => {
+    site.store.put("servers", `bad-${index}`, entry);
+  });
+  await delay(200);
+  for (let index = 0; index < 8; index++) {
+    assert.equal((await call(site, { path: "/safe/a" })).status, 200);
+  }
+  assert.equal(engine!.calls.length, 8);
+});
+
+test("An address that another target has now is not run there", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const other = await SiteEngine.create("other");
+  t.after(() => other.close());
+  const [engine] = site.engines;
+  const reused = {
+    ...engine!.describe({ service: "s" }),
+    address: other.address,
+  };
+  site.store.put("servers", engine!.id, reused);
+  await delay(200);
+  assert.equal((await call(site, { path: "/once/a" })).status, 503);
+  assert.equal(other.calls.length, 0);
+});
+
+test("Retries stay within the budget while every target refuses", async (t) => {
+  const site = await startSite(t, { engines: 2 });
+  for (const engine of site.engines) engine.script = refuseRun;
+  const count = 300;
+  for (let index = 0; index < count; index++) {
+    await call(site, { path: "/safe/a" });
+  }
+  const arrivals = site.engines.flatMap(({ calls }) => calls).length;
+  assert.ok(arrivals - count <= 90 + 0.2 * count, String(arrivals));
+});
+
+test("The directory names the entry while it takes callers", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const { host, port } = site.settings.callers!;
+  const { status, text } = await readDirectory(site);
+  assert.equal(status, 200);
+  const { addresses, ttl_s: ttlS } = JSON.parse(text) as Record<
+    string,
+    unknown
+  >;
+  assert.deepEqual(addresses, [`${host}:${port}`]);
+  assert.equal(ttlS, 2);
+});
+
+test("A stop cuts no request and leaves the directory at once", async (t) => {
+  const site = await startSite(t, { engines: 1, graceS: 3 });
+  const [engine] = site.engines;
+  engine!.script = ({ response, sealed }) => {
+    setTimeout(() => response.writeHead(200, sealed).end("late"), 900);
+  };
+  const running = call(site, { path: "/safe/a" });
+  await waitFor(() => engine!.calls.length === 1);
+  const stopped = site.entry.stop();
+  assert.equal(await readReady(site), 503);
+  assert.equal((await readDirectory(site)).status, 503);
+  const next = await call(site, { path: "/safe/a" });
+  assert.equal(next.status, 200);
+  assert.equal(next.headers.connection, "close");
+  assert.equal((await running).body, "late");
+  await stopped;
+});
+
+test("An entry registers where its own kind reaches it", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  await waitFor(() =>
+    site.lines.some(({ name }) => name === "entryRegistered")
+  );
+  const { ip, peerPort, name } = site.settings;
+  assert.deepEqual(site.store.read(KINDS.entries, name), {
+    peerAddress: `${ip}:${peerPort}`,
+  });
+});
+
+function waitForVersion(site: Site, version: number): Promise<void> {
+  return waitFor(() =>
+    site.lines.some(({ name, fields }) =>
+      name === "configurationApplied" && fields["version"] === version
+    )
+  );
+}
+
+function waitForTargets(
+  site: Site,
+  wanted: { readonly open: number; readonly closed: number },
+): Promise<void> {
+  return waitFor(() => {
+    const last = site.lines.findLast(({ name }) => name === "targetsChanged");
+    return last?.fields["open"] === wanted.open &&
+      last.fields["closed"] === wanted.closed;
+  });
+}
--- /dev/null
+++ b/testing/standin-site/src/mod.ts
@@ -0,0 +1,12 @@
+/** Stand-ins of the users' platform. */
+
+export {
+  answerWhole,
+  refuseRun,
+  resetConnection,
+  SiteEngine,
+  streamEvents,
+} from "./site_engine.ts";
+export type { EngineCall, EngineScript } from "./site_engine.ts";
+export { SiteStore } from "./site_store.ts";
+export type { StoreMood } from "./site_store.ts";
--- /dev/null
+++ b/testing/standin-site/src/site_engine.ts
@@ -0,0 +1,149 @@
+/**
+ * Stand-in of an engine or a plain target. It counts what it ran and answers as
+ * its script says; a script writes to the bare socket, so that it can answer
+ * wrongly in any way.
+ */
+
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { HEADERS } from "@dandelionbank/platform-adapter";
+
+export interface EngineCall {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+  readonly response: ServerResponse;
+  /** Headers of a true answer: the request's id and a seal. */
+  readonly sealed: Readonly<Record<string, string>>;
+}
+
+export type EngineScript = (call: EngineCall) => void;
+
+export class SiteEngine {
+  readonly id: string;
+  readonly calls: EngineCall[] = [];
+  readonly #server: Server;
+  script: EngineScript = answerWhole;
+  /** Connections that callers closed before an answer. */
+  abandoned = 0;
+
+  private constructor(id: string) {
+    this.id = id;
+    this.#server = createServer((request, response) =>
+      void this.#handle(request, response)
+    );
+  }
+
+  static async create(id: string): Promise<SiteEngine> {
+    const engine = new SiteEngine(id);
+    engine.#server.listen(0, "127.0.0.1");
+    await once(engine.#server, "listening");
+    return engine;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  /** The entry that the engine writes into the store. */
+  describe(
+    { service, state = "ready" }: {
+      readonly service: string;
+      readonly state?: string;
+    },
+  ) {
+    return {
+      service,
+      address: this.address,
+      zone: "a",
+      version: "v1",
+      slots: 8,
+      state,
+      "cold_left_ms": 0,
+      sequence: 0,
+    };
+  }
+
+  async close(): Promise<void> {
+    this.#server.close();
+    this.#server.closeAllConnections();
+    await once(this.#server, "close");
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    let body = "";
+    for await (const chunk of request) body += String(chunk);
+    const attemptId = String(request.headers[HEADERS.attemptId] ?? "");
+    const expected = request.headers[HEADERS.expectedTarget];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421).end();
+      return;
+    }
+    response.on("close", () => {
+      if (!response.writableEnded) this.abandoned += 1;
+    });
+    const call: EngineCall = {
+      method: request.method ?? "",
+      path: request.url ?? "",
+      headers: request.headers,
+      body,
+      response,
+      sealed: {
+        [HEADERS.attemptId]: attemptId,
+        [HEADERS.answerSeal]: `seal-${this.id}`,
+      },
+    };
+    this.calls.push(call);
+    this.script(call);
+  }
+}
+
+export function answerWhole({ response, sealed, body }: EngineCall): void {
+  const text = `whole answer ${body}`;
+  response.writeHead(200, { ...sealed, "content-length": text.length });
+  response.end(text);
+}
+
+/** Says that the request did not run. */
+export function refuseRun({ response }: EngineCall): void {
+  response.writeHead(503, { [HEADERS.notRun]: "1", "content-length": 0 }).end();
+}
+
+/** Reads the request and resets the connection. */
+export function resetConnection({ response }: EngineCall): void {
+  response.socket?.resetAndDestroy();
+}
+
+/** Streams events from the one after `Last-Event-Id` up to `last`. */
+export function streamEvents(
+  { last, cutAfter }: { readonly last: number; readonly cutAfter?: number },
+): EngineScript {
+  return ({ response, sealed, headers }) => {
+    const from = Number(headers[HEADERS.lastEventId] ?? 0);
+    response.writeHead(200, {
+      ...sealed,
+      "content-type": "text/event-stream",
+    });
+    for (let id = from + 1; id <= last; id++) {
+      if (cutAfter !== undefined && id > cutAfter) {
+        // Stops in the middle of an event.
+        response.write(`id: ${id}\ndata: ha`, () => {
+          response.socket?.resetAndDestroy();
+        });
+        return;
+      }
+      response.write(`id: ${id}\ndata: token ${id}\n\n`);
+    }
+    response.end();
+  };
+}
--- /dev/null
+++ b/testing/standin-site/src/site_store.ts
@@ -0,0 +1,260 @@
+/** Stand-in of the platform's store: lists, pages, watches, conditional writes. */
+
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+interface StoredObject {
+  readonly kind: string;
+  readonly name: string;
+  readonly revision: number;
+  readonly spec: unknown;
+  readonly isDeleted: boolean;
+}
+
+interface Watcher {
+  readonly kind: string;
+  readonly fromRevision: number;
+  readonly answer: () => void;
+}
+
+/** How the store treats calls. */
+export type StoreMood = "sound" | "busy" | "silent";
+
+const PREFIX = "/-/objects/";
+const PAGE_SIZE = 3;
+
+export class SiteStore {
+  readonly #server: Server;
+  readonly #objects = new Map<string, StoredObject>();
+  #history: StoredObject[] = [];
+  #historySince = 0;
+  #revision = 1;
+  #watchers: Watcher[] = [];
+  mood: StoreMood = "sound";
+  calls = 0;
+
+  private constructor() {
+    this.#server = createServer((request, response) =>
+      void this.#handle(request, response)
+    );
+  }
+
+  static async create(): Promise<SiteStore> {
+    const store = new SiteStore();
+    store.#server.listen(0, "127.0.0.1");
+    await once(store.#server, "listening");
+    return store;
+  }
+
+  get address(): string {
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** The object's `spec`; undefined if there is none. */
+  read(kind: string, name: string): unknown {
+    return this.#objects.get(`${kind}/${name}`)?.spec;
+  }
+
+  put(kind: string, name: string, spec: unknown): void {
+    this.#write({ kind, name, spec, isDeleted: false });
+  }
+
+  remove(kind: string, name: string): void {
+    this.#write({ kind, name, spec: undefined, isDeleted: true });
+  }
+
+  /** Changes made before are told to no watch any more. */
+  dropHistory(): void {
+    this.#history = [];
+    this.#historySince = this.#revision;
+    this.#wake(() => true);
+  }
+
+  async close(): Promise<void> {
+    this.#server.close();
+    this.#server.closeAllConnections();
+    await once(this.#server, "close");
+  }
+
+  #write(fields: Omit<StoredObject, "revision">): StoredObject {
+    this.#revision += 1;
+    const object = { ...fields, revision: this.#revision };
+    const key = `${fields.kind}/${fields.name}`;
+    if (fields.isDeleted) this.#objects.delete(key);
+    else this.#objects.set(key, object);
+    this.#history.push(object);
+    this.#wake(({ kind }) => kind === fields.kind);
+    return object;
+  }
+
+  #wake(isMeant: (watcher: Watcher) => boolean): void {
+    const woken = this.#watchers.filter(isMeant);
+    this.#watchers = this.#watchers.filter((each) => !woken.includes(each));
+    for (const { answer } of woken) answer();
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.calls += 1;
+    if (this.mood === "silent") return;
+    if (this.mood === "busy") return reply(response, 503, {});
+    const url = new URL(request.url ?? "/", "http://store");
+    const [kind = "", name] = url.pathname.slice(PREFIX.length).split("/");
+    const body = await readBody(request);
+    switch (request.method) {
+      case "POST":
+        return this.#create(response, { kind, body });
+      case "PUT":
+        return this.#replace(response, { kind, name: name ?? "", body });
+      case "GET":
+        break;
+      default:
+        return reply(response, 405, {});
+    }
+    if (name !== undefined) {
+      const found = this.#objects.get(`${kind}/${name}`);
+      if (found === undefined) return reply(response, 404, {});
+      return reply(response, 200, render(found));
+    }
+    const watch = url.searchParams.get("watch");
+    if (watch === null) {
+      const after = url.searchParams.get("after") ?? "";
+      return this.#list(response, { kind, after });
+    }
+    const waitMs = Number(url.searchParams.get("wait_ms"));
+    this.#watch(response, { kind, fromRevision: Number(watch), waitMs });
+  }
+
+  #list(
+    response: ServerResponse,
+    { kind, after }: { readonly kind: string; readonly after: string },
+  ): void {
+    const rest = [...this.#objects.values()]
+      .filter((object) => object.kind === kind && object.name > after)
+      .sort((left, right) => left.name < right.name ? -1 : 1);
+    reply(response, 200, {
+      entries: rest.slice(0, PAGE_SIZE).map(render),
+      "has_more": rest.length > PAGE_SIZE,
+      at: this.#revision,
+    });
+  }
+
+  #watch(
+    response: ServerResponse,
+    { kind, fromRevision, waitMs }: {
+      readonly kind: string;
+      readonly fromRevision: number;
+      readonly waitMs: number;
+    },
+  ): void {
+    let isAnswered = false;
+    const answer = () => {
+      if (isAnswered) return;
+      isAnswered = true;
+      clearTimeout(timer);
+      if (this.mood === "silent") return;
+      if (fromRevision < this.#historySince) return reply(response, 410, {});
+      reply(response, 200, {
+        events: this.#changes(kind, fromRevision).map((object) => ({
+          deleted: object.isDeleted,
+          object: render(object),
+        })),
+        at: this.#revision,
+      });
+    };
+    const timer = setTimeout(answer, waitMs);
+    response.on("close", () => clearTimeout(timer));
+    const isDue = fromRevision < this.#historySince ||
+      this.#changes(kind, fromRevision).length > 0;
+    if (isDue) return answer();
+    this.#watchers.push({ kind, fromRevision, answer });
+  }
+
+  #changes(kind: string, fromRevision: number): readonly StoredObject[] {
+    return this.#history.filter((object) =>
+      object.kind === kind && object.revision > fromRevision
+    );
+  }
+
+  #create(
+    response: ServerResponse,
+    { kind, body }: { readonly kind: string; readonly body: WrittenObject },
+  ): void {
+    const name = body.metadata?.name ?? "";
+    if (this.#objects.has(`${kind}/${name}`)) {
+      return reply(response, 409, {});
+    }
+    const { spec } = body;
+    const written = this.#write({ kind, name, spec, isDeleted: false });
+    reply(response, 200, render(written));
+  }
+
+  #replace(
+    response: ServerResponse,
+    { kind, name, body }: {
+      readonly kind: string;
+      readonly name: string;
+      readonly body: WrittenObject;
+    },
+  ): void {
+    const known = this.#objects.get(`${kind}/${name}`);
+    if (known === undefined) return reply(response, 404, {});
+    const revision = body.metadata?.revision;
+    if (revision !== undefined && revision !== known.revision) {
+      return reply(response, 409, render(known));
+    }
+    const { spec } = body;
+    const written = this.#write({ kind, name, spec, isDeleted: false });
+    reply(response, 200, render(written));
+  }
+}
+
+interface WrittenObject {
+  readonly metadata?: { readonly name?: string; readonly revision?: number };
+  readonly spec?: unknown;
+}
+
+function render({ name, revision, spec }: StoredObject) {
+  return {
+    metadata: {
+      name,
+      revision,
+      created: 1,
+      finalizers: [],
+      "deletion_pending": false,
+    },
+    spec,
+    status: null,
+  };
+}
+
+function reply(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  const text = JSON.stringify(value);
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+async function readBody(request: IncomingMessage): Promise<WrittenObject> {
+  let text = "";
+  for await (const chunk of request) text += String(chunk);
+  return text === "" ? {} : JSON.parse(text) as WrittenObject;
+}
