--- a/foundation/log-events/src/platform_events.ts
+++ b/foundation/log-events/src/platform_events.ts
@@ -7,7 +7,7 @@
     id: 4000,
     level: "warn",
     text: "The platform does not answer: {message}",
-    help: "Traffic goes on with the last view; see docs/operations.md",
+    help: "Traffic goes on with the last view; see docs/OPERATIONS.md",
   },
   platformReachable: {
     id: 4001,
--- a/peers/operator-api/src/call_error.ts
+++ b/peers/operator-api/src/call_error.ts
@@ -79,7 +79,7 @@
   return {
     code: `DANDELIONBANK_${error.code}`,
     message: error.message,
-    hint: "See docs/operations.md for the operators' interface",
+    hint: "See docs/OPERATIONS.md for the operators' interface",
     outcome: "notRun",
   };
 }
