Test the agents over real sockets, and explain a request from the logs

A stand-in of a group over HTTP, each rank on a loopback address of its own; agents follow a jump of demand, late and lost orders, the loss of the coordinator and a group that forms anew.

Cause of the churn of coordinators at a start: engines answer some seconds after the agents start, and by then every agent had waited its turn. An agent's turn now begins when it knows its rank; its test failed before.

dandelionbank explain REQUEST-ID prints a request's way from the log lines of all processes, which now carry the process's name. The orders of a rank have one type, in foundation/types.

--- a/agreement/lead-group/src/lead_group.ts
+++ b/agreement/lead-group/src/lead_group.ts
@@ -47,6 +47,11 @@
   };
 }
 
+/** An agent waits its turn from when it knows its rank. */
+export function startWaiting(state: LeadState, nowMs: number): void {
+  state.heardAtMs = Math.max(state.heardAtMs, nowMs);
+}
+
 /** Takes a coordinator's call in; false if a newer one is known. */
 export function followCoordinator(
   state: LeadState,
--- a/agreement/lead-group/src/lead_group_test.ts
+++ b/agreement/lead-group/src/lead_group_test.ts
@@ -4,6 +4,7 @@
   createLeadState,
   followCoordinator,
   noteNewerTerm,
+  startWaiting,
   takeDuty,
 } from "./mod.ts";
 
@@ -44,3 +45,15 @@
   });
   assert.equal(new Set(terms).size, terms.length);
 });
+
+test("Agents whose engines start late still take over in turn", () => {
+  const states = [0, 1, 2].map((rank) => ({
+    rank,
+    state: createLeadState({ name: `r${rank}`, nowMs: 0 }),
+  }));
+  for (const { state } of states) startWaiting(state, 3_000);
+  const hasDuty = states.map(({ rank, state }) =>
+    takeDuty(state, { rank, nowMs: 4_100, wallMs: 0 })
+  );
+  assert.deepEqual(hasDuty, [true, false, false]);
+});
--- a/agreement/lead-group/src/mod.ts
+++ b/agreement/lead-group/src/mod.ts
@@ -4,6 +4,7 @@
   createLeadState,
   followCoordinator,
   noteNewerTerm,
+  startWaiting,
   takeDuty,
 } from "./lead_group.ts";
 export type { Leadership, LeadState } from "./lead_group.ts";
--- a/agreement/switch-group/src/mod.ts
+++ b/agreement/switch-group/src/mod.ts
@@ -2,11 +2,4 @@
 
 export { createSwitch, isIdle, stepSwitch } from "./switch_group.ts";
 export type { SwitchOptions, SwitchState } from "./switch_group.ts";
-export type {
-  GroupOrder,
-  GroupOrderResult,
-  Phase,
-  PhaseName,
-  SwitchEffect,
-  SwitchEvent,
-} from "./types.ts";
+export type { Phase, PhaseName, SwitchEffect, SwitchEvent } from "./types.ts";
--- a/agreement/switch-group/src/switch_group.ts
+++ b/agreement/switch-group/src/switch_group.ts
@@ -16,8 +16,13 @@
  * or armed, it completes.
  */
 
-import type { ExpertMap, RankReport, Step } from "@dandelionbank/types";
-import type { GroupOrder, Phase, SwitchEffect, SwitchEvent } from "./types.ts";
+import type {
+  ExpertMap,
+  GroupOrder,
+  RankReport,
+  Step,
+} from "@dandelionbank/types";
+import type { Phase, SwitchEffect, SwitchEvent } from "./types.ts";
 
 export interface SwitchOptions {
   /** Versions of this coordinator are at least this high. */
--- a/agreement/switch-group/src/switch_group_test.ts
+++ b/agreement/switch-group/src/switch_group_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import type { ExpertMap } from "@dandelionbank/types";
-import { type Fate, GroupModel } from "./group_model.ts";
+import { type Fate, GroupModel } from "@dandelionbank/group-model";
 import {
   createSwitch,
   stepSwitch,
--- a/agreement/switch-group/src/types.ts
+++ b/agreement/switch-group/src/types.ts
@@ -1,19 +1,11 @@
 /** What the coordinator's core is told and what it asks for. */
 
-import type { ExpertMap, RankReport } from "@dandelionbank/types";
-
-export type GroupOrder =
-  | {
-    readonly kind: "prepare";
-    readonly version: number;
-    readonly map: ExpertMap;
-  }
-  | { readonly kind: "arm"; readonly version: number; readonly step: number }
-  | { readonly kind: "hold"; readonly step: number }
-  | { readonly kind: "release"; readonly step: number };
-
-/** `lost` orders may be carried out later, after newer ones. */
-export type GroupOrderResult = "done" | "conflict" | "invalid" | "lost";
+import type {
+  ExpertMap,
+  GroupOrder,
+  GroupOrderResult,
+  RankReport,
+} from "@dandelionbank/types";
 
 export type SwitchEvent =
   /** Reports of all ranks that could be read, newer than any before. */
--- a/cli/dandelionbank/src/create_parser.ts
+++ b/cli/dandelionbank/src/create_parser.ts
@@ -11,6 +11,7 @@
   addNamedCommands,
   addStopCommands,
 } from "./commands/object_commands.ts";
+import { explainRequest } from "./commands/explain_request.ts";
 import { printDigest } from "./commands/print_digest.ts";
 import { showStatus } from "./commands/show_status.ts";
 import type { CommonArguments, ToolContext } from "./tool_context.ts";
@@ -56,6 +57,17 @@
       (parser) => parser,
       (args) => printDigest(args, context),
     )
+    .command(
+      "explain <requestId>",
+      "Show a request's way from the logs of all processes on standard input",
+      (parser) =>
+        parser.positional("requestId", {
+          type: "string",
+          demandOption: true,
+          description: "The request's id, as callers and logs have it",
+        }),
+      (args) => explainRequest(args, context),
+    )
     .demandCommand(1, "Name a command, see --help")
     .strict()
     .version(version)
--- a/cli/dandelionbank/src/run_tool_test.ts
+++ b/cli/dandelionbank/src/run_tool_test.ts
@@ -96,3 +96,31 @@
   const version = await collectRun(runTool, { ...bare, args: ["--version"] });
   assert.match(version.output, /^\d+\.\d+\.\d+\n$/);
 });
+
+test("A request's way is told in order from the logs of all processes", async () => {
+  const line = (source: string, { time, id }: Record<string, string>) =>
+    `12.3 vm-1 ${
+      JSON.stringify({
+        time,
+        source,
+        name: "attemptSent",
+        text: `at ${source}`,
+        fields: { requestId: id },
+      })
+    }`;
+  const input = [
+    line("entry-2", { time: "2026-12-03T10:00:02Z", id: "r1" }),
+    "no JSON {",
+    line("entry-1", { time: "2026-12-03T10:00:01Z", id: "r1" }),
+    line("entry-1", { time: "2026-12-03T10:00:01Z", id: "r2" }),
+  ].join("\n");
+  const run = { input, environment: {}, args: ["explain", "r1"] };
+  const { output } = await collectRun(runTool, run);
+  assert.equal(
+    output,
+    "2026-12-03T10:00:01Z  entry-1  at entry-1\n" +
+      "2026-12-03T10:00:02Z  entry-2  at entry-2\n",
+  );
+  const none = await collectRun(runTool, { ...run, input: "" });
+  assert.match(none.errors, /Found no log line/);
+});
--- a/daemon/platform-node/src/run_node.ts
+++ b/daemon/platform-node/src/run_node.ts
@@ -25,6 +25,8 @@
 const EXIT_USAGE = 2;
 /** How often dropped log lines are told. */
 const DROPPED_INTERVAL_MS = 5_000;
+/** `info` leaves out the lines of requests that went well. */
+const LOG_LEVEL_VARIABLE = "DANDELIONBANK_LOG_LEVEL";
 const DEFAULT_METRICS_PORT = 9_464;
 
 export interface NodeOptions {
@@ -43,13 +45,14 @@
     return EXIT_USAGE;
   }
   const stream = BoundedLogStream.create({ fd: process.stdout.fd });
-  const logger = await createLogReporter({
-    format: "json",
-    level: environment["DANDELIONBANK_LOG_LEVEL"] === "info" ? "info" : "debug",
-    stream,
-  });
   try {
     const settings = readSettings(environment);
+    const logger = await createLogReporter({
+      format: "json",
+      level: environment[LOG_LEVEL_VARIABLE] === "info" ? "info" : "debug",
+      stream,
+      source: settings.name,
+    });
     await run({ role, settings, logger, stream, version });
     return 0;
   } catch (error) {
--- a/daemon/serve-rank/src/rank_link.ts
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -8,8 +8,11 @@
   type RankClient,
   type RankHandlers,
 } from "@dandelionbank/rank-api";
-import type { GroupOrder, GroupOrderResult } from "@dandelionbank/switch-group";
-import type { HeldExperts } from "@dandelionbank/types";
+import type {
+  GroupOrder,
+  GroupOrderResult,
+  HeldExperts,
+} from "@dandelionbank/types";
 
 /** Agents are near; one that takes longer is frozen or gone. */
 const CALL_TIMEOUT_MS = 200;
--- a/daemon/serve-rank/src/rank_process.ts
+++ b/daemon/serve-rank/src/rank_process.ts
@@ -6,6 +6,7 @@
 import {
   createLeadState,
   type LeadState,
+  startWaiting,
   takeDuty,
 } from "@dandelionbank/lead-group";
 import { HttpListener } from "@dandelionbank/listen-http";
@@ -110,8 +111,12 @@
   async #watchLeadership(): Promise<void> {
     while (!this.#isStopped) {
       await delay(WATCH_INTERVAL_MS);
-      const report = this.#agent.report ?? await this.#agent.readReport();
-      if (report === undefined) continue;
+      const report = this.#agent.report;
+      if (report === undefined) {
+        await this.#agent.readReport();
+        startWaiting(this.#lead, performance.now());
+        continue;
+      }
       const hasDuty = takeDuty(this.#lead, {
         rank: report.rank,
         nowMs: performance.now(),
--- a/foundation/report-logs/src/log_reporter.ts
+++ b/foundation/report-logs/src/log_reporter.ts
@@ -27,6 +27,8 @@
   readonly format: "auto" | "text" | "json";
   readonly level: LogLevel;
   readonly stream: LogStream;
+  /** The process's name, for lines of several processes in one place. */
+  readonly source?: string;
   /** Texts that must not appear in any line. */
   readonly secrets?: readonly string[];
   readonly now?: () => Date;
@@ -67,13 +69,23 @@
 }
 
 async function createSink(options: LogReporterOptions): Promise<LogSink> {
-  const { format, stream, now = () => new Date() } = options;
+  const { format, stream, source, now = () => new Date() } = options;
   const isText = format === "text" || (format === "auto" && stream.isTTY);
-  if (!isText) return (event) => stream.write(renderJson(event, now()));
+  if (!isText) {
+    return (event) => {
+      stream.write(renderJson(event, { time: now(), source }));
+    };
+  }
   const { createTextSink } = await import("./text_sink.ts");
   return createTextSink(stream);
 }
 
-function renderJson(event: LogEvent, time: Date): string {
-  return `${JSON.stringify({ time: time.toISOString(), ...event })}\n`;
+function renderJson(
+  event: LogEvent,
+  { time, source }: {
+    readonly time: Date;
+    readonly source: string | undefined;
+  },
+): string {
+  return `${JSON.stringify({ time: time.toISOString(), source, ...event })}\n`;
 }
--- a/foundation/types/src/group.ts
+++ b/foundation/types/src/group.ts
@@ -42,3 +42,26 @@
   readonly version: number;
   readonly sets: readonly (readonly number[])[];
 }
+
+/** An order to one rank. */
+export type GroupOrder =
+  /** Copies the experts that are new to the rank. */
+  | {
+    readonly kind: "prepare";
+    readonly version: number;
+    readonly map: ExpertMap;
+  }
+  /** Switches to a prepared version as the pass begins. */
+  | { readonly kind: "arm"; readonly version: number; readonly step: number }
+  /** Keeps the whole group from beginning the pass. */
+  | { readonly kind: "hold"; readonly step: number }
+  /** Ends the hold of the pass. */
+  | { readonly kind: "release"; readonly step: number };
+
+export type GroupOrderResult =
+  | "done"
+  /** The rank's state does not fit the order. */
+  | "conflict"
+  | "invalid"
+  /** No answer: the order may be carried out later, after newer ones. */
+  | "lost";
--- a/peers/rank-api/src/rank_router.ts
+++ b/peers/rank-api/src/rank_router.ts
@@ -1,8 +1,12 @@
 /** What an agent beside a rank answers the group's coordinator. */
 
 import type { Leadership } from "@dandelionbank/lead-group";
-import type { GroupOrder, GroupOrderResult } from "@dandelionbank/switch-group";
-import type { HeldExperts, RankReport } from "@dandelionbank/types";
+import type {
+  GroupOrder,
+  GroupOrderResult,
+  HeldExperts,
+  RankReport,
+} from "@dandelionbank/types";
 import { initTRPC } from "@trpc/server";
 import * as v from "valibot";
 
--- a/agreement/switch-group/src/group_model.ts
+++ b/testing/group-model/src/group_model.ts
@@ -4,8 +4,11 @@
  */
 
 import assert from "node:assert/strict";
-import type { RankReport } from "@dandelionbank/types";
-import type { GroupOrder, GroupOrderResult } from "./types.ts";
+import type {
+  GroupOrder,
+  GroupOrderResult,
+  RankReport,
+} from "@dandelionbank/types";
 
 interface ModelRank {
   mapVersion: number;
--- a/testing/ingress-tests/src/fixtures.ts
+++ b/testing/ingress-tests/src/fixtures.ts
@@ -161,7 +161,7 @@
 `);
 }
 
-async function findPort(): Promise<number> {
+export async function findPort(): Promise<number> {
   const server = createServer().listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as { readonly port: number };
--- /dev/null
+++ b/testing/ingress-tests/src/group_test.ts
@@ -0,0 +1,155 @@
+import type { Logger } from "@dandelionbank/log-events";
+import { decodeBootSettings } from "@dandelionbank/platform-adapter";
+import { RankProcess } from "@dandelionbank/serve-rank";
+import { SiteGroup, SiteStore } from "@dandelionbank/standin-site";
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { findPort, type LoggedLine, waitFor } from "./fixtures.ts";
+
+const SHAPE = { ranks: 3, sets: 2, expertsPerSet: 6 };
+
+test("A hot expert is spread over the ranks, and again when demand jumps", async (t) => {
+  const { group } = await startGroup(t);
+  await waitFor(() => group.model.mapVersion > 0);
+  const first = group.model.mapVersion;
+  group.hotExpert = 3;
+  await waitFor(() => group.model.mapVersion > first);
+});
+
+test("Unanswered and late orders delay a switch, and no more", async (t) => {
+  const { group } = await startGroup(t);
+  const fates = ["late", "answered", "unanswered", "answered", "lost"] as const;
+  let count = 0;
+  group.fateOf = () => fates[count++ % fates.length]!;
+  await waitFor(() => group.model.mapVersion > 0);
+  group.fateOf = () => "answered";
+  await waitFor(() => !group.model.hasStrayHold);
+});
+
+test("When the coordinator goes, another agent goes on", async (t) => {
+  const { group, agents, lines } = await startGroup(t);
+  await waitFor(() => group.model.mapVersion > 0);
+  const leader = findLeader(lines);
+  await agents[leader]!.stop();
+  await waitFor(() => findLeader(lines) !== leader);
+  const settings = findLeader(lines);
+  assert.notEqual(settings, leader);
+});
+
+test("A group that forms anew is followed from its first map", async (t) => {
+  const { group } = await startGroup(t);
+  await waitFor(() => group.model.mapVersion > 0);
+  group.model.formAnew();
+  assert.equal(group.model.mapVersion, 0);
+  await waitFor(() => group.model.mapVersion > 0);
+});
+
+function findLeader(lines: readonly LoggedLine[][]): number {
+  let leader = -1;
+  let term = -1;
+  lines.forEach((own, index) => {
+    for (const { name, fields } of own) {
+      if (name !== "coordinatorStarted") continue;
+      if (Number(fields["term"]) <= term) continue;
+      term = Number(fields["term"]);
+      leader = index;
+    }
+  });
+  return leader;
+}
+
+async function startGroup(t: TestContext) {
+  const [store, group, peerPort] = await Promise.all([
+    SiteStore.create(),
+    SiteGroup.create(SHAPE),
+    findPort(),
+  ]);
+  store.put("config", "main", createConfiguration());
+  for (let rank = 0; rank < SHAPE.ranks; rank++) {
+    store.put("servers", `r${rank}`, {
+      service: "s",
+      address: group.address(rank),
+      zone: "a",
+      slots: 8,
+      state: "ready",
+    });
+  }
+  const lines: LoggedLine[][] = [];
+  const agents: RankProcess[] = [];
+  for (let rank = 0; rank < SHAPE.ranks; rank++) {
+    const own: LoggedLine[] = [];
+    lines.push(own);
+    const logger: Logger = {
+      log: (name, fields) => void own.push({ name, fields }),
+    };
+    const settings = decodeBootSettings(createBootText({
+      name: `side-${rank}`,
+      host: group.host(rank),
+      engine: group.address(rank),
+      store: store.address,
+      peerPort,
+    }));
+    const agent = RankProcess.create({ settings, logger });
+    await agent.start();
+    agents.push(agent);
+  }
+  t.after(async () => {
+    await Promise.all(agents.map((agent) => agent.stop()));
+    await delay(300);
+    await group.close();
+    await store.close();
+  });
+  return { store, group, agents, lines };
+}
+
+function createConfiguration() {
+  return {
+    version: 1,
+    routes: [],
+    services: [{
+      name: "s",
+      "engine_profile": {
+        slots: 8,
+        "layer_sets": SHAPE.sets,
+        experts: SHAPE.expertsPerSet,
+        placements: 3,
+        reserve: 1,
+        "expert_mb": 1,
+        "expert_ratio": 0.85,
+        "link_mbps": 1_000,
+      },
+    }],
+  };
+}
+
+function createBootText(
+  { name, host, engine, store, peerPort }: {
+    readonly name: string;
+    readonly host: string;
+    readonly engine: string;
+    readonly store: string;
+    readonly peerPort: number;
+  },
+): string {
+  return `
+node_name=${name}
+ip=${host}
+zone=a
+port_range=${peerPort},${peerPort}
+limits.memory_mb=218
+bounds.drain_ms=2000
+bounds.grace_s=8
+bounds.config_apply_ms=2000
+bounds.revoke_ms=5000
+bounds.reuse_after_s=2
+bounds.stall_ms=1500
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.retry_budget_slack=90
+bounds.ttl_max_s=5
+app=${engine}
+service=s
+platform.address=${store}
+`;
+}
--- /dev/null
+++ b/testing/standin-site/src/site_group.ts
@@ -0,0 +1,175 @@
+/**
+ * Stand-in of a group of ranks over HTTP, each rank on a loopback address of
+ * its own, as on VMs of their own. Passes go on by a timer.
+ */
+
+import { type Fate, GroupModel } from "@dandelionbank/group-model";
+import type { GroupOrder } from "@dandelionbank/types";
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+const PASS_MS = 30;
+const LATE_MS = 400;
+
+export interface SiteGroupOptions {
+  readonly ranks: number;
+  readonly sets: number;
+  readonly expertsPerSet: number;
+}
+
+export class SiteGroup {
+  readonly model: GroupModel;
+  readonly #options: SiteGroupOptions;
+  readonly #servers: readonly Server[];
+  readonly #counts: number[];
+  #maps = new Map<number, readonly (readonly (readonly number[])[])[]>();
+  #timer: NodeJS.Timeout | undefined;
+  /** The expert that most requests choose. */
+  hotExpert = 0;
+  fateOf: (order: GroupOrder) => Fate = () => "answered";
+
+  private constructor(options: SiteGroupOptions) {
+    this.#options = options;
+    this.model = new GroupModel(options.ranks);
+    this.#counts = Array<number>(options.sets * options.expertsPerSet).fill(0);
+    this.#servers = Array.from(
+      { length: options.ranks },
+      (_, rank) =>
+        createServer((request, response) =>
+          void this.#handle(rank, request, response)
+        ),
+    );
+  }
+
+  static async create(options: SiteGroupOptions): Promise<SiteGroup> {
+    const group = new SiteGroup(options);
+    await Promise.all(group.#servers.map(async (server, rank) => {
+      server.listen(0, hostOf(rank));
+      await once(server, "listening");
+    }));
+    group.#timer = setInterval(() => group.#pass(), PASS_MS);
+    return group;
+  }
+
+  host(rank: number): string {
+    return hostOf(rank);
+  }
+
+  address(rank: number): string {
+    const { port } = this.#servers[rank]!.address() as AddressInfo;
+    return `${hostOf(rank)}:${port}`;
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.#timer);
+    await Promise.all(this.#servers.map(async (server) => {
+      server.close();
+      server.closeAllConnections();
+      await once(server, "close");
+    }));
+  }
+
+  #pass(): void {
+    this.model.carryOutLate(performance.now());
+    this.model.beginPass();
+    const { sets, expertsPerSet } = this.#options;
+    for (let index = 0; index < sets * expertsPerSet; index++) {
+      const isHot = index % expertsPerSet === this.hotExpert;
+      this.#counts[index]! += isHot ? 60 : 1;
+    }
+  }
+
+  async #handle(
+    rank: number,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { pathname, searchParams } = new URL(request.url ?? "/", "http://r");
+    if (pathname === "/-/report") return reply(response, this.#report(rank));
+    if (pathname === "/-/picked") {
+      const isList = searchParams.has("lists");
+      return reply(response, isList ? this.#lists(rank) : this.#choices());
+    }
+    let text = "";
+    for await (const chunk of request) text += String(chunk);
+    this.#order(rank, response, JSON.parse(text) as WireOrder);
+  }
+
+  #report(rank: number) {
+    const report = this.model.reports()[rank]!;
+    return {
+      group: { name: "g", epoch: report.epoch, rank, state: "open" },
+      size: report.groupSize,
+      step: report.step,
+      mapping: report.mapVersion,
+      preloaded: report.preparedVersion || null,
+      enabled: report.armedVersion || null,
+      held: report.heldStep ?? null,
+      pace: 1,
+    };
+  }
+
+  #choices() {
+    const { epoch, step } = this.model;
+    return { epoch, step, counts: this.#counts };
+  }
+
+  #lists(rank: number) {
+    const { epoch, mapVersion } = this.model;
+    const map = this.#maps.get(mapVersion);
+    const experts = map?.map((set) => set[rank] ?? []) ?? [];
+    return { epoch, mapping: { version: mapVersion, experts } };
+  }
+
+  #order(rank: number, response: ServerResponse, wire: WireOrder): void {
+    const order = toOrder(wire);
+    if (order === undefined) return reply(response, {}, 400);
+    if (order.kind === "prepare") this.#maps.set(order.version, order.map);
+    const fate = this.fateOf(order);
+    const result = this.model.send(
+      { rank, order, epoch: wire.epoch ?? this.model.epoch },
+      { fate, nowMs: performance.now(), delayMs: LATE_MS },
+    );
+    if (fate !== "answered") return;
+    reply(response, {}, result === "done" ? 202 : 409);
+  }
+}
+
+interface WireOrder {
+  readonly operation: string;
+  readonly version?: number;
+  readonly step?: number;
+  readonly epoch?: number;
+  readonly mapping?: readonly (readonly (readonly number[])[])[];
+}
+
+function toOrder(wire: WireOrder): GroupOrder | undefined {
+  const { operation, version = 0, step = 0, mapping = [] } = wire;
+  switch (operation) {
+    case "prepare":
+      return { kind: "prepare", version, map: mapping };
+    case "arm":
+      return { kind: "arm", version, step };
+    case "retention":
+      return { kind: "hold", step };
+    case "go":
+      return { kind: "release", step };
+    default:
+      return undefined;
+  }
+}
+
+function hostOf(rank: number): string {
+  return `127.0.0.${11 + rank}`;
+}
+
+function reply(response: ServerResponse, value: unknown, status = 200): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(value));
+}
