Complete a pass held by a coordinator that is frozen

A rank whose agent does not answer is now read past it while a pass is held, and once a second at other times. Such a report lets what has begun be completed, and nothing be begun: that needs the answer of every agent. Agents take over after 0.8 s and 0.3 s a rank.

--- a/agreement/lead-group/src/lead_group.ts
+++ b/agreement/lead-group/src/lead_group.ts
@@ -24,9 +24,9 @@
 }
 
 /** Silence of a coordinator after which rank 0 takes over. */
-const TAKE_OVER_MS = 1_000;
+const TAKE_OVER_MS = 800;
 /** Added for each rank: longer than a new coordinator takes to be heard. */
-const RANK_STAGGER_MS = 400;
+const RANK_STAGGER_MS = 300;
 /** Ranks above this wait hardly longer; all below would have to be lost. */
 const STAGGERED_RANKS = 12;
 const HIGH_RANK_STAGGER_MS = 50;
--- a/agreement/switch-group/src/switch_group.ts
+++ b/agreement/switch-group/src/switch_group.ts
@@ -34,6 +34,8 @@
   readonly options: SwitchOptions;
   phase: Phase;
   reports: readonly RankReport[];
+  /** True if all agents follow this coordinator and no other. */
+  isPromised: boolean;
   groupSize: number;
   plan: ExpertMap | undefined;
   /** When each order was sent last, by rank and kind. */
@@ -58,6 +60,7 @@
     options,
     phase: { name: "idle" },
     reports: [],
+    isPromised: false,
     groupSize: 0,
     plan: undefined,
     sentAtMs: new Map(),
@@ -73,6 +76,7 @@
   switch (event.type) {
     case "reported":
       state.reports = event.reports;
+      state.isPromised = event.isPromised;
       state.groupSize = event.reports[0]?.groupSize ?? state.groupSize;
       advance(context);
       break;
@@ -89,8 +93,15 @@
 }
 
 /** True while a plan could be carried out. */
-export function isIdle({ phase, reports }: SwitchState): boolean {
-  return phase.name === "idle" && isWhole(reports);
+export function isIdle({ phase, reports, isPromised }: SwitchState): boolean {
+  return phase.name === "idle" && isPromised && isWhole(reports);
+}
+
+/** True while ranks that no agent reports for have to be read past them. */
+export function needsAllRanks({ phase, reports }: SwitchState): boolean {
+  const isHeld = reports.some(({ heldStep }) => heldStep !== undefined);
+  const isBegun = phase.name !== "idle" && phase.name !== "preparing";
+  return isHeld || isBegun;
 }
 
 /** True if every rank is there, in the same epoch, and open. */
@@ -159,7 +170,7 @@
     return;
   }
   const { plan } = state;
-  if (plan === undefined) return;
+  if (plan === undefined || !state.isPromised) return;
   state.plan = undefined;
   const version = Math.max(
     state.options.firstVersion,
@@ -232,7 +243,8 @@
       isForward: false,
     });
   }
-  if (missing.length > 0) return;
+  // A hold is begun only while every agent answers, so that it is short.
+  if (missing.length > 0 || !state.isPromised) return;
   const step = lastStep(state.reports) + STEP_LEAD;
   const holder = pickHolder(state.reports);
   state.phase = {
--- a/agreement/switch-group/src/types.ts
+++ b/agreement/switch-group/src/types.ts
@@ -8,8 +8,13 @@
 } from "@dandelionbank/types";
 
 export type SwitchEvent =
-  /** Reports of all ranks that could be read, newer than any before. */
-  | { readonly type: "reported"; readonly reports: readonly RankReport[] }
+  | {
+    readonly type: "reported";
+    /** Of all ranks that could be read, newer than any before. */
+    readonly reports: readonly RankReport[];
+    /** True if every report came by an agent that follows this coordinator. */
+    readonly isPromised: boolean;
+  }
   | {
     readonly type: "planned";
     readonly map: ExpertMap;
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -24,6 +24,7 @@
 import {
   createSwitch,
   isIdle,
+  needsAllRanks,
   stepSwitch,
   type SwitchEffect,
   type SwitchEvent,
@@ -45,6 +46,8 @@
 const SWITCH_INTERVAL_MS = 15;
 /** Sets below this are even enough; demand is not known better. */
 const TARGET_SKEW = 1.15;
+/** How often a rank is read past an agent that does not answer. */
+const READ_PAST_INTERVAL_MS = 1_000;
 /** Versions of one coordinator. */
 const VERSIONS_PER_TERM = 64;
 
@@ -72,6 +75,7 @@
   #epoch = 0;
   #plan: ExpertPlan | undefined;
   #lookedAtMs = 0;
+  #readPastAtMs = Number.NEGATIVE_INFINITY;
   #phaseSinceMs = 0;
 
   private constructor(options: CoordinatorOptions) {
@@ -120,7 +124,12 @@
     this.#noteEpoch(reports);
     if (withChoices) this.#takeChoices(polls);
     const wasIdle = this.#switch.phase.name === "idle";
-    this.#post({ type: "reported", reports });
+    const missing = await this.#readMissing(polls, reports);
+    this.#post({
+      type: "reported",
+      reports: [...reports, ...missing],
+      isPromised: missing.length === 0,
+    });
     // A change that is done makes room for the next at once.
     const mayPlan = withChoices || !wasIdle;
     if (mayPlan && isIdle(this.#switch)) await this.#planNext(reports);
@@ -138,6 +147,34 @@
     return reports;
   }
 
+  /**
+   * Ranks whose agents do not answer, read past them: at once while a pass is
+   * held, and from time to time since any of them may hold one. Such calls are
+   * dear.
+   */
+  async #readMissing(
+    polls: readonly Poll[],
+    reports: readonly RankReport[],
+  ): Promise<readonly RankReport[]> {
+    const groupSize = reports[0]?.groupSize ?? 0;
+    if (reports.length >= groupSize) return [];
+    const nowMs = performance.now();
+    const isHeld = reports.some(({ heldStep }) => heldStep !== undefined);
+    const isDue = nowMs - this.#readPastAtMs >= READ_PAST_INTERVAL_MS;
+    if (!isHeld && !isDue && !needsAllRanks(this.#switch)) return [];
+    this.#readPastAtMs = nowMs;
+    const links = polls.flatMap(({ link, reply }) =>
+      reply === undefined ? [link] : []
+    );
+    const read = await Promise.all(links.map(async (link) => {
+      const report = await link.readReport();
+      if (report?.group !== this.#options.group) return [];
+      this.#links.set(report.rank, link);
+      return [report];
+    }));
+    return read.flat();
+  }
+
   #stepDown(term: number): void {
     const { lead, logger, group } = this.#options;
     if (!this.#isLeading) return;
--- a/daemon/serve-rank/src/rank_link.ts
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -12,6 +12,7 @@
   GroupOrder,
   GroupOrderResult,
   HeldExperts,
+  RankReport,
 } from "@dandelionbank/types";
 
 /** Agents are near; one that takes longer is frozen or gone. */
@@ -81,6 +82,11 @@
     }
   }
 
+  /** Reads the engine past its agent. */
+  readReport(): Promise<RankReport | undefined> {
+    return this.#openEngine().readReport();
+  }
+
   /** The term of a newer coordinator if the agent knows one. */
   async order(
     { leadership, order, epoch, isForward }: {
@@ -117,8 +123,12 @@
   }
 
   #orderEngine(order: GroupOrder, epoch: number): Promise<GroupOrderResult> {
+    return this.#openEngine().sendOrder(order, epoch);
+  }
+
+  #openEngine(): EngineClient {
     this.#engine ??= EngineClient.create(this.#options.engineAddress);
-    return this.#engine.sendOrder(order, epoch);
+    return this.#engine;
   }
 }
 
--- a/testing/ingress-tests/src/group_test.ts
+++ b/testing/ingress-tests/src/group_test.ts
@@ -37,6 +37,17 @@
   assert.notEqual(settings, leader);
 });
 
+test("A pass held by a coordinator that is gone is let go", async (t) => {
+  const { group, agents, lines } = await startGroup(t);
+  group.fateOf = (order) => order.kind === "arm" ? "lost" : "answered";
+  await waitFor(() => group.model.hasStrayHold);
+  const leader = findLeader(lines);
+  await agents[leader]!.stop();
+  group.fateOf = () => "answered";
+  await waitFor(() => !group.model.hasStrayHold);
+  await waitFor(() => group.model.mapVersion > 0);
+});
+
 test("A group that forms anew is followed from its first map", async (t) => {
   const { group } = await startGroup(t);
   await waitFor(() => group.model.mapVersion > 0);
