Let a pass go that a frozen coordinator holds, and arm its own rank last

Ruled out: a successor that does not notice (it led after 1.2 s).

The coordinator places the hold itself at another rank and arms its own rank last. So while no other rank is armed, and no order to arm is without an answer for less than 13 s, nobody is armed and the successor lets the pass go. Orders past agents are sent only while the agents were heard within 0.5 s on every clock.

--- a/agreement/lead-group/src/lead_group.ts
+++ b/agreement/lead-group/src/lead_group.ts
@@ -13,6 +13,8 @@
   /** Rises with each coordinator. */
   readonly term: number;
   readonly coordinator: string;
+  /** The coordinator's own rank. */
+  readonly rank: number;
 }
 
 /** Opaque; changed in place. */
@@ -24,15 +26,16 @@
 }
 
 /** Silence of a coordinator after which rank 0 takes over. */
-const TAKE_OVER_MS = 800;
+const TAKE_OVER_MS = 700;
 /** Added for each rank: longer than a new coordinator takes to be heard. */
-const RANK_STAGGER_MS = 300;
+const RANK_STAGGER_MS = 400;
 /** Ranks above this wait hardly longer; all below would have to be lost. */
 const STAGGERED_RANKS = 12;
 const HIGH_RANK_STAGGER_MS = 50;
 /** Terms are made of the second and the rank, which makes them unique. */
 const RANKS_PER_TERM = 1_024;
 const MS_PER_S = 1_000;
+const NO_LEADERSHIP: Leadership = { term: 0, coordinator: "", rank: -1 };
 /** Terms by the time of day begin again after so many seconds, some years. */
 const TERM_SECONDS = 2 ** 28;
 
@@ -41,7 +44,7 @@
 ): LeadState {
   return {
     name,
-    known: { term: 0, coordinator: "" },
+    known: NO_LEADERSHIP,
     heardAtMs: nowMs,
     isLeading: false,
   };
@@ -74,7 +77,7 @@
 export function noteNewerTerm(state: LeadState, term: number): void {
   if (term <= state.known.term) return;
   state.isLeading = false;
-  state.known = { term, coordinator: "" };
+  state.known = { ...NO_LEADERSHIP, term };
 }
 
 /** Takes the duty if no coordinator was heard for long enough. */
@@ -97,7 +100,7 @@
   const above = (Math.floor(state.known.term / RANKS_PER_TERM) + 1) *
       RANKS_PER_TERM + rank;
   const term = Math.max(bySecond, above);
-  state.known = { term, coordinator: state.name };
+  state.known = { term, coordinator: state.name, rank };
   state.heardAtMs = nowMs;
   state.isLeading = true;
   return true;
--- a/agreement/lead-group/src/lead_group_test.ts
+++ b/agreement/lead-group/src/lead_group_test.ts
@@ -24,7 +24,7 @@
   const state = createLeadState({ name: "r0", nowMs: 0 });
   assert.ok(takeDuty(state, { rank: 0, nowMs: 2_000, wallMs: 0 }));
   const own = state.known;
-  const newer = { term: own.term + 1, coordinator: "r1" };
+  const newer = { term: own.term + 1, coordinator: "r1", rank: 1 };
   assert.ok(followCoordinator(state, { leadership: newer, nowMs: 2_100 }));
   assert.ok(!state.isLeading);
   assert.ok(!followCoordinator(state, { leadership: own, nowMs: 2_200 }));
--- a/agreement/switch-group/src/switch_group.ts
+++ b/agreement/switch-group/src/switch_group.ts
@@ -17,6 +17,7 @@
  */
 
 import type {
+  AgentWord,
   ExpertMap,
   GroupOrder,
   RankReport,
@@ -25,6 +26,8 @@
 import type { Phase, SwitchEffect, SwitchEvent } from "./types.ts";
 
 export interface SwitchOptions {
+  /** The coordinator's own rank, which holds nothing and is armed last. */
+  readonly ownRank: number;
   /** Versions of this coordinator are at least this high. */
   readonly firstVersion: number;
 }
@@ -36,6 +39,7 @@
   reports: readonly RankReport[];
   /** True if all agents follow this coordinator and no other. */
   isPromised: boolean;
+  words: ReadonlyMap<number, AgentWord>;
   groupSize: number;
   plan: ExpertMap | undefined;
   /** When each order was sent last, by rank and kind. */
@@ -49,6 +53,14 @@
 /** Passes between the newest report and the one held: room for the orders. */
 const STEP_LEAD = 2;
 
+interface SentOrder {
+  readonly rank: number;
+  readonly order: GroupOrder;
+  readonly epoch: number;
+  readonly isForward: boolean;
+  readonly isDirect?: boolean;
+}
+
 interface Context {
   readonly state: SwitchState;
   readonly nowMs: number;
@@ -61,6 +73,7 @@
     phase: { name: "idle" },
     reports: [],
     isPromised: false,
+    words: new Map(),
     groupSize: 0,
     plan: undefined,
     sentAtMs: new Map(),
@@ -77,6 +90,7 @@
     case "reported":
       state.reports = event.reports;
       state.isPromised = event.isPromised;
+      state.words = event.words;
       state.groupSize = event.reports[0]?.groupSize ?? state.groupSize;
       advance(context);
       break;
@@ -152,7 +166,7 @@
 function begin(context: Context, epoch: number): void {
   const { state, nowMs } = context;
   const { reports } = state;
-  if (!isWhole(reports)) return;
+  if (!isWhole(reports)) return releaseAbandoned(context, epoch);
   const held = reports.find(({ heldStep }) => heldStep !== undefined);
   const armed = reports.find(({ armedVersion }) => armedVersion !== 0);
   if (held !== undefined) {
@@ -186,6 +200,31 @@
   };
 }
 
+/**
+ * A pass held by a coordinator that is frozen with its own rank. It arms that
+ * rank last, so while no other is armed or may be armed late, nobody is, and
+ * the pass may begin.
+ */
+function releaseAbandoned(context: Context, epoch: number): void {
+  const { reports, words, groupSize } = context.state;
+  if (reports.length !== groupSize - 1) return;
+  const present = new Set(reports.map(({ rank }) => rank));
+  const missing = Array.from({ length: groupSize }, (_, rank) => rank)
+    .find((rank) => !present.has(rank));
+  const isUnarmed = reports.every((report) => {
+    const word = words.get(report.rank);
+    return report.epoch === epoch && report.isOpen &&
+      report.armedVersion === 0 && word !== undefined && !word.mayArmLate &&
+      word.orderedByRank === missing;
+  });
+  if (!isUnarmed) return;
+  for (const { rank, heldStep } of reports) {
+    if (heldStep === undefined) continue;
+    const order: GroupOrder = { kind: "release", step: heldStep };
+    send(context, { rank, order, epoch, isForward: true });
+  }
+}
+
 /**
  * A hold that no switch of this coordinator owns. If a prepared version may
  * have been armed for that pass, even by an order that is still on its way, the
@@ -246,7 +285,7 @@
   // A hold is begun only while every agent answers, so that it is short.
   if (missing.length > 0 || !state.isPromised) return;
   const step = lastStep(state.reports) + STEP_LEAD;
-  const holder = pickHolder(state.reports);
+  const holder = pickHolder(state);
   state.phase = {
     name: "holding",
     version,
@@ -257,9 +296,11 @@
   };
 }
 
-/** The rank with the newest report is the likeliest to answer at once. */
-function pickHolder(reports: readonly RankReport[]): number {
-  return reports.reduce(
+/** Of the other ranks, that with the newest report likely answers at once. */
+function pickHolder({ reports, options }: SwitchState): number {
+  const others = reports.filter(({ rank }) => rank !== options.ownRank);
+  const candidates = others.length > 0 ? others : reports;
+  return candidates.reduce(
     (best, report) => report.step > best.step ? report : best,
   ).rank;
 }
@@ -289,6 +330,7 @@
     order: { kind: "hold", step },
     epoch,
     isForward: false,
+    isDirect: true,
   });
 }
 
@@ -321,7 +363,8 @@
     state.phase = { ...phase, name: "releasing", sinceMs: nowMs };
     return;
   }
-  for (const rank of missing) {
+  const others = missing.filter((rank) => rank !== state.options.ownRank);
+  for (const rank of others.length > 0 ? others : missing) {
     send(context, {
       rank,
       order: { kind: "arm", version, step },
@@ -437,7 +480,7 @@
 
 function send(
   { state, nowMs, effects }: Context,
-  order: Omit<Extract<SwitchEffect, { readonly type: "send" }>, "type">,
+  order: SentOrder,
 ): void {
   const subject = "step" in order.order
     ? order.order.step
@@ -446,7 +489,7 @@
   const sentAtMs = state.sentAtMs.get(key);
   if (sentAtMs !== undefined && nowMs - sentAtMs < REPEAT_MS) return;
   state.sentAtMs.set(key, nowMs);
-  effects.push({ type: "send", ...order });
+  effects.push({ type: "send", isDirect: false, ...order });
 }
 
 function lastStep(reports: readonly RankReport[]): number {
--- a/agreement/switch-group/src/switch_group_test.ts
+++ b/agreement/switch-group/src/switch_group_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import type { ExpertMap } from "@dandelionbank/types";
+import type { ExpertMap, GroupOrder } from "@dandelionbank/types";
 import { type Fate, GroupModel } from "@dandelionbank/group-model";
 import {
   createSwitch,
@@ -68,6 +68,38 @@
   assert.equal(world.group.mapVersion, version);
 });
 
+test("A pass held by a coordinator frozen with its rank is let go", () => {
+  const world = new World();
+  const beforeArming = RANKS + 1;
+  world.fateOf = (count) => count > beforeArming ? "lost" : "answered";
+  world.plan();
+  world.run(500);
+  assert.ok(world.group.isHeld);
+  world.replaceCoordinator();
+  world.frozenRank = 0;
+  world.fateOf = () => "answered";
+  world.mayArmLate = true;
+  world.run(500);
+  assert.ok(world.group.isHeld, "an order to arm may still come");
+  world.mayArmLate = false;
+  world.run(500);
+  assert.ok(!world.group.hasStrayHold);
+  assert.equal(world.group.mapVersion, 0);
+});
+
+test("The coordinator's own rank is armed last", () => {
+  const world = new World();
+  const armed: number[] = [];
+  world.onOrder = (rank, order) => {
+    if (order.kind === "arm") armed.push(rank);
+    if (order.kind === "hold") assert.notEqual(rank, 0);
+  };
+  world.plan();
+  world.run(1_000);
+  assert.equal(armed.at(-1), 0);
+  assert.equal(armed.length, RANKS);
+});
+
 test("Each order lost or late in turn, the group switches in the end", () => {
   for (const fate of ["lost", "unanswered", "late"] as const) {
     for (let index = 0; index < 12; index++) {
@@ -131,13 +163,20 @@
   readonly group = new GroupModel(RANKS);
   fateOf: (count: number) => Fate = () => "answered";
   delayOf: (count: number) => number = () => 5_000;
+  onOrder: (rank: number, order: GroupOrder) => void = () => undefined;
   heldTicks = 0;
+  /** A rank that cannot be read at all. */
+  frozenRank: number | undefined;
+  mayArmLate = false;
   /** False while a rank is read past its agent. */
   isPromised = true;
   #nowMs = 0;
   #sent = 0;
   #term = 1;
-  #state: SwitchState = createSwitch({ firstVersion: 100 });
+  #state: SwitchState = createSwitch({
+    firstVersion: 100,
+    ownRank: 0,
+  });
 
   plan(): void {
     this.#post({ type: "planned", map: MAP });
@@ -146,7 +185,10 @@
   /** Its memory is lost; orders that were sent may still come. */
   replaceCoordinator(): void {
     this.#term += 1;
-    this.#state = createSwitch({ firstVersion: this.#term * 100 });
+    this.#state = createSwitch({
+      firstVersion: this.#term * 100,
+      ownRank: this.#term % RANKS,
+    });
   }
 
   run(durationMs: number): void {
@@ -163,8 +205,16 @@
     }
     this.#post({
       type: "reported",
-      reports: this.group.reports(),
+      reports: this.group.reports().filter(({ rank }) =>
+        rank !== this.frozenRank
+      ),
       isPromised: this.isPromised,
+      words: new Map(
+        this.group.reports().map(({ rank }) => [rank, {
+          mayArmLate: this.mayArmLate,
+          orderedByRank: 0,
+        }]),
+      ),
     });
   }
 
@@ -177,6 +227,7 @@
     if (effect.type !== "send") return;
     const { rank, order, epoch } = effect;
     this.#sent += 1;
+    this.onOrder(rank, order);
     const result = this.group.send({ rank, order, epoch }, {
       fate: this.fateOf(this.#sent),
       delayMs: this.delayOf(this.#sent),
--- a/agreement/switch-group/src/types.ts
+++ b/agreement/switch-group/src/types.ts
@@ -1,6 +1,7 @@
 /** What the coordinator's core is told and what it asks for. */
 
 import type {
+  AgentWord,
   ExpertMap,
   GroupOrder,
   GroupOrderResult,
@@ -14,6 +15,8 @@
     readonly reports: readonly RankReport[];
     /** True if every report came by an agent that follows this coordinator. */
     readonly isPromised: boolean;
+    /** By rank: what the agents that answered know besides. */
+    readonly words: ReadonlyMap<number, AgentWord>;
   }
   | {
     readonly type: "planned";
@@ -38,6 +41,11 @@
      * agent that does not answer.
      */
     readonly isForward: boolean;
+    /**
+     * True for a hold, which the coordinator places itself: an agent that
+     * freezes with its order would take the held rank along.
+     */
+    readonly isDirect: boolean;
   }
   | {
     readonly type: "advanced";
--- a/daemon/forward-requests/src/forward_context.ts
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -4,6 +4,7 @@
 import type { HeldConfiguration } from "@dandelionbank/hold-configuration";
 import type { Logger } from "@dandelionbank/log-events";
 import type { PlacementCoreState } from "@dandelionbank/pick-target";
+import type { FollowedProgress } from "@dandelionbank/steer-request";
 import type { MemberTarget } from "@dandelionbank/types";
 import type { ForwardMetrics } from "./forward_metrics.ts";
 import type { StreamGate } from "./stream_gate.ts";
@@ -17,6 +18,7 @@
   readonly pools: TargetPools;
   readonly gate: StreamGate;
   readonly budget: RetryBudget;
+  readonly progress: FollowedProgress;
   /** How long a group stalls on a rank that is lost. */
   readonly stallMs: number;
   readonly findTarget: (id: string) => MemberTarget | undefined;
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -19,8 +19,10 @@
   type AttemptOutcome,
   decideFinal,
   decideNext,
+  hasProgressElsewhere,
   isRepeatable,
   type NextMove,
+  noteProgress,
   type RequestProgress,
 } from "@dandelionbank/steer-request";
 import type {
@@ -279,6 +281,7 @@
 
   #takeHead(head: AnswerHead, fields: HeaderFields): void {
     this.#hasAnswer = true;
+    this.#noteProgress();
     this.#watchSilence();
     if (head.load !== undefined && this.#target !== undefined) {
       pickTarget(this.#context.placement, {
@@ -315,6 +318,7 @@
     this.#splitter ??= EventSplitter.create();
     const events = this.#splitter.push(chunk);
     if (events === undefined) return;
+    this.#noteProgress();
     this.#watchSilence();
     this.#lastEventId = events.lastId ?? this.#lastEventId;
     this.#relay(events.bytes);
@@ -466,11 +470,31 @@
 
   /** Waits on where no other target could serve the request sooner. */
   #giveUpSilent(silenceMs: number): void {
-    const { hasOtherTarget } = this.#context;
+    const { hasOtherTarget, progress } = this.#context;
     if (!hasOtherTarget(this.#service, this.#tried)) return;
+    const isStalled = this.#profile !== undefined &&
+      !hasProgressElsewhere(progress, {
+        service: this.#service,
+        target: this.#target?.id ?? "",
+        sinceMs: performance.now() - silenceMs / 2,
+      });
+    if (isStalled) {
+      this.#watchSilence();
+      return;
+    }
     this.#attempt?.giveUp("silent", `nothing for ${silenceMs} ms`);
   }
 
+  #noteProgress(): void {
+    const target = this.#target?.id;
+    if (target === undefined) return;
+    noteProgress(this.#context.progress, {
+      service: this.#service,
+      target,
+      nowMs: performance.now(),
+    });
+  }
+
   #releaseTarget(how: "replied" | "lost" | "left", load?: TargetLoad): void {
     clearTimeout(this.#silenceTimer);
     if (this.#target === undefined) return;
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -33,6 +33,7 @@
   type SocketAddress,
   StoreClient,
 } from "@dandelionbank/platform-adapter";
+import { createFollowedProgress } from "@dandelionbank/steer-request";
 import type { IngressConfiguration } from "@dandelionbank/types";
 import { KindWatcher } from "@dandelionbank/watch-kind";
 import type { RequestListener } from "node:http";
@@ -105,10 +106,12 @@
       hash,
     });
     const pools = TargetPools.create();
+    const progress = createFollowedProgress();
     this.#targets = TargetView.create({
       returnMs: bounds.targetReturnMs,
       placement,
       pools,
+      progress,
       logger,
     });
     this.#gate = StreamGate.create({
@@ -126,6 +129,7 @@
         windowMs: bounds.retryWindowMs,
         slack: bounds.retrySlack,
       }),
+      progress,
       stallMs: bounds.stallMs,
       findTarget: (id) => this.#targets.find(id),
       hasOtherTarget: (service, tried) =>
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -16,6 +16,10 @@
   type PlacementCoreState,
 } from "@dandelionbank/pick-target";
 import { decodeTarget, type StoredItem } from "@dandelionbank/platform-adapter";
+import {
+  type FollowedProgress,
+  keepProgress,
+} from "@dandelionbank/steer-request";
 import type { MemberTarget } from "@dandelionbank/types";
 import type { KindEvent } from "@dandelionbank/watch-kind";
 
@@ -23,6 +27,7 @@
   readonly returnMs: number;
   readonly placement: PlacementCoreState;
   readonly pools: TargetPools;
+  readonly progress: FollowedProgress;
   readonly logger: Logger;
 }
 
@@ -106,7 +111,9 @@
         state: isDraining ? "closed" : "open",
       })),
     }, performance.now());
-    this.#options.pools.keep(new Set(targets.map(({ id }) => id)));
+    const ids = new Set(targets.map(({ id }) => id));
+    this.#options.pools.keep(ids);
+    keepProgress(this.#options.progress, ids);
     this.#logChange(targets, event);
   }
 
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -30,9 +30,12 @@
   type SwitchEvent,
   type SwitchState,
 } from "@dandelionbank/switch-group";
+import { readInstant } from "@dandelionbank/read-instant";
 import type {
+  AgentWord,
   ExpertMap,
   ExpertProfile,
+  Instant,
   RankReport,
 } from "@dandelionbank/types";
 import { setTimeout as delay } from "node:timers/promises";
@@ -46,6 +49,8 @@
 const SWITCH_INTERVAL_MS = 15;
 /** Sets below this are even enough; demand is not known better. */
 const TARGET_SKEW = 1.15;
+/** Shorter than agents wait before another takes the duty. */
+const PROMISE_MS = 500;
 /** How often a rank is read past an agent that does not answer. */
 const READ_PAST_INTERVAL_MS = 1_000;
 /** Versions of one coordinator. */
@@ -74,6 +79,7 @@
   #map: { readonly version: number; readonly map: ExpertMap } | undefined;
   #epoch = 0;
   #plan: ExpertPlan | undefined;
+  #promisedAt: Instant | undefined;
   #lookedAtMs = 0;
   #readPastAtMs = Number.NEGATIVE_INFINITY;
   #phaseSinceMs = 0;
@@ -83,6 +89,7 @@
     this.#leadership = options.lead.known;
     this.#switch = createSwitch({
       firstVersion: this.#leadership.term * VERSIONS_PER_TERM,
+      ownRank: this.#leadership.rank,
     });
   }
 
@@ -98,6 +105,17 @@
     }
   }
 
+  /** True if the agents were heard so lately that none can follow another. */
+  get #isFresh(): boolean {
+    if (this.#promisedAt === undefined) return false;
+    const now = readInstant();
+    const ageMs = Math.max(
+      now.steadyMs - this.#promisedAt.steadyMs,
+      now.wallMs - this.#promisedAt.wallMs,
+    );
+    return ageMs < PROMISE_MS;
+  }
+
   get #isLeading(): boolean {
     const { lead } = this.#options;
     return lead.isLeading && lead.known.term === this.#leadership.term;
@@ -129,7 +147,9 @@
       type: "reported",
       reports: [...reports, ...missing],
       isPromised: missing.length === 0,
+      words: readWords(polls),
     });
+    if (reports.length > 0) this.#promisedAt = readInstant();
     // A change that is done makes room for the next at once.
     const mayPlan = withChoices || !wasIdle;
     if (mayPlan && isIdle(this.#switch)) await this.#planNext(reports);
@@ -172,7 +192,15 @@
       this.#links.set(report.rank, link);
       return [report];
     }));
-    return read.flat();
+    const found = read.flat();
+    const { group, logger } = this.#options;
+    logger.log("ranksReadPast", {
+      group,
+      asked: links.length,
+      found: found.length,
+      held: [...reports, ...found].some((each) => each.heldStep !== undefined),
+    });
+    return found;
   }
 
   #stepDown(term: number): void {
@@ -299,18 +327,21 @@
   }
 
   async #send(
-    { rank, order, epoch, isForward }: Extract<
+    { rank, order, epoch, isForward, isDirect }: Extract<
       SwitchEffect,
       { readonly type: "send" }
     >,
   ): Promise<void> {
     const link = this.#links.get(rank);
     if (link === undefined || !this.#isLeading) return;
+    // After a freeze another agent may have the duty; agents know, engines not.
+    const mayPass = (isForward || isDirect) && this.#isFresh;
+    if (isDirect && !mayPass) return;
     const result = await link.order({
       leadership: this.#leadership,
       order,
       epoch,
-      isForward,
+      way: isDirect ? "direct" : mayPass ? "agentOrDirect" : "agent",
     });
     if (typeof result === "object") return this.#stepDown(result.newerTerm);
     if (!this.#isLeading) return;
@@ -331,3 +362,12 @@
     });
   }
 }
+
+function readWords(
+  polls: readonly Poll[],
+): ReadonlyMap<number, AgentWord> {
+  return new Map(polls.flatMap(({ reply }) => {
+    if (reply?.kind !== "polled" || reply.report === undefined) return [];
+    return [[reply.report.rank, reply.word] as const];
+  }));
+}
--- a/daemon/serve-rank/src/rank_agent.ts
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -19,9 +19,12 @@
   type PollRequest,
   type RankHandlers,
 } from "@dandelionbank/rank-api";
-import type { HeldExperts, RankReport } from "@dandelionbank/types";
+import type { AgentWord, HeldExperts, RankReport } from "@dandelionbank/types";
 import { ChoiceLooks } from "./choice_looks.ts";
 
+/** An order without an answer may be carried out up to 12 s later. */
+const LATE_ORDER_MS = 13_000;
+
 export interface RankAgentOptions {
   readonly engine: EngineClient;
   readonly lead: LeadState;
@@ -33,6 +36,9 @@
   readonly #looks = ChoiceLooks.create();
   #report: RankReport | undefined;
   #isEngineLost = false;
+  #orderedByRank: number | undefined;
+  /** Orders before the agent's start are not known. */
+  #lostArmAtMs = performance.now();
 
   private constructor(options: RankAgentOptions) {
     this.#options = options;
@@ -56,11 +62,12 @@
       request.withChoices ? engine.readChoices() : undefined,
     ]);
     if (choices === undefined) {
-      return { kind: "polled", report, choices: undefined };
+      return { kind: "polled", report, choices: undefined, word: this.#word };
     }
     const since = this.#looks.take(choices, request.sinceLook);
     const counts = encodeCounts(since.counts);
-    return { kind: "polled", report, choices: { ...since, counts } };
+    const word = this.#word;
+    return { kind: "polled", report, choices: { ...since, counts }, word };
   }
 
   async order(request: OrderRequest): Promise<OrderReply> {
@@ -68,7 +75,11 @@
     if (newer !== undefined) return newer;
     const { order, epoch, term } = request;
     const { engine, logger } = this.#options;
+    this.#orderedByRank = request.rank;
     const result = await engine.sendOrder(order, epoch);
+    if (order.kind === "arm" && result === "lost") {
+      this.#lostArmAtMs = performance.now();
+    }
     if (result !== "done") {
       logger.log("orderFailed", {
         order: order.kind,
@@ -93,11 +104,19 @@
     return report;
   }
 
-  #follow({ term, coordinator }: Leadership): NewerTerm | undefined {
+  get #word(): AgentWord {
+    const sinceMs = performance.now() - this.#lostArmAtMs;
+    return {
+      mayArmLate: sinceMs < LATE_ORDER_MS,
+      orderedByRank: this.#orderedByRank,
+    };
+  }
+
+  #follow({ term, coordinator, rank }: Leadership): NewerTerm | undefined {
     const { lead, logger } = this.#options;
     const known = lead.known;
     const isFollowed = followCoordinator(lead, {
-      leadership: { term, coordinator },
+      leadership: { term, coordinator, rank },
       nowMs: performance.now(),
     });
     if (!isFollowed) {
--- a/daemon/serve-rank/src/rank_link.ts
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -30,6 +30,9 @@
   readonly local: RankHandlers | undefined;
 }
 
+/** Whether an order goes by the agent, past it, or past it if it is silent. */
+export type OrderWay = "agent" | "direct" | "agentOrDirect";
+
 export interface LinkPoll {
   readonly leadership: Leadership;
   readonly withChoices: boolean;
@@ -89,13 +92,14 @@
 
   /** The term of a newer coordinator if the agent knows one. */
   async order(
-    { leadership, order, epoch, isForward }: {
+    { leadership, order, epoch, way }: {
       readonly leadership: Leadership;
       readonly order: GroupOrder;
       readonly epoch: number;
-      readonly isForward: boolean;
+      readonly way: OrderWay;
     },
   ): Promise<GroupOrderResult | { readonly newerTerm: number }> {
+    if (way === "direct") return await this.#orderEngine(order, epoch);
     const request = { ...leadership, order, epoch };
     try {
       const reply = await (this.#options.local?.order(request) ??
@@ -104,7 +108,9 @@
       return reply.result;
     } catch {
       // The agent may be gone while its engine waits for the order.
-      return isForward ? await this.#orderEngine(order, epoch) : "lost";
+      return way === "agentOrDirect"
+        ? await this.#orderEngine(order, epoch)
+        : "lost";
     }
   }
 
--- a/daemon/serve-rank/src/rank_process.ts
+++ b/daemon/serve-rank/src/rank_process.ts
@@ -26,7 +26,7 @@
 import { RankLink } from "./rank_link.ts";
 
 const WATCH_INTERVAL_MS = 200;
-const STORE_RETRY_MS = 1_000;
+const STORE_RETRY_MS = 2_000;
 
 export interface RankProcessOptions {
   readonly settings: BootSettings;
@@ -103,7 +103,12 @@
   }
 
   async #readView(): Promise<void> {
-    while (!this.#isStopped && !await this.#view.read()) {
+    while (!this.#isStopped) {
+      const isRead = await this.#view.read();
+      // Engines register some time after they start.
+      const groupSize = this.#agent.report?.groupSize;
+      const known = this.#view.targets.length;
+      if (isRead && groupSize !== undefined && known >= groupSize) return;
       await delay(STORE_RETRY_MS * (0.5 + Math.random() / 2));
     }
   }
--- a/foundation/log-events/src/rank_events.ts
+++ b/foundation/log-events/src/rank_events.ts
@@ -65,4 +65,11 @@
     text: "Orders of term {term} were refused, term {known} is known",
     help: "None needed",
   },
+  ranksReadPast: {
+    id: 11010,
+    level: "info",
+    text:
+      "{asked} agents of {group} do not answer; {found} ranks were read past them, held: {held}",
+    help: "Look at the agents; no map changes until all answer",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
--- a/foundation/types/src/group.ts
+++ b/foundation/types/src/group.ts
@@ -65,3 +65,11 @@
   | "invalid"
   /** No answer: the order may be carried out later, after newer ones. */
   | "lost";
+
+/** What a rank's agent knows besides the rank's own report. */
+export interface AgentWord {
+  /** True if an order to arm may still be carried out, unknown to anyone. */
+  readonly mayArmLate: boolean;
+  /** Rank of the coordinator whose order the agent passed on last. */
+  readonly orderedByRank: number | undefined;
+}
--- a/peers/rank-api/src/rank_router.ts
+++ b/peers/rank-api/src/rank_router.ts
@@ -2,6 +2,7 @@
 
 import type { Leadership } from "@dandelionbank/lead-group";
 import type {
+  AgentWord,
   GroupOrder,
   GroupOrderResult,
   HeldExperts,
@@ -37,6 +38,7 @@
     /** Undefined if the engine does not answer or is in no group. */
     readonly report: RankReport | undefined;
     readonly choices: Choices | undefined;
+    readonly word: AgentWord;
   };
 
 export interface OrderRequest extends Leadership {
@@ -58,6 +60,7 @@
 const LEADERSHIP = {
   term: COUNT,
   coordinator: v.pipe(v.string(), v.minLength(1), v.maxLength(256)),
+  rank: COUNT,
 };
 const POLL_SCHEMA = v.object({
   ...LEADERSHIP,
--- a/routing/admit-streams/src/admit_streams.ts
+++ b/routing/admit-streams/src/admit_streams.ts
@@ -79,6 +79,8 @@
   lastEndAtMs: number | undefined;
 }
 
+/** Ends are uneven; a gap of so many mean intervals is no stall yet. */
+const STALL_INTERVALS = 6;
 /** Weight of the newest interval between two ends. */
 const INTERVAL_WEIGHT = 0.15;
 /** Retry-After of a refusal is at least this, so that nobody comes at once. */
@@ -141,7 +143,7 @@
   const { expectedFirstMs } = state.options;
   const latestStartMs = arrival.arrivedAtMs + arrival.patienceMs -
     expectedFirstMs;
-  const predictedWaitMs = predictWait(state);
+  const predictedWaitMs = predictWait(state, nowMs);
   if (nowMs + predictedWaitMs > latestStartMs) {
     return [refuse(arrival.id, predictedWaitMs)];
   }
@@ -157,11 +159,28 @@
 }
 
 /** How long one that comes now would wait for those before it. */
-function predictWait(state: AdmissionState): number {
+function predictWait(state: AdmissionState, nowMs: number): number {
+  const waitMs = (state.waiting.length + 1) * expectInterval(state);
+  return waitMs + expectStall(state, nowMs);
+}
+
+/** Time between two ends at a full group. */
+function expectInterval(state: AdmissionState): number {
   const { expectedRunMs } = state.options;
   const ownShare = Math.max(1, state.capacity / state.entryCount);
-  const intervalMs = state.endIntervalMs ?? expectedRunMs / ownShare;
-  return (state.waiting.length + 1) * intervalMs;
+  return state.endIntervalMs ?? expectedRunMs / ownShare;
+}
+
+/**
+ * A full group in which nothing has ended for longer than usual is expected to
+ * go on so for as long again.
+ */
+function expectStall(state: AdmissionState, nowMs: number): number {
+  const { lastEndAtMs, active } = state;
+  if (lastEndAtMs === undefined || active === 0) return 0;
+  const overdueMs = nowMs - lastEndAtMs -
+    STALL_INTERVALS * expectInterval(state);
+  return Math.max(0, overdueMs);
 }
 
 function noteEnd(state: AdmissionState, nowMs: number): void {
@@ -200,11 +219,12 @@
     readonly effects: AdmissionEffect[];
   },
 ): void {
+  const soonestMs = nowMs + expectStall(state, nowMs);
   for (let index = state.waiting.length - 1; index >= 0; index--) {
     const { arrival, latestStartMs } = state.waiting[index] as Waiting;
-    if (nowMs <= latestStartMs) continue;
+    if (soonestMs <= latestStartMs) continue;
     state.waiting.splice(index, 1);
-    effects.push(refuse(arrival.id, predictWait(state)));
+    effects.push(refuse(arrival.id, predictWait(state, nowMs)));
   }
 }
 
--- a/routing/admit-streams/src/admit_streams_test.ts
+++ b/routing/admit-streams/src/admit_streams_test.ts
@@ -42,6 +42,28 @@
   assert.deepEqual(post(state, { type: "tick" }, 2_000), ["refused b"]);
 });
 
+test("While the group stalls, callers are told to return when it may be over", () => {
+  const state = createGroup({ capacity: 2 });
+  arrive(state, "a", 0);
+  arrive(state, "b", 0);
+  for (let index = 0; index < 5; index++) {
+    arrive(state, `c${index}`, 200 * index);
+    post(state, { type: "ended" }, 200 * index + 100);
+  }
+  arrive(state, "waits", 910);
+  const { effects } = stepAdmission(state, {
+    type: "arrived",
+    id: "d",
+    arrivedAtMs: 4_000,
+    objectiveMs: 500,
+    patienceMs: 2_000,
+    priority: 1,
+  }, 4_000);
+  const refused = effects.find(({ id }) => id === "d");
+  assert.equal(refused?.type, "refused");
+  assert.ok(refused?.type === "refused" && refused.retryAfterMs > 1_000);
+});
+
 test("The urgent go first, then those that can still be on time", () => {
   const state = createGroup({ capacity: 1 });
   arrive(state, "a", 0);
--- a/testing/ingress-tests/src/group_test.ts
+++ b/testing/ingress-tests/src/group_test.ts
@@ -3,6 +3,7 @@
 import { RankProcess } from "@dandelionbank/serve-rank";
 import { SiteGroup, SiteStore } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
+import { createServer } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { findPort, type LoggedLine, waitFor } from "./fixtures.ts";
@@ -48,6 +49,20 @@
   await waitFor(() => group.model.mapVersion > 0);
 });
 
+test("A pass held by a coordinator that is frozen is let go", async (t) => {
+  const { group, agents, lines, peerPort } = await startGroup(t);
+  group.fateOf = (order) => order.kind === "arm" ? "lost" : "answered";
+  await waitFor(() => group.model.hasStrayHold);
+  const leader = findLeader(lines);
+  await agents[leader]!.stop();
+  // Connections are made, and nothing is ever answered.
+  const frozen = createServer().listen(peerPort, group.host(leader));
+  t.after(() => frozen.close());
+  group.fateOf = () => "answered";
+  await waitFor(() => !group.model.hasStrayHold);
+  await waitFor(() => group.model.mapVersion > 0);
+});
+
 test("A group that forms anew is followed from its first map", async (t) => {
   const { group } = await startGroup(t);
   await waitFor(() => group.model.mapVersion > 0);
@@ -111,7 +126,7 @@
     await group.close();
     await store.close();
   });
-  return { store, group, agents, lines };
+  return { store, group, agents, lines, peerPort };
 }
 
 function createConfiguration() {
