--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -5,7 +5,9 @@
  */
 
 import type { buildConnector, Dispatcher } from "undici";
+import createConnector from "undici/lib/core/connect.js";
 import Pool from "undici/lib/dispatcher/pool.js";
+import { ResetWatch } from "./watch_resets.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
@@ -53,6 +55,7 @@
 export class HttpPool {
   readonly origin: string;
   readonly #pool: Pool;
+  readonly #resets = ResetWatch.create();
 
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
@@ -62,9 +65,11 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
-      connect: options.connector ?? {
-        timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-      },
+      connect: this.#resets.watch(
+        options.connector ?? createConnector({
+          timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+        }),
+      ),
     });
   }
 
@@ -74,7 +79,7 @@
 
   /** Sends one request; exactly one of `onEnd` and `onError` follows. */
   send(request: HttpRequest, handler: HttpHandler): RunningRequest {
-    const running = new RunningDispatch(handler);
+    const running = new RunningDispatch(handler, this.#resets);
     this.#pool.dispatch(
       {
         origin: this.origin,
@@ -101,12 +106,14 @@
 
 class RunningDispatch implements Dispatcher.DispatchHandler, RunningRequest {
   readonly #handler: HttpHandler;
+  readonly #resets: ResetWatch;
   #controller: Dispatcher.DispatchController | undefined;
   #isCancelled = false;
   #isEnded = false;
 
-  constructor(handler: HttpHandler) {
+  constructor(handler: HttpHandler, resets: ResetWatch) {
     this.#handler = handler;
+    this.#resets = resets;
   }
 
   cancel(): void {
@@ -142,6 +149,10 @@
   onResponseEnd(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    if (this.#resets.isResetting) {
+      this.#handler.onError(new Error("Connection was reset"), true);
+      return;
+    }
     this.#handler.onEnd();
   }
 
