--- a/agreement/lead-group/src/lead_group.ts
+++ b/agreement/lead-group/src/lead_group.ts
@@ -25,8 +25,12 @@
   isLeading: boolean;
 }
 
-/** Silence of a coordinator after which rank 0 takes over. */
-const TAKE_OVER_MS = 700;
+/** Counts come from all ranks so often; passes take some tens of ms. */
+const LOOK_INTERVAL_MS = 250;
+/** A poll with counts costs about a ms, and a VM gives part of a core. */
+const LOOK_INTERVAL_PER_RANK_MS = 14;
+/** Looks without a word of the coordinator after which rank 0 takes over. */
+const SILENT_LOOKS = 2.8;
 /** Added for each rank: longer than a new coordinator takes to be heard. */
 const RANK_STAGGER_MS = 400;
 /** Ranks above this wait hardly longer; all below would have to be lost. */
@@ -80,18 +84,24 @@
   state.known = { ...NO_LEADERSHIP, term };
 }
 
+/** How often the coordinator of a group looks at all ranks. */
+export function readLookInterval(groupSize: number): number {
+  return Math.max(LOOK_INTERVAL_MS, groupSize * LOOK_INTERVAL_PER_RANK_MS);
+}
+
 /** Takes the duty if no coordinator was heard for long enough. */
 export function takeDuty(
   state: LeadState,
-  { rank, nowMs, wallMs }: {
+  { rank, groupSize, nowMs, wallMs }: {
     readonly rank: number;
+    readonly groupSize: number;
     readonly nowMs: number;
     /** Time of day; makes terms of agents that know of none unique. */
     readonly wallMs: number;
   },
 ): boolean {
   if (state.isLeading) return false;
-  const waitMs = TAKE_OVER_MS +
+  const waitMs = SILENT_LOOKS * readLookInterval(groupSize) +
     Math.min(rank, STAGGERED_RANKS) * RANK_STAGGER_MS +
     Math.max(0, rank - STAGGERED_RANKS) * HIGH_RANK_STAGGER_MS;
   if (nowMs - state.heardAtMs < waitMs) return false;
--- a/agreement/lead-group/src/lead_group_test.ts
+++ b/agreement/lead-group/src/lead_group_test.ts
@@ -4,6 +4,7 @@
   createLeadState,
   followCoordinator,
   noteNewerTerm,
+  readLookInterval,
   startWaiting,
   takeDuty,
 } from "./mod.ts";
@@ -12,17 +13,21 @@
   const first = createLeadState({ name: "r0", nowMs: 0 });
   const second = createLeadState({ name: "r1", nowMs: 0 });
   const at = { nowMs: 900, wallMs: 5_000 };
-  assert.ok(takeDuty(first, { rank: 0, ...at }));
-  assert.ok(!takeDuty(second, { rank: 1, ...at }));
+  assert.ok(takeDuty(first, { rank: 0, groupSize: 16, ...at }));
+  assert.ok(!takeDuty(second, { rank: 1, groupSize: 16, ...at }));
   const leadership = first.known;
   assert.ok(followCoordinator(second, { leadership, nowMs: 1_000 }));
-  assert.ok(takeDuty(second, { rank: 1, nowMs: 3_000, wallMs: 5_000 }));
+  assert.ok(
+    takeDuty(second, { rank: 1, groupSize: 16, nowMs: 3_000, wallMs: 5_000 }),
+  );
   assert.ok(second.known.term > first.known.term);
 });
 
 test("Orders of an older term are refused, and its coordinator steps down", () => {
   const state = createLeadState({ name: "r0", nowMs: 0 });
-  assert.ok(takeDuty(state, { rank: 0, nowMs: 2_000, wallMs: 0 }));
+  assert.ok(
+    takeDuty(state, { rank: 0, groupSize: 16, nowMs: 2_000, wallMs: 0 }),
+  );
   const own = state.known;
   const newer = { term: own.term + 1, coordinator: "r1", rank: 1 };
   assert.ok(followCoordinator(state, { leadership: newer, nowMs: 2_100 }));
@@ -32,7 +37,7 @@
 
 test("A coordinator that hears of a newer term stops", () => {
   const state = createLeadState({ name: "r0", nowMs: 0 });
-  takeDuty(state, { rank: 0, nowMs: 2_000, wallMs: 0 });
+  takeDuty(state, { rank: 0, groupSize: 16, nowMs: 2_000, wallMs: 0 });
   noteNewerTerm(state, state.known.term + 5);
   assert.ok(!state.isLeading);
 });
@@ -40,7 +45,12 @@
 test("An agent that knows of no term makes one no other rank makes", () => {
   const terms = [0, 1, 5].map((rank) => {
     const state = createLeadState({ name: `r${rank}`, nowMs: 0 });
-    takeDuty(state, { rank, nowMs: 60_000, wallMs: 1_700_000_000_000 });
+    takeDuty(state, {
+      rank,
+      groupSize: 16,
+      nowMs: 60_000,
+      wallMs: 1_700_000_000_000,
+    });
     return state.known.term;
   });
   assert.equal(new Set(terms).size, terms.length);
@@ -53,7 +63,15 @@
   }));
   for (const { state } of states) startWaiting(state, 3_000);
   const hasDuty = states.map(({ rank, state }) =>
-    takeDuty(state, { rank, nowMs: 3_900, wallMs: 0 })
+    takeDuty(state, { rank, groupSize: 16, nowMs: 3_900, wallMs: 0 })
   );
   assert.deepEqual(hasDuty, [true, false, false]);
 });
+
+test("A large group is looked at less often, and waits longer for a word", () => {
+  const state = createLeadState({ name: "r0", nowMs: 0 });
+  const at = { rank: 0, groupSize: 72, wallMs: 0 };
+  assert.ok(!takeDuty(state, { ...at, nowMs: 2_000 }));
+  assert.ok(takeDuty(state, { ...at, nowMs: 3_000 }));
+  assert.ok(readLookInterval(72) > readLookInterval(16));
+});
--- a/agreement/lead-group/src/mod.ts
+++ b/agreement/lead-group/src/mod.ts
@@ -4,6 +4,7 @@
   createLeadState,
   followCoordinator,
   noteNewerTerm,
+  readLookInterval,
   startWaiting,
   takeDuty,
 } from "./lead_group.ts";
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -7,6 +7,7 @@
   type Leadership,
   type LeadState,
   noteNewerTerm,
+  readLookInterval,
 } from "@dandelionbank/lead-group";
 import type { Logger } from "@dandelionbank/log-events";
 import {
@@ -41,8 +42,6 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { RankLink } from "./rank_link.ts";
 
-/** Counts come from all ranks so often; passes take some tens of ms. */
-const LOOK_INTERVAL_MS = 250;
 /** While experts are copied, which takes some hundred ms. */
 const PREPARE_INTERVAL_MS = 50;
 /** While the group may be held. */
@@ -121,20 +120,27 @@
     return lead.isLeading && lead.known.term === this.#leadership.term;
   }
 
+  get #lookIntervalMs(): number {
+    return readLookInterval(this.#switch.groupSize);
+  }
+
   get #intervalMs(): number {
     const { name } = this.#switch.phase;
-    if (name === "idle") return LOOK_INTERVAL_MS;
+    if (name === "idle") return this.#lookIntervalMs;
     const isCopying = name === "preparing" || name === "settling";
     return isCopying ? PREPARE_INTERVAL_MS : SWITCH_INTERVAL_MS;
   }
 
   async #round(): Promise<void> {
     const nowMs = performance.now();
-    const withChoices = nowMs - this.#lookedAtMs >= LOOK_INTERVAL_MS;
+    const withChoices = nowMs - this.#lookedAtMs >= this.#lookIntervalMs;
     if (withChoices) this.#lookedAtMs = nowMs;
     const links = this.#options.listLinks();
     const polls = await Promise.all(links.map(async (link): Promise<Poll> => {
-      const request = { leadership: this.#leadership, withChoices };
+      const request = {
+        leadership: this.#leadership,
+        withChoices,
+      };
       return { link, reply: await link.poll(request) };
     }));
     const reports = this.#takeReplies(polls);
@@ -355,7 +361,7 @@
       choices: Math.round(
         (this.#demand.faded ?? []).reduce((sum, count) => sum + count, 0),
       ),
-      windowMs: LOOK_INTERVAL_MS,
+      windowMs: this.#lookIntervalMs,
       skewBefore: Number(plan.skewBefore.toFixed(2)),
       skewAfter: Number(plan.skewAfter.toFixed(2)),
       copies: plan.copies,
--- a/daemon/serve-rank/src/rank_link.ts
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -17,6 +17,8 @@
 
 /** Agents are near; one that takes longer is frozen or gone. */
 const CALL_TIMEOUT_MS = 200;
+/** Calls of one round are sent, and their answers read, one after another. */
+const CALL_TIMEOUT_PER_LINK_MS = 8;
 /** Polls that fail in a row before a rank is asked less often. */
 const MAX_FAILURES = 3;
 const FAILED_INTERVAL_MS = 500;
@@ -28,6 +30,8 @@
   readonly engineAddress: string;
   /** The agent in this process, for the coordinator's own rank. */
   readonly local: RankHandlers | undefined;
+  /** Ways that the coordinator uses at the same time. */
+  readonly linkCount: number;
 }
 
 /** Whether an order goes by the agent, past it, or past it if it is silent. */
@@ -48,11 +52,11 @@
 
   private constructor(options: RankLinkOptions) {
     this.#options = options;
-    const { local, agentAddress } = options;
+    const { local, agentAddress, linkCount } = options;
     if (local !== undefined) return;
     this.#client = createRankClient({
       address: agentAddress,
-      timeoutMs: CALL_TIMEOUT_MS,
+      timeoutMs: CALL_TIMEOUT_MS + linkCount * CALL_TIMEOUT_PER_LINK_MS,
     });
   }
 
--- a/daemon/serve-rank/src/rank_process.ts
+++ b/daemon/serve-rank/src/rank_process.ts
@@ -124,6 +124,7 @@
       }
       const hasDuty = takeDuty(this.#lead, {
         rank: report.rank,
+        groupSize: report.groupSize,
         nowMs: performance.now(),
         wallMs: Date.now(),
       });
@@ -171,6 +172,7 @@
     return RankLink.create({
       agentAddress: `${host}:${this.#options.settings.peerPort}`,
       engineAddress,
+      linkCount: this.#view.targets.length,
       local: engineAddress === this.#engineAddress ? this.#agent : undefined,
     });
   }
