Know a target that started again by its address, and wait for a forming group

Ruled out: entries that start late (1.7 s after the power came back).

Of entries with one address the one written last counts, a target whose address answers as another is left until it is written again, and a request that a forming group refuses waits 0.4 s for its next rank.

--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -36,6 +36,8 @@
   readonly reason: string;
   readonly load: TargetLoad | undefined;
   readonly targetAtFault: string | undefined;
+  /** True if another target answered at the address. */
+  readonly isMisdirected: boolean;
   /** The target's own failure, whole. */
   readonly failure: TargetFailure | undefined;
 }
@@ -48,6 +50,7 @@
 
 /** Statuses that promise "not run", which a target that ran may not give. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const STATUS_MISDIRECTED = 421;
 /** Failures are short texts. */
 const MAX_FAILURE_BYTES = 1_048_576;
 
@@ -182,6 +185,7 @@
       reason,
       load: head?.load,
       targetAtFault: head?.targetAtFault,
+      isMisdirected: head?.status === STATUS_MISDIRECTED,
       failure: outcome === "failed" && head !== undefined
         ? {
           status: head.status,
--- a/daemon/forward-requests/src/forward_context.ts
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -22,6 +22,8 @@
   /** How long a group stalls on a rank that is lost. */
   readonly stallMs: number;
   readonly findTarget: (id: string) => MemberTarget | undefined;
+  /** Another target answers at the target's address. */
+  readonly noteMisdirected: (id: string) => void;
   /** True if a target of the service is open that was not tried yet. */
   readonly hasOtherTarget: (
     service: string,
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -67,6 +67,8 @@
 const SILENT_OBJECTIVES = 2;
 /** A whole answer longer than this is relayed as it comes. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/** A group forms anew within some hundred ms. */
+const FORMING_RETRY_MS = 400;
 /** When targets may take work again after all have refused. */
 const REFUSED_RETRY_MS = 250;
 /** Kept back from the caller's deadline for the answer's way. */
@@ -359,6 +361,9 @@
       // Its other connections may be as dead.
       this.#context.pools.renew(target);
     }
+    if (end.isMisdirected && target !== undefined) {
+      this.#context.noteMisdirected(target);
+    }
     const isLoss = outcome === "broken" || outcome === "silent" ||
       outcome === "notSent";
     this.#releaseTarget(isLoss ? "lost" : "replied", load);
@@ -379,11 +384,19 @@
     this.#splitter = undefined;
     this.#chunks.length = 0;
     this.#bufferedBytes = 0;
-    if (move.type === "retry") {
-      this.#sendNext();
-      return;
-    }
-    this.#perform(move, failure);
+    if (move.type !== "retry") return this.#perform(move, failure);
+    if (!this.#isGroupForming(end)) return this.#sendNext();
+    // The whole group refuses until it has formed; soon another rank won't.
+    clearTimeout(this.#silenceTimer);
+    this.#silenceTimer = setTimeout(() => this.#sendNext(), FORMING_RETRY_MS);
+  }
+
+  /** A rank that refuses because of another one speaks for its whole group. */
+  #isGroupForming(
+    { outcome, targetAtFault, isMisdirected }: AttemptEnd,
+  ): boolean {
+    return outcome === "refused" && targetAtFault !== undefined &&
+      !isMisdirected;
   }
 
   #steer(outcome: AttemptOutcome): NextMove {
@@ -438,13 +451,13 @@
   /** The route's timeout or the caller's deadline is reached. */
   #endInTime(): void {
     if (this.#isOver) return;
-    const wasSent = this.#attempts > 0;
+    const mayHaveRun = this.#mayHaveRun || this.#target !== undefined;
     this.#attempt?.cancel();
     this.#releaseTarget("left");
     if (this.#answer.hasBegun) {
       this.#answer.cut();
       this.#finish("timedOut", this.#status);
-    } else if (wasSent) {
+    } else if (mayHaveRun) {
       this.#answer.finish({ status: 504 });
       this.#finish("timedOut", 504);
     } else {
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -73,6 +73,7 @@
   readonly #options: IngressOptions;
   readonly #addresses: ListenAddresses;
   readonly #held: HeldConfiguration;
+  readonly #watchWaitMs: number;
   readonly #client: StoreClient;
   readonly #forwarder: Forwarder;
   readonly #gate: StreamGate;
@@ -98,7 +99,11 @@
     const { bounds } = settings;
     this.#options = options;
     this.#addresses = addresses;
-    this.#held = createHeldConfiguration(bounds);
+    this.#watchWaitMs = Math.round(bounds.revocationMs * WATCH_WAIT_PART);
+    this.#held = createHeldConfiguration({
+      ...bounds,
+      watchWaitMs: this.#watchWaitMs,
+    });
     this.#client = StoreClient.create(formatAddress(settings.store));
     const placement = createPlacementState({
       entry: settings.name,
@@ -132,6 +137,7 @@
       progress,
       stallMs: bounds.stallMs,
       findTarget: (id) => this.#targets.find(id),
+      noteMisdirected: (id) => this.#targets.noteMisdirected(id),
       hasOtherTarget: (service, tried) =>
         this.#targets.hasOther(service, tried),
       countEntries: () => this.#others.length + 1,
@@ -231,9 +237,8 @@
   }
 
   #watch(): void {
-    const { logger, settings } = this.#options;
-    const { revocationMs } = settings.bounds;
-    const waitMs = Math.round(revocationMs * WATCH_WAIT_PART);
+    const { logger } = this.#options;
+    const waitMs = this.#watchWaitMs;
     const configuration = ConfigurationView.create({
       held: this.#held,
       logger,
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -94,6 +94,11 @@
     }
   }
 
+  /** Another target answers at the address; this one is not there. */
+  noteMisdirected(id: string): void {
+    this.#step({ type: "misdirected", id });
+  }
+
   /** Drops targets whose time for returning is over. */
   refresh(): void {
     this.#step({ type: "tick" });
@@ -134,8 +139,8 @@
   }
 }
 
-function toTarget({ name, spec }: StoredItem): readonly MemberTarget[] {
-  const target = decodeTarget(name, spec);
+function toTarget(item: StoredItem): readonly MemberTarget[] {
+  const target = decodeTarget(item);
   return target === undefined ? [] : [target];
 }
 
@@ -147,6 +152,8 @@
         : `${event.target.id} is open`;
     case "removed":
       return `${event.id} is gone`;
+    case "misdirected":
+      return `${event.id} is not at its address`;
     default:
       return event.type;
   }
--- a/daemon/serve-rank/src/group_view.ts
+++ b/daemon/serve-rank/src/group_view.ts
@@ -88,7 +88,7 @@
     if (event.type === "listed") this.#takeTargets(event.items);
     if (event.type !== "changed") return;
     const { item, isDeleted } = event.change;
-    const target = isDeleted ? undefined : decodeTarget(item.name, item.spec);
+    const target = isDeleted ? undefined : decodeTarget(item);
     if (target?.service === this.#options.service) {
       this.#targets.set(target.id, target);
     } else {
@@ -98,10 +98,10 @@
 
   #takeTargets(items: readonly StoredItem[]): void {
     this.#targets.clear();
-    for (const { name, spec } of items) {
-      const target = decodeTarget(name, spec);
+    for (const item of items) {
+      const target = decodeTarget(item);
       if (target?.service !== this.#options.service) continue;
-      this.#targets.set(name, target);
+      this.#targets.set(target.id, target);
     }
   }
 
--- a/foundation/types/src/member_target.ts
+++ b/foundation/types/src/member_target.ts
@@ -3,6 +3,8 @@
 export interface MemberTarget {
   /** Names one run of the target, or its place if it starts again. */
   readonly id: string;
+  /** The store's revision of the entry's last change. */
+  readonly revision: number;
   readonly service: string;
   /** `IP:PORT`. */
   readonly address: string;
--- a/routing/follow-targets/src/follow_targets.ts
+++ b/routing/follow-targets/src/follow_targets.ts
@@ -3,6 +3,11 @@
  * once, except right after an outage of the store: entries lapse while targets
  * cannot renew them, so those that went then count until the targets have had
  * time to return. Such a list must not empty a pool.
+ *
+ * A target that has started again has another id at the same address, and its
+ * old entry stays for a while. Of entries with one address, the one that was
+ * written last counts; one whose address answers as another target counts only
+ * once it is written again.
  */
 
 import type { MemberTarget } from "@dandelionbank/types";
@@ -14,6 +19,8 @@
 export interface FollowedTargets {
   readonly returnMs: number;
   readonly targets: Map<string, MemberTarget>;
+  /** Entries that name no target any more, by id: the revision that did. */
+  readonly superseded: Map<string, number>;
   /** When targets that lapsed during an outage count as gone, by id. */
   readonly lapsedUntilMs: Map<string, number>;
   /** Until then, an entry that goes counts as lapsed. */
@@ -26,6 +33,8 @@
   | { readonly type: "put"; readonly target: MemberTarget }
   /** The entry is gone, or names no target any more. */
   | { readonly type: "removed"; readonly id: string }
+  /** Another target answers at this one's address. */
+  | { readonly type: "misdirected"; readonly id: string }
   | { readonly type: "storeLost" }
   | { readonly type: "storeAnswered" }
   | { readonly type: "tick" };
@@ -41,6 +50,7 @@
   return {
     returnMs,
     targets: new Map(),
+    superseded: new Map(),
     lapsedUntilMs: new Map(),
     lapsesUntilMs: 0,
     isStoreLost: false,
@@ -63,11 +73,16 @@
     case "listed":
       return takeList(state, { targets: event.targets, nowMs });
     case "put":
-      state.lapsedUntilMs.delete(event.target.id);
-      state.targets.set(event.target.id, event.target);
+      putTarget(state, event.target);
       return true;
     case "removed":
+      state.superseded.delete(event.id);
       return removeTarget(state, { id: event.id, nowMs });
+    case "misdirected": {
+      const target = state.targets.get(event.id);
+      if (target === undefined) return false;
+      return supersede(state, target);
+    }
     case "tick":
       return removeLapsed(state, nowMs);
   }
@@ -87,9 +102,9 @@
   },
 ): boolean {
   const listed = new Set(targets.map(({ id }) => id));
-  for (const target of targets) {
-    state.lapsedUntilMs.delete(target.id);
-    state.targets.set(target.id, target);
+  for (const target of targets) putTarget(state, target);
+  for (const id of [...state.superseded.keys()]) {
+    if (!listed.has(id)) state.superseded.delete(id);
   }
   for (const id of [...state.targets.keys()]) {
     if (!listed.has(id)) removeTarget(state, { id, nowMs });
@@ -97,6 +112,29 @@
   return true;
 }
 
+function putTarget(state: FollowedTargets, target: MemberTarget): void {
+  const { id, address, revision } = target;
+  const supersededAt = state.superseded.get(id);
+  if (supersededAt !== undefined && revision <= supersededAt) return;
+  state.superseded.delete(id);
+  for (const other of [...state.targets.values()]) {
+    if (other.id === id || other.address !== address) continue;
+    if (other.revision > revision) {
+      state.superseded.set(id, revision);
+      return;
+    }
+    supersede(state, other);
+  }
+  state.lapsedUntilMs.delete(id);
+  state.targets.set(id, target);
+}
+
+function supersede(state: FollowedTargets, target: MemberTarget): boolean {
+  state.superseded.set(target.id, target.revision);
+  state.lapsedUntilMs.delete(target.id);
+  return state.targets.delete(target.id);
+}
+
 function removeTarget(
   state: FollowedTargets,
   { id, nowMs }: { readonly id: string; readonly nowMs: number },
--- a/routing/hold-configuration/src/hold_configuration.ts
+++ b/routing/hold-configuration/src/hold_configuration.ts
@@ -17,6 +17,8 @@
   readonly revocationMs: number;
   /** From an accepted configuration to its being in force. */
   readonly configurationMs: number;
+  /** How long a watch waits: by so much a sound view's proof may be older. */
+  readonly watchWaitMs: number;
 }
 
 /** Opaque; changed in place. */
@@ -75,7 +77,12 @@
   return readProofAgeMs(held, now) < limitMs;
 }
 
-/** False while a newer configuration may know a route or key that this lacks. */
+/**
+ * False while a newer configuration may know a route or key that this lacks. A
+ * watch that waits on a sound connection tells a change at once, so its wait is
+ * not counted.
+ */
 export function mayDeny(held: HeldConfiguration, now: Instant): boolean {
-  return readProofAgeMs(held, now) < held.bounds.configurationMs;
+  const { configurationMs, watchWaitMs } = held.bounds;
+  return readProofAgeMs(held, now) < configurationMs + watchWaitMs;
 }
