See a reset that comes with an answer's last bytes

Ruled out: an end that the engine meant, whose socket still has its peer.

At the end of a stream whose socket has no peer any more, the answer counts as cut.

--- a/foundation/open-http/src/watch_resets.ts
+++ b/foundation/open-http/src/watch_resets.ts
@@ -1,6 +1,10 @@
 /**
  * Tells whether a connection is being reset at this very moment. undici takes a
  * reset for the end of an answer that has no length; such an answer is cut.
+ *
+ * A reset that comes together with bytes is no error in Node.js: libuv tells it
+ * as the end of the stream. Then the socket has no peer any more, which it
+ * still has after an end that the peer meant.
  */
 
 import type { Socket } from "node:net";
@@ -33,12 +37,17 @@
   }
 
   #watchSocket(socket: Socket): void {
-    // Called before undici's own listener, which is added later.
-    socket.on("error", () => {
-      this.#isResetting = true;
-      process.nextTick(() => {
-        this.#isResetting = false;
-      });
+    // Called before undici's own listeners, which are added later.
+    socket.on("error", () => this.#noteReset());
+    socket.on("end", () => {
+      if (socket.remoteAddress === undefined) this.#noteReset();
+    });
+  }
+
+  #noteReset(): void {
+    this.#isResetting = true;
+    process.nextTick(() => {
+      this.#isResetting = false;
     });
   }
 }
--- a/testing/ingress-tests/src/answers_test.ts
+++ b/testing/ingress-tests/src/answers_test.ts
@@ -152,6 +152,20 @@
   setTimeout(() => end(socket), 30);
 }
 
+test("A reset that comes with the last bytes is no end of an answer", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  site.engines[0]!.script = ({ response, sealed }) => {
+    const socket = response.socket!;
+    const lines = Object.entries(sealed).map((field) => field.join(": "));
+    const head = ["HTTP/1.1 200 OK", ...lines, "Connection: close"];
+    socket.write(`${head.join("\r\n")}\r\n\r\nhalf`);
+    socket.resetAndDestroy();
+  };
+  for (let index = 0; index < 20; index++) {
+    assert.equal((await call(site, { path: "/once/a" })).status, 502);
+  }
+});
+
 test("A target's own failure goes back as it was", async (t) => {
   const site = await startSite(t);
   for (const engine of site.engines) {
