Split the switch core by phase, and tell each phase it enters

Found by reading: a phase entered by the answer to an order was told only if the loop after it moved on once more, so 'settling' never reached the coordinator, which then read the whole map back from all ranks after every switch; and the end was told as 'idle', version 0 of epoch 0. The new test of what is told failed with 'idle 0 0'.

Every move now goes through enterPhase or endSwitch. One file a concern: state and orders, phases, answers, what is found of an earlier coordinator. The end is told as switched or abandoned, with its version. Names: isFollowedByAll, AgentOrders. Ruled out as part of this: any change of when an order is sent; the model of a group, its random runs and the tests over sockets pass unchanged but for the renamed fields.

--- /dev/null
+++ b/agreement/switch-group/src/complete_found.ts
@@ -0,0 +1,85 @@
+/**
+ * Completes what an earlier coordinator left: a pass that is held, or ranks
+ * that are armed.
+ */
+
+import type { RankReport } from "@dandelionbank/types";
+import {
+  type Context,
+  enterPhase,
+  isWhole,
+  listRanks,
+  releaseHolds,
+  sendRelease,
+} from "./switch_state.ts";
+
+/** True if nothing was found that has to be completed first. */
+export function completeFound(context: Context, epoch: number): boolean {
+  const { reports } = context.state;
+  if (!isWhole(reports)) {
+    releaseAbandoned(context, epoch);
+    return false;
+  }
+  const armed = reports.find(({ armedVersion }) => armedVersion !== 0);
+  const held = reports.find(({ heldStep }) => heldStep !== undefined);
+  if (held !== undefined) {
+    takeOverHold(context, { held, armed, epoch });
+    return false;
+  }
+  if (armed === undefined) return true;
+  const version = armed.armedVersion;
+  enterPhase(context, { name: "settling", version, epoch, step: undefined });
+  return false;
+}
+
+/**
+ * A hold that no switch of this coordinator owns. If a prepared version may
+ * have been armed for that pass, even by an order that is still on its way, the
+ * switch is completed; otherwise the pass is let go.
+ */
+function takeOverHold(
+  context: Context,
+  { held, armed, epoch }: {
+    readonly held: RankReport;
+    readonly armed: RankReport | undefined;
+    readonly epoch: number;
+  },
+): void {
+  const step = held.heldStep as number;
+  const version = armed?.armedVersion ?? held.preparedVersion;
+  const mayBeArmed = version > held.mapVersion &&
+    context.state.reports.every((report) =>
+      report.preparedVersion === version || report.armedVersion === version
+    );
+  if (!mayBeArmed) {
+    sendRelease(context, { rank: held.rank, step, epoch });
+    return;
+  }
+  enterPhase(context, {
+    name: "arming",
+    version,
+    epoch,
+    step,
+    holder: held.rank,
+    armed: new Set(),
+  });
+}
+
+/**
+ * A pass held by a coordinator that is frozen with its own rank. It arms that
+ * rank last, so while no other is armed or may be armed late, nobody is, and
+ * the pass may begin.
+ */
+function releaseAbandoned(context: Context, epoch: number): void {
+  const { reports, agentOrders, groupSize } = context.state;
+  if (reports.length !== groupSize - 1) return;
+  const present = new Set(reports.map(({ rank }) => rank));
+  const missing = listRanks(groupSize).find((rank) => !present.has(rank));
+  const isUnarmed = reports.every((report) => {
+    const orders = agentOrders.get(report.rank);
+    return report.epoch === epoch && report.isOpen &&
+      report.armedVersion === 0 && orders !== undefined &&
+      !orders.mayArmLate && orders.orderedByRank === missing;
+  });
+  if (isUnarmed) releaseHolds(context, { epoch });
+}
--- a/agreement/switch-group/src/mod.ts
+++ b/agreement/switch-group/src/mod.ts
@@ -1,10 +1,6 @@
 /** Switches of a group's map. */
 
-export {
-  createSwitch,
-  isIdle,
-  needsAllRanks,
-  stepSwitch,
-} from "./switch_group.ts";
-export type { SwitchOptions, SwitchState } from "./switch_group.ts";
-export type { Phase, PhaseName, SwitchEffect, SwitchEvent } from "./types.ts";
+export { isIdle, needsAllRanks, stepSwitch } from "./switch_group.ts";
+export { createSwitch } from "./switch_state.ts";
+export type { SwitchOptions, SwitchState } from "./switch_state.ts";
+export type { SwitchEffect, SwitchEvent } from "./types.ts";
--- a/agreement/switch-group/src/switch_group_test.ts
+++ b/agreement/switch-group/src/switch_group_test.ts
@@ -11,6 +11,8 @@
   type SwitchState,
 } from "./mod.ts";
 
+type AdvancedEffect = Extract<SwitchEffect, { readonly type: "advanced" }>;
+
 const MAP: ExpertMap = [[[0], [1], [2]]];
 const RANKS = 3;
 const TICK_MS = 20;
@@ -25,6 +27,25 @@
   assert.equal(world.heldTicks, 0);
 });
 
+test("Each phase of a switch is told once, and its end with its version", () => {
+  const world = new World();
+  const told: string[] = [];
+  world.onAdvanced = ({ phase, version, epoch }) => {
+    assert.ok(version >= 100 && epoch === 1, `${phase} ${version} ${epoch}`);
+    told.push(phase);
+  };
+  world.plan();
+  world.run(1_000);
+  assert.deepEqual(told, [
+    "preparing",
+    "holding",
+    "arming",
+    "releasing",
+    "settling",
+    "switched",
+  ]);
+});
+
 test("An idle group switches with its next pass", () => {
   const world = new World();
   world.group.isBusy = false;
@@ -57,7 +78,7 @@
   world.plan();
   world.run(500);
   world.replaceCoordinator();
-  world.isPromised = false;
+  world.isFollowedByAll = false;
   world.fateOf = () => "answered";
   world.run(1_000);
   assert.ok(!world.group.hasStrayHold);
@@ -164,12 +185,13 @@
   fateOf: (count: number) => Fate = () => "answered";
   delayOf: (count: number) => number = () => 5_000;
   onOrder: (rank: number, order: GroupOrder) => void = () => undefined;
+  onAdvanced: (effect: AdvancedEffect) => void = () => undefined;
   heldTicks = 0;
   /** A rank that cannot be read at all. */
   frozenRank: number | undefined;
   mayArmLate = false;
   /** False while a rank is read past its agent. */
-  isPromised = true;
+  isFollowedByAll = true;
   #nowMs = 0;
   #sent = 0;
   #term = 1;
@@ -208,8 +230,8 @@
       reports: this.group.reports().filter(({ rank }) =>
         rank !== this.frozenRank
       ),
-      isPromised: this.isPromised,
-      words: new Map(
+      isFollowedByAll: this.isFollowedByAll,
+      agentOrders: new Map(
         this.group.reports().map(({ rank }) => [rank, {
           mayArmLate: this.mayArmLate,
           orderedByRank: 0,
@@ -224,7 +246,7 @@
   }
 
   #perform(effect: SwitchEffect): void {
-    if (effect.type !== "send") return;
+    if (effect.type === "advanced") return this.onAdvanced(effect);
     const { rank, order, epoch } = effect;
     this.#sent += 1;
     this.onOrder(rank, order);
--- /dev/null
+++ b/agreement/switch-group/src/switch_state.ts
@@ -0,0 +1,154 @@
+/** The core's state, and the two ways in which a phase acts: orders and moves. */
+
+import type {
+  AgentOrders,
+  ExpertMap,
+  GroupOrder,
+  RankReport,
+} from "@dandelionbank/types";
+import type { ActivePhase, Phase, SwitchEffect } from "./types.ts";
+
+/** An order without an answer is sent again after this time. */
+const REPEAT_MS = 80;
+
+export interface SwitchOptions {
+  /** The coordinator's own rank, which holds nothing and is armed last. */
+  readonly ownRank: number;
+  /** Versions of this coordinator are at least this high. */
+  readonly firstVersion: number;
+}
+
+/** Opaque; changed in place. */
+export interface SwitchState {
+  readonly options: SwitchOptions;
+  phase: Phase;
+  reports: readonly RankReport[];
+  /** True if all agents follow this coordinator and no other. */
+  isFollowedByAll: boolean;
+  agentOrders: ReadonlyMap<number, AgentOrders>;
+  groupSize: number;
+  plan: ExpertMap | undefined;
+  /** Ranks that have accepted to prepare the version. */
+  readonly accepted: Set<number>;
+  /** When each order was sent last, by its kind, rank and subject. */
+  readonly sentAtMs: Map<string, number>;
+}
+
+export interface Context {
+  readonly state: SwitchState;
+  readonly nowMs: number;
+  readonly effects: SwitchEffect[];
+}
+
+export interface SentOrder {
+  readonly rank: number;
+  readonly order: GroupOrder;
+  readonly epoch: number;
+  readonly isForward: boolean;
+  readonly isDirect?: boolean;
+}
+
+export function createSwitch(options: SwitchOptions): SwitchState {
+  return {
+    options,
+    phase: { name: "idle" },
+    reports: [],
+    isFollowedByAll: false,
+    agentOrders: new Map(),
+    groupSize: 0,
+    plan: undefined,
+    accepted: new Set(),
+    sentAtMs: new Map(),
+  };
+}
+
+/** Goes on to a phase, and tells so. */
+export function enterPhase(context: Context, phase: ActivePhase): void {
+  context.state.phase = phase;
+  const { name, version, epoch } = phase;
+  const step = "step" in phase ? phase.step : undefined;
+  context.effects.push({
+    type: "advanced",
+    phase: name,
+    version,
+    epoch,
+    step,
+  });
+}
+
+/** Ends the switch, and tells how. */
+export function endSwitch(
+  { state, effects }: Context,
+  how: "switched" | "abandoned",
+): void {
+  const { phase } = state;
+  if (phase.name === "idle") return;
+  state.phase = { name: "idle" };
+  state.accepted.clear();
+  state.sentAtMs.clear();
+  const { version, epoch } = phase;
+  effects.push({
+    type: "advanced",
+    phase: how,
+    version,
+    epoch,
+    step: undefined,
+  });
+}
+
+/** Sends an order unless it was sent a moment ago. */
+export function sendOrder(
+  { state, nowMs, effects }: Context,
+  sent: SentOrder,
+): void {
+  const { order, rank } = sent;
+  const subject = "step" in order ? order.step : order.version;
+  const key = `${order.kind}/${rank}/${subject}`;
+  const sentAtMs = state.sentAtMs.get(key);
+  if (sentAtMs !== undefined && nowMs - sentAtMs < REPEAT_MS) return;
+  state.sentAtMs.set(key, nowMs);
+  effects.push({ type: "send", isDirect: false, ...sent });
+}
+
+/** Lets a held pass begin. */
+export function sendRelease(
+  context: Context,
+  { rank, step, epoch }: {
+    readonly rank: number;
+    readonly step: number;
+    readonly epoch: number;
+  },
+): void {
+  const order: GroupOrder = { kind: "release", step };
+  sendOrder(context, { rank, order, epoch, isForward: true });
+}
+
+/** Lets every pass begin that ranks hold, but for one. */
+export function releaseHolds(
+  context: Context,
+  { epoch, exceptStep }: {
+    readonly epoch: number;
+    readonly exceptStep?: number;
+  },
+): void {
+  for (const { rank, heldStep } of context.state.reports) {
+    if (heldStep === undefined || heldStep === exceptStep) continue;
+    sendRelease(context, { rank, step: heldStep, epoch });
+  }
+}
+
+/** True if every rank is there, in the same epoch, and open. */
+export function isWhole(reports: readonly RankReport[]): boolean {
+  const [first] = reports;
+  return first !== undefined && reports.length === first.groupSize &&
+    reports.every(({ epoch, isOpen }) => isOpen && epoch === first.epoch);
+}
+
+/** The last pass that any rank is known to have begun. */
+export function lastStep(reports: readonly RankReport[]): number {
+  return Math.max(0, ...reports.map(({ step }) => step));
+}
+
+export function listRanks(groupSize: number): readonly number[] {
+  return Array.from({ length: groupSize }, (_, rank) => rank);
+}
--- /dev/null
+++ b/agreement/switch-group/src/take_result.ts
@@ -0,0 +1,39 @@
+/** What the answer to an order means for the phase that sent it. */
+
+import { type Context, endSwitch, enterPhase } from "./switch_state.ts";
+import type { OrderEnded } from "./types.ts";
+
+export function takeResult(context: Context, event: OrderEnded): void {
+  const { state } = context;
+  const { rank, order, epoch, result } = event;
+  const { phase } = state;
+  if (result === "lost" || phase.name === "idle") return;
+  if (phase.epoch !== epoch) return;
+  const isDone = result === "done";
+  switch (order.kind) {
+    case "prepare":
+      if (phase.name !== "preparing" || phase.version !== order.version) return;
+      // The rank has had a higher version, or cannot hold this map.
+      if (!isDone) return endSwitch(context, "abandoned");
+      state.accepted.add(rank);
+      return;
+    case "hold":
+      if (phase.name !== "holding" || phase.step !== order.step) return;
+      // After a conflict the next reports show what is in the way.
+      if (!isDone) return;
+      enterPhase(context, { ...phase, name: "arming", armed: new Set() });
+      return;
+    case "arm":
+      if (phase.name !== "arming" || phase.step !== order.step) return;
+      if (!isDone) return;
+      state.phase = { ...phase, armed: new Set([...phase.armed, rank]) };
+      return;
+    case "release": {
+      if (phase.name !== "releasing" || phase.step !== order.step) return;
+      if (!isDone) return;
+      const { version, step } = phase;
+      enterPhase(context, { name: "settling", version, epoch, step });
+      return;
+    }
+  }
+}
--- a/agreement/switch-group/src/types.ts
+++ b/agreement/switch-group/src/types.ts
@@ -1,7 +1,7 @@
 /** What the coordinator's core is told and what it asks for. */
 
 import type {
-  AgentWord,
+  AgentOrders,
   ExpertMap,
   GroupOrder,
   GroupOrderResult,
@@ -14,14 +14,11 @@
     /** Of all ranks that could be read, newer than any before. */
     readonly reports: readonly RankReport[];
     /** True if every report came by an agent that follows this coordinator. */
-    readonly isPromised: boolean;
-    /** By rank: what the agents that answered know besides. */
-    readonly words: ReadonlyMap<number, AgentWord>;
-  }
-  | {
-    readonly type: "planned";
-    readonly map: ExpertMap;
+    readonly isFollowedByAll: boolean;
+    /** By rank: what the agents that answered know of orders. */
+    readonly agentOrders: ReadonlyMap<number, AgentOrders>;
   }
+  | { readonly type: "planned"; readonly map: ExpertMap }
   | {
     readonly type: "orderEnded";
     readonly rank: number;
@@ -30,6 +27,8 @@
     readonly result: GroupOrderResult;
   };
 
+export type OrderEnded = Extract<SwitchEvent, { readonly type: "orderEnded" }>;
+
 export type SwitchEffect =
   | {
     readonly type: "send";
@@ -49,16 +48,14 @@
   }
   | {
     readonly type: "advanced";
-    readonly phase: PhaseName;
+    readonly phase: ActivePhase["name"] | "switched" | "abandoned";
     readonly version: number;
     readonly epoch: number;
     readonly step: number | undefined;
   };
 
-export type PhaseName = Phase["name"] | "abandoned";
-
-export type Phase =
-  | { readonly name: "idle" }
+/** A switch that has begun. */
+export type ActivePhase =
   | {
     readonly name: "preparing";
     readonly version: number;
@@ -73,7 +70,6 @@
     /** The pass that begins with the new map. */
     readonly step: number;
     readonly holder: number;
-    readonly sinceMs: number;
   }
   | {
     readonly name: "arming";
@@ -81,8 +77,8 @@
     readonly epoch: number;
     readonly step: number;
     readonly holder: number;
+    /** Ranks that have answered to be armed. */
     readonly armed: ReadonlySet<number>;
-    readonly sinceMs: number;
   }
   | {
     readonly name: "releasing";
@@ -90,12 +86,18 @@
     readonly epoch: number;
     readonly step: number;
     readonly holder: number;
-    readonly sinceMs: number;
   }
   | {
     readonly name: "settling";
     readonly version: number;
     readonly epoch: number;
+    /** Undefined if another coordinator armed the ranks. */
     readonly step: number | undefined;
-    readonly sinceMs: number;
   };
+
+export type Phase = { readonly name: "idle" } | ActivePhase;
+
+export type PhaseOf<Name extends Phase["name"]> = Extract<
+  Phase,
+  { readonly name: Name }
+>;
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -33,7 +33,7 @@
 } from "@dandelionbank/switch-group";
 import { readInstant } from "@dandelionbank/read-instant";
 import type {
-  AgentWord,
+  AgentOrders,
   ExpertMap,
   ExpertProfile,
   Instant,
@@ -152,8 +152,8 @@
     this.#post({
       type: "reported",
       reports: [...reports, ...missing],
-      isPromised: missing.length === 0,
-      words: readWords(polls),
+      isFollowedByAll: missing.length === 0,
+      agentOrders: readAgentOrders(polls),
     });
     if (reports.length > 0) this.#promisedAt = readInstant();
     // A change that is done makes room for the next at once.
@@ -185,9 +185,8 @@
     const groupSize = reports[0]?.groupSize ?? 0;
     if (reports.length >= groupSize) return [];
     const nowMs = performance.now();
-    const isHeld = reports.some(({ heldStep }) => heldStep !== undefined);
     const isDue = nowMs - this.#readPastAtMs >= READ_PAST_INTERVAL_MS;
-    if (!isHeld && !isDue && !needsAllRanks(this.#switch)) return [];
+    if (!isDue && !needsAllRanks(this.#switch, reports)) return [];
     this.#readPastAtMs = nowMs;
     const links = polls.flatMap(({ link, reply }) =>
       reply === undefined ? [link] : []
@@ -325,11 +324,10 @@
       step,
       elapsedMs: Math.round(nowMs - this.#phaseSinceMs),
     });
-    if (phase === "settling" && this.#plan !== undefined) {
+    if (phase === "switched" && this.#plan !== undefined) {
       this.#map = { version, map: this.#plan.map };
-      this.#plan = undefined;
     }
-    if (phase === "abandoned") this.#plan = undefined;
+    if (phase === "switched" || phase === "abandoned") this.#plan = undefined;
   }
 
   async #send(
@@ -369,11 +367,11 @@
   }
 }
 
-function readWords(
+function readAgentOrders(
   polls: readonly Poll[],
-): ReadonlyMap<number, AgentWord> {
+): ReadonlyMap<number, AgentOrders> {
   return new Map(polls.flatMap(({ reply }) => {
     if (reply?.kind !== "polled" || reply.report === undefined) return [];
-    return [[reply.report.rank, reply.word] as const];
+    return [[reply.report.rank, reply.orders] as const];
   }));
 }
--- a/daemon/serve-rank/src/rank_agent.ts
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -19,7 +19,11 @@
   type PollRequest,
   type RankHandlers,
 } from "@dandelionbank/rank-api";
-import type { AgentWord, HeldExperts, RankReport } from "@dandelionbank/types";
+import type {
+  AgentOrders,
+  HeldExperts,
+  RankReport,
+} from "@dandelionbank/types";
 import { ChoiceLooks } from "./choice_looks.ts";
 
 /** An order without an answer may be carried out up to 12 s later. */
@@ -62,12 +66,17 @@
       request.withChoices ? engine.readChoices() : undefined,
     ]);
     if (choices === undefined) {
-      return { kind: "polled", report, choices: undefined, word: this.#word };
+      return {
+        kind: "polled",
+        report,
+        choices: undefined,
+        orders: this.#orders,
+      };
     }
     const since = this.#looks.take(choices, request.sinceLook);
     const counts = encodeCounts(since.counts);
-    const word = this.#word;
-    return { kind: "polled", report, choices: { ...since, counts }, word };
+    const orders = this.#orders;
+    return { kind: "polled", report, choices: { ...since, counts }, orders };
   }
 
   async order(request: OrderRequest): Promise<OrderReply> {
@@ -104,7 +113,7 @@
     return report;
   }
 
-  get #word(): AgentWord {
+  get #orders(): AgentOrders {
     const sinceMs = performance.now() - this.#lostArmAtMs;
     return {
       mayArmLate: sinceMs < LATE_ORDER_MS,
--- a/foundation/types/src/group.ts
+++ b/foundation/types/src/group.ts
@@ -66,8 +66,8 @@
   /** No answer: the order may be carried out later, after newer ones. */
   | "lost";
 
-/** What a rank's agent knows besides the rank's own report. */
-export interface AgentWord {
+/** What a rank's agent knows of the orders that it passed on. */
+export interface AgentOrders {
   /** True if an order to arm may still be carried out, unknown to anyone. */
   readonly mayArmLate: boolean;
   /** Rank of the coordinator whose order the agent passed on last. */
--- a/peers/rank-api/src/rank_router.ts
+++ b/peers/rank-api/src/rank_router.ts
@@ -2,7 +2,7 @@
 
 import type { Leadership } from "@dandelionbank/lead-group";
 import type {
-  AgentWord,
+  AgentOrders,
   GroupOrder,
   GroupOrderResult,
   HeldExperts,
@@ -38,7 +38,7 @@
     /** Undefined if the engine does not answer or is in no group. */
     readonly report: RankReport | undefined;
     readonly choices: Choices | undefined;
-    readonly word: AgentWord;
+    readonly orders: AgentOrders;
   };
 
 export interface OrderRequest extends Leadership {
