Split the coordinator: polls, the map in force, and one measure of age

What a newcomer stumbled over: coordinator.ts (379 lines) polled, read silent ranks, kept the map, followed demand, planned and switched; whether a pass is held was worked out in it and again in the switch core; and the age of its last word repeated hold-configuration's comparison of two clocks.

The map of a switch is remembered with the switch's own version: before, a plan that was waiting while another coordinator's switch was completed would have been noted under that version.

--- /dev/null
+++ b/daemon/serve-rank/src/group_map.ts
@@ -0,0 +1,80 @@
+/** The expert map in force in a group, read back from its ranks if unknown. */
+
+import { createFirstMap } from "@dandelionbank/plan-experts";
+import type {
+  ExpertMap,
+  ExpertProfile,
+  HeldExperts,
+  RankReport,
+} from "@dandelionbank/types";
+
+interface KnownMap {
+  readonly version: number;
+  readonly epoch: number;
+  readonly map: ExpertMap;
+}
+
+export interface GroupMapOptions {
+  /** The experts that a rank says it holds; undefined if it does not answer. */
+  readonly readExperts: (rank: number) => Promise<HeldExperts | undefined>;
+}
+
+export class GroupMap {
+  readonly #options: GroupMapOptions;
+  #known: KnownMap | undefined;
+
+  private constructor(options: GroupMapOptions) {
+    this.#options = options;
+  }
+
+  static create(options: GroupMapOptions): GroupMap {
+    return new GroupMap(options);
+  }
+
+  /** Notes a map that has come into force. */
+  note(known: KnownMap): void {
+    this.#known = known;
+  }
+
+  /** The map by the reports of all ranks; undefined while they differ. */
+  async read(
+    reports: readonly RankReport[],
+    profile: ExpertProfile,
+  ): Promise<ExpertMap | undefined> {
+    const [first] = reports;
+    if (first === undefined) return undefined;
+    const { mapVersion: version, epoch } = first;
+    const isShared = reports.every((report) =>
+      report.mapVersion === version && report.epoch === epoch
+    );
+    if (!isShared) return undefined;
+    const known = this.#known;
+    if (known?.version === version && known.epoch === epoch) return known.map;
+    const map = version === 0
+      ? createFirstMap(profile, reports.length)
+      : await this.#collect(reports, profile);
+    if (map !== undefined) this.#known = { version, epoch, map };
+    return map;
+  }
+
+  async #collect(
+    reports: readonly RankReport[],
+    { layerSets }: ExpertProfile,
+  ): Promise<ExpertMap | undefined> {
+    const held = await Promise.all(
+      reports.map(async ({ rank, mapVersion, epoch }) => {
+        const experts = await this.#options.readExperts(rank);
+        const isCurrent = experts?.version === mapVersion &&
+          experts.epoch === epoch;
+        return isCurrent ? { rank, sets: experts.sets } : undefined;
+      }),
+    );
+    const ranks = held.flatMap((each) => each ?? [])
+      .sort((left, right) => left.rank - right.rank);
+    if (ranks.length < reports.length) return undefined;
+    return Array.from(
+      { length: layerSets },
+      (_, set) => ranks.map(({ sets }) => sets[set] ?? []),
+    );
+  }
+}
--- /dev/null
+++ b/foundation/measure-age/src/mod.ts
@@ -0,0 +1,3 @@
+/** Ages. */
+
+export { measureAgeMs } from "./measure_age.ts";
--- a/routing/hold-configuration/src/hold_configuration.ts
+++ b/routing/hold-configuration/src/hold_configuration.ts
@@ -7,6 +7,7 @@
  */
 
 import { createRouteTable, type RouteTable } from "@dandelionbank/match-route";
+import { measureAgeMs } from "@dandelionbank/measure-age";
 import type { IngressConfiguration, Instant } from "@dandelionbank/types";
 
 /** Part of the bound kept for what passes until an engine begins to work. */
@@ -65,10 +66,7 @@
 export function readProofAgeMs(held: HeldConfiguration, now: Instant): number {
   const { provenAt } = held;
   if (provenAt === undefined) return Number.POSITIVE_INFINITY;
-  return Math.max(
-    now.steadyMs - provenAt.steadyMs,
-    now.wallMs - provenAt.wallMs,
-  );
+  return measureAgeMs(provenAt, now);
 }
 
 /** False once a key that is held here may have been revoked for too long. */
