Split the request task, and end each pick of a target under its own name

Found by reading: a pick was made under the number of targets tried before it and ended under the number after it, so placement never saw one end. Requests under way only grew, a loss suspected nobody, and the violation that placement told of it was dropped.

answer_relay.ts relays, target_choice.ts chooses and tells placement (and logs its violations), silence_watch.ts watches, request_log.ts tells; the patience of callers is a function of admit-streams. Also: a listener for a drained caller was added for every write that had to wait; NextMove no longer carries a field that nothing reads.

--- a/daemon/forward-requests/src/caller_answer.ts
+++ b/daemon/forward-requests/src/caller_answer.ts
@@ -79,8 +79,8 @@
     this.#response.destroy();
   }
 
-  onDrained(listener: () => void): void {
-    this.#response.on("drain", listener);
+  onceDrained(listener: () => void): void {
+    this.#response.once("drain", listener);
   }
 
   #writeHead(
--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -110,6 +110,7 @@
     const task = RequestTask.start(context, {
       id: String(this.#lastId),
       answer,
+      onOver: (over) => this.#tasks.delete(over),
       request: {
         head,
         method: message.method ?? "GET",
@@ -122,8 +123,8 @@
         arrivedAtMs,
       },
     });
+    if (task.isOver) return;
     this.#tasks.add(task);
-    task.onOver(() => this.#tasks.delete(task));
     response.on("close", () => task.abandon());
   }
 }
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -1,45 +1,36 @@
 /**
  * Owns one request of a caller from its last byte to its final answer: waits
- * for its turn, sends attempts, relays the answer, and ends it at the route's
- * timeout or when the caller has left.
+ * for its turn, sends attempts, and ends it at the route's timeout or when the
+ * caller has left.
  */
 
+import { readCallerPatience } from "@dandelionbank/admit-streams";
 import { noteRequest, takeRetry } from "@dandelionbank/budget-retries";
 import { chooseService } from "@dandelionbank/match-route";
-import { pickTarget } from "@dandelionbank/pick-target";
 import {
-  type AnswerHead,
   type CallerHead,
   encodeAnswerHeaders,
   encodeTargetHeaders,
   type HeaderFields,
 } from "@dandelionbank/platform-adapter";
-import { EventSplitter } from "@dandelionbank/read-events";
 import {
   type AttemptOutcome,
   decideFinal,
   decideNext,
-  hasProgressElsewhere,
+  type FinalMove,
   isRepeatable,
   type NextMove,
-  noteProgress,
   type RequestProgress,
 } from "@dandelionbank/steer-request";
-import type {
-  EngineProfile,
-  MemberTarget,
-  Route,
-  TargetLoad,
-} from "@dandelionbank/types";
-import {
-  Attempt,
-  type AttemptEnd,
-  type AttemptListener,
-  type TargetFailure,
-} from "./attempt.ts";
+import type { EngineProfile, MemberTarget, Route } from "@dandelionbank/types";
+import { AnswerRelay } from "./answer_relay.ts";
+import { Attempt, type AttemptEnd, type TargetFailure } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import { RequestLog } from "./request_log.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 import type { GateAnswer } from "./stream_gate.ts";
+import { TargetChoice } from "./target_choice.ts";
 
 export interface RoutedRequest {
   readonly head: CallerHead;
@@ -54,19 +45,15 @@
   readonly arrivedAtMs: number;
 }
 
-/**
- * Callers leave a stream after a gap of the longest of these: a fixed time,
- * and multiples of the objective and of the longest pause on time.
- */
-const CALLER_PATIENCE_MS = 2_000;
-const PATIENCE_OBJECTIVES = 4;
-const PATIENCE_GAPS = 8;
-/** Beyond a group's own stall, for the way there and back. */
-const SILENCE_MARGIN_MS = 250;
-/** A plain call that takes so many objectives is tried elsewhere. */
-const SILENT_OBJECTIVES = 2;
-/** A whole answer longer than this is relayed as it comes. */
-const MAX_BUFFERED_BYTES = 1_048_576;
+export interface RequestTaskOptions {
+  readonly request: RoutedRequest;
+  readonly answer: CallerAnswer;
+  /** Unique at this entry. */
+  readonly id: string;
+  /** Called once, when the request is over. */
+  readonly onOver: (task: RequestTask) => void;
+}
+
 /** A group forms anew within some hundred ms. */
 const FORMING_RETRY_MS = 400;
 /** When targets may take work again after all have refused. */
@@ -76,327 +63,231 @@
 
 export class RequestTask {
   readonly #context: ForwardContext;
+  readonly #options: RequestTaskOptions;
   readonly #request: RoutedRequest;
   readonly #answer: CallerAnswer;
-  readonly #id: string;
   readonly #service: string;
   readonly #profile: EngineProfile | undefined;
   readonly #endsAtMs: number;
-  readonly #tried: string[] = [];
-  readonly #chunks: Buffer[] = [];
-  #bufferedBytes = 0;
-  #splitter: EventSplitter | undefined;
-  #lastEventId: string | undefined;
-  #fields: HeaderFields = {};
-  #status = 0;
+  readonly #log: RequestLog;
+  readonly #targets: TargetChoice;
+  readonly #relay: AnswerRelay;
+  readonly #silence: SilenceWatch;
   #attempt: Attempt | undefined;
-  #target: MemberTarget | undefined;
   #sentAtMs = 0;
   #targetsSent = 0;
   #attempts = 0;
   #mayHaveRun = false;
   #hasAnswer = false;
-  #isAdmitted = false;
-  #isWaiting = false;
+  #turn: "none" | "waiting" | "admitted" = "none";
   #isOver = false;
   #endTimer: NodeJS.Timeout | undefined;
-  #silenceTimer: NodeJS.Timeout | undefined;
+  #retryTimer: NodeJS.Timeout | undefined;
 
-  private constructor(
-    context: ForwardContext,
-    { request, answer, service, id }: {
-      readonly request: RoutedRequest;
-      readonly answer: CallerAnswer;
-      readonly service: string;
-      readonly id: string;
-    },
-  ) {
+  private constructor(context: ForwardContext, options: RequestTaskOptions) {
+    const { request, answer, id } = options;
+    const { route, head, arrivedAtMs } = request;
+    const service = chooseService(route.shares, Math.random()) ?? "";
+    const { configuration } = context.held.table!;
     this.#context = context;
+    this.#options = options;
     this.#request = request;
     this.#answer = answer;
     this.#service = service;
-    this.#id = id;
-    const { configuration } = context.held.table!;
     this.#profile = configuration.services.get(service)?.engine;
-    this.#lastEventId = request.head.lastEventId;
-    this.#endsAtMs = request.arrivedAtMs + readAllowedMs(request);
+    this.#endsAtMs = arrivedAtMs + readAllowedMs(request);
+    this.#log = RequestLog.create(context, {
+      requestId: head.attemptId ?? id,
+      service,
+      route: route.name,
+      arrivedAtMs,
+    });
+    this.#targets = TargetChoice.create(context, { service, requestId: id });
+    this.#relay = AnswerRelay.create({
+      answer,
+      isStream: this.#isStream,
+      lastEventId: head.lastEventId,
+    });
+    this.#silence = SilenceWatch.create(context, {
+      service,
+      targets: this.#targets,
+      isGroup: this.#profile !== undefined,
+      isStream: this.#isStream,
+      objectiveMs: route.objectiveMs,
+      onSilent: (silenceMs) =>
+        this.#attempt?.giveUp("silent", `nothing for ${silenceMs} ms`),
+    });
   }
 
   /** Starts the request; the caller's answer follows in any case. */
   static start(
     context: ForwardContext,
-    { request, answer, id }: {
-      readonly request: RoutedRequest;
-      readonly answer: CallerAnswer;
-      /** Unique at this entry. */
-      readonly id: string;
-    },
+    options: RequestTaskOptions,
   ): RequestTask {
-    const { shares } = request.route;
-    const service = chooseService(shares, Math.random()) ?? "";
-    const task = new RequestTask(context, { request, answer, service, id });
+    const task = new RequestTask(context, options);
     task.#begin();
     return task;
   }
 
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
   /** The caller has closed its connection. */
   abandon(): void {
     if (this.#isOver) return;
-    this.#attempt?.cancel();
-    this.#releaseTarget("left");
+    this.#stopAttempt();
     this.#finish("abandoned", 0);
   }
 
   /** Ends a stream early, so that its caller can resume it elsewhere. */
-  handOver(): boolean {
+  handOver(): void {
     const { route } = this.#request;
-    if (this.#isOver || !route.isResumable) return false;
-    if (!this.#answer.hasBegun) return false;
-    this.#attempt?.cancel();
-    this.#releaseTarget("left");
+    if (this.#isOver || !route.isResumable || !this.#answer.hasBegun) return;
+    this.#stopAttempt();
     this.#answer.cut();
-    this.#finish("handedOver", this.#status);
-    return true;
+    this.#finish("handedOver", this.#relay.status);
+  }
+
+  get #isStream(): boolean {
+    return this.#request.route.kind === "stream";
   }
 
   #begin(): void {
-    const { context, request } = {
-      context: this.#context,
-      request: this.#request,
-    };
     const nowMs = performance.now();
-    const service = this.#service;
-    noteRequest(context.budget, { service, nowMs });
-    this.#logRouted();
+    noteRequest(this.#context.budget, { service: this.#service, nowMs });
+    this.#log.noteRouted();
     this.#endTimer = setTimeout(
       () => this.#endInTime(),
       Math.max(0, this.#endsAtMs - nowMs),
     );
     const profile = this.#profile;
-    if (profile === undefined || request.route.kind !== "stream") {
-      this.#sendNext();
-      return;
-    }
-    const { objectiveMs, eventGapMs = 0 } = request.route;
-    this.#isWaiting = true;
-    context.gate.enter({
-      id: this.#id,
-      service,
+    if (profile === undefined || !this.#isStream) return this.#sendNext();
+    this.#waitForTurn(profile);
+  }
+
+  #waitForTurn(profile: EngineProfile): void {
+    const { route, arrivedAtMs, priority } = this.#request;
+    this.#turn = "waiting";
+    this.#context.gate.enter({
+      id: this.#options.id,
+      service: this.#service,
       profile,
-      arrivedAtMs: request.arrivedAtMs,
-      objectiveMs,
+      arrivedAtMs,
+      objectiveMs: route.objectiveMs,
       patienceMs: Math.min(
-        this.#endsAtMs - request.arrivedAtMs,
-        Math.max(
-          CALLER_PATIENCE_MS,
-          PATIENCE_OBJECTIVES * objectiveMs,
-          PATIENCE_GAPS * eventGapMs,
-        ),
+        this.#endsAtMs - arrivedAtMs,
+        readCallerPatience(route),
       ),
-      priority: request.priority,
+      priority,
     }, (answer) => this.#takeTurn(answer));
   }
 
   #takeTurn(answer: GateAnswer): void {
-    this.#isWaiting = false;
-    const { logger, gate } = this.#context;
-    const { active, activeOfOthers, capacity } = gate.view(this.#service);
-    const load = { active, others: activeOfOthers, capacity };
-    const requestId = this.#requestId;
+    this.#log.noteTurn(answer);
     if (answer.kind === "refused") {
-      const predictedWaitMs = Math.round(answer.predictedWaitMs);
-      logger.log("streamRefused", { requestId, predictedWaitMs, ...load });
-      this.#refuse("refusedFull", answer.retryAfterMs);
-      return;
+      this.#turn = "none";
+      return this.#refuse("refusedFull", answer.retryAfterMs);
     }
-    this.#isAdmitted = true;
-    const waitedMs = Math.round(answer.waitedMs);
-    logger.log("streamAdmitted", { requestId, waitedMs, ...load });
+    this.#turn = "admitted";
     this.#sendNext();
   }
 
   /** Sends the request to a target that it was not sent to before. */
   #sendNext(): void {
-    const target = this.#pick();
+    const target = this.#targets.next();
     if (target === undefined) {
-      this.#conclude("refused", undefined);
-      return;
+      return this.#end(decideFinal(this.#progress, "refused"));
     }
     const nowMs = performance.now();
     const leftMs = this.#endsAtMs - nowMs;
-    this.#target = target;
     this.#sentAtMs = nowMs;
     this.#attempts += 1;
     this.#targetsSent += 1;
     this.#hasAnswer = false;
-    this.#context.logger.log("attemptSent", {
-      requestId: this.#requestId,
-      attempt: this.#attempts,
-      target: target.id,
-      leftMs: Math.round(leftMs),
-    });
+    this.#log.noteSent(target, { attempt: this.#attempts, leftMs });
+    this.#attempt = this.#send(target, leftMs);
+    this.#watchSilence();
+  }
+
+  #send(target: MemberTarget, leftMs: number): Attempt {
     const { head, method, path, fields, body, organisation, priority } =
       this.#request;
-    this.#attempt = Attempt.send(this.#context.pools.open(target), {
-      request: {
-        attemptId: head.attemptId,
-        method,
-        path,
-        body,
-        headers: encodeTargetHeaders(fields, {
-          targetId: target.id,
-          organisation,
-          leftMs,
-          priority,
-          lastEventId: this.#lastEventId,
-          bodyBytes: body.length,
-        }),
+    const headers = encodeTargetHeaders(fields, {
+      targetId: target.id,
+      organisation,
+      leftMs,
+      priority,
+      lastEventId: this.#relay.lastEventId,
+      bodyBytes: body.length,
+    });
+    return Attempt.send(this.#context.pools.open(target), {
+      request: { attemptId: head.attemptId, method, path, headers, body },
+      listener: {
+        onSuccess: (answerHead, answerFields) => {
+          this.#hasAnswer = true;
+          this.#noteLife();
+          if (answerHead.load !== undefined) {
+            this.#targets.noteLoad(answerHead.load);
+          }
+          this.#relay.takeHead(answerHead, answerFields);
+        },
+        onData: (chunk) => {
+          const isFurther = this.#relay.takeData(chunk, this.#attempt);
+          if (this.#isStream && isFurther) this.#noteLife();
+        },
+        onWhole: () => this.#takeWhole(),
+        onEnded: (end) => this.#takeEnd(end),
       },
-      listener: this.#createListener(),
     });
-    this.#watchSilence();
-  }
-
-  #pick(): MemberTarget | undefined {
-    const { effects } = pickTarget(this.#context.placement, {
-      type: "pickWanted",
-      attemptId: this.#placementId,
-      pool: this.#service,
-      exclude: this.#tried,
-    }, performance.now());
-    const effect = effects[0];
-    if (effect?.type !== "picked") return undefined;
-    this.#tried.push(effect.target);
-    const target = this.#context.findTarget(effect.target);
-    if (target === undefined) this.#releasePick(undefined, "lost");
-    return target;
-  }
-
-  #createListener(): AttemptListener {
-    return {
-      onSuccess: (head, fields) => this.#takeHead(head, fields),
-      onData: (chunk) => this.#takeData(chunk),
-      onWhole: () => this.#takeWhole(),
-      onEnded: (end) => this.#takeFailure(end),
-    };
-  }
-
-  #takeHead(head: AnswerHead, fields: HeaderFields): void {
-    this.#hasAnswer = true;
-    this.#noteProgress();
-    this.#watchSilence();
-    if (head.load !== undefined && this.#target !== undefined) {
-      pickTarget(this.#context.placement, {
-        type: "loadReported",
-        target: this.#target.id,
-        load: head.load,
-      }, performance.now());
-    }
-    // A resumed stream keeps the head of its first target.
-    if (this.#answer.hasBegun) return;
-    this.#fields = fields;
-    this.#status = head.status;
-    if (this.#request.route.kind !== "stream") return;
-    this.#answer.begin(head.status, encodeAnswerHeaders(fields));
-  }
-
-  #takeData(chunk: Buffer): void {
-    if (this.#request.route.kind === "stream") {
-      this.#relayEvents(chunk);
-      return;
-    }
-    if (this.#answer.hasBegun) {
-      this.#relay(chunk);
-      return;
-    }
-    this.#chunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) return;
-    this.#answer.begin(this.#status, encodeAnswerHeaders(this.#fields));
-    for (const buffered of this.#chunks.splice(0)) this.#relay(buffered);
   }
 
-  #relayEvents(chunk: Buffer): void {
-    this.#splitter ??= EventSplitter.create();
-    const events = this.#splitter.push(chunk);
-    if (events === undefined) return;
-    this.#noteProgress();
+  #noteLife(): void {
+    this.#silence.noteProgress();
     this.#watchSilence();
-    this.#lastEventId = events.lastId ?? this.#lastEventId;
-    this.#relay(events.bytes);
-  }
-
-  #relay(bytes: Buffer): void {
-    const attempt = this.#attempt;
-    if (this.#answer.write(bytes)) return;
-    attempt?.pause();
-    this.#answer.onDrained(() => attempt?.resume());
   }
 
   #takeWhole(): void {
-    const splitter = this.#splitter;
-    this.#releaseTarget("replied");
-    if (this.#request.route.kind === "stream") {
-      // Bytes after the last event belong to the whole answer.
-      if (splitter !== undefined && splitter.pending.length > 0) {
-        this.#answer.write(splitter.pending);
-      }
-      this.#answer.end();
-    } else if (this.#answer.hasBegun) {
-      this.#answer.end();
-    } else {
-      this.#answer.finish({
-        status: this.#status,
-        headers: encodeAnswerHeaders(this.#fields),
-        body: Buffer.concat(this.#chunks),
-      });
-    }
-    this.#finish("answered", this.#status);
-  }
-
-  #takeFailure(end: AttemptEnd): void {
-    const { outcome, reason, load, failure, targetAtFault } = end;
-    const target = this.#target?.id;
-    if (outcome === "silent" && target !== undefined) {
-      // Its other connections may be as dead.
-      this.#context.pools.renew(target);
-    }
-    if (end.isMisdirected && target !== undefined) {
-      this.#context.noteMisdirected(target);
-    }
-    const isLoss = outcome === "broken" || outcome === "silent" ||
-      outcome === "notSent";
-    this.#releaseTarget(isLoss ? "lost" : "replied", load);
-    const wasAtFault = targetAtFault === undefined || targetAtFault === target;
-    const move = this.#steer(outcome);
-    this.#context.logger.log("attemptFailed", {
-      requestId: this.#requestId,
+    this.#stopWatching();
+    this.#targets.release();
+    this.#relay.finish();
+    this.#finish("answered", this.#relay.status);
+  }
+
+  /** An attempt has brought no whole success. */
+  #takeEnd(end: AttemptEnd): void {
+    const { outcome, load, failure } = end;
+    const target = this.#targets.current?.id;
+    this.#stopWatching();
+    this.#noteTarget(end, target);
+    if (isLoss(outcome)) this.#targets.releaseLost();
+    else this.#targets.release(load);
+    const next = this.#steer(outcome);
+    this.#log.noteAttemptEnd(end, {
       attempt: this.#attempts,
       target,
-      result: outcome,
-      elapsedMs: Math.round(performance.now() - this.#sentAtMs),
-      reason: wasAtFault ? reason : `${reason}, fault of ${targetAtFault}`,
-      next: move.type,
+      sentAtMs: this.#sentAtMs,
+      next,
     });
-    this.#context.metrics.noteAttempt(this.#service, outcome);
     if (outcome === "notSent") this.#targetsSent -= 1;
-    if (outcome !== "notSent" && outcome !== "refused") this.#mayHaveRun = true;
-    this.#splitter = undefined;
-    this.#chunks.length = 0;
-    this.#bufferedBytes = 0;
-    if (move.type !== "retry") return this.#perform(move, failure);
-    if (!this.#isGroupForming(end)) return this.#sendNext();
+    else if (outcome !== "refused") this.#mayHaveRun = true;
+    this.#relay.reset();
+    if (next.type !== "retry") return this.#end(next, failure);
+    if (!isGroupForming(end)) return this.#sendNext();
     // The whole group refuses until it has formed; soon another rank won't.
-    clearTimeout(this.#silenceTimer);
-    this.#silenceTimer = setTimeout(() => this.#sendNext(), FORMING_RETRY_MS);
+    this.#retryTimer = setTimeout(() => this.#sendNext(), FORMING_RETRY_MS);
   }
 
-  /** A rank that refuses because of another one speaks for its whole group. */
-  #isGroupForming(
-    { outcome, targetAtFault, isMisdirected }: AttemptEnd,
-  ): boolean {
-    return outcome === "refused" && targetAtFault !== undefined &&
-      !isMisdirected;
+  /** What the end of an attempt says of the target itself. */
+  #noteTarget(
+    { outcome, isMisdirected }: AttemptEnd,
+    target: string | undefined,
+  ): void {
+    if (target === undefined) return;
+    const { pools, noteMisdirected } = this.#context;
+    // Its other connections may be as dead.
+    if (outcome === "silent") pools.renew(target);
+    if (isMisdirected) noteMisdirected(target);
   }
 
   #steer(outcome: AttemptOutcome): NextMove {
@@ -412,11 +303,7 @@
   }
 
   /** Ends the request without a further attempt. */
-  #conclude(outcome: AttemptOutcome, failure: TargetFailure | undefined): void {
-    this.#perform(decideFinal(this.#progress, outcome), failure);
-  }
-
-  #perform(move: NextMove, failure: TargetFailure | undefined): void {
+  #end(move: FinalMove, failure?: TargetFailure): void {
     switch (move.type) {
       case "passFailure":
         if (failure === undefined) return this.#fail(502);
@@ -428,13 +315,11 @@
         return this.#finish("targetFailed", failure.status);
       case "cut":
         this.#answer.cut();
-        return this.#finish("cut", this.#status);
+        return this.#finish("cut", this.#relay.status);
       case "refuse":
         return this.#refuse("refusedByTargets", REFUSED_RETRY_MS);
       case "fail":
         return this.#fail(move.status);
-      case "retry":
-        return this.#sendNext();
     }
   }
 
@@ -451,13 +336,12 @@
   /** The route's timeout or the caller's deadline is reached. */
   #endInTime(): void {
     if (this.#isOver) return;
-    const mayHaveRun = this.#mayHaveRun || this.#target !== undefined;
-    this.#attempt?.cancel();
-    this.#releaseTarget("left");
+    const isAtTarget = this.#targets.current !== undefined;
+    this.#stopAttempt();
     if (this.#answer.hasBegun) {
       this.#answer.cut();
-      this.#finish("timedOut", this.#status);
-    } else if (mayHaveRun) {
+      this.#finish("timedOut", this.#relay.status);
+    } else if (this.#mayHaveRun || isAtTarget) {
       this.#answer.finish({ status: 504 });
       this.#finish("timedOut", 504);
     } else {
@@ -465,123 +349,45 @@
     }
   }
 
-  /** Gives an attempt up that shows no sign of life, if it may be repeated. */
+  /** Watches an attempt that may be repeated elsewhere. */
   #watchSilence(): void {
-    clearTimeout(this.#silenceTimer);
+    this.#silence.stop();
     const { route } = this.#request;
-    if (!isRepeatable(route)) return;
-    const silenceMs = route.kind === "stream"
-      ? this.#context.stallMs + SILENCE_MARGIN_MS
-      : SILENT_OBJECTIVES * route.objectiveMs;
-    if (route.kind !== "stream" && this.#hasAnswer) return;
-    if (this.#targetsSent >= route.maxTargets) return;
-    this.#silenceTimer = setTimeout(
-      () => this.#giveUpSilent(silenceMs),
-      silenceMs,
-    );
-  }
-
-  /** Waits on where no other target could serve the request sooner. */
-  #giveUpSilent(silenceMs: number): void {
-    const { hasOtherTarget, progress } = this.#context;
-    if (!hasOtherTarget(this.#service, this.#tried)) return;
-    const isStalled = this.#profile !== undefined &&
-      !hasProgressElsewhere(progress, {
-        service: this.#service,
-        target: this.#target?.id ?? "",
-        sinceMs: performance.now() - silenceMs / 2,
-      });
-    if (isStalled) {
-      this.#watchSilence();
-      return;
-    }
-    this.#attempt?.giveUp("silent", `nothing for ${silenceMs} ms`);
-  }
-
-  #noteProgress(): void {
-    const target = this.#target?.id;
-    if (target === undefined) return;
-    noteProgress(this.#context.progress, {
-      service: this.#service,
-      target,
-      nowMs: performance.now(),
-    });
+    const mayRepeat = isRepeatable(route) &&
+      this.#targetsSent < route.maxTargets;
+    // A plain answer that has begun comes whole soon, or breaks.
+    const isExpected = this.#isStream || !this.#hasAnswer;
+    if (mayRepeat && isExpected) this.#silence.start();
   }
 
-  #releaseTarget(how: "replied" | "lost" | "left", load?: TargetLoad): void {
-    clearTimeout(this.#silenceTimer);
-    if (this.#target === undefined) return;
-    this.#target = undefined;
-    this.#releasePick(load, how);
+  #stopWatching(): void {
+    this.#silence.stop();
+    clearTimeout(this.#retryTimer);
   }
 
-  #releasePick(
-    load: TargetLoad | undefined,
-    how: "replied" | "lost" | "left",
-  ): void {
-    const attemptId = this.#placementId;
-    const event = how === "lost"
-      ? { type: "targetLost" as const, attemptId }
-      : {
-        type: "targetReplied" as const,
-        attemptId,
-        ...(load === undefined ? {} : { load }),
-      };
-    pickTarget(this.#context.placement, event, performance.now());
+  #stopAttempt(): void {
+    this.#stopWatching();
+    this.#attempt?.cancel();
+    this.#targets.release();
   }
 
   #finish(outcome: string, status: number): void {
     if (this.#isOver) return;
     this.#isOver = true;
+    this.#stopWatching();
     clearTimeout(this.#endTimer);
-    clearTimeout(this.#silenceTimer);
-    const { gate, metrics, logger } = this.#context;
-    if (this.#isWaiting) gate.cancel(this.#service, this.#id);
-    if (this.#isAdmitted) gate.leave(this.#service);
-    const { arrivedAtMs } = this.#request;
-    const elapsedMs = performance.now() - arrivedAtMs;
-    const { firstByteAtMs } = this.#answer;
-    const firstMs = firstByteAtMs === undefined
-      ? undefined
-      : firstByteAtMs - arrivedAtMs;
-    metrics.noteRequest({
-      service: this.#service,
-      outcome,
-      firstMs,
-      elapsedMs,
-    });
-    logger.log("requestAnswered", {
-      requestId: this.#requestId,
-      service: this.#service,
+    const { gate } = this.#context;
+    const { id, onOver } = this.#options;
+    if (this.#turn === "waiting") gate.cancel(this.#service, id);
+    if (this.#turn === "admitted") gate.leave(this.#service);
+    this.#log.noteEnd({
       outcome,
       status,
-      elapsedMs: Math.round(elapsedMs),
-      firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
       attempts: this.#attempts,
-      target: this.#tried.at(-1),
-    });
-    this.#onOver?.();
-  }
-
-  #onOver: (() => void) | undefined;
-
-  /** Called once, when the request is over. */
-  onOver(listener: () => void): void {
-    this.#onOver = listener;
-    if (this.#isOver) listener();
-  }
-
-  #logRouted(): void {
-    const { held, logger } = this.#context;
-    logger.log("requestRouted", {
-      requestId: this.#requestId,
-      service: this.#service,
-      route: this.#request.route.name,
-      version: held.table?.configuration.version,
-      proofAgeMs: Math.round(
-        performance.now() - (held.provenAt?.steadyMs ?? 0),
-      ),
+      target: this.#targets.lastId,
+      firstByteAtMs: this.#answer.firstByteAtMs,
     });
+    onOver(this);
   }
 
   get #progress(): RequestProgress {
@@ -596,14 +402,6 @@
       leftMs: this.#endsAtMs - performance.now(),
     };
   }
-
-  get #requestId(): string {
-    return this.#request.head.attemptId ?? this.#id;
-  }
-
-  get #placementId(): string {
-    return `${this.#id}/${this.#tried.length}`;
-  }
 }
 
 /** The route's timeout, or the caller's own deadline if that is sooner. */
@@ -611,3 +409,14 @@
   const { deadlineMs = Number.POSITIVE_INFINITY } = head;
   return Math.min(route.timeoutMs, deadlineMs - DEADLINE_MARGIN_MS);
 }
+
+function isLoss(outcome: AttemptOutcome): boolean {
+  return outcome === "broken" || outcome === "silent" || outcome === "notSent";
+}
+
+/** A rank that refuses because of another one speaks for its whole group. */
+function isGroupForming(
+  { outcome, targetAtFault, isMisdirected }: AttemptEnd,
+): boolean {
+  return outcome === "refused" && targetAtFault !== undefined && !isMisdirected;
+}
--- /dev/null
+++ b/routing/admit-streams/src/caller_patience_test.ts
@@ -0,0 +1,15 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { readCallerPatience } from "./mod.ts";
+
+test("Callers leave a stream after the longest of three gaps", () => {
+  const cases = [
+    { objectiveMs: 100, eventGapMs: 120, patienceMs: 2_000 },
+    { objectiveMs: 700, eventGapMs: 120, patienceMs: 2_800 },
+    { objectiveMs: 100, eventGapMs: 400, patienceMs: 3_200 },
+    { objectiveMs: 100, eventGapMs: undefined, patienceMs: 2_000 },
+  ];
+  for (const { patienceMs, ...route } of cases) {
+    assert.equal(readCallerPatience(route), patienceMs);
+  }
+});
--- a/routing/steer-request/src/steer_request.ts
+++ b/routing/steer-request/src/steer_request.ts
@@ -36,7 +36,11 @@
 
 export type NextMove =
   /** Sends the request to another target, if the budget allows. */
-  | { readonly type: "retry"; readonly isResumption: boolean }
+  | { readonly type: "retry" }
+  | FinalMove;
+
+/** What ends a request. */
+export type FinalMove =
   /** Hands on the target's own failure. */
   | { readonly type: "passFailure" }
   /** Ends the answer that has begun, so that it does not look whole. */
@@ -51,17 +55,16 @@
   progress: RequestProgress,
   outcome: AttemptOutcome,
 ): NextMove {
-  if (mayTryAgain(progress, outcome)) {
-    return { type: "retry", isResumption: progress.hasBegun };
-  }
-  return decideFinal(progress, outcome);
+  return mayTryAgain(progress, outcome)
+    ? { type: "retry" }
+    : decideFinal(progress, outcome);
 }
 
 /** What ends the request when no further attempt is made. */
 export function decideFinal(
   progress: RequestProgress,
   outcome: AttemptOutcome,
-): NextMove {
+): FinalMove {
   if (progress.hasBegun) return { type: "cut" };
   switch (outcome) {
     case "failed":
--- a/testing/ingress-tests/src/answers_test.ts
+++ b/testing/ingress-tests/src/answers_test.ts
@@ -246,6 +246,36 @@
   await waitFor(() => engine!.abandoned === 1);
 });
 
+test("A target that loses answers is left alone for a while", async (t) => {
+  const site = await startSite(t);
+  const [bad, good] = site.engines;
+  bad!.script = resetConnection;
+  for (let index = 0; index < 12; index++) {
+    assert.equal((await call(site, { path: "/safe/a" })).status, 200);
+  }
+  assert.equal(bad!.calls.length, 1);
+  assert.equal(good!.calls.length, 12);
+  const violations = site.lines.filter(({ name }) =>
+    name === "invariantViolated"
+  );
+  assert.deepEqual(violations, []);
+});
+
+test("Calls go to the target that has fewer of them under way", async (t) => {
+  const site = await startSite(t);
+  const [slow, quick] = site.engines;
+  slow!.script = (each) => {
+    setTimeout(() => answerWhole(each), 400);
+  };
+  const calls = Array.from({ length: 12 }, async (_, index) => {
+    await delay(index * 20);
+    return await call(site, { path: "/once/a" });
+  });
+  for (const { status } of await Promise.all(calls)) assert.equal(status, 200);
+  assert.ok(slow!.calls.length <= 3, String(slow!.calls.length));
+  assert.ok(quick!.calls.length >= 9, String(quick!.calls.length));
+});
+
 test("A body over the limit is turned away", async (t) => {
   const site = await startSite(t, { engines: 1 });
   const body = "x".repeat(8_192);
