Share backoff, the run of a process, and parsing by the library

foundation/back-off and daemon/run-process have one copy each, with tests; first and longest waits are as they were.

--- a/daemon/dandelionbankd/src/run_daemon.ts
+++ b/daemon/dandelionbankd/src/run_daemon.ts
@@ -4,7 +4,6 @@
  * 2 if a setting is wrong.
  */
 
-import { DandelionError } from "@dandelionbank/error";
 import type { Logger } from "@dandelionbank/log-events";
 import { registerProcessMetrics, Registry } from "@dandelionbank/metrics";
 import {
@@ -13,7 +12,12 @@
   readDaemonSettings,
 } from "@dandelionbank/read-settings";
 import { createLogReporter, type LogStream } from "@dandelionbank/report-logs";
-import process from "node:process";
+import {
+  describeError,
+  type RunningProcess,
+  stopGracefully,
+  waitForStopSignal,
+} from "@dandelionbank/run-process";
 import { readVersion } from "./read_version.ts";
 
 const EXIT_FAILED = 1;
@@ -26,11 +30,6 @@
   readonly errors: LogStream;
 }
 
-interface RunningProcess {
-  start(): Promise<void>;
-  stop(): Promise<void>;
-}
-
 export async function runDaemon(options: DaemonOptions): Promise<number> {
   const { output, errors } = options;
   const version = readVersion();
@@ -64,7 +63,7 @@
   });
   const registry = new Registry();
   registerProcessMetrics(registry, { role, name, version });
-  const stopSignal = waitForSignal();
+  const stopSignal = waitForStopSignal();
   try {
     const running = await createProcess(settings, {
       logger,
@@ -76,7 +75,7 @@
     await stopGracefully(running, { logger, signal: await stopSignal });
     return 0;
   } catch (error) {
-    options.errors.write(`${describe(error)}\n`);
+    options.errors.write(`${describeError(error)}\n`);
     return EXIT_FAILED;
   }
 }
@@ -97,29 +96,3 @@
   const { AgentProcess } = await import("@dandelionbank/serve-agent");
   return await AgentProcess.create({ ...parts, settings });
 }
-
-function waitForSignal(): Promise<string> {
-  return new Promise((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) {
-      process.on(signal, () => resolve(signal));
-    }
-  });
-}
-
-async function stopGracefully(
-  running: RunningProcess,
-  { logger, signal }: { readonly logger: Logger; readonly signal: string },
-): Promise<void> {
-  logger.log("processStopping", { signal });
-  const startedMs = performance.now();
-  await running.stop();
-  const elapsedMs = Math.round(performance.now() - startedMs);
-  logger.log("processStopped", { elapsedMs });
-}
-
-function describe(error: unknown): string {
-  if (!(error instanceof DandelionError)) return String(error);
-  const { code, message, step, peer, hint } = error;
-  const where = peer === undefined ? step : `${step}, ${peer}`;
-  return `${code}: ${message} (${where}). ${hint}`;
-}
--- a/daemon/exchange-status/src/exchange_status.ts
+++ b/daemon/exchange-status/src/exchange_status.ts
@@ -14,6 +14,7 @@
 } from "@dandelionbank/follow-entries";
 import type { Logger } from "@dandelionbank/log-events";
 import { parseAddress } from "@dandelionbank/platform-adapter";
+import { parseStatus } from "./parse_status.ts";
 import { createSocket, type Socket } from "node:dgram";
 
 /** Short against the time in which a caller gives up on an address. */
@@ -124,44 +125,3 @@
     noteEntry(this.#followed, { status, nowMs: performance.now() });
   }
 }
-
-/** `undefined` for anything but a status; other programs may send here too. */
-export function parseStatus(text: string): EntryStatus | undefined {
-  const value = parseObject(text);
-  if (value === undefined) return undefined;
-  const { name, callersAddress, peerAddress, dataCentre } = value;
-  const { takesCallers, activeByService } = value;
-  if (typeof name !== "string" || typeof dataCentre !== "string") {
-    return undefined;
-  }
-  if (!isAddress(callersAddress) || !isAddress(peerAddress)) return undefined;
-  if (typeof takesCallers !== "boolean") return undefined;
-  if (typeof activeByService !== "object" || activeByService === null) {
-    return undefined;
-  }
-  const counts = Object.values(activeByService);
-  if (!counts.every((count) => typeof count === "number")) return undefined;
-  return {
-    name,
-    callersAddress,
-    peerAddress,
-    dataCentre,
-    takesCallers,
-    activeByService: activeByService as Readonly<Record<string, number>>,
-  };
-}
-
-function isAddress(value: unknown): value is string {
-  return typeof value === "string" && parseAddress(value) !== undefined;
-}
-
-function parseObject(text: string): Record<string, unknown> | undefined {
-  try {
-    const value: unknown = JSON.parse(text);
-    return typeof value === "object" && value !== null
-      ? value as Record<string, unknown>
-      : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/daemon/exchange-status/src/mod.ts
+++ b/daemon/exchange-status/src/mod.ts
@@ -1,4 +1,5 @@
 /** Status of entries. */
 
-export { parseStatus, StatusExchange } from "./exchange_status.ts";
+export { StatusExchange } from "./exchange_status.ts";
 export type { StatusExchangeOptions } from "./exchange_status.ts";
+export { parseStatus } from "./parse_status.ts";
--- /dev/null
+++ b/daemon/exchange-status/src/parse_status.ts
@@ -0,0 +1,28 @@
+/** Reads a status from a datagram; other programs may send to the port too. */
+
+import type { EntryStatus } from "@dandelionbank/follow-entries";
+import { parseAddress } from "@dandelionbank/platform-adapter";
+import * as v from "valibot";
+
+const ADDRESS = v.pipe(
+  v.string(),
+  v.check((text) => parseAddress(text) !== undefined),
+);
+const STATUS = v.pipe(
+  v.string(),
+  v.parseJson(),
+  v.object({
+    name: v.string(),
+    callersAddress: ADDRESS,
+    peerAddress: ADDRESS,
+    dataCentre: v.string(),
+    takesCallers: v.boolean(),
+    activeByService: v.record(v.string(), v.number()),
+  }),
+);
+
+/** `undefined` for anything but a status. */
+export function parseStatus(text: string): EntryStatus | undefined {
+  const result = v.safeParse(STATUS, text);
+  return result.success ? result.output : undefined;
+}
--- /dev/null
+++ b/daemon/exchange-status/src/parse_status_test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { parseStatus } from "./mod.ts";
+
+const STATUS = {
+  name: "entry-1",
+  callersAddress: "10.0.0.1:80",
+  peerAddress: "10.0.0.1:81",
+  dataCentre: "a",
+  takesCallers: true,
+  activeByService: { s: 3 },
+};
+
+test("A status is read back as it was sent", () => {
+  assert.deepEqual(parseStatus(JSON.stringify(STATUS)), STATUS);
+});
+
+test("Anything else is no status", () => {
+  const wrong: readonly unknown[] = [
+    null,
+    [],
+    { ...STATUS, name: 5 },
+    { ...STATUS, peerAddress: "nowhere" },
+    { ...STATUS, callersAddress: undefined },
+    { ...STATUS, takesCallers: "yes" },
+    { ...STATUS, activeByService: { s: "3" } },
+    { ...STATUS, activeByService: null },
+  ];
+  for (const value of wrong) {
+    assert.equal(parseStatus(JSON.stringify(value)), undefined);
+  }
+  assert.equal(parseStatus("{"), undefined);
+});
--- a/daemon/platform-node/src/create_role.ts
+++ b/daemon/platform-node/src/create_role.ts
@@ -3,15 +3,10 @@
 import type { Logger } from "@dandelionbank/log-events";
 import type { Registry } from "@dandelionbank/metrics";
 import type { BootSettings } from "@dandelionbank/platform-adapter";
+import type { RunningProcess } from "@dandelionbank/run-process";
 import { IngressProcess } from "@dandelionbank/serve-ingress";
 import { RankProcess } from "@dandelionbank/serve-rank";
 
-export interface RunningRole {
-  start(): Promise<void>;
-  /** Resolves when nothing is under way any more. */
-  stop(): Promise<void>;
-}
-
 export interface RoleParts {
   readonly settings: BootSettings;
   readonly logger: Logger;
@@ -23,7 +18,7 @@
 export async function createRole(
   role: string,
   parts: RoleParts,
-): Promise<RunningRole> {
+): Promise<RunningProcess> {
   if (role === "rank") return RankProcess.create(parts);
   return await IngressProcess.create(parts);
 }
--- a/daemon/platform-node/src/run_node.ts
+++ b/daemon/platform-node/src/run_node.ts
@@ -16,6 +16,11 @@
   BoundedLogStream,
   createLogReporter,
 } from "@dandelionbank/report-logs";
+import {
+  describeError,
+  stopGracefully,
+  waitForStopSignal,
+} from "@dandelionbank/run-process";
 import { ObservabilityServer } from "@dandelionbank/serve-observability";
 import { readFileSync } from "node:fs";
 import process from "node:process";
@@ -56,7 +61,7 @@
     await run({ role, settings, logger, stream, version });
     return 0;
   } catch (error) {
-    process.stderr.write(`${describe(error)}\n`);
+    process.stderr.write(`${describeError(error)}\n`);
     return error instanceof DandelionError ? EXIT_USAGE : EXIT_FAILED;
   } finally {
     await stream.flush();
@@ -76,7 +81,7 @@
   const { name } = settings;
   const registry = new Registry();
   registerProcessMetrics(registry, { role, name, version });
-  const stopSignal = waitForSignal();
+  const stopSignal = waitForStopSignal();
   const running = await createRole(role, { settings, logger, registry });
   await running.start();
   const observability = await ObservabilityServer.create({
@@ -93,13 +98,9 @@
     DROPPED_INTERVAL_MS,
   );
   const signal = await stopSignal;
-  logger.log("processStopping", { signal });
-  const startedMs = performance.now();
-  await running.stop();
+  await stopGracefully(running, { logger, signal });
   clearInterval(timer);
   await observability.close();
-  const elapsedMs = Math.round(performance.now() - startedMs);
-  logger.log("processStopped", { elapsedMs });
 }
 
 function readSettings(
@@ -115,7 +116,7 @@
     readSettings(process.env);
     logger.log("settingsReloaded", { outcome: "valid" });
   } catch (error) {
-    logger.log("settingsReloaded", { outcome: describe(error) });
+    logger.log("settingsReloaded", { outcome: describeError(error) });
   }
 }
 
@@ -123,21 +124,3 @@
   const dropped = stream.takeDropped();
   if (dropped > 0) logger.log("linesDropped", { dropped });
 }
-
-function waitForSignal(): Promise<string> {
-  return new Promise((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) {
-      process.on(signal, () => resolve(signal));
-    }
-  });
-}
-
-function describe(error: unknown): string {
-  if (!(error instanceof DandelionError)) {
-    return error instanceof Error
-      ? error.stack ?? error.message
-      : String(error);
-  }
-  const { code, message, step, hint } = error;
-  return `${code}: ${message} (${step}). ${hint}`;
-}
--- /dev/null
+++ b/daemon/run-process/src/mod.ts
@@ -0,0 +1,8 @@
+/** Long-lived processes. */
+
+export {
+  describeError,
+  stopGracefully,
+  waitForStopSignal,
+} from "./run_process.ts";
+export type { RunningProcess } from "./run_process.ts";
--- a/daemon/serve-ingress/src/register_entry.ts
+++ b/daemon/serve-ingress/src/register_entry.ts
@@ -3,6 +3,7 @@
  * have registered. An entry keeps its name across restarts.
  */
 
+import { computeBackoffMs } from "@dandelionbank/back-off";
 import {
   KINDS,
   type StoreClient,
@@ -10,8 +11,8 @@
 } from "@dandelionbank/platform-adapter";
 import { setTimeout as delay } from "node:timers/promises";
 
-const MIN_BACKOFF_MS = 200;
-const MAX_BACKOFF_MS = 3_000;
+const FIRST_BACKOFF_MS = 200;
+const LONGEST_BACKOFF_MS = 3_000;
 
 export interface RegisteredEntry {
   readonly peerAddress: string;
@@ -26,14 +27,17 @@
     readonly isStopped: () => boolean;
   },
 ): Promise<readonly string[]> {
-  for (let backoffMs = MIN_BACKOFF_MS; !isStopped();) {
+  for (let failures = 1; !isStopped(); failures++) {
     const spec: RegisteredEntry = { peerAddress };
     if (await write(client, { name, spec })) {
       const result = await client.list(KINDS.entries);
       if (result.kind === "ok") return result.value.items.flatMap(readAddress);
     }
-    await delay(backoffMs * (0.5 + Math.random() / 2));
-    backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+    await delay(computeBackoffMs(failures, {
+      firstMs: FIRST_BACKOFF_MS,
+      longestMs: LONGEST_BACKOFF_MS,
+      random: Math.random(),
+    }));
   }
   return [];
 }
--- a/daemon/serve-rank/src/rank_process.ts
+++ b/daemon/serve-rank/src/rank_process.ts
@@ -3,6 +3,7 @@
  * group itself when no coordinator is heard.
  */
 
+import { computeBackoffMs } from "@dandelionbank/back-off";
 import {
   createLeadState,
   type LeadState,
@@ -109,7 +110,11 @@
       const groupSize = this.#agent.report?.groupSize;
       const known = this.#view.targets.length;
       if (isRead && groupSize !== undefined && known >= groupSize) return;
-      await delay(STORE_RETRY_MS * (0.5 + Math.random() / 2));
+      await delay(computeBackoffMs(1, {
+        firstMs: STORE_RETRY_MS,
+        longestMs: STORE_RETRY_MS,
+        random: Math.random(),
+      }));
     }
   }
 
--- a/daemon/watch-kind/src/watch_kind.ts
+++ b/daemon/watch-kind/src/watch_kind.ts
@@ -5,6 +5,7 @@
  * listed anew, which answers at once.
  */
 
+import { computeBackoffMs } from "@dandelionbank/back-off";
 import type { Logger } from "@dandelionbank/log-events";
 import type {
   StoreClient,
@@ -15,9 +16,9 @@
 import type { Instant } from "@dandelionbank/types";
 import { setTimeout as delay } from "node:timers/promises";
 
-const MIN_BACKOFF_MS = 100;
+const FIRST_BACKOFF_MS = 200;
 /** Short against the bounds, so that a store that returns is seen in time. */
-const MAX_BACKOFF_MS = 800;
+const LONGEST_BACKOFF_MS = 800;
 
 export type KindEvent =
   | {
@@ -135,10 +136,10 @@
   }
 
   async #backOff(): Promise<void> {
-    const limitMs = Math.min(
-      MAX_BACKOFF_MS,
-      MIN_BACKOFF_MS * 2 ** this.#failures,
-    );
-    await delay(limitMs * (0.5 + Math.random() / 2));
+    await delay(computeBackoffMs(this.#failures, {
+      firstMs: FIRST_BACKOFF_MS,
+      longestMs: LONGEST_BACKOFF_MS,
+      random: Math.random(),
+    }));
   }
 }
--- /dev/null
+++ b/foundation/back-off/src/mod.ts
@@ -0,0 +1,4 @@
+/** Backoff. */
+
+export { computeBackoffMs } from "./back_off.ts";
+export type { BackoffOptions } from "./back_off.ts";
--- a/foundation/open-http/src/http_pool_test.ts
+++ b/foundation/open-http/src/http_pool_test.ts
@@ -2,7 +2,7 @@
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
-import { type HttpConnector, HttpPool } from "./mod.ts";
+import { type HttpConnector, HttpPool, readWhole } from "./mod.ts";
 
 interface Loss {
   readonly code: string | undefined;
@@ -30,6 +30,18 @@
   }
 });
 
+test("A whole answer that does not come in time is told with the wait", async (t) => {
+  const server = await listen(() => {});
+  t.after(() => server.closeAllConnections());
+  t.after(() => server.close());
+  const pool = HttpPool.create({ origin: urlOf(server) });
+  const request = { method: "GET", path: "/", headers: {} };
+  await assert.rejects(
+    readWhole(pool, request, { timeoutMs: 30 }),
+    /No answer from .* in 30 ms/,
+  );
+});
+
 async function lose(pool: HttpPool): Promise<Loss> {
   const loss = await new Promise<Loss>((resolve) =>
     pool.send({ method: "POST", path: "/", headers: {}, body: "x" }, {
--- a/foundation/open-http/src/read_whole.ts
+++ b/foundation/open-http/src/read_whole.ts
@@ -22,8 +22,9 @@
     const chunks: Buffer[] = [];
     let head: HttpAnswerHead = { status: 0, headers: {} };
     const timer = setTimeout(() => {
+      const { timeoutMs } = options;
+      reject(new Error(`No answer from ${pool.origin} in ${timeoutMs} ms`));
       running.cancel();
-      reject(new Error(`No answer from ${pool.origin} in time`));
     }, options.timeoutMs);
     const running = pool.send(request, {
       onHead: (answered) => {
--- a/objects/register-process/src/process_registration.ts
+++ b/objects/register-process/src/process_registration.ts
@@ -4,6 +4,7 @@
  * to an earlier incarnation and is replaced.
  */
 
+import { computeBackoffMs } from "@dandelionbank/back-off";
 import type { Logger } from "@dandelionbank/log-events";
 import type { ObjectKind, ObjectStore } from "@dandelionbank/types";
 import { randomUUID } from "node:crypto";
@@ -82,6 +83,9 @@
 }
 
 function retryDelayMs(attempt: number): number {
-  const longest = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** attempt);
-  return longest * (0.5 + Math.random() / 2);
+  return computeBackoffMs(attempt + 1, {
+    firstMs: FIRST_RETRY_MS,
+    longestMs: LONGEST_RETRY_MS,
+    random: Math.random(),
+  });
 }
