--- a/agreement/plan-experts/src/follow_demand.ts
+++ b/agreement/plan-experts/src/follow_demand.ts
@@ -24,8 +24,6 @@
   recent: Look[];
   faded: number[] | undefined;
   lastAtMs: number | undefined;
-  /** When the demand was last seen to change. */
-  changedAtMs: number | undefined;
 }
 
 export function createFollowedDemand(): FollowedDemand {
@@ -33,7 +31,6 @@
     recent: [],
     faded: undefined,
     lastAtMs: undefined,
-    changedAtMs: undefined,
   };
 }
 
@@ -61,7 +58,6 @@
     // Looks before the newest one may be of the time before the change.
     state.faded = [...counts];
     state.recent = [{ atMs: nowMs, counts }];
-    state.changedAtMs = nowMs;
     return;
   }
   const kept = Math.exp(-(nowMs - lastAtMs) / FADE_MS);
--- a/daemon/forward-requests/src/forward_context.ts
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -4,7 +4,7 @@
 import type { HeldConfiguration } from "@dandelionbank/hold-configuration";
 import type { Logger } from "@dandelionbank/log-events";
 import type { PlacementCoreState } from "@dandelionbank/pick-target";
-import type { FollowedProgress } from "@dandelionbank/steer-request";
+import type { FollowedProgress } from "@dandelionbank/follow-progress";
 import type { MemberTarget } from "@dandelionbank/types";
 import type { ForwardMetrics } from "./forward_metrics.ts";
 import type { StreamGate } from "./stream_gate.ts";
--- a/daemon/forward-requests/src/silence_watch.ts
+++ b/daemon/forward-requests/src/silence_watch.ts
@@ -7,7 +7,7 @@
 import {
   hasProgressElsewhere,
   noteProgress,
-} from "@dandelionbank/steer-request";
+} from "@dandelionbank/follow-progress";
 import type { ForwardContext } from "./forward_context.ts";
 import type { TargetChoice } from "./target_choice.ts";
 
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -33,7 +33,7 @@
   type SocketAddress,
   StoreClient,
 } from "@dandelionbank/platform-adapter";
-import { createFollowedProgress } from "@dandelionbank/steer-request";
+import { createFollowedProgress } from "@dandelionbank/follow-progress";
 import type { IngressConfiguration } from "@dandelionbank/types";
 import { KindWatcher } from "@dandelionbank/watch-kind";
 import type { RequestListener } from "node:http";
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -19,7 +19,7 @@
 import {
   type FollowedProgress,
   keepProgress,
-} from "@dandelionbank/steer-request";
+} from "@dandelionbank/follow-progress";
 import type { MemberTarget } from "@dandelionbank/types";
 import type { KindEvent } from "@dandelionbank/watch-kind";
 
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -47,12 +47,6 @@
     text: "The store answers again for {kind} after {lostMs} ms",
     help: "None needed",
   },
-  readinessChanged: {
-    id: 10007,
-    level: "info",
-    text: "Ready: {isReady} ({reason})",
-    help: "Look at the store if it lasts",
-  },
   entryHeard: {
     id: 10008,
     level: "info",
--- a/foundation/types/src/group.ts
+++ b/foundation/types/src/group.ts
@@ -21,12 +21,8 @@
   readonly armedVersion: number;
   /** The pass that the rank holds back; undefined if none. */
   readonly heldStep: number | undefined;
-  readonly queued: number;
-  readonly active: number;
   /** Over 1 for a slow rank. */
   readonly pace: number;
-  /** Unix time of the engine's start; what was known before it is void. */
-  readonly startedAtMs: number;
 }
 
 /** How often a rank's requests chose each expert since it started. */
--- a/foundation/types/src/ingress.ts
+++ b/foundation/types/src/ingress.ts
@@ -38,18 +38,12 @@
 /** How the engines of a service compute; undefined for plain services. */
 export interface EngineProfile {
   readonly maxBatch: number;
-  readonly kvCapacityTokens: number;
   /** Duration of one token step before anything is added for its requests. */
   readonly stepMs: number;
   readonly stepPerRequestMs: number;
-  readonly stepPerThousandContextTokensMs: number;
   readonly prefillTokensPerS: number;
-  /** Added for each million pairs of a token and an earlier one. */
-  readonly prefillMillionPairsMs: number;
-  readonly prefillChunkTokens: number;
   /** Token steps in one pass that has requests writing. */
   readonly stepsPerPass: number;
-  readonly reportLagMs: number;
   readonly meanPromptTokens: number;
   readonly meanAnswerTokens: number;
   /** Undefined if the engines are no ranks of a group. */
@@ -73,7 +67,6 @@
 
 export interface Service {
   readonly name: string;
-  readonly healthPath: string;
   /** Most connections that one target accepts from all callers together. */
   readonly maxConnections: number;
   readonly engine: EngineProfile | undefined;
--- a/foundation/types/src/member_target.ts
+++ b/foundation/types/src/member_target.ts
@@ -11,6 +11,4 @@
   readonly dataCentre: string;
   readonly slots: number;
   readonly isDraining: boolean;
-  /** How much longer the target stays slow after its start. */
-  readonly warmUpLeftMs: number;
 }
--- a/routing/follow-targets/src/follow_targets_test.ts
+++ b/routing/follow-targets/src/follow_targets_test.ts
@@ -84,6 +84,5 @@
     dataCentre: "d",
     slots: 8,
     isDraining: false,
-    warmUpLeftMs: 0,
   };
 }
--- a/testing/group-model/src/group_model.ts
+++ b/testing/group-model/src/group_model.ts
@@ -63,10 +63,7 @@
       preparedVersion: rank.preparedVersion,
       armedVersion: rank.armed?.version ?? 0,
       heldStep: rank.heldStep,
-      queued: 0,
-      active: 0,
       pace: 1,
-      startedAtMs: 0,
     }));
   }
 
