--- a/agreement/lead-group/src/lead_group.ts
+++ b/agreement/lead-group/src/lead_group.ts
@@ -26,11 +26,11 @@
 }
 
 /** Counts come from all ranks so often; passes take some tens of ms. */
-const LOOK_INTERVAL_MS = 250;
+const POLL_INTERVAL_MS = 250;
 /** A poll with counts costs about a ms, and a VM gives part of a core. */
-const LOOK_INTERVAL_PER_RANK_MS = 14;
+const POLL_INTERVAL_PER_RANK_MS = 14;
 /** Looks without a word of the coordinator after which rank 0 takes over. */
-const SILENT_LOOKS = 2.8;
+const SILENT_POLLS = 2.8;
 /** Added for each rank: longer than a new coordinator takes to be heard. */
 const RANK_STAGGER_MS = 400;
 /** Ranks above this wait hardly longer; all below would have to be lost. */
@@ -84,9 +84,9 @@
   state.known = { ...NO_LEADERSHIP, term };
 }
 
-/** How often the coordinator of a group looks at all ranks. */
-export function readLookInterval(groupSize: number): number {
-  return Math.max(LOOK_INTERVAL_MS, groupSize * LOOK_INTERVAL_PER_RANK_MS);
+/** How often the coordinator of a group polls all ranks. */
+export function readPollInterval(groupSize: number): number {
+  return Math.max(POLL_INTERVAL_MS, groupSize * POLL_INTERVAL_PER_RANK_MS);
 }
 
 /** Takes the duty if no coordinator was heard for long enough. */
@@ -101,7 +101,7 @@
   },
 ): boolean {
   if (state.isLeading) return false;
-  const waitMs = SILENT_LOOKS * readLookInterval(groupSize) +
+  const waitMs = SILENT_POLLS * readPollInterval(groupSize) +
     Math.min(rank, STAGGERED_RANKS) * RANK_STAGGER_MS +
     Math.max(0, rank - STAGGERED_RANKS) * HIGH_RANK_STAGGER_MS;
   if (nowMs - state.heardAtMs < waitMs) return false;
--- a/agreement/lead-group/src/mod.ts
+++ b/agreement/lead-group/src/mod.ts
@@ -4,7 +4,7 @@
   createLeadState,
   followCoordinator,
   noteNewerTerm,
-  readLookInterval,
+  readPollInterval,
   startWaiting,
   takeDuty,
 } from "./lead_group.ts";
--- a/agreement/plan-experts/src/follow_demand.ts
+++ b/agreement/plan-experts/src/follow_demand.ts
@@ -1,5 +1,5 @@
 /**
- * Follows which experts are in demand, from counts since the last look. Old
+ * Follows which experts are in demand, from counts since the last sample. Old
  * counts fade; when the newest ones contradict them, they are dropped, since
  * demand changes at once and an average across the change fits neither side.
  */
@@ -14,14 +14,14 @@
  */
 const CHANGE_SHARE = 0.15;
 
-interface Look {
+interface Sample {
   readonly atMs: number;
   readonly counts: readonly number[];
 }
 
 /** Opaque; changed in place. */
 export interface FollowedDemand {
-  recent: Look[];
+  recent: Sample[];
   faded: number[] | undefined;
   lastAtMs: number | undefined;
 }
@@ -34,7 +34,7 @@
   };
 }
 
-/** Takes in how often each expert was chosen since the last look. */
+/** Takes in how often each expert was chosen since the last sample. */
 export function noteChoices(
   state: FollowedDemand,
   { counts, nowMs }: {
@@ -47,7 +47,7 @@
     ...state.recent.filter(({ atMs }) => nowMs - atMs < RECENT_MS),
     { atMs: nowMs, counts },
   ];
-  const recent = sumLooks(state.recent);
+  const recent = sumSamples(state.recent);
   const { faded, lastAtMs = nowMs } = state;
   state.lastAtMs = nowMs;
   if (faded === undefined || faded.length !== counts.length) {
@@ -55,7 +55,7 @@
     return;
   }
   if (differ(faded, recent) > CHANGE_SHARE) {
-    // Looks before the newest one may be of the time before the change.
+    // Samples before the newest one may be of the time before the change.
     state.faded = [...counts];
     state.recent = [{ atMs: nowMs, counts }];
     return;
@@ -79,8 +79,8 @@
   );
 }
 
-function sumLooks(looks: readonly Look[]): readonly number[] {
-  const [first, ...rest] = looks;
+function sumSamples(samples: readonly Sample[]): readonly number[] {
+  const [first, ...rest] = samples;
   const sum = [...(first?.counts ?? [])];
   for (const { counts } of rest) {
     counts.forEach((count, index) => sum[index]! += count);
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -1,5 +1,5 @@
 /**
- * Coordinates one group while this agent has the duty: looks at all ranks,
+ * Coordinates one group while this agent has the duty: polls all ranks,
  * follows which experts are in demand, plans maps and switches to them.
  */
 
@@ -7,7 +7,7 @@
   type Leadership,
   type LeadState,
   noteNewerTerm,
-  readLookInterval,
+  readPollInterval,
 } from "@dandelionbank/lead-group";
 import type { Logger } from "@dandelionbank/log-events";
 import { measureAgeMs } from "@dandelionbank/measure-age";
@@ -75,7 +75,7 @@
   /** The map that the switch under way brings. */
   #coming: ExpertMap | undefined;
   #heardAt: Instant | undefined;
-  #lookedAtMs = 0;
+  #countedAtMs = 0;
   #switchSinceMs = 0;
 
   private constructor(options: CoordinatorOptions) {
@@ -121,21 +121,21 @@
     return measureAgeMs(heardAt, readInstant()) < HEARD_LATELY_MS;
   }
 
-  get #lookIntervalMs(): number {
-    return readLookInterval(this.#switch.groupSize);
+  get #pollIntervalMs(): number {
+    return readPollInterval(this.#switch.groupSize);
   }
 
   get #intervalMs(): number {
     const { name } = this.#switch.phase;
-    if (name === "idle") return this.#lookIntervalMs;
+    if (name === "idle") return this.#pollIntervalMs;
     const isCopying = name === "preparing" || name === "settling";
     return isCopying ? PREPARE_INTERVAL_MS : SWITCH_INTERVAL_MS;
   }
 
   async #round(): Promise<void> {
     const nowMs = performance.now();
-    const withChoices = nowMs - this.#lookedAtMs >= this.#lookIntervalMs;
-    if (withChoices) this.#lookedAtMs = nowMs;
+    const withChoices = nowMs - this.#countedAtMs >= this.#pollIntervalMs;
+    if (withChoices) this.#countedAtMs = nowMs;
     const round = await this.#poller.poll({ withChoices });
     if (round.newerTerm !== undefined) this.#stepDown(round.newerTerm);
     if (!this.#isLeading) return;
@@ -174,6 +174,7 @@
       group,
       asked: silent.length,
       found: found.length,
+      reason: silent[0]?.lastFailure,
       held: [...reports, ...found].some((each) => each.heldStep !== undefined),
     });
     return found;
@@ -265,7 +266,7 @@
       choices: Math.round(
         (this.#demand.faded ?? []).reduce((sum, count) => sum + count, 0),
       ),
-      windowMs: this.#lookIntervalMs,
+      windowMs: this.#pollIntervalMs,
       skewBefore: Number(plan.skewBefore.toFixed(2)),
       skewAfter: Number(plan.skewAfter.toFixed(2)),
       copies: plan.copies,
--- a/daemon/serve-rank/src/rank_agent.ts
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -24,7 +24,7 @@
   HeldExperts,
   RankReport,
 } from "@dandelionbank/types";
-import { ChoiceLooks } from "./choice_looks.ts";
+import { ChoiceSnapshots } from "./choice_snapshots.ts";
 
 /** An order without an answer may be carried out up to 12 s later. */
 const LATE_ORDER_MS = 13_000;
@@ -37,7 +37,7 @@
 
 export class RankAgent implements RankHandlers {
   readonly #options: RankAgentOptions;
-  readonly #looks = ChoiceLooks.create();
+  readonly #snapshots = ChoiceSnapshots.create();
   #report: RankReport | undefined;
   #isEngineLost = false;
   #orderedByRank: number | undefined;
@@ -73,7 +73,7 @@
         orders: this.#orders,
       };
     }
-    const since = this.#looks.take(choices, request.sinceLook);
+    const since = this.#snapshots.take(choices, request.sinceSnapshot);
     const counts = encodeCounts(since.counts);
     const orders = this.#orders;
     return { kind: "polled", report, choices: { ...since, counts }, orders };
@@ -86,6 +86,7 @@
     const { engine, logger } = this.#options;
     this.#orderedByRank = request.rank;
     const result = await engine.sendOrder(order, epoch);
+    const reason = engine.lastFailure ?? "";
     if (order.kind === "arm" && result === "lost") {
       this.#lostArmAtMs = performance.now();
     }
@@ -95,8 +96,8 @@
         term,
         result,
         detail: "step" in order
-          ? `step ${order.step}, epoch ${epoch}`
-          : `version ${order.version}, epoch ${epoch}`,
+          ? `step ${order.step}, epoch ${epoch}, ${reason}`
+          : `version ${order.version}, epoch ${epoch}, ${reason}`,
       });
     }
     return { kind: "ordered", result };
@@ -142,7 +143,8 @@
     const { logger } = this.#options;
     if (report === undefined && !this.#isEngineLost) {
       this.#isEngineLost = true;
-      logger.log("engineLost", {});
+      const reason = this.#options.engine.lastFailure ?? "in no group";
+      logger.log("engineLost", { reason });
     }
     if (report !== undefined && (this.#isEngineLost || !this.#report)) {
       this.#isEngineLost = false;
--- a/daemon/serve-rank/src/rank_link.ts
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -46,9 +46,10 @@
   readonly #options: RankLinkOptions;
   readonly #client: RankClient | undefined;
   #engine: EngineClient | undefined;
-  #lastLook = 0;
+  #lastSnapshot = 0;
   #failures = 0;
   #askedAtMs = 0;
+  #lastFailure = "not asked";
 
   private constructor(options: RankLinkOptions) {
     this.#options = options;
@@ -64,6 +65,11 @@
     return new RankLink(options);
   }
 
+  /** Why the agent did not answer last. */
+  get lastFailure(): string {
+    return this.#lastFailure;
+  }
+
   /** `undefined` if the agent does not answer. */
   async poll(
     { leadership, withChoices }: LinkPoll,
@@ -74,17 +80,22 @@
       return undefined;
     }
     this.#askedAtMs = nowMs;
-    const request = { ...leadership, withChoices, sinceLook: this.#lastLook };
+    const request = {
+      ...leadership,
+      withChoices,
+      sinceSnapshot: this.#lastSnapshot,
+    };
     try {
       const reply = await (this.#options.local?.poll(request) ??
         this.#client!.calls.poll.mutate(request));
       this.#failures = 0;
       if (reply.kind === "polled" && reply.choices !== undefined) {
-        this.#lastLook = reply.choices.look;
+        this.#lastSnapshot = reply.choices.snapshot;
       }
       return reply as PollReply;
-    } catch {
+    } catch (error) {
       this.#failures += 1;
+      this.#lastFailure = String(error);
       return undefined;
     }
   }
@@ -110,7 +121,8 @@
         this.#client!.calls.order.mutate(toMutable(request)));
       if (reply.kind === "newer") return { newerTerm: reply.term };
       return reply.result;
-    } catch {
+    } catch (error) {
+      this.#lastFailure = String(error);
       // The agent may be gone while its engine waits for the order.
       return way === "agentOrDirect"
         ? await this.#orderEngine(order, epoch)
@@ -122,7 +134,8 @@
     try {
       return await (this.#options.local?.readExperts() ??
         this.#client!.calls.readExperts.query());
-    } catch {
+    } catch (error) {
+      this.#lastFailure = String(error);
       return undefined;
     }
   }
--- a/foundation/log-events/src/rank_events.ts
+++ b/foundation/log-events/src/rank_events.ts
@@ -12,7 +12,7 @@
   engineLost: {
     id: 11001,
     level: "warn",
-    text: "The engine beside this agent does not answer",
+    text: "The engine beside this agent does not answer: {reason}",
     help: "Look at the engine",
   },
   engineRegained: {
@@ -69,7 +69,7 @@
     id: 11010,
     level: "info",
     text:
-      "{asked} agents of {group} do not answer; {found} ranks were read past them, held: {held}",
+      "{asked} agents of {group} do not answer; {found} ranks were read past them, held: {held} ({reason})",
     help: "Look at the agents; no map changes until all answer",
   },
 } as const satisfies Record<string, LogEventDefinition>;
--- a/peers/rank-api/src/rank_router.ts
+++ b/peers/rank-api/src/rank_router.ts
@@ -18,16 +18,16 @@
 }
 
 export interface PollRequest extends Leadership {
-  /** Number of the last look that the coordinator has; 0 for none. */
-  readonly sinceLook: number;
+  /** Number of the last snapshot that the coordinator has; 0 for none. */
+  readonly sinceSnapshot: number;
   /** False if only the report is wanted. */
   readonly withChoices: boolean;
 }
 
 export interface Choices {
-  readonly look: number;
+  readonly snapshot: number;
   readonly epoch: number;
-  /** Choices since the look that the coordinator has, as `encodeCounts`. */
+  /** Choices since the snapshot that the coordinator has, as `encodeCounts`. */
   readonly counts: string;
 }
 
@@ -64,7 +64,7 @@
 };
 const POLL_SCHEMA = v.object({
   ...LEADERSHIP,
-  sinceLook: COUNT,
+  sinceSnapshot: COUNT,
   withChoices: v.boolean(),
 });
 const ORDER_SCHEMA = v.object({
