Refuse requests that crash their targets

Cause: the product's quarantine core was not wired on the platform's path.

Change: an entry takes a broken answer and a target that goes down within five seconds for a crash, tells the other entries with its status, and refuses the request with 503, as not run. An answer by any target clears a request, so a popular one is not blamed for targets that die under it. SuspectTask moves to daemon/watch-suspects and serves product and platform.

Ruled out: breaks alone (a target that resets answers is no crash; test), and the order 'break, then down' alone: the store was seen to tell of the end first.

--- a/daemon/exchange-status/src/parse_status.ts
+++ b/daemon/exchange-status/src/parse_status.ts
@@ -18,6 +18,14 @@
     dataCentre: v.string(),
     takesCallers: v.boolean(),
     activeByService: v.record(v.string(), v.number()),
+    suspects: v.object({
+      losses: v.array(v.object({
+        fingerprint: v.string(),
+        target: v.string(),
+        alone: v.boolean(),
+      })),
+      quarantined: v.array(v.string()),
+    }),
   }),
 );
 
--- a/daemon/exchange-status/src/parse_status_test.ts
+++ b/daemon/exchange-status/src/parse_status_test.ts
@@ -9,6 +9,10 @@
   dataCentre: "a",
   takesCallers: true,
   activeByService: { s: 3 },
+  suspects: {
+    losses: [{ fingerprint: "f", target: "t", alone: false }],
+    quarantined: ["g"],
+  },
 };
 
 test("A status is read back as it was sent", () => {
@@ -25,6 +29,8 @@
     { ...STATUS, takesCallers: "yes" },
     { ...STATUS, activeByService: { s: "3" } },
     { ...STATUS, activeByService: null },
+    { ...STATUS, suspects: { losses: [{}], quarantined: [] } },
+    { ...STATUS, suspects: { losses: [], quarantined: [1] } },
   ];
   for (const value of wrong) {
     assert.equal(parseStatus(JSON.stringify(value)), undefined);
--- a/daemon/forward-requests/src/request_log.ts
+++ b/daemon/forward-requests/src/request_log.ts
@@ -65,6 +65,19 @@
     logger.log("streamRefused", { requestId, predictedWaitMs, ...load });
   }
 
+  noteQuarantined(
+    { fingerprint, retryAfterMs }: {
+      readonly fingerprint: string;
+      readonly retryAfterMs: number;
+    },
+  ): void {
+    this.#context.logger.log("requestRefusedCrashing", {
+      requestId: this.#options.requestId,
+      fingerprint,
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+  }
+
   noteSent(
     target: MemberTarget,
     { attempt, leftMs }: { readonly attempt: number; readonly leftMs: number },
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -6,6 +6,7 @@
 
 import { readCallerPatience } from "@dandelionbank/admit-streams";
 import { noteRequest, takeRetry } from "@dandelionbank/budget-retries";
+import { digestRequest } from "@dandelionbank/digest-bodies";
 import { chooseService } from "@dandelionbank/match-route";
 import {
   type CallerHead,
@@ -79,6 +80,7 @@
   #attempts = 0;
   #mayHaveRun = false;
   #hasAnswer = false;
+  #knownFingerprint: string | undefined;
   #turn: "none" | "waiting" | "admitted" = "none";
   #isOver = false;
   #endTimer: NodeJS.Timeout | undefined;
@@ -195,6 +197,7 @@
 
   /** Sends the request to a target that it was not sent to before. */
   #sendNext(): void {
+    if (this.#isQuarantined()) return;
     const target = this.#targets.next();
     if (target === undefined) {
       return this.#end(decideFinal(this.#progress, "refused"));
@@ -210,6 +213,20 @@
     this.#watchSilence();
   }
 
+  /** Ends a request that has crashed targets, instead of sending it again. */
+  #isQuarantined(): boolean {
+    const { crashes } = this.#context;
+    if (!crashes.hasSuspects) return false;
+    const verdict = crashes.judge(this.#fingerprint);
+    if (verdict.kind !== "quarantined") return false;
+    const { retryAfterMs } = verdict;
+    this.#log.noteQuarantined({ fingerprint: this.#fingerprint, retryAfterMs });
+    const move = decideFinal(this.#progress, "refused");
+    if (move.type === "refuse") this.#refuse("refusedCrashing", retryAfterMs);
+    else this.#end(move);
+    return true;
+  }
+
   #send(target: MemberTarget, leftMs: number): Attempt {
     const { head, method, path, fields, body, organisation, priority } =
       this.#request;
@@ -250,6 +267,8 @@
   #takeWhole(): void {
     this.#stopWatching();
     this.#targets.release();
+    const { crashes } = this.#context;
+    if (crashes.hasSuspects) crashes.noteAnswered(this.#fingerprint);
     this.#relay.finish();
     this.#finish("answered", this.#relay.status);
   }
@@ -284,7 +303,11 @@
     target: string | undefined,
   ): void {
     if (target === undefined) return;
-    const { pools, noteMisdirected } = this.#context;
+    const { pools, noteMisdirected, crashes } = this.#context;
+    if (outcome === "notSent") crashes.noteTargetDown(target);
+    if (outcome === "broken" || outcome === "silent") {
+      crashes.noteLostAnswer(target, this.#fingerprint);
+    }
     // Its other connections may be as dead.
     if (outcome === "silent") pools.renew(target);
     if (isMisdirected) noteMisdirected(target);
@@ -390,6 +413,17 @@
     onOver(this);
   }
 
+  /** Stands for the request when its caller sends it again. */
+  get #fingerprint(): string {
+    const { method, path, body, organisation = "" } = this.#request;
+    return this.#knownFingerprint ??= digestRequest({
+      organisation,
+      method,
+      path,
+      body,
+    });
+  }
+
   get #progress(): RequestProgress {
     const { kind, isResumable, maxTargets } = this.#request.route;
     return {
--- a/daemon/route-requests/src/attempt_sender.ts
+++ b/daemon/route-requests/src/attempt_sender.ts
@@ -17,9 +17,9 @@
   AttemptQuestion,
   PeerFrame,
 } from "@dandelionbank/types";
+import type { SuspectTask } from "@dandelionbank/watch-suspects";
 import { type PeerAddress, PeerLinks } from "./peer_links.ts";
 import type { Placer } from "./placer.ts";
-import type { SuspectTask } from "./suspect_task.ts";
 import type { OpenRequest } from "./request_table.ts";
 
 const NO_BODY = new Uint8Array(0);
--- a/daemon/route-requests/src/request_task.ts
+++ b/daemon/route-requests/src/request_task.ts
@@ -22,12 +22,12 @@
   type TrackState,
 } from "@dandelionbank/track-requests";
 import type { RelayMessage, View } from "@dandelionbank/types";
+import { SuspectTask } from "@dandelionbank/watch-suspects";
 import { AnswerWriter } from "./answer_writer.ts";
 import { AttemptSender } from "./attempt_sender.ts";
 import { CallerTable } from "./caller_table.ts";
 import { HttpCallerPort } from "./http_caller_port.ts";
 import { Placer } from "./placer.ts";
-import { SuspectTask } from "./suspect_task.ts";
 import { RelayPort } from "./relay_port.ts";
 import { openFromCaller, openFromRelay } from "./open_request.ts";
 import { RequestLimiter } from "./request_limiter.ts";
--- a/daemon/route-requests/src/target_chooser.ts
+++ b/daemon/route-requests/src/target_chooser.ts
@@ -9,12 +9,12 @@
   PickTarget,
   TargetPicked,
 } from "@dandelionbank/track-requests";
+import type { SuspectTask } from "@dandelionbank/watch-suspects";
 import type { AttemptSender } from "./attempt_sender.ts";
 import type { Placer } from "./placer.ts";
 import type { RequestLimiter } from "./request_limiter.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 import type { RequestTable } from "./request_table.ts";
-import type { SuspectTask } from "./suspect_task.ts";
 
 export interface TargetChooserOptions {
   readonly requests: RequestTable;
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -36,6 +36,7 @@
 import { createFollowedProgress } from "@dandelionbank/follow-progress";
 import type { IngressConfiguration } from "@dandelionbank/types";
 import { KindWatcher } from "@dandelionbank/watch-kind";
+import { CrashWatch } from "@dandelionbank/watch-suspects";
 import type { RequestListener } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { ConfigurationView } from "./configuration_view.ts";
@@ -79,6 +80,7 @@
   readonly #gate: StreamGate;
   readonly #targets: TargetView;
   readonly #exchange: StatusExchange;
+  readonly #crashes: CrashWatch;
   readonly #callerServer: HttpListener;
   readonly #servers: HttpListener[] = [];
   readonly #watchers: KindWatcher[] = [];
@@ -112,12 +114,18 @@
     });
     const pools = TargetPools.create();
     const progress = createFollowedProgress();
+    this.#crashes = CrashWatch.create({
+      logger,
+      readNowMs: () => performance.now(),
+      onNews: () => this.#exchange.tell(),
+    });
     this.#targets = TargetView.create({
       returnMs: bounds.targetReturnMs,
       placement,
       pools,
       progress,
       logger,
+      onEnded: (id) => this.#crashes.noteTargetDown(id),
     });
     this.#gate = StreamGate.create({
       readLoad: (service) => this.#readLoad(service),
@@ -135,6 +143,7 @@
         slack: bounds.retrySlack,
       }),
       progress,
+      crashes: this.#crashes,
       stallMs: bounds.stallMs,
       findTarget: (id) => this.#targets.find(id),
       noteMisdirected: (id) => this.#targets.noteMisdirected(id),
@@ -151,6 +160,8 @@
       readStatus: () => this.#readStatus(),
       onRound: (others) => {
         this.#others = others;
+        for (const { suspects } of others) this.#crashes.takeTold(suspects);
+        this.#crashes.tick();
       },
     });
     this.#callerServer = this.#createServer(
@@ -293,6 +304,7 @@
       dataCentre: settings.dataCentre,
       takesCallers: this.#isReady,
       activeByService: this.#gate.countActive(),
+      suspects: this.#crashes.told,
     };
   }
 
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -29,6 +29,8 @@
   readonly pools: TargetPools;
   readonly progress: FollowedProgress;
   readonly logger: Logger;
+  /** A target that was not draining is there no longer. */
+  readonly onEnded: (id: string) => void;
 }
 
 export class TargetView {
@@ -105,8 +107,14 @@
   }
 
   #step(event: TargetsEvent): void {
+    const before = [...this.#followed.targets.values()];
     const hasChanged = stepTargets(this.#followed, event, performance.now());
     if (!hasChanged) return;
+    for (const { id, isDraining } of before) {
+      if (!isDraining && this.find(id) === undefined) {
+        this.#options.onEnded(id);
+      }
+    }
     const targets = [...this.#followed.targets.values()];
     pickTarget(this.#options.placement, {
       type: "targetsChanged",
--- a/daemon/route-requests/src/suspect_task.ts
+++ b/daemon/watch-suspects/src/suspect_task.ts
@@ -13,8 +13,11 @@
 } from "@dandelionbank/quarantine-requests";
 import { CoreRunner } from "@dandelionbank/run-core";
 
+/** As long as a caller is likely to go on sending the same request. */
+export const QUARANTINE_MS = 600_000;
+
 const QUARANTINE_OPTIONS = {
-  quarantineMs: 600_000,
+  quarantineMs: QUARANTINE_MS,
   settleMs: 1_000,
   memoryMs: 60_000,
   maxFingerprints: 10_000,
@@ -76,10 +79,25 @@
   }): void {
     const { attemptId, fingerprint, target } = lost;
     const alone = this.#apart.has(attemptId);
-    const losses = [{ fingerprint, target, alone }];
+    this.loseAll([{ fingerprint, target, alone }]);
+  }
+
+  /** A target was lost while it ran these. */
+  loseAll(losses: readonly Loss[]): void {
     this.#runner.post({ type: "targetLost", losses });
   }
 
+  /** False while nothing is suspected, so that nothing has to be judged. */
+  get hasSuspects(): boolean {
+    return this.#runner.state.suspicions.size > 0;
+  }
+
+  /** A target has answered the request. */
+  noteAnswered(fingerprint: string): void {
+    if (this.judge(fingerprint).kind === "clear") return;
+    this.#runner.post({ type: "answered", fingerprint });
+  }
+
   takeLosses(losses: readonly Loss[]): void {
     this.#runner.post({ type: "lossesTold", losses });
   }
@@ -99,7 +117,7 @@
     const { fingerprint, targets } = effect;
     this.#options.logger.log("requestQuarantined", {
       fingerprint,
-      quarantineMs: QUARANTINE_OPTIONS.quarantineMs,
+      quarantineMs: QUARANTINE_MS,
       targets: targets.join(", "),
     });
     this.#options.tellQuarantine(fingerprint);
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -107,6 +107,13 @@
       "Attempt {attempt} of request {requestId} at {target} ended {result} after {elapsedMs} ms: {reason}; next: {next}",
     help: "Look at the target's own logs at that time",
   },
+  requestRefusedCrashing: {
+    id: 10027,
+    level: "info",
+    text:
+      "Request {requestId} with fingerprint {fingerprint} is not sent for {retryAfterMs} ms: what ran it crashed",
+    help: "Look at what the caller sends, and at the targets' own logs",
+  },
   requestAnswered: {
     id: 10026,
     level: "info",
--- /dev/null
+++ b/routing/detect-crashes/src/mod.ts
@@ -0,0 +1,8 @@
+/** Requests that were under way at targets that crashed. */
+
+export {
+  createCrashState,
+  noteLostAnswer,
+  noteTargetDown,
+} from "./detect_crashes.ts";
+export type { CrashState } from "./detect_crashes.ts";
--- a/routing/follow-entries/src/follow_entries.ts
+++ b/routing/follow-entries/src/follow_entries.ts
@@ -4,6 +4,8 @@
  * work; the load of the others counts when a group is nearly full.
  */
 
+import type { Loss } from "@dandelionbank/quarantine-requests";
+
 /** Fewer near entries than this are not enough for callers to change over. */
 const MIN_NEAR = 2;
 
@@ -19,6 +21,14 @@
   readonly takesCallers: boolean;
   /** Requests at targets, by service. */
   readonly activeByService: Readonly<Record<string, number>>;
+  readonly suspects: ToldSuspects;
+}
+
+/** What an entry has lately learnt of requests that crash their targets. */
+export interface ToldSuspects {
+  readonly losses: readonly Loss[];
+  /** Fingerprints that are refused. */
+  readonly quarantined: readonly string[];
 }
 
 interface KnownEntry {
--- a/routing/follow-entries/src/follow_entries_test.ts
+++ b/routing/follow-entries/src/follow_entries_test.ts
@@ -46,6 +46,7 @@
     dataCentre: "near",
     takesCallers: true,
     activeByService: {},
+    suspects: { losses: [], quarantined: [] },
     ...fields,
   };
 }
--- a/routing/quarantine-requests/src/events.ts
+++ b/routing/quarantine-requests/src/events.ts
@@ -24,6 +24,8 @@
   /** What other entries saw. */
   | { readonly type: "lossesTold"; readonly losses: readonly Loss[] }
   | { readonly type: "quarantineTold"; readonly fingerprint: string }
+  /** A target has answered the request, and so outlived it. */
+  | { readonly type: "answered"; readonly fingerprint: string }
   | { readonly type: "tick" };
 
 export type QuarantineEffect =
--- a/routing/quarantine-requests/src/quarantine_requests.ts
+++ b/routing/quarantine-requests/src/quarantine_requests.ts
@@ -6,7 +6,9 @@
  * when every entry has told what it lost. It is to blame if no other one was
  * lost with two of the same targets, or if it ran on one of them as the only
  * suspect and nothing else that is suspected of two was lost there. What merely
- * ran beside it has one loss, and is tried elsewhere, apart from suspects.
+ * ran beside it has one loss, and is tried elsewhere, apart from suspects. What
+ * a target has answered is not to blame for the losses of that time: many callers
+ * may send the same request, so that some of them run on every target that dies.
  *
  * The state is changed in place and returned. The time never goes back.
  */
@@ -20,6 +22,9 @@
   Verdict,
 } from "./events.ts";
 
+/** So many lost targets and no answer are proof, whatever ran beside it. */
+const CERTAIN_LOSSES = 3;
+
 interface RememberedLoss {
   readonly atMs: number;
   readonly alone: boolean;
@@ -31,6 +36,8 @@
   quarantinedUntilMs: number;
   /** When its latest loss may be judged; `undefined` if that is done. */
   judgeAtMs: number | undefined;
+  /** When a target last answered it; its losses count no more for a time. */
+  answeredAtMs: number | undefined;
 }
 
 /** Opaque to callers. */
@@ -67,7 +74,8 @@
 export function judge(state: QuarantineState, fingerprint: string): Verdict {
   const suspicion = state.suspicions.get(fingerprint);
   if (suspicion === undefined) return { kind: "clear" };
-  const { judgeAtMs, quarantinedUntilMs, losses } = suspicion;
+  const { judgeAtMs, quarantinedUntilMs, losses, answeredAtMs } = suspicion;
+  if (answeredAtMs !== undefined) return { kind: "clear" };
   const held = judgeAtMs !== undefined && losses.size > 1;
   const untilMs = Math.max(quarantinedUntilMs, held ? judgeAtMs : 0);
   const leftMs = untilMs - state.nowMs;
@@ -80,7 +88,8 @@
 
 /** From then on the suspicion is kept for the time of memory. */
 function rememberedSinceMs(suspicion: Suspicion): number {
-  const { losses, quarantinedUntilMs } = suspicion;
+  const { losses, quarantinedUntilMs, answeredAtMs } = suspicion;
+  if (answeredAtMs !== undefined) return answeredAtMs;
   return quarantinedUntilMs > 0
     ? quarantinedUntilMs
     : Math.max(0, ...[...losses.values()].map(({ atMs }) => atMs));
@@ -95,6 +104,8 @@
       return addLosses(context, event.losses);
     case "quarantineTold":
       return hold(context, suspicionOf(context, event.fingerprint));
+    case "answered":
+      return acquit(context, event.fingerprint);
     case "tick":
       judgeSettled(context);
       return forgetOld(context);
@@ -105,6 +116,7 @@
   const { nowMs, state } = context;
   for (const { fingerprint, target, alone } of losses) {
     const suspicion = suspicionOf(context, fingerprint);
+    if (suspicion.answeredAtMs !== undefined) continue;
     if (suspicion.losses.has(target)) continue;
     suspicion.losses.set(target, { atMs: nowMs, alone });
     suspicion.judgeAtMs = nowMs + state.options.settleMs;
@@ -133,6 +145,7 @@
 function isToBlame(context: Context, suspect: Suspect): boolean {
   const { losses } = suspect.suspicion;
   if (losses.size < 2) return false;
+  if (losses.size >= CERTAIN_LOSSES) return true;
   const others = [...context.state.suspicions]
     .filter(([fingerprint]) => fingerprint !== suspect.fingerprint)
     .map(([, suspicion]) => suspicion)
@@ -143,6 +156,16 @@
   return ranAlone || !others.some((other) => countShared(losses, other) > 1);
 }
 
+/** Only what is suspected is remembered as answered. */
+function acquit({ state, nowMs }: Context, fingerprint: string): void {
+  const suspicion = state.suspicions.get(fingerprint);
+  if (suspicion === undefined) return;
+  suspicion.losses.clear();
+  suspicion.quarantinedUntilMs = 0;
+  suspicion.judgeAtMs = undefined;
+  suspicion.answeredAtMs = nowMs;
+}
+
 function countShared(
   losses: ReadonlyMap<string, RememberedLoss>,
   other: Suspicion,
@@ -155,6 +178,7 @@
 }
 
 function hold(context: Context, suspicion: Suspicion): void {
+  if (suspicion.answeredAtMs !== undefined) return;
   const untilMs = context.nowMs + context.state.options.quarantineMs;
   suspicion.quarantinedUntilMs = untilMs;
 }
@@ -189,6 +213,7 @@
     losses: new Map(),
     quarantinedUntilMs: 0,
     judgeAtMs: undefined,
+    answeredAtMs: undefined,
   };
   suspicions.set(fingerprint, suspicion);
   return suspicion;
--- a/routing/quarantine-requests/src/quarantine_requests_test.ts
+++ b/routing/quarantine-requests/src/quarantine_requests_test.ts
@@ -3,6 +3,7 @@
 import fc from "fast-check";
 import { createQuarantineState, judge, step } from "./mod.ts";
 import type {
+  Loss,
   QuarantineEffect,
   QuarantineEvent,
   QuarantineOptions,
@@ -152,6 +153,39 @@
   assert.equal(entry.kind("killer"), "quarantined");
 });
 
+test("What a target has answered is not to blame, whoever tells of losses", () => {
+  const entry = createEntry();
+  entry.feed(lost("A", ["popular"]));
+  entry.feed({ type: "answered", fingerprint: "popular" });
+  assert.equal(entry.kind("popular"), "clear");
+  const { losses } = lost("B", ["popular"]) as { losses: readonly Loss[] };
+  entry.feed({ type: "lossesTold", losses });
+  entry.feed(lost("C", ["popular"]));
+  entry.feed({ type: "quarantineTold", fingerprint: "popular" });
+  assert.deepEqual(entry.settle(), []);
+  assert.equal(entry.kind("popular"), "clear");
+  entry.feed({ type: "tick" }, OPTIONS.memoryMs);
+  assert.equal(entry.state.suspicions.size, 0);
+});
+
+test("An answer ends a quarantine", () => {
+  const entry = createEntry();
+  for (const target of ["A", "B", "C"]) entry.feed(lost(target, ["popular"]));
+  assert.deepEqual(entry.settle(), ["popular"]);
+  entry.feed({ type: "answered", fingerprint: "popular" });
+  assert.equal(entry.kind("popular"), "clear");
+});
+
+test("Three lost targets and no answer are proof, whatever ran beside", () => {
+  const entry = createEntry();
+  for (const target of ["A", "B"]) {
+    entry.feed(lost(target, ["killer", "other"]));
+  }
+  assert.deepEqual(entry.settle(), []);
+  entry.feed(lost("C", ["killer"]), 300);
+  assert.deepEqual(entry.settle(500), ["killer"]);
+});
+
 test("A quarantine ends, and one more lost target begins it again", () => {
   const entry = createEntry();
   entry.feed(lost("A", ["killer"]));
--- a/testing/standin-site/src/site_engine.ts
+++ b/testing/standin-site/src/site_engine.ts
@@ -48,6 +48,10 @@
     return engine;
   }
 
+  get isUp(): boolean {
+    return this.#server.listening;
+  }
+
   get address(): string {
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
@@ -72,6 +76,7 @@
   }
 
   async close(): Promise<void> {
+    if (!this.#server.listening) return;
     this.#server.close();
     this.#server.closeAllConnections();
     await once(this.#server, "close");
