--- a/agreement/plan-experts/src/set_layout.ts
+++ b/agreement/plan-experts/src/set_layout.ts
@@ -33,6 +33,12 @@
 
 /** A move must take off at least this part of the highest cost. */
 const MIN_GAIN = 0.005;
+/**
+ * Work goes to the least loaded ranks; trying all of a large group takes most
+ * of a plan's time. Of these the fullest comes first, since the first of equal
+ * moves is taken: the emptiest ranks are left for the experts most in demand.
+ */
+const MAX_RECEIVERS = 16;
 
 export class SetLayout {
   readonly #demand: readonly number[];
@@ -41,7 +47,12 @@
   readonly #base: readonly ReadonlySet<number>[];
   readonly #held: Set<number>[];
   readonly #holders: Set<number>[];
-  readonly #costs: number[];
+  readonly #loads: number[];
+  readonly #newCounts: number[];
+  /** Changes of load that a move under trial brings, by rank. */
+  readonly #changes = new Map<number, number>();
+  #maxCost = 0;
+  #meanCost = 0;
 
   private constructor({ demand, held, limits, paces }: LayoutOptions) {
     this.#demand = demand;
@@ -53,7 +64,9 @@
     held.forEach((experts, rank) => {
       for (const expert of experts) this.#holders[expert]?.add(rank);
     });
-    this.#costs = held.map((_, rank) => this.#costOf(rank));
+    this.#loads = held.map((_, rank) => this.#readLoad(rank));
+    this.#newCounts = held.map(() => 0);
+    this.#sumUp();
   }
 
   static create(options: LayoutOptions): SetLayout {
@@ -65,29 +78,31 @@
   }
 
   get maxCost(): number {
-    return Math.max(...this.#costs);
+    return this.#maxCost;
   }
 
   get meanCost(): number {
-    return this.#costs.reduce((sum, cost) => sum + cost, 0) /
-      this.#costs.length;
+    return this.#meanCost;
   }
 
   /** Experts on a rank that were not there before. */
   countNew(rank: number): number {
-    let count = 0;
-    for (const expert of this.#held[rank]!) {
-      if (!this.#base[rank]!.has(expert)) count += 1;
-    }
-    return count;
+    return this.#newCounts[rank]!;
   }
 
   /** The move that relieves the costliest rank most; `undefined` if none does. */
   findMove(mayCopyTo: (rank: number) => boolean): Move | undefined {
-    const hot = this.#costs.indexOf(this.maxCost);
+    const costs = this.#loads.map((_, rank) => this.#costOf(rank));
+    const hot = costs.indexOf(this.#maxCost);
+    const receivers = costs.map((cost, rank) => ({ cost, rank }))
+      .filter(({ rank }) => rank !== hot)
+      .sort((left, right) => left.cost - right.cost)
+      .slice(0, MAX_RECEIVERS)
+      .reverse()
+      .map(({ rank }) => rank);
     let best: Move | undefined;
-    let bound = this.#costs[hot]! * (1 - MIN_GAIN);
-    for (const steps of this.#listMoves(hot, mayCopyTo)) {
+    let bound = this.#maxCost * (1 - MIN_GAIN);
+    for (const steps of this.#listMoves({ hot, receivers, mayCopyTo })) {
       const worstCost = this.#tryMove(steps, bound);
       if (worstCost === undefined) continue;
       best = { steps, worstCost };
@@ -97,21 +112,27 @@
   }
 
   apply({ steps }: Move): void {
-    const touched = this.#touchedBy(steps);
+    this.#collectChanges(steps);
     for (const step of steps) this.#change(step);
-    for (const rank of touched) this.#costs[rank] = this.#costOf(rank);
+    // Anew from the experts held, so that rounding does not add up.
+    for (const rank of this.#changes.keys()) {
+      this.#loads[rank] = this.#readLoad(rank);
+    }
+    this.#sumUp();
   }
 
   *#listMoves(
-    hot: number,
-    mayCopyTo: (rank: number) => boolean,
+    { hot, receivers, mayCopyTo }: {
+      readonly hot: number;
+      readonly receivers: readonly number[];
+      readonly mayCopyTo: (rank: number) => boolean;
+    },
   ): Generator<readonly Step[]> {
-    // Copies, since moves are tried on the sets themselves.
-    for (const expert of [...this.#held[hot]!]) {
+    for (const expert of this.#held[hot]!) {
       if (this.#holders[expert]!.size > 1) {
         yield [{ rank: hot, added: undefined, dropped: expert }];
       }
-      for (let rank = 0; rank < this.#held.length; rank++) {
+      for (const rank of receivers) {
         if (this.#held[rank]!.has(expert)) continue;
         if (!this.#mayAdd({ rank, expert, mayCopyTo })) continue;
         yield* this.#listPlacings({ hot, expert, rank, mayCopyTo });
@@ -133,7 +154,7 @@
       yield [arrival];
       yield [arrival, { rank: hot, added: undefined, dropped: expert }];
     }
-    for (const other of [...this.#held[rank]!]) {
+    for (const other of this.#held[rank]!) {
       if (this.#holders[other]!.size > 1) {
         yield [{ rank, added: expert, dropped: other }];
       }
@@ -159,52 +180,91 @@
 
   /** The highest cost among the touched ranks, if it is below the bound. */
   #tryMove(steps: readonly Step[], bound: number): number | undefined {
-    const touched = this.#touchedBy(steps);
-    for (const step of steps) this.#change(step);
+    this.#collectChanges(steps);
     let worst = 0;
-    for (const rank of touched) {
-      worst = Math.max(worst, this.#costOf(rank));
-      if (worst >= bound) break;
+    for (const [rank, change] of this.#changes) {
+      worst = Math.max(worst, this.#costOf(rank, change));
+      if (worst >= bound) return undefined;
     }
-    for (let index = steps.length - 1; index >= 0; index--) {
-      this.#undo(steps[index]!);
-    }
-    return worst < bound ? worst : undefined;
+    return worst;
   }
 
-  /** Ranks whose load changes: the steps' own and those that share experts. */
-  #touchedBy(steps: readonly Step[]): ReadonlySet<number> {
-    const touched = new Set<number>();
+  /** The load of each rank whose load the steps change, by how much. */
+  #collectChanges(steps: readonly Step[]): void {
+    this.#changes.clear();
     for (const { rank, added, dropped } of steps) {
-      touched.add(rank);
-      for (const expert of [added, dropped]) {
-        if (expert === undefined) continue;
-        for (const holder of this.#holders[expert]!) touched.add(holder);
-      }
+      if (added !== undefined) this.#noteChange(steps, { rank, expert: added });
+      if (dropped === undefined) continue;
+      this.#noteChange(steps, { rank, expert: dropped, isDropped: true });
+    }
+  }
+
+  #noteChange(
+    steps: readonly Step[],
+    { rank, expert, isDropped = false }: {
+      readonly rank: number;
+      readonly expert: number;
+      readonly isDropped?: boolean;
+    },
+  ): void {
+    const holders = this.#holders[expert]!;
+    const demand = this.#demand[expert]!;
+    let count = holders.size;
+    for (const { added, dropped } of steps) {
+      if (added === expert) count += 1;
+      if (dropped === expert) count -= 1;
+    }
+    const share = demand / count;
+    if (!isDropped) {
+      this.#addChange(rank, share);
+    } else {
+      this.#addChange(rank, -demand / holders.size);
     }
-    return touched;
+    // An expert that only moves leaves its other holders as they were, but a
+    // move is no relief while one of them stays as costly.
+    const change = share - demand / holders.size;
+    for (const holder of holders) {
+      if (!isDropped || holder !== rank) this.#addChange(holder, change);
+    }
+  }
+
+  #addChange(rank: number, change: number): void {
+    this.#changes.set(rank, (this.#changes.get(rank) ?? 0) + change);
   }
 
   #change({ rank, added, dropped }: Step): void {
     if (dropped !== undefined) {
       this.#held[rank]!.delete(dropped);
       this.#holders[dropped]!.delete(rank);
+      if (!this.#base[rank]!.has(dropped)) this.#newCounts[rank]! -= 1;
     }
     if (added !== undefined) {
       this.#held[rank]!.add(added);
       this.#holders[added]!.add(rank);
+      if (!this.#base[rank]!.has(added)) this.#newCounts[rank]! += 1;
     }
   }
 
-  #undo({ rank, added, dropped }: Step): void {
-    this.#change({ rank, added: dropped, dropped: added });
+  #sumUp(): void {
+    let sum = 0;
+    this.#maxCost = 0;
+    for (let rank = 0; rank < this.#loads.length; rank++) {
+      const cost = this.#costOf(rank);
+      this.#maxCost = Math.max(this.#maxCost, cost);
+      sum += cost;
+    }
+    this.#meanCost = sum / this.#loads.length;
   }
 
-  #costOf(rank: number): number {
+  #readLoad(rank: number): number {
     let load = 0;
     for (const expert of this.#held[rank]!) {
       load += this.#demand[expert]! / this.#holders[expert]!.size;
     }
-    return load * (this.#paces[rank] ?? 1);
+    return load;
+  }
+
+  #costOf(rank: number, change = 0): number {
+    return (this.#loads[rank]! + change) * (this.#paces[rank] ?? 1);
   }
 }
