Pass the calls of a large group's coordinator on by relays

Demand changes every second or two, so the map in force was mostly late.

Change: groups of over 16 ranks are called by relays in each data centre, as many as members each has; the ranks whose choices are asked for are polled directly. An agent that gave no answer is called without a relay next time, and relays nothing. A relay passes on only calls of the coordinator that it follows, and the agent called checks that too.

--- a/agreement/lead-group/src/mod.ts
+++ b/agreement/lead-group/src/mod.ts
@@ -10,3 +10,5 @@
   takeDuty,
 } from "./lead_group.ts";
 export type { Leadership, LeadState } from "./lead_group.ts";
+export { countCallsAtOnce, planRelays } from "./plan_relays.ts";
+export type { RelayCandidate, RelayPlan } from "./plan_relays.ts";
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -39,6 +39,7 @@
   RankReport,
 } from "@dandelionbank/types";
 import { setTimeout as delay } from "node:timers/promises";
+import { FanOut, type OrderOutcome } from "./fan_out.ts";
 import { GroupMap } from "./group_map.ts";
 import { type PollRound, RankPoller } from "./poll_ranks.ts";
 import type { RankLink } from "./rank_link.ts";
@@ -71,6 +72,7 @@
 export class Coordinator {
   readonly #options: CoordinatorOptions;
   readonly #leadership: Leadership;
+  readonly #fanOut: FanOut;
   readonly #poller: RankPoller;
   readonly #switch: SwitchState;
   readonly #map: GroupMap;
@@ -88,9 +90,10 @@
     this.#options = options;
     this.#leadership = lead.known;
     const { term, rank } = this.#leadership;
+    this.#fanOut = FanOut.create(this.#leadership);
     this.#poller = RankPoller.create({
       group,
-      leadership: this.#leadership,
+      fanOut: this.#fanOut,
       listLinks,
     });
     this.#map = GroupMap.create({
@@ -238,9 +241,10 @@
   #post(event: SwitchEvent): void {
     const { effects } = stepSwitch(this.#switch, event, performance.now());
     for (const effect of effects) {
-      if (effect.type === "send") void this.#send(effect);
-      else this.#noteAdvance(effect);
+      if (effect.type === "advanced") this.#noteAdvance(effect);
     }
+    const sends = effects.filter((effect) => effect.type === "send");
+    for (const alike of groupAlike(sends)) this.#send(alike);
   }
 
   #noteAdvance({ phase, version, epoch, step }: AdvancedEffect): void {
@@ -266,23 +270,38 @@
     }
   }
 
-  async #send(
-    { rank, order, epoch, isForward, isDirect }: SendEffect,
-  ): Promise<void> {
-    const link = this.#poller.findLink(rank);
-    if (link === undefined || !this.#isLeading) return;
+  /** Orders that differ by their ranks alone. */
+  #send(alike: readonly SendEffect[]): void {
+    const [first] = alike;
+    if (first === undefined || !this.#isLeading) return;
+    const { order, epoch, isForward, isDirect } = first;
     // After a freeze another agent may have the duty; agents know, engines not.
     const mayPass = (isForward || isDirect) && this.#isHeardLately;
     if (isDirect && !mayPass) return;
-    const result = await link.order({
-      leadership: this.#leadership,
+    const ranks = new Map<RankLink, number>();
+    for (const { rank } of alike) {
+      const link = this.#poller.findLink(rank);
+      if (link !== undefined) ranks.set(link, rank);
+    }
+    this.#fanOut.order([...ranks.keys()], {
       order,
       epoch,
       way: isDirect ? "direct" : mayPass ? "agentOrDirect" : "agent",
+      onOutcome: (link, outcome) => {
+        const rank = ranks.get(link);
+        if (rank === undefined) return;
+        this.#takeOutcome({ rank, order, epoch }, outcome);
+      },
     });
-    if (typeof result === "object") return this.#stepDown(result.newerTerm);
+  }
+
+  #takeOutcome(
+    sent: Pick<SendEffect, "rank" | "order" | "epoch">,
+    outcome: OrderOutcome,
+  ): void {
+    if (typeof outcome === "object") return this.#stepDown(outcome.newerTerm);
     if (!this.#isLeading) return;
-    this.#post({ type: "orderEnded", rank, order, epoch, result });
+    this.#post({ type: "orderEnded", ...sent, result: outcome });
   }
 
   #logPlan(plan: ExpertPlan): void {
@@ -299,3 +318,19 @@
     });
   }
 }
+
+/** Orders of one step that differ by their ranks alone, together. */
+function groupAlike(
+  sends: readonly SendEffect[],
+): readonly (readonly SendEffect[])[] {
+  const groups = new Map<string, SendEffect[]>();
+  for (const send of sends) {
+    const { order, epoch, isForward, isDirect } = send;
+    const subject = "step" in order ? order.step : order.version;
+    const key = [order.kind, subject, epoch, isForward, isDirect].join("/");
+    const group = groups.get(key) ?? [];
+    group.push(send);
+    groups.set(key, group);
+  }
+  return [...groups.values()];
+}
--- /dev/null
+++ b/daemon/serve-rank/src/fan_out.ts
@@ -0,0 +1,182 @@
+/**
+ * Sends one call of the coordinator to many ranks: by relays in a large group,
+ * and to each agent by itself where it is small or an agent has failed.
+ */
+
+import { type Leadership, planRelays } from "@dandelionbank/lead-group";
+import type {
+  OrderReply,
+  PollReply,
+  RelayedCall,
+  RelayedReply,
+} from "@dandelionbank/rank-api";
+import type { GroupOrder, GroupOrderResult } from "@dandelionbank/types";
+import {
+  encodeChange,
+  encodeOrder,
+  type OrderWay,
+  type RankLink,
+} from "./rank_link.ts";
+
+const NO_REPLY = "no reply by its relay";
+
+export interface LinkReply {
+  readonly link: RankLink;
+  /** `undefined` if the agent did not answer. */
+  readonly reply: PollReply | undefined;
+}
+
+export type OrderOutcome =
+  | GroupOrderResult
+  | { readonly newerTerm: number };
+
+export interface FanOutOrder {
+  readonly order: GroupOrder;
+  readonly epoch: number;
+  readonly way: OrderWay;
+  /** Called once for each rank, as soon as it is known. */
+  readonly onOutcome: (link: RankLink, outcome: OrderOutcome) => void;
+}
+
+export class FanOut {
+  readonly #leadership: Leadership;
+
+  private constructor(leadership: Leadership) {
+    this.#leadership = leadership;
+  }
+
+  static create(leadership: Leadership): FanOut {
+    return new FanOut(leadership);
+  }
+
+  /** Choices are asked of their links directly, reports by relays. */
+  async poll(
+    links: readonly RankLink[],
+    withChoices: (link: RankLink) => boolean,
+  ): Promise<readonly LinkReply[]> {
+    const asked = links.filter(withChoices);
+    const others = planRelays(
+      links.filter((link) => !withChoices(link)).map(toCandidate),
+    );
+    const replies = await Promise.all([
+      ...asked.map((link) => this.#pollDirectly(link, true)),
+      ...others.direct.map((link) => this.#pollDirectly(link, false)),
+      ...others.relayed.map(({ relay, members }) =>
+        this.#pollBy(relay, members)
+      ),
+    ]);
+    return replies.flat();
+  }
+
+  order(links: readonly RankLink[], sent: FanOutOrder): void {
+    const { direct, relayed } = planRelays(links.map(toCandidate));
+    for (const link of direct) void this.#orderDirectly(link, sent);
+    for (const { relay, members } of relayed) {
+      void this.#orderBy(relay, { members, sent });
+    }
+  }
+
+  async #pollDirectly(
+    link: RankLink,
+    withChoices: boolean,
+  ): Promise<readonly LinkReply[]> {
+    const leadership = this.#leadership;
+    return [{ link, reply: await link.poll({ leadership, withChoices }) }];
+  }
+
+  async #pollBy(
+    relay: RankLink,
+    members: readonly RankLink[],
+  ): Promise<readonly LinkReply[]> {
+    const replies = await this.#relay({
+      relay,
+      members,
+      call: { kind: "poll" },
+    });
+    return members.map((link, index) => {
+      const reply = replies[index];
+      return reply?.kind === "polled" || reply?.kind === "newer"
+        ? { link, reply }
+        : { link, reply: undefined };
+    });
+  }
+
+  async #orderDirectly(
+    link: RankLink,
+    { order, epoch, way, onOutcome }: FanOutOrder,
+  ): Promise<void> {
+    const sent = { ...this.#leadership, order, epoch };
+    onOutcome(link, await link.order(sent, way));
+  }
+
+  async #orderBy(
+    relay: RankLink,
+    { members, sent }: {
+      readonly members: readonly RankLink[];
+      readonly sent: FanOutOrder;
+    },
+  ): Promise<void> {
+    const { order, onOutcome } = sent;
+    const call = chooseCall(members, sent);
+    const replies = await this.#relay({ relay, members, call });
+    members.forEach((link, index) => {
+      const reply = replies[index];
+      if (reply?.kind === "baseUnknown") {
+        link.forgetBase();
+        return void this.#orderDirectly(link, sent);
+      }
+      // Whoever asks again calls a silent agent directly.
+      if (!isOrderReply(reply)) return onOutcome(link, "lost");
+      link.noteOrdered(order, reply);
+      if (reply.kind === "ordered") return onOutcome(link, reply.result);
+      onOutcome(link, { newerTerm: reply.term });
+    });
+  }
+
+  /** Replies in the order of the members. */
+  async #relay(
+    { relay, members, call }: {
+      readonly relay: RankLink;
+      readonly members: readonly RankLink[];
+      readonly call: RelayedCall;
+    },
+  ): Promise<readonly (RelayedReply | undefined)[]> {
+    const result = await relay.relay({
+      leadership: this.#leadership,
+      addresses: members.map(({ agentAddress }) => agentAddress),
+      call,
+    });
+    // Nothing is known of the members if the relay itself is silent.
+    if (result === undefined) return [];
+    if ("newerTerm" in result) {
+      return members.map(() => ({ kind: "newer", term: result.newerTerm }));
+    }
+    return members.map((link, index) => {
+      const reply = result[index];
+      if (reply === null || reply === undefined) link.noteSilent(NO_REPLY);
+      return reply ?? undefined;
+    });
+  }
+}
+
+/** A map goes as a change where all members know the same one. */
+function chooseCall(
+  members: readonly RankLink[],
+  { order, epoch }: FanOutOrder,
+): RelayedCall {
+  const [base] = members.map((link) => link.base);
+  const isShared = base !== undefined &&
+    members.every((link) => link.base?.version === base.version);
+  return order.kind === "prepare" && isShared
+    ? { kind: "prepareChange", ...encodeChange({ order, epoch, base }) }
+    : { kind: "order", epoch, order: encodeOrder(order) };
+}
+
+function isOrderReply(reply: RelayedReply | undefined): reply is OrderReply {
+  return reply?.kind === "ordered" || reply?.kind === "newer";
+}
+
+function toCandidate(link: RankLink) {
+  const { dataCentre, isSound } = link;
+  return { link, dataCentre, isSound };
+}
--- a/daemon/serve-rank/src/poll_ranks.ts
+++ b/daemon/serve-rank/src/poll_ranks.ts
@@ -3,10 +3,10 @@
  * a large group, choices are asked of a sample of the ranks.
  */
 
-import type { Leadership } from "@dandelionbank/lead-group";
 import { isSampled } from "@dandelionbank/plan-experts";
 import { decodeCounts, type PollReply } from "@dandelionbank/rank-api";
 import type { AgentOrders, RankReport } from "@dandelionbank/types";
+import type { FanOut, LinkReply } from "./fan_out.ts";
 import type { RankLink } from "./rank_link.ts";
 
 /** How often a rank is read past an agent that does not answer. */
@@ -14,7 +14,7 @@
 
 export interface RankPollerOptions {
   readonly group: string;
-  readonly leadership: Leadership;
+  readonly fanOut: FanOut;
   /** Ways to every target of the service, whatever group it is in. */
   readonly listLinks: () => readonly RankLink[];
 }
@@ -54,19 +54,18 @@
   async poll(
     { withChoices }: { readonly withChoices: boolean },
   ): Promise<PollRound> {
-    const sample = new Set(this.#listSample());
-    return await this.#poll(
-      this.#options.listLinks().map((link) => ({
-        link,
-        withChoices: withChoices && sample.has(link),
-      })),
+    const { fanOut, listLinks } = this.#options;
+    const sample = new Set(withChoices ? this.#listSample() : []);
+    return this.#takeReplies(
+      await fanOut.poll(listLinks(), (link) => sample.has(link)),
     );
   }
 
   /** Polls only the ranks whose choices are asked for. */
   async pollSample(): Promise<PollRound> {
-    return await this.#poll(
-      this.#listSample().map((link) => ({ link, withChoices: true })),
+    const { fanOut } = this.#options;
+    return this.#takeReplies(
+      await fanOut.poll(this.#listSample(), () => true),
     );
   }
 
@@ -76,19 +75,7 @@
     );
   }
 
-  async #poll(
-    asked: readonly {
-      readonly link: RankLink;
-      readonly withChoices: boolean;
-    }[],
-  ): Promise<PollRound> {
-    const { leadership } = this.#options;
-    const polls = await Promise.all(
-      asked.map(async ({ link, withChoices }) => ({
-        link,
-        reply: await link.poll({ leadership, withChoices }),
-      })),
-    );
+  #takeReplies(polls: readonly LinkReply[]): PollRound {
     const answered = polls.flatMap(({ link, reply }) => {
       const report = reply?.kind === "polled" ? reply.report : undefined;
       if (reply?.kind !== "polled" || !this.#noteReport(report, link)) {
--- a/daemon/serve-rank/src/rank_agent.ts
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -21,6 +21,8 @@
   type PollReply,
   type PollRequest,
   type RankHandlers,
+  type RelayReply,
+  type RelayRequest,
 } from "@dandelionbank/rank-api";
 import type {
   AgentOrders,
@@ -29,6 +31,7 @@
   RankReport,
 } from "@dandelionbank/types";
 import { ChoiceSnapshots } from "./choice_snapshots.ts";
+import { CallRelay } from "./relay_calls.ts";
 
 /** An order without an answer may be carried out up to 12 s later. */
 const LATE_ORDER_MS = 13_000;
@@ -37,6 +40,8 @@
   readonly engine: EngineClient;
   readonly lead: LeadState;
   readonly logger: Logger;
+  /** `IP:PORT` at which other agents reach this one. */
+  readonly address: string;
 }
 
 interface PreparedMap {
@@ -46,6 +51,7 @@
 
 export class RankAgent implements RankHandlers {
   readonly #options: RankAgentOptions;
+  readonly #relay: CallRelay;
   readonly #snapshots = ChoiceSnapshots.create();
   #report: RankReport | undefined;
   #isEngineLost = false;
@@ -57,6 +63,7 @@
 
   private constructor(options: RankAgentOptions) {
     this.#options = options;
+    this.#relay = CallRelay.create({ ownAddress: options.address, own: this });
   }
 
   static create(options: RankAgentOptions): RankAgent {
@@ -127,6 +134,18 @@
     return await this.order({ ...rest, order });
   }
 
+  /** Passes a coordinator's call on to agents near this one. */
+  async relay(request: RelayRequest): Promise<RelayReply> {
+    const newer = this.#follow(request);
+    if (newer !== undefined) return newer;
+    const replies = await this.#relay.pass(request);
+    return { kind: "relayed", replies };
+  }
+
+  close(): void {
+    this.#relay.close();
+  }
+
   readExperts(): Promise<HeldExperts | undefined> {
     return this.#options.engine.readExperts();
   }
--- a/daemon/serve-rank/src/rank_link.ts
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -4,12 +4,15 @@
 import { EngineClient } from "@dandelionbank/platform-adapter";
 import {
   createRankClient,
+  type EncodedOrder,
   encodeMap,
   encodeMapChange,
   type OrderReply,
   type PollReply,
   type RankClient,
   type RankHandlers,
+  type RelayedCall,
+  type RelayedReply,
 } from "@dandelionbank/rank-api";
 import type {
   ExpertMap,
@@ -32,10 +35,11 @@
   readonly agentAddress: string;
   /** `IP:PORT` of the engine. */
   readonly engineAddress: string;
+  readonly dataCentre: string;
   /** The agent in this process, for the coordinator's own rank. */
   readonly local: RankHandlers | undefined;
-  /** Ways that the coordinator uses at the same time. */
-  readonly linkCount: number;
+  /** Calls that the coordinator has under way at a time. */
+  readonly callsAtOnce: number;
 }
 
 /** Whether an order goes by the agent, past it, or past it if it is silent. */
@@ -46,7 +50,13 @@
   readonly withChoices: boolean;
 }
 
-interface PreparedMap {
+/** An order as the coordinator sends it. */
+export interface SentOrder extends Leadership {
+  readonly order: GroupOrder;
+  readonly epoch: number;
+}
+
+export interface PreparedMap {
   readonly version: number;
   readonly map: ExpertMap;
 }
@@ -57,18 +67,17 @@
   #engine: EngineClient | undefined;
   #lastSnapshot = 0;
   #failures = 0;
-  #askedAtMs = 0;
+  #askedAtMs: number | undefined;
   #lastFailure = "not asked";
-  /** The last map that the agent has passed on. */
   #base: PreparedMap | undefined;
 
   private constructor(options: RankLinkOptions) {
     this.#options = options;
-    const { local, agentAddress, linkCount } = options;
+    const { local, agentAddress, callsAtOnce } = options;
     if (local !== undefined) return;
     this.#client = createRankClient({
       address: agentAddress,
-      timeoutMs: CALL_TIMEOUT_MS + linkCount * CALL_TIMEOUT_PER_LINK_MS,
+      timeoutMs: CALL_TIMEOUT_MS + callsAtOnce * CALL_TIMEOUT_PER_LINK_MS,
     });
   }
 
@@ -76,20 +85,38 @@
     return new RankLink(options);
   }
 
+  get agentAddress(): string {
+    return this.#options.agentAddress;
+  }
+
+  get dataCentre(): string {
+    return this.#options.dataCentre;
+  }
+
+  /** Whether the agent, another process, has answered when it was asked last. */
+  get isSound(): boolean {
+    return this.#client !== undefined && this.#askedAtMs !== undefined &&
+      this.#failures === 0;
+  }
+
   /** Why the agent did not answer last. */
   get lastFailure(): string {
     return this.#lastFailure;
   }
 
+  /** The last map that the agent has passed on. */
+  get base(): PreparedMap | undefined {
+    return this.#base;
+  }
+
   /** `undefined` if the agent does not answer. */
   async poll(
     { leadership, withChoices }: LinkPoll,
   ): Promise<PollReply | undefined> {
     const nowMs = performance.now();
     const isFailing = this.#failures >= MAX_FAILURES;
-    if (isFailing && nowMs - this.#askedAtMs < FAILED_INTERVAL_MS) {
-      return undefined;
-    }
+    const sinceMs = nowMs - (this.#askedAtMs ?? 0);
+    if (isFailing && sinceMs < FAILED_INTERVAL_MS) return undefined;
     this.#askedAtMs = nowMs;
     const request = {
       ...leadership,
@@ -105,12 +132,18 @@
       }
       return reply as PollReply;
     } catch (error) {
-      this.#failures += 1;
-      this.#lastFailure = String(error);
+      this.noteSilent(String(error));
       return undefined;
     }
   }
 
+  /** Its agent did not answer; it is no relay until it has. */
+  noteSilent(reason: string): void {
+    this.#failures += 1;
+    this.#lastFailure = reason;
+    this.#base = undefined;
+  }
+
   /** Reads the engine past its agent. */
   readReport(): Promise<RankReport | undefined> {
     return this.#openEngine().readReport();
@@ -118,18 +151,15 @@
 
   /** The term of a newer coordinator if the agent knows one. */
   async order(
-    { leadership, order, epoch, way }: {
-      readonly leadership: Leadership;
-      readonly order: GroupOrder;
-      readonly epoch: number;
-      readonly way: OrderWay;
-    },
+    sent: SentOrder,
+    way: OrderWay,
   ): Promise<GroupOrderResult | { readonly newerTerm: number }> {
+    const { order, epoch } = sent;
     if (way === "direct") return await this.#orderEngine(order, epoch);
-    const request = { ...leadership, order, epoch };
     try {
-      const reply = await (this.#options.local?.order(request) ??
-        this.#callOrder(request));
+      const reply = await (this.#options.local?.order(sent) ??
+        this.#callOrder(sent));
+      this.noteOrdered(order, reply);
       if (reply.kind === "newer") return { newerTerm: reply.term };
       return reply.result;
     } catch (error) {
@@ -142,6 +172,44 @@
     }
   }
 
+  /** Passes a call on by this agent; `undefined` if it does not answer. */
+  async relay(
+    { leadership, addresses, call }: {
+      readonly leadership: Leadership;
+      readonly addresses: readonly string[];
+      readonly call: RelayedCall;
+    },
+  ): Promise<
+    | readonly (RelayedReply | null)[]
+    | { readonly newerTerm: number }
+    | undefined
+  > {
+    try {
+      const reply = await this.#client!.calls.relay.mutate({
+        ...leadership,
+        addresses: [...addresses],
+        call,
+      });
+      if (reply.kind === "newer") return { newerTerm: reply.term };
+      return reply.replies as readonly (RelayedReply | null)[];
+    } catch (error) {
+      this.noteSilent(String(error));
+      return undefined;
+    }
+  }
+
+  /** What the reply to an order says of the map that the agent knows. */
+  noteOrdered(order: GroupOrder, reply: OrderReply): void {
+    if (order.kind !== "prepare") return;
+    const { version, map } = order;
+    const isTaken = reply.kind === "ordered" && reply.result === "done";
+    this.#base = isTaken ? { version, map } : undefined;
+  }
+
+  forgetBase(): void {
+    this.#base = undefined;
+  }
+
   async readExperts(): Promise<HeldExperts | undefined> {
     try {
       return await (this.#options.local?.readExperts() ??
@@ -157,37 +225,25 @@
     void this.#engine?.close().catch(() => undefined);
   }
 
-  async #callOrder(request: SentOrder): Promise<OrderReply> {
-    const { order, ...rest } = request;
+  /** A map goes as a change of the one that the agent knows, if it can. */
+  async #callOrder(
+    { order, epoch, ...leadership }: SentOrder,
+  ): Promise<OrderReply> {
     const { calls } = this.#client!;
-    if (order.kind !== "prepare") {
-      return await calls.order.mutate({ ...rest, order });
-    }
-    const { version, map } = order;
-    const reply = await this.#callChange(request, map) ??
-      await calls.order.mutate({
-        ...rest,
-        order: { ...order, map: encodeMap(map) },
-      });
-    const isTaken = reply.kind === "ordered" && reply.result === "done";
-    this.#base = isTaken ? { version, map } : undefined;
-    return reply;
-  }
-
-  /** Sends only what changes; `undefined` if the agent needs the whole map. */
-  async #callChange(
-    { order, ...rest }: SentOrder,
-    map: ExpertMap,
-  ): Promise<OrderReply | undefined> {
     const base = this.#base;
-    if (order.kind !== "prepare" || base === undefined) return undefined;
-    const reply = await this.#client!.calls.prepareChange.mutate({
-      ...rest,
-      version: order.version,
-      baseVersion: base.version,
-      change: encodeMapChange(base.map, map),
+    if (order.kind === "prepare" && base !== undefined) {
+      const change = encodeChange({ order, epoch, base });
+      const reply = await calls.prepareChange.mutate({
+        ...leadership,
+        ...change,
+      });
+      if (reply.kind !== "baseUnknown") return reply;
+    }
+    return await calls.order.mutate({
+      ...leadership,
+      epoch,
+      order: encodeOrder(order),
     });
-    return reply.kind === "baseUnknown" ? undefined : reply;
   }
 
   #orderEngine(order: GroupOrder, epoch: number): Promise<GroupOrderResult> {
@@ -200,7 +256,22 @@
   }
 }
 
-interface SentOrder extends Leadership {
-  readonly order: GroupOrder;
-  readonly epoch: number;
+export function encodeOrder(order: GroupOrder): EncodedOrder {
+  if (order.kind !== "prepare") return order;
+  return { ...order, map: encodeMap(order.map) };
+}
+
+export function encodeChange(
+  { order, epoch, base }: {
+    readonly order: Extract<GroupOrder, { readonly kind: "prepare" }>;
+    readonly epoch: number;
+    readonly base: PreparedMap;
+  },
+) {
+  return {
+    epoch,
+    version: order.version,
+    baseVersion: base.version,
+    change: encodeMapChange(base.map, order.map),
+  };
 }
--- a/daemon/serve-rank/src/rank_process.ts
+++ b/daemon/serve-rank/src/rank_process.ts
@@ -5,6 +5,7 @@
 
 import { computeBackoffMs } from "@dandelionbank/back-off";
 import {
+  countCallsAtOnce,
   createLeadState,
   type LeadState,
   startWaiting,
@@ -60,6 +61,7 @@
       engine: EngineClient.create(engineAddress),
       lead: this.#lead,
       logger,
+      address: `${ip}:${peerPort}`,
     });
     const client = StoreClient.create(`${store.host}:${store.port}`);
     this.#view = GroupView.create({ client, service, logger });
@@ -100,6 +102,7 @@
     this.#isStopped = true;
     this.#lead.isLeading = false;
     this.#view.unfollow();
+    this.#agent.close();
     await this.#server.close();
   }
 
@@ -157,14 +160,16 @@
 
   /** A link for each target of the service, kept as long as it is there. */
   #listLinks(): readonly RankLink[] {
-    const addresses = new Set(this.#view.targets.map((each) => each.address));
-    addresses.add(this.#engineAddress);
-    for (const address of addresses) {
+    const places = new Map(
+      this.#view.targets.map((each) => [each.address, each.dataCentre]),
+    );
+    places.set(this.#engineAddress, this.#options.settings.dataCentre);
+    for (const [address, dataCentre] of places) {
       if (this.#links.has(address)) continue;
-      this.#links.set(address, this.#openLink(address));
+      this.#links.set(address, this.#openLink(address, dataCentre));
     }
     for (const [address, link] of this.#links) {
-      if (addresses.has(address)) continue;
+      if (places.has(address)) continue;
       link.close();
       this.#links.delete(address);
     }
@@ -172,12 +177,13 @@
   }
 
   /** Agents run on the VMs of their engines. */
-  #openLink(engineAddress: string): RankLink {
+  #openLink(engineAddress: string, dataCentre: string): RankLink {
     const host = parseAddress(engineAddress)?.host ?? "";
     return RankLink.create({
       agentAddress: `${host}:${this.#options.settings.peerPort}`,
       engineAddress,
-      linkCount: this.#view.targets.length,
+      dataCentre,
+      callsAtOnce: countCallsAtOnce(this.#view.targets.length),
       local: engineAddress === this.#engineAddress ? this.#agent : undefined,
     });
   }
--- a/peers/rank-api/src/mod.ts
+++ b/peers/rank-api/src/mod.ts
@@ -14,6 +14,7 @@
   ChangeReply,
   ChangeRequest,
   Choices,
+  EncodedOrder,
   NewerTerm,
   OrderReply,
   OrderRequest,
@@ -21,4 +22,8 @@
   PollRequest,
   RankHandlers,
   RankRouter,
+  RelayedCall,
+  RelayedReply,
+  RelayReply,
+  RelayRequest,
 } from "./rank_router.ts";
--- a/peers/rank-api/src/rank_router.ts
+++ b/peers/rank-api/src/rank_router.ts
@@ -51,8 +51,8 @@
   | NewerTerm
   | { readonly kind: "ordered"; readonly result: GroupOrderResult };
 
-/** Prepares a map that is told as a change of one the agent has passed on. */
-export interface ChangeRequest extends Leadership {
+/** A map that is told as a change of one the agent has passed on. */
+export interface MapChange {
   readonly epoch: number;
   readonly version: number;
   readonly baseVersion: number;
@@ -60,15 +60,54 @@
   readonly change: string;
 }
 
+export interface ChangeRequest extends Leadership, MapChange {}
+
 export type ChangeReply =
   | OrderReply
   /** The agent does not know the base; it needs the whole map. */
   | { readonly kind: "baseUnknown" };
 
+/** An order as it is sent. */
+export type EncodedOrder =
+  | Exclude<GroupOrder, { readonly kind: "prepare" }>
+  | {
+    readonly kind: "prepare";
+    readonly version: number;
+    /** As `encodeMap` writes it. */
+    readonly map: string;
+  };
+
+/** What an agent calls others for. A poll brings the report alone. */
+export type RelayedCall =
+  | { readonly kind: "poll" }
+  | {
+    readonly kind: "order";
+    readonly epoch: number;
+    readonly order: EncodedOrder;
+  }
+  | ({ readonly kind: "prepareChange" } & MapChange);
+
+export interface RelayRequest extends Leadership {
+  /** Agents, `IP:PORT`; the one that is asked may be among them. */
+  readonly addresses: readonly string[];
+  readonly call: RelayedCall;
+}
+
+export type RelayedReply = PollReply | ChangeReply;
+
+export type RelayReply =
+  | NewerTerm
+  | {
+    readonly kind: "relayed";
+    /** In the order of the addresses; `null` for one without a reply. */
+    readonly replies: readonly (RelayedReply | null)[];
+  };
+
 export interface RankHandlers {
   poll(request: PollRequest): Promise<PollReply>;
   order(request: OrderRequest): Promise<OrderReply>;
   prepareChange(request: ChangeRequest): Promise<ChangeReply>;
+  relay(request: RelayRequest): Promise<RelayReply>;
   readExperts(): Promise<HeldExperts | undefined>;
 }
 
@@ -95,27 +134,43 @@
   sinceSnapshot: COUNT,
   withChoices: v.boolean(),
 });
+const STEP_ORDERS = [
+  v.object({ kind: v.literal("arm"), version: COUNT, step: COUNT }),
+  v.object({ kind: v.literal("hold"), step: COUNT }),
+  v.object({ kind: v.literal("release"), step: COUNT }),
+] as const;
+const PREPARE = { kind: v.literal("prepare"), version: COUNT };
 const ORDER_SCHEMA = v.object({
   ...LEADERSHIP,
   epoch: COUNT,
   order: v.variant("kind", [
-    v.object({
-      kind: v.literal("prepare"),
-      version: COUNT,
-      map: MAP,
-    }),
-    v.object({ kind: v.literal("arm"), version: COUNT, step: COUNT }),
-    v.object({ kind: v.literal("hold"), step: COUNT }),
-    v.object({ kind: v.literal("release"), step: COUNT }),
+    v.object({ ...PREPARE, map: MAP }),
+    ...STEP_ORDERS,
   ]),
 });
-
-const CHANGE_SCHEMA = v.object({
-  ...LEADERSHIP,
+const CHANGE = {
   epoch: COUNT,
   version: COUNT,
   baseVersion: COUNT,
   change: v.string(),
+};
+const CHANGE_SCHEMA = v.object({ ...LEADERSHIP, ...CHANGE });
+const MAX_RELAYED = 64;
+const RELAY_SCHEMA = v.object({
+  ...LEADERSHIP,
+  addresses: v.pipe(v.array(v.string()), v.maxLength(MAX_RELAYED)),
+  call: v.variant("kind", [
+    v.object({ kind: v.literal("poll") }),
+    v.object({
+      kind: v.literal("order"),
+      epoch: COUNT,
+      order: v.variant("kind", [
+        v.object({ ...PREPARE, map: v.string() }),
+        ...STEP_ORDERS,
+      ]),
+    }),
+    v.object({ kind: v.literal("prepareChange"), ...CHANGE }),
+  ]),
 });
 
 export type RankRouter = ReturnType<typeof createRankRouter>;
@@ -132,6 +187,9 @@
     prepareChange: trpc.procedure
       .input(CHANGE_SCHEMA)
       .mutation(({ input }) => handlers.prepareChange(input)),
+    relay: trpc.procedure
+      .input(RELAY_SCHEMA)
+      .mutation(({ input }) => handlers.relay(input)),
     readExperts: trpc.procedure.query(() => handlers.readExperts()),
   });
 }
--- a/testing/ingress-tests/src/group_test.ts
+++ b/testing/ingress-tests/src/group_test.ts
@@ -1,6 +1,10 @@
 import type { Logger } from "@dandelionbank/log-events";
 import { RankProcess } from "@dandelionbank/serve-rank";
-import { SiteGroup, SiteStore } from "@dandelionbank/standin-site";
+import {
+  SiteGroup,
+  type SiteGroupOptions,
+  SiteStore,
+} from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import { createServer } from "node:net";
 import { test, type TestContext } from "node:test";
@@ -13,6 +17,8 @@
 } from "./fixtures.ts";
 
 const SHAPE = { ranks: 3, sets: 2, expertsPerSet: 6 };
+/** Enough ranks for the coordinator to call them by relays. */
+const LARGE_SHAPE = { ranks: 20, sets: 2, expertsPerSet: 40 };
 
 test("A hot expert is spread over the ranks, and again when demand jumps", async (t) => {
   const { group } = await startGroup(t);
@@ -75,6 +81,44 @@
   await waitFor(() => group.model.mapVersion > 0);
 });
 
+test("A large group is switched by relays, again and again", async (t) => {
+  const { group, lines } = await startGroup(t, LARGE_SHAPE);
+  for (const hot of [3, 17, 30]) {
+    group.hotExpert = hot;
+    const before = group.model.mapVersion;
+    await waitFor(() => group.model.mapVersion > before);
+  }
+  const names = new Set(lines.flat().map(({ name }) => name));
+  assert.ok(!names.has("ranksReadPast"), "every agent was reached");
+});
+
+test("A switch goes on past relays that freeze while a pass is held", async (t) => {
+  const { group, agents, lines, peerPort } = await startGroup(t, LARGE_SHAPE);
+  await waitFor(() => group.model.mapVersion > 0);
+  const leader = findLeader(lines);
+  const freeze = async (rank: number) => {
+    await agents[rank]!.stop();
+    // Connections are made, and nothing is ever answered.
+    const silent = createServer().listen(peerPort, group.host(rank));
+    t.after(() => silent.close());
+  };
+  let isFrozen = false;
+  group.fateOf = ({ kind }) => {
+    if (kind === "hold" && !isFrozen) {
+      isFrozen = true;
+      const relays = [0, 1, 2].filter((rank) => rank !== leader);
+      for (const rank of relays) void freeze(rank);
+    }
+    return "answered";
+  };
+  const before = group.model.mapVersion;
+  group.hotExpert = 30;
+  await waitFor(() => isFrozen);
+  await waitFor(() => group.model.mapVersion > before);
+  await waitFor(() => !group.model.hasStrayHold);
+  assert.equal(findLeader(lines), leader);
+});
+
 function findLeader(lines: readonly LoggedLine[][]): number {
   let leader = -1;
   let term = -1;
@@ -89,14 +133,14 @@
   return leader;
 }
 
-async function startGroup(t: TestContext) {
+async function startGroup(t: TestContext, shape: SiteGroupOptions = SHAPE) {
   const [store, group, peerPort] = await Promise.all([
     SiteStore.create(),
-    SiteGroup.create(SHAPE),
+    SiteGroup.create(shape),
     findPort(),
   ]);
-  store.put("config", "main", createConfiguration());
-  for (let rank = 0; rank < SHAPE.ranks; rank++) {
+  store.put("config", "main", createConfiguration(shape));
+  for (let rank = 0; rank < shape.ranks; rank++) {
     store.put("servers", `r${rank}`, {
       service: "s",
       address: group.address(rank),
@@ -107,7 +151,7 @@
   }
   const lines: LoggedLine[][] = [];
   const agents: RankProcess[] = [];
-  for (let rank = 0; rank < SHAPE.ranks; rank++) {
+  for (let rank = 0; rank < shape.ranks; rank++) {
     const own: LoggedLine[] = [];
     lines.push(own);
     const logger: Logger = {
@@ -134,7 +178,7 @@
   return { store, group, agents, lines, peerPort };
 }
 
-function createConfiguration() {
+function createConfiguration({ sets, expertsPerSet }: SiteGroupOptions) {
   return {
     version: 1,
     routes: [],
@@ -142,8 +186,8 @@
       name: "s",
       "engine_profile": {
         slots: 8,
-        "layer_sets": SHAPE.sets,
-        experts: SHAPE.expertsPerSet,
+        "layer_sets": sets,
+        experts: expertsPerSet,
         placements: 3,
         reserve: 1,
         "expert_mb": 1,
