Add up the choices of all ranks at their relays

Cause: maps of a large group were planned from the choices of 15 of 72 ranks. By them a plan was even to 1.15, but the passes were not (2.13 times the mean): requests differ from rank to rank, and a sample of a fifth of them is not what the group runs.

Change: a relay polls its members with choices and returns their sum, so all ranks count again and every round brings every report; the sample is gone. Large groups are polled every 250 ms like small ones, since a round by relays is cheap.

The test of poll intervals names a group of 288 now: with relays a group of 72 need not be polled less often than one of 16.

--- a/agreement/lead-group/src/lead_group.ts
+++ b/agreement/lead-group/src/lead_group.ts
@@ -25,10 +25,10 @@
   isLeading: boolean;
 }
 
-/** Choices come so often; passes take some tens of ms. */
+/** Choices come from all ranks so often; passes take some tens of ms. */
 const POLL_INTERVAL_MS = 250;
-/** A poll costs about a ms, and a VM gives part of a core. */
-const POLL_INTERVAL_PER_RANK_MS = 14;
+/** A poll by relays takes half a ms and 0.6 KB of the link for each rank. */
+const POLL_INTERVAL_PER_RANK_MS = 3.5;
 /** Looks without a word of the coordinator after which rank 0 takes over. */
 const SILENT_POLLS = 2.8;
 /** Added for each rank: longer than a new coordinator takes to be heard. */
@@ -84,11 +84,6 @@
   state.known = { ...NO_LEADERSHIP, term };
 }
 
-/** How often the coordinator of a group asks what was chosen. */
-export function readChoicesInterval(): number {
-  return POLL_INTERVAL_MS;
-}
-
 /** How often the coordinator of a group polls all ranks. */
 export function readPollInterval(groupSize: number): number {
   return Math.max(POLL_INTERVAL_MS, groupSize * POLL_INTERVAL_PER_RANK_MS);
--- a/agreement/lead-group/src/lead_group_test.ts
+++ b/agreement/lead-group/src/lead_group_test.ts
@@ -70,8 +70,8 @@
 
 test("A large group is polled less often, and waits longer for a poll", () => {
   const state = createLeadState({ name: "r0", nowMs: 0 });
-  const at = { rank: 0, groupSize: 72, wallMs: 0 };
+  const at = { rank: 0, groupSize: 288, wallMs: 0 };
   assert.ok(!takeDuty(state, { ...at, nowMs: 2_000 }));
   assert.ok(takeDuty(state, { ...at, nowMs: 3_000 }));
-  assert.ok(readPollInterval(72) > readPollInterval(16));
+  assert.ok(readPollInterval(288) > readPollInterval(16));
 });
--- a/agreement/lead-group/src/mod.ts
+++ b/agreement/lead-group/src/mod.ts
@@ -4,7 +4,6 @@
   createLeadState,
   followCoordinator,
   noteNewerTerm,
-  readChoicesInterval,
   readPollInterval,
   startWaiting,
   takeDuty,
--- a/agreement/plan-experts/src/follow_demand.ts
+++ b/agreement/plan-experts/src/follow_demand.ts
@@ -4,12 +4,6 @@
  * demand changes at once and an average across the change fits neither side.
  */
 
-/**
- * Ranks whose choices stand for the whole group. The requests of some hundred
- * slots show what is in demand, and the counts of all ranks of a large group
- * would fill the coordinator's link.
- */
-const SAMPLE_RANKS = 16;
 /** Time in which a count loses all but a third of its weight. */
 const FADE_MS = 1_500;
 /** The newest counts that are compared with the faded ones. */
@@ -40,17 +34,11 @@
   };
 }
 
-/** True if the rank's choices are asked for; those of a small group all are. */
-export function isSampled(rank: number, groupSize: number): boolean {
-  const stride = Math.ceil(groupSize / SAMPLE_RANKS);
-  return rank % stride === 0;
-}
-
 /** Takes in how often each expert was chosen since the last sample. */
 export function noteChoices(
   state: FollowedDemand,
   { counts, nowMs }: {
-    /** Of all sampled ranks together, set after set. */
+    /** Of all ranks together, set after set. */
     readonly counts: readonly number[];
     readonly nowMs: number;
   },
--- a/agreement/plan-experts/src/mod.ts
+++ b/agreement/plan-experts/src/mod.ts
@@ -7,7 +7,6 @@
 } from "./decide_change.ts";
 export {
   createFollowedDemand,
-  isSampled,
   noteChoices,
   readDemand,
 } from "./follow_demand.ts";
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -7,7 +7,6 @@
   type Leadership,
   type LeadState,
   noteNewerTerm,
-  readChoicesInterval,
   readPollInterval,
 } from "@dandelionbank/lead-group";
 import type { Logger } from "@dandelionbank/log-events";
@@ -46,8 +45,8 @@
 
 /** While experts are copied, which takes some hundred ms. */
 const PREPARE_INTERVAL_MS = 50;
-/** A poll of all ranks takes about a kilobyte of the link for each. */
-const PREPARE_INTERVAL_PER_RANK_MS = 2;
+/** A poll of all ranks takes some hundred bytes of the link for each. */
+const PREPARE_INTERVAL_PER_RANK_MS = 1;
 /** While the group may be held. */
 const SWITCH_INTERVAL_MS = 15;
 /** Sets below this are even enough; demand is not known better. */
@@ -80,8 +79,6 @@
   /** The map that the switch under way brings. */
   #coming: ExpertMap | undefined;
   #heardAt: Instant | undefined;
-  #reports: readonly RankReport[] = [];
-  #polledAtMs = 0;
   #countedAtMs = 0;
   #switchSinceMs = 0;
 
@@ -129,10 +126,14 @@
     return measureAgeMs(heardAt, readInstant()) < HEARD_LATELY_MS;
   }
 
+  get #pollIntervalMs(): number {
+    return readPollInterval(this.#switch.groupSize);
+  }
+
   get #intervalMs(): number {
     const { phase, groupSize } = this.#switch;
     const { name } = phase;
-    if (name === "idle") return readChoicesInterval();
+    if (name === "idle") return this.#pollIntervalMs;
     const isCopying = name === "preparing" || name === "settling";
     if (!isCopying) return SWITCH_INTERVAL_MS;
     return Math.max(
@@ -141,49 +142,29 @@
     );
   }
 
-  /** All ranks are polled while a switch is under way, and now and then. */
-  get #isFullPollDue(): boolean {
-    const { phase, groupSize } = this.#switch;
-    const intervalMs = readPollInterval(groupSize);
-    if (phase.name !== "idle" || intervalMs <= readChoicesInterval()) {
-      return true;
-    }
-    return performance.now() - this.#polledAtMs >= intervalMs;
-  }
-
   async #round(): Promise<void> {
     const nowMs = performance.now();
-    const withChoices = nowMs - this.#countedAtMs >= readChoicesInterval();
+    const withChoices = nowMs - this.#countedAtMs >= this.#pollIntervalMs;
     if (withChoices) this.#countedAtMs = nowMs;
-    const isFull = this.#isFullPollDue;
-    if (isFull) this.#polledAtMs = nowMs;
-    const round = isFull
-      ? await this.#poller.poll({ withChoices })
-      : await this.#poller.pollSample();
+    const round = await this.#poller.poll({ withChoices });
     if (round.newerTerm !== undefined) this.#stepDown(round.newerTerm);
     if (!this.#isLeading) return;
-    const { reports, choices } = round;
+    const { reports, agentOrders, choices } = round;
     if (choices !== undefined) {
       noteChoices(this.#demand, { counts: choices, nowMs: performance.now() });
     }
-    const wasIdle = this.#switch.phase.name === "idle";
-    if (isFull) await this.#takeReports(round);
-    if (reports.length > 0) this.#heardAt = readInstant();
-    // A change that is done makes room for the next at once.
-    const mayPlan = withChoices || !wasIdle;
-    if (mayPlan && isIdle(this.#switch)) await this.#planNext(this.#reports);
-  }
-
-  async #takeReports(round: PollRound): Promise<void> {
-    const { reports, agentOrders } = round;
     const readPast = await this.#readPast(round);
-    this.#reports = reports;
+    const wasIdle = this.#switch.phase.name === "idle";
     this.#post({
       type: "reported",
       reports: [...reports, ...readPast],
       isFollowedByAll: readPast.length === 0,
       agentOrders,
     });
+    if (reports.length > 0) this.#heardAt = readInstant();
+    // A change that is done makes room for the next at once.
+    const mayPlan = withChoices || !wasIdle;
+    if (mayPlan && isIdle(this.#switch)) await this.#planNext(reports);
   }
 
   /**
@@ -311,7 +292,7 @@
       choices: Math.round(
         (this.#demand.faded ?? []).reduce((sum, count) => sum + count, 0),
       ),
-      windowMs: readChoicesInterval(),
+      windowMs: this.#pollIntervalMs,
       skewBefore: Number(plan.skewBefore.toFixed(2)),
       skewAfter: Number(plan.skewAfter.toFixed(2)),
       copies: plan.copies,
--- a/daemon/serve-rank/src/fan_out.ts
+++ b/daemon/serve-rank/src/fan_out.ts
@@ -26,6 +26,12 @@
   readonly reply: PollReply | undefined;
 }
 
+export interface FannedPoll {
+  readonly replies: readonly LinkReply[];
+  /** Of several ranks each, as `encodeCounts`. */
+  readonly choices: readonly string[];
+}
+
 export type OrderOutcome =
   | GroupOrderResult
   | { readonly newerTerm: number };
@@ -49,23 +55,21 @@
     return new FanOut(leadership);
   }
 
-  /** Choices are asked of their links directly, reports by relays. */
   async poll(
     links: readonly RankLink[],
-    withChoices: (link: RankLink) => boolean,
-  ): Promise<readonly LinkReply[]> {
-    const asked = links.filter(withChoices);
-    const others = planRelays(
-      links.filter((link) => !withChoices(link)).map(toCandidate),
-    );
-    const replies = await Promise.all([
-      ...asked.map((link) => this.#pollDirectly(link, true)),
-      ...others.direct.map((link) => this.#pollDirectly(link, false)),
-      ...others.relayed.map(({ relay, members }) =>
-        this.#pollBy(relay, members)
+    { withChoices }: { readonly withChoices: boolean },
+  ): Promise<FannedPoll> {
+    const { direct, relayed } = planRelays(links.map(toCandidate));
+    const parts = await Promise.all([
+      ...direct.map((link) => this.#pollDirectly(link, withChoices)),
+      ...relayed.map(({ relay, members }) =>
+        this.#pollBy(relay, { members, withChoices })
       ),
     ]);
-    return replies.flat();
+    return {
+      replies: parts.flatMap(({ replies }) => replies),
+      choices: parts.flatMap(({ choices }) => choices),
+    };
   }
 
   order(links: readonly RankLink[], sent: FanOutOrder): void {
@@ -79,26 +83,37 @@
   async #pollDirectly(
     link: RankLink,
     withChoices: boolean,
-  ): Promise<readonly LinkReply[]> {
+  ): Promise<FannedPoll> {
     const leadership = this.#leadership;
-    return [{ link, reply: await link.poll({ leadership, withChoices }) }];
+    const reply = await link.poll({ leadership, withChoices });
+    const choices = reply?.kind === "polled" ? reply.choices : undefined;
+    return {
+      replies: [{ link, reply }],
+      choices: choices === undefined ? [] : [choices.counts],
+    };
   }
 
   async #pollBy(
     relay: RankLink,
-    members: readonly RankLink[],
-  ): Promise<readonly LinkReply[]> {
-    const replies = await this.#relay({
+    { members, withChoices }: {
+      readonly members: readonly RankLink[];
+      readonly withChoices: boolean;
+    },
+  ): Promise<FannedPoll> {
+    const { replies, choices } = await this.#relay({
       relay,
       members,
-      call: { kind: "poll" },
-    });
-    return members.map((link, index) => {
-      const reply = replies[index];
-      return reply?.kind === "polled" || reply?.kind === "newer"
-        ? { link, reply }
-        : { link, reply: undefined };
+      call: { kind: "poll", withChoices },
     });
+    return {
+      replies: members.map((link, index) => {
+        const reply = replies[index];
+        return reply?.kind === "polled" || reply?.kind === "newer"
+          ? { link, reply }
+          : { link, reply: undefined };
+      }),
+      choices: choices === undefined ? [] : [choices],
+    };
   }
 
   async #orderDirectly(
@@ -118,7 +133,7 @@
   ): Promise<void> {
     const { order, onOutcome } = sent;
     const call = chooseCall(members, sent);
-    const replies = await this.#relay({ relay, members, call });
+    const { replies } = await this.#relay({ relay, members, call });
     members.forEach((link, index) => {
       const reply = replies[index];
       if (reply?.kind === "baseUnknown") {
@@ -133,32 +148,40 @@
     });
   }
 
-  /** Replies in the order of the members. */
   async #relay(
     { relay, members, call }: {
       readonly relay: RankLink;
       readonly members: readonly RankLink[];
       readonly call: RelayedCall;
     },
-  ): Promise<readonly (RelayedReply | undefined)[]> {
+  ): Promise<RelayedReplies> {
     const result = await relay.relay({
       leadership: this.#leadership,
       addresses: members.map(({ agentAddress }) => agentAddress),
       call,
     });
     // Nothing is known of the members if the relay itself is silent.
-    if (result === undefined) return [];
-    if ("newerTerm" in result) {
-      return members.map(() => ({ kind: "newer", term: result.newerTerm }));
+    if (result === undefined) return { replies: [], choices: undefined };
+    if (result.kind === "newer") {
+      return { replies: members.map(() => result), choices: undefined };
     }
-    return members.map((link, index) => {
-      const reply = result[index];
+    members.forEach((link, index) => {
+      const reply = result.replies[index];
       if (reply === null || reply === undefined) link.noteSilent(NO_REPLY);
-      return reply ?? undefined;
     });
+    return {
+      replies: result.replies.map((reply) => reply ?? undefined),
+      choices: result.choices,
+    };
   }
 }
 
+interface RelayedReplies {
+  /** In the order of the members. */
+  readonly replies: readonly (RelayedReply | undefined)[];
+  readonly choices: string | undefined;
+}
+
 /** A map goes as a change where all members know the same one. */
 function chooseCall(
   members: readonly RankLink[],
--- a/daemon/serve-rank/src/poll_ranks.ts
+++ b/daemon/serve-rank/src/poll_ranks.ts
@@ -1,12 +1,8 @@
-/**
- * Polls the ranks of a group by their agents, and the silent ones past them. In
- * a large group, choices are asked of a sample of the ranks.
- */
+/** Polls all ranks of a group by their agents, and the silent ones past them. */
 
-import { isSampled } from "@dandelionbank/plan-experts";
-import { decodeCounts, type PollReply } from "@dandelionbank/rank-api";
+import { addCounts, type PollReply } from "@dandelionbank/rank-api";
 import type { AgentOrders, RankReport } from "@dandelionbank/types";
-import type { FanOut, LinkReply } from "./fan_out.ts";
+import type { FanOut } from "./fan_out.ts";
 import type { RankLink } from "./rank_link.ts";
 
 /** How often a rank is read past an agent that does not answer. */
@@ -24,7 +20,7 @@
   /** Of the group's ranks whose agents answered. */
   readonly reports: readonly RankReport[];
   readonly agentOrders: ReadonlyMap<number, AgentOrders>;
-  /** Choices of the sample together; undefined if none were asked for or made. */
+  /** Choices of all ranks together; undefined if none were asked for or made. */
   readonly choices: readonly number[] | undefined;
   /** A newer coordinator that some agent follows. */
   readonly newerTerm: number | undefined;
@@ -35,7 +31,6 @@
   readonly #options: RankPollerOptions;
   readonly #links = new Map<number, RankLink>();
   #readPastAtMs = Number.NEGATIVE_INFINITY;
-  #groupSize = 0;
 
   private constructor(options: RankPollerOptions) {
     this.#options = options;
@@ -50,33 +45,14 @@
     return this.#links.get(rank);
   }
 
-  /** Polls all ranks. */
   async poll(
     { withChoices }: { readonly withChoices: boolean },
   ): Promise<PollRound> {
     const { fanOut, listLinks } = this.#options;
-    const sample = new Set(withChoices ? this.#listSample() : []);
-    return this.#takeReplies(
-      await fanOut.poll(listLinks(), (link) => sample.has(link)),
-    );
-  }
-
-  /** Polls only the ranks whose choices are asked for. */
-  async pollSample(): Promise<PollRound> {
-    const { fanOut } = this.#options;
-    return this.#takeReplies(
-      await fanOut.poll(this.#listSample(), () => true),
-    );
-  }
-
-  #listSample(): readonly RankLink[] {
-    return [...this.#links].flatMap(([rank, link]) =>
-      isSampled(rank, this.#groupSize) ? [link] : []
-    );
-  }
-
-  #takeReplies(polls: readonly LinkReply[]): PollRound {
-    const answered = polls.flatMap(({ link, reply }) => {
+    const { replies, choices } = await fanOut.poll(listLinks(), {
+      withChoices,
+    });
+    const answered = replies.flatMap(({ link, reply }) => {
       const report = reply?.kind === "polled" ? reply.report : undefined;
       if (reply?.kind !== "polled" || !this.#noteReport(report, link)) {
         return [];
@@ -88,9 +64,9 @@
       agentOrders: new Map(
         answered.map(({ report, orders }) => [report.rank, orders]),
       ),
-      choices: sumChoices(answered),
-      newerTerm: findNewerTerm(polls.map(({ reply }) => reply)),
-      silent: polls.flatMap(({ link, reply }) =>
+      choices: sumChoices(choices),
+      newerTerm: findNewerTerm(replies.map(({ reply }) => reply)),
+      silent: replies.flatMap(({ link, reply }) =>
         reply === undefined ? [link] : []
       ),
     };
@@ -117,22 +93,15 @@
     link: RankLink,
   ): report is RankReport {
     if (report?.group !== this.#options.group) return false;
-    this.#groupSize = report.groupSize;
     this.#links.set(report.rank, link);
     return true;
   }
 }
 
-type Polled = Extract<PollReply, { readonly kind: "polled" }>;
-
-function sumChoices(polled: readonly Polled[]): readonly number[] | undefined {
-  let sum: number[] | undefined;
-  for (const { choices } of polled) {
-    if (choices === undefined) continue;
-    const counts = decodeCounts(choices.counts);
-    if (sum === undefined) sum = [...counts];
-    else counts.forEach((count, index) => sum![index]! += count);
-  }
+function sumChoices(
+  encoded: readonly string[],
+): readonly number[] | undefined {
+  const sum = addCounts(encoded);
   return sum?.some((count) => count > 0) ? sum : undefined;
 }
 
--- a/daemon/serve-rank/src/rank_agent.ts
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -138,8 +138,7 @@
   async relay(request: RelayRequest): Promise<RelayReply> {
     const newer = this.#follow(request);
     if (newer !== undefined) return newer;
-    const replies = await this.#relay.pass(request);
-    return { kind: "relayed", replies };
+    return await this.#relay.pass(request);
   }
 
   close(): void {
--- a/daemon/serve-rank/src/rank_link.ts
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -12,7 +12,7 @@
   type RankClient,
   type RankHandlers,
   type RelayedCall,
-  type RelayedReply,
+  type RelayReply,
 } from "@dandelionbank/rank-api";
 import type {
   ExpertMap,
@@ -179,19 +179,14 @@
       readonly addresses: readonly string[];
       readonly call: RelayedCall;
     },
-  ): Promise<
-    | readonly (RelayedReply | null)[]
-    | { readonly newerTerm: number }
-    | undefined
-  > {
+  ): Promise<RelayReply | undefined> {
     try {
-      const reply = await this.#client!.calls.relay.mutate({
+      // Fields that are undefined are left out on the way.
+      return await this.#client!.calls.relay.mutate({
         ...leadership,
         addresses: [...addresses],
         call,
-      });
-      if (reply.kind === "newer") return { newerTerm: reply.term };
-      return reply.replies as readonly (RelayedReply | null)[];
+      }) as RelayReply;
     } catch (error) {
       this.noteSilent(String(error));
       return undefined;
--- a/daemon/serve-rank/src/relay_calls.ts
+++ b/daemon/serve-rank/src/relay_calls.ts
@@ -1,12 +1,17 @@
 /** An agent's part in passing a coordinator's calls on to other agents. */
 
+import type { Leadership } from "@dandelionbank/lead-group";
 import {
+  addCounts,
   createRankClient,
   decodeMap,
+  encodeCounts,
+  type PollRequest,
   type RankClient,
   type RankHandlers,
   type RelayedCall,
   type RelayedReply,
+  type RelayReply,
   type RelayRequest,
 } from "@dandelionbank/rank-api";
 
@@ -14,6 +19,8 @@
 const CALL_TIMEOUT_MS = 250;
 /** Agents of one data centre, with those of ranks that are gone. */
 const MAX_CLIENTS = 64;
+/** Choices since an older snapshot say nothing of what is in demand now. */
+const MAX_SNAPSHOT_AGE_MS = 1_000;
 
 export interface CallRelayOptions {
   /** `IP:PORT` of the agent in this process. */
@@ -21,9 +28,18 @@
   readonly own: Pick<RankHandlers, "poll" | "order" | "prepareChange">;
 }
 
+type Relayed = Extract<RelayReply, { readonly kind: "relayed" }>;
+
+interface Snapshot {
+  readonly number: number;
+  readonly atMs: number;
+}
+
 export class CallRelay {
   readonly #options: CallRelayOptions;
   readonly #clients = new Map<string, RankClient>();
+  /** The last one that each agent told, by its address. */
+  readonly #snapshots = new Map<string, Snapshot>();
 
   private constructor(options: CallRelayOptions) {
     this.#options = options;
@@ -33,20 +49,79 @@
     return new CallRelay(options);
   }
 
-  /** Replies in the order of the addresses; `null` for one without a reply. */
   async pass(
     { addresses, call, ...leadership }: RelayRequest,
-  ): Promise<readonly (RelayedReply | null)[]> {
-    return await Promise.all(addresses.map(async (address) => {
+  ): Promise<Relayed> {
+    const replies = await Promise.all(addresses.map(async (address) => {
       try {
-        return address === this.#options.ownAddress
-          ? await callOwn(this.#options.own, { ...leadership, call })
-          : await callOther(this.#open(address), { ...leadership, call });
+        return call.kind === "poll"
+          ? await this.#poll(address, { ...leadership, ...call })
+          : await this.#order(address, { leadership, call });
       } catch {
         // The coordinator calls it directly next, and logs why that fails.
         return null;
       }
     }));
+    const choices = addCounts(
+      replies.flatMap((reply) =>
+        reply?.kind === "polled" && reply.choices !== undefined
+          ? [reply.choices.counts]
+          : []
+      ),
+    );
+    return {
+      kind: "relayed",
+      replies: replies.map((reply) =>
+        reply?.kind === "polled" ? { ...reply, choices: undefined } : reply
+      ),
+      choices: choices === undefined ? undefined : encodeCounts(choices),
+    };
+  }
+
+  async #poll(
+    address: string,
+    { withChoices, ...leadership }: Leadership & {
+      readonly withChoices: boolean;
+    },
+  ): Promise<RelayedReply> {
+    const { term, coordinator, rank } = leadership;
+    const request: PollRequest = {
+      term,
+      coordinator,
+      rank,
+      withChoices,
+      sinceSnapshot: this.#lastSnapshot(address),
+    };
+    const { ownAddress, own } = this.#options;
+    const reply = address === ownAddress
+      ? await own.poll(request)
+      // Fields that are undefined are left out on the way.
+      : await this.#open(address).calls.poll.mutate(request) as RelayedReply;
+    if (reply.kind === "polled" && reply.choices !== undefined) {
+      const { snapshot } = reply.choices;
+      const atMs = performance.now();
+      this.#snapshots.set(address, { number: snapshot, atMs });
+    }
+    return reply;
+  }
+
+  #lastSnapshot(address: string): number {
+    const last = this.#snapshots.get(address);
+    if (last === undefined) return 0;
+    const isRecent = performance.now() - last.atMs < MAX_SNAPSHOT_AGE_MS;
+    return isRecent ? last.number : 0;
+  }
+
+  async #order(
+    address: string,
+    { leadership, call }: {
+      readonly leadership: Leadership;
+      readonly call: OrderCall;
+    },
+  ): Promise<RelayedReply> {
+    return address === this.#options.ownAddress
+      ? await orderOwn(this.#options.own, { leadership, call })
+      : await orderOther(this.#open(address), { leadership, call });
   }
 
   close(): void {
@@ -71,56 +146,36 @@
   }
 }
 
-type CallByLeader = Omit<RelayRequest, "addresses">;
+type OrderCall = Exclude<RelayedCall, { readonly kind: "poll" }>;
 
-/** A poll that is passed on brings the report alone. */
-const REPORT_ONLY = { withChoices: false, sinceSnapshot: 0 } as const;
+interface OrderByLeader {
+  readonly leadership: Leadership;
+  readonly call: OrderCall;
+}
 
-async function callOther(
+async function orderOther(
   { calls }: RankClient,
-  { call, ...leadership }: CallByLeader,
+  { leadership, call }: OrderByLeader,
 ): Promise<RelayedReply> {
-  switch (call.kind) {
-    case "poll":
-      // Fields that are undefined are left out on the way.
-      return await calls.poll.mutate({
-        ...leadership,
-        ...REPORT_ONLY,
-      }) as RelayedReply;
-    case "order": {
-      const { order, epoch } = call;
-      return await calls.order.mutate({ ...leadership, order, epoch });
-    }
-    case "prepareChange": {
-      const { kind: _kind, ...change } = call;
-      return await calls.prepareChange.mutate({ ...leadership, ...change });
-    }
+  if (call.kind === "order") {
+    const { order, epoch } = call;
+    return await calls.order.mutate({ ...leadership, order, epoch });
   }
+  const { kind: _kind, ...change } = call;
+  return await calls.prepareChange.mutate({ ...leadership, ...change });
 }
 
-async function callOwn(
+async function orderOwn(
   own: CallRelayOptions["own"],
-  { call, ...leadership }: CallByLeader,
+  { leadership, call }: OrderByLeader,
 ): Promise<RelayedReply> {
-  switch (call.kind) {
-    case "poll":
-      return await own.poll({ ...leadership, ...REPORT_ONLY });
-    case "order": {
-      const { epoch } = call;
-      return await own.order({
-        ...leadership,
-        order: decodeOrder(call),
-        epoch,
-      });
-    }
-    case "prepareChange": {
-      const { kind: _kind, ...change } = call;
-      return await own.prepareChange({ ...leadership, ...change });
-    }
+  if (call.kind === "order") {
+    const { order, epoch } = call;
+    const decoded = order.kind === "prepare"
+      ? { ...order, map: decodeMap(order.map) }
+      : order;
+    return await own.order({ ...leadership, order: decoded, epoch });
   }
-}
-
-function decodeOrder({ order }: Extract<RelayedCall, { kind: "order" }>) {
-  if (order.kind !== "prepare") return order;
-  return { ...order, map: decodeMap(order.map) };
+  const { kind: _kind, ...change } = call;
+  return await own.prepareChange({ ...leadership, ...change });
 }
--- a/peers/rank-api/src/mod.ts
+++ b/peers/rank-api/src/mod.ts
@@ -1,6 +1,6 @@
 /** Calls between agents beside ranks. */
 
-export { decodeCounts, encodeCounts } from "./encode_counts.ts";
+export { addCounts, decodeCounts, encodeCounts } from "./encode_counts.ts";
 export {
   applyMapChange,
   decodeMap,
--- a/peers/rank-api/src/rank_router.ts
+++ b/peers/rank-api/src/rank_router.ts
@@ -77,9 +77,9 @@
     readonly map: string;
   };
 
-/** What an agent calls others for. A poll brings the report alone. */
+/** What an agent calls others for. */
 export type RelayedCall =
-  | { readonly kind: "poll" }
+  | { readonly kind: "poll"; readonly withChoices: boolean }
   | {
     readonly kind: "order";
     readonly epoch: number;
@@ -99,8 +99,13 @@
   | NewerTerm
   | {
     readonly kind: "relayed";
-    /** In the order of the addresses; `null` for one without a reply. */
+    /**
+     * In the order of the addresses; `null` for one without a reply. Choices
+     * are not among them, but added up beside.
+     */
     readonly replies: readonly (RelayedReply | null)[];
+    /** Of all that replied together, as `encodeCounts`. */
+    readonly choices: string | undefined;
   };
 
 export interface RankHandlers {
@@ -160,7 +165,7 @@
   ...LEADERSHIP,
   addresses: v.pipe(v.array(v.string()), v.maxLength(MAX_RELAYED)),
   call: v.variant("kind", [
-    v.object({ kind: v.literal("poll") }),
+    v.object({ kind: v.literal("poll"), withChoices: v.boolean() }),
     v.object({
       kind: v.literal("order"),
       epoch: COUNT,
