--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -80,8 +80,6 @@
   #attempts = 0;
   #mayHaveRun = false;
   #hasAnswer = false;
-  /** Of the current target. */
-  #lastEventAtMs: number | undefined;
   #knownFingerprint: string | undefined;
   #turn: "none" | "waiting" | "admitted" = "none";
   #isOver = false;
@@ -210,7 +208,6 @@
     this.#attempts += 1;
     this.#targetsSent += 1;
     this.#hasAnswer = false;
-    this.#lastEventAtMs = undefined;
     this.#log.noteSent(target, { attempt: this.#attempts, leftMs });
     this.#attempt = this.#send(target, leftMs);
     this.#watchSilence();
@@ -254,9 +251,7 @@
         },
         onData: (chunk) => {
           const isFurther = this.#relay.takeData(chunk, this.#attempt);
-          if (!this.#isStream || !isFurther) return;
-          this.#noteEvent();
-          this.#noteLife();
+          if (this.#isStream && isFurther) this.#noteLife();
         },
         onWhole: () => this.#takeWhole(),
         onEnded: (end) => this.#takeEnd(end),
@@ -264,21 +259,6 @@
     });
   }
 
-  /** Tells the gate how soon events come. */
-  #noteEvent(): void {
-    const nowMs = performance.now();
-    const { gate } = this.#context;
-    const { eventGapMs, objectiveMs } = this.#request.route;
-    if (this.#lastEventAtMs === undefined) {
-      const firstMs = nowMs - this.#sentAtMs;
-      gate.noteFirst(this.#service, { firstMs, objectiveMs });
-    } else if (eventGapMs !== undefined) {
-      const gapMs = nowMs - this.#lastEventAtMs;
-      gate.noteGap(this.#service, { gapMs, objectiveMs: eventGapMs });
-    }
-    this.#lastEventAtMs = nowMs;
-  }
-
   #noteLife(): void {
     this.#silence.noteProgress();
     this.#watchSilence();
--- a/daemon/forward-requests/src/stream_gate.ts
+++ b/daemon/forward-requests/src/stream_gate.ts
@@ -1,7 +1,7 @@
 /**
  * Lets streams through to the groups of each service, one admission core a
- * service, and no more than keep their pauses within the objective. A stream
- * that has to wait is told when its turn has come, or that it is refused.
+ * service. A stream that has to wait is told when its turn has come, or that it
+ * is refused.
  */
 
 import {
@@ -11,12 +11,6 @@
   createAdmission,
   stepAdmission,
 } from "@dandelionbank/admit-streams";
-import {
-  type BatchLimit,
-  createBatchLimit,
-  noteGap,
-  readBatchShare,
-} from "@dandelionbank/limit-batch";
 import type { EngineProfile } from "@dandelionbank/types";
 
 /** What a group takes at a time, and what others have there. */
@@ -26,13 +20,6 @@
   readonly entryCount: number;
 }
 
-interface ServiceGate {
-  readonly admission: AdmissionState;
-  readonly limit: BatchLimit;
-  /** The longest pause that is on time; undefined before the first pause. */
-  gapObjectiveMs: number | undefined;
-}
-
 export interface GateRequest {
   readonly id: string;
   readonly service: string;
@@ -61,7 +48,7 @@
 
 export class StreamGate {
   readonly #options: StreamGateOptions;
-  readonly #services = new Map<string, ServiceGate>();
+  readonly #services = new Map<string, AdmissionState>();
   readonly #waiting = new Map<string, (answer: GateAnswer) => void>();
 
   private constructor(options: StreamGateOptions) {
@@ -78,11 +65,7 @@
     const { patienceMs, priority } = request;
     this.#waiting.set(id, onAnswer);
     if (!this.#services.has(service)) {
-      this.#services.set(service, {
-        admission: createAdmission(estimate(request.profile)),
-        limit: createBatchLimit(request.profile),
-        gapObjectiveMs: undefined,
-      });
+      this.#services.set(service, createAdmission(estimate(request.profile)));
     }
     this.#post(service, { type: "groupChanged", ...this.#load(service) });
     this.#post(service, {
@@ -95,33 +78,6 @@
     });
   }
 
-  /** An admitted stream has brought its first event. */
-  noteFirst(
-    service: string,
-    first: { readonly firstMs: number; readonly objectiveMs: number },
-  ): void {
-    this.#post(service, { type: "begun", ...first });
-  }
-
-  /** A stream has paused so long between two events. */
-  noteGap(
-    service: string,
-    { gapMs, objectiveMs }: {
-      readonly gapMs: number;
-      readonly objectiveMs: number;
-    },
-  ): void {
-    const gate = this.#services.get(service);
-    if (gate === undefined) return;
-    gate.gapObjectiveMs = objectiveMs;
-    const { capacity, activeOfOthers } = this.#options.readLoad(service);
-    const taken = gate.admission.active + activeOfOthers;
-    const { maxBatch } = gate.limit.profile;
-    const batch = capacity > 0 ? taken / capacity * maxBatch : maxBatch;
-    const nowMs = performance.now();
-    noteGap(gate.limit, { gapMs, objectiveMs, batch, nowMs });
-  }
-
   /** A stream that was admitted has ended. */
   leave(service: string): void {
     this.#post(service, { type: "ended" });
@@ -142,30 +98,25 @@
 
   /** Streams that were admitted and have not ended, by service. */
   countActive(): Readonly<Record<string, number>> {
-    const entries = [...this.#services].map(([service, { admission }]) =>
-      [service, admission.active] as const
+    const entries = [...this.#services].map(([service, { active }]) =>
+      [service, active] as const
     );
     return Object.fromEntries(entries);
   }
 
   view(service: string): GateView {
-    const active = this.#services.get(service)?.admission.active ?? 0;
+    const active = this.#services.get(service)?.active ?? 0;
     return { active, ...this.#load(service) };
   }
 
-  /** Capacity is what the group may run, which may be less than its places. */
   #load(service: string): GroupLoad {
-    const load = this.#options.readLoad(service);
-    const gate = this.#services.get(service);
-    if (gate?.gapObjectiveMs === undefined) return load;
-    const share = readBatchShare(gate.limit, gate.gapObjectiveMs);
-    return { ...load, capacity: Math.floor(load.capacity * share) };
+    return this.#options.readLoad(service);
   }
 
   #post(service: string, event: AdmissionEvent): void {
-    const gate = this.#services.get(service);
-    if (gate === undefined) return;
-    const { effects } = stepAdmission(gate.admission, event, performance.now());
+    const state = this.#services.get(service);
+    if (state === undefined) return;
+    const { effects } = stepAdmission(state, event, performance.now());
     for (const effect of effects) this.#answer(effect);
   }
 
--- a/routing/admit-streams/src/admit_streams.ts
+++ b/routing/admit-streams/src/admit_streams.ts
@@ -5,9 +5,8 @@
  * batches, work queues inside the engines, where its order cannot be changed
  * and each request makes every pass of all ranks longer. So no more is sent
  * than fills the batches; what comes beyond waits here for a short time. Those
- * whose first event can still be on time go first, the newest of them first:
- * were it the oldest, all would start when it is just too late. Those that are
- * late already follow, oldest first. A request that cannot start before its caller's
+ * whose first event can still be on time go first, oldest first; then those
+ * that are late already. A request that cannot start before its caller's
  * patience ends is refused when it comes, with the time at which there may be
  * room, instead of waiting in vain.
  */
@@ -30,12 +29,6 @@
   | StreamArrival
   /** An admitted stream has ended. */
   | { readonly type: "ended" }
-  /** An admitted stream has brought its first event, so long after its start. */
-  | {
-    readonly type: "begun";
-    readonly firstMs: number;
-    readonly objectiveMs: number;
-  }
   /** A stream that waits is wanted no longer. */
   | { readonly type: "left"; readonly id: string }
   /** What the group takes at a time, and what others have there. */
@@ -64,7 +57,7 @@
 export interface AdmissionOptions {
   /** Mean time that a stream is expected to run, before any has ended. */
   readonly expectedRunMs: number;
-  /** Time from the start to the first event, before any has come. */
+  /** Time from the start to the first event, on a group that is not full. */
   readonly expectedFirstMs: number;
 }
 
@@ -77,8 +70,6 @@
 export interface AdmissionState {
   readonly options: AdmissionOptions;
   readonly waiting: Waiting[];
-  /** Time from the start to the first event, smoothed. */
-  expectedFirstMs: number;
   active: number;
   capacity: number;
   activeOfOthers: number;
@@ -90,8 +81,6 @@
 
 /** Ends are uneven; a gap of so many mean intervals is no stall yet. */
 const STALL_INTERVALS = 6;
-/** Weight of the newest time to a first event. */
-const FIRST_WEIGHT = 0.1;
 /** Weight of the newest interval between two ends. */
 const INTERVAL_WEIGHT = 0.15;
 /** Retry-After of a refusal is at least this, so that nobody comes at once. */
@@ -101,7 +90,6 @@
   return {
     options,
     waiting: [],
-    expectedFirstMs: options.expectedFirstMs,
     active: 0,
     capacity: 1,
     activeOfOthers: 0,
@@ -130,9 +118,6 @@
     case "ended":
       noteEnd(state, nowMs);
       return admitWaiting(state, nowMs);
-    case "begun":
-      noteFirst(state, event);
-      return [];
     case "left":
       removeWaiting(state, event.id);
       return [];
@@ -155,7 +140,7 @@
     state.active += 1;
     return [{ type: "admitted", id: arrival.id, waitedMs: 0 }];
   }
-  const { expectedFirstMs } = state;
+  const { expectedFirstMs } = state.options;
   const latestStartMs = arrival.arrivedAtMs + arrival.patienceMs -
     expectedFirstMs;
   const predictedWaitMs = predictWait(state, nowMs);
@@ -198,18 +183,6 @@
   return Math.max(0, overdueMs);
 }
 
-/** One that is late, as in a stall, counts as just on time. */
-function noteFirst(
-  state: AdmissionState,
-  { firstMs, objectiveMs }: {
-    readonly firstMs: number;
-    readonly objectiveMs: number;
-  },
-): void {
-  const countedMs = Math.min(firstMs, objectiveMs);
-  state.expectedFirstMs += (countedMs - state.expectedFirstMs) * FIRST_WEIGHT;
-}
-
 function noteEnd(state: AdmissionState, nowMs: number): void {
   state.active = Math.max(0, state.active - 1);
   const { lastEndAtMs, endIntervalMs } = state;
@@ -255,19 +228,16 @@
   }
 }
 
-/** The newest that can be on time, else the oldest; urgent ones first. */
-function pickNext(
-  { waiting, expectedFirstMs }: AdmissionState,
-  nowMs: number,
-): number {
+/** The oldest that can be on time, else the oldest; urgent ones first. */
+function pickNext(state: AdmissionState, nowMs: number): number {
+  const { expectedFirstMs } = state.options;
   let best = 0;
   let bestRank = Number.POSITIVE_INFINITY;
-  waiting.forEach(({ arrival }, index) => {
+  state.waiting.forEach(({ arrival }, index) => {
     const { arrivedAtMs, objectiveMs, priority } = arrival;
     const isLate = nowMs + expectedFirstMs > arrivedAtMs + objectiveMs;
     const rank = priority * 2 + (isLate ? 1 : 0);
-    // Those that wait stand in the order in which they came.
-    if (isLate ? rank >= bestRank : rank > bestRank) return;
+    if (rank >= bestRank) return;
     best = index;
     bestRank = rank;
   });
