Send callers to entries that may use keys

Change: entries say whether they may use keys; the directory leaves out those that may not while any may. Readiness stays as it is: routes without a key are served on.

--- a/daemon/exchange-status/src/parse_status.ts
+++ b/daemon/exchange-status/src/parse_status.ts
@@ -17,6 +17,7 @@
     peerAddress: ADDRESS,
     dataCentre: v.string(),
     takesCallers: v.boolean(),
+    mayUseKeys: v.boolean(),
     activeByService: v.record(v.string(), v.number()),
     suspects: v.object({
       losses: v.array(v.object({
--- a/daemon/exchange-status/src/parse_status_test.ts
+++ b/daemon/exchange-status/src/parse_status_test.ts
@@ -8,6 +8,7 @@
   peerAddress: "10.0.0.1:81",
   dataCentre: "a",
   takesCallers: true,
+  mayUseKeys: false,
   activeByService: { s: 3 },
   suspects: {
     losses: [{ fingerprint: "f", target: "t", alone: false }],
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -22,6 +22,7 @@
 import {
   createHeldConfiguration,
   type HeldConfiguration,
+  mayUseKeys,
 } from "@dandelionbank/hold-configuration";
 import { HttpListener } from "@dandelionbank/listen-http";
 import type { Logger } from "@dandelionbank/log-events";
@@ -34,6 +35,7 @@
   StoreClient,
 } from "@dandelionbank/platform-adapter";
 import { createFollowedProgress } from "@dandelionbank/follow-progress";
+import { readInstant } from "@dandelionbank/read-instant";
 import type { IngressConfiguration } from "@dandelionbank/types";
 import { KindWatcher } from "@dandelionbank/watch-kind";
 import { CrashWatch } from "@dandelionbank/watch-suspects";
@@ -247,6 +249,12 @@
     return this.#held.table !== undefined && !this.#isLeaving;
   }
 
+  /** True also where no route needs one. */
+  get #mayUseKeys(): boolean {
+    const isNeeded = this.#held.table?.configuration.usesKeys ?? false;
+    return !isNeeded || mayUseKeys(this.#held, readInstant());
+  }
+
   #watch(): void {
     const { logger } = this.#options;
     const waitMs = this.#watchWaitMs;
@@ -303,6 +311,7 @@
       peerAddress: this.#peerAddress,
       dataCentre: settings.dataCentre,
       takesCallers: this.#isReady,
+      mayUseKeys: this.#mayUseKeys,
       activeByService: this.#gate.countActive(),
       suspects: this.#crashes.told,
     };
--- a/routing/follow-entries/src/follow_entries.ts
+++ b/routing/follow-entries/src/follow_entries.ts
@@ -19,6 +19,8 @@
   readonly dataCentre: string;
   /** False before it has a configuration and from a stop signal on. */
   readonly takesCallers: boolean;
+  /** False while the store is away for so long that a key may be revoked. */
+  readonly mayUseKeys: boolean;
   /** Requests at targets, by service. */
   readonly activeByService: Readonly<Record<string, number>>;
   readonly suspects: ToldSuspects;
@@ -69,7 +71,10 @@
     .map(({ status }) => status);
 }
 
-/** Addresses for a caller: those of its own data centre first. */
+/**
+ * Addresses for a caller: those of its own data centre first. Entries that may
+ * not use keys are left out while others may, since they turn most callers away.
+ */
 export function listAddresses(
   entries: readonly EntryStatus[],
   { dataCentre, maxCount }: {
@@ -77,7 +82,9 @@
     readonly maxCount: number;
   },
 ): readonly string[] {
-  const ready = entries.filter(({ takesCallers }) => takesCallers);
+  const taking = entries.filter(({ takesCallers }) => takesCallers);
+  const able = taking.filter(({ mayUseKeys }) => mayUseKeys);
+  const ready = able.length > 0 ? able : taking;
   const near = ready.filter((entry) => entry.dataCentre === dataCentre);
   const far = ready.filter((entry) => entry.dataCentre !== dataCentre);
   // One entry alone would leave its callers nowhere to go when it fails.
--- a/routing/follow-entries/src/follow_entries_test.ts
+++ b/routing/follow-entries/src/follow_entries_test.ts
@@ -37,6 +37,17 @@
   assert.equal(sumActive(entries, "s"), 7);
 });
 
+test("Entries that may not use keys are named only if all are so", () => {
+  const unable = [
+    create({ name: "a", mayUseKeys: false }),
+    create({ name: "b", mayUseKeys: false }),
+  ];
+  const list = { dataCentre: "near", maxCount: 9 };
+  assert.deepEqual(listAddresses(unable, list), ["a:1", "b:1"]);
+  const far = create({ name: "c", dataCentre: "far" });
+  assert.deepEqual(listAddresses([...unable, far], list), ["c:1"]);
+});
+
 function create(
   fields: Partial<EntryStatus> & { readonly name: string },
 ): EntryStatus {
@@ -45,6 +56,7 @@
     peerAddress: `${fields.name}:2`,
     dataCentre: "near",
     takesCallers: true,
+    mayUseKeys: true,
     activeByService: {},
     suspects: { losses: [], quarantined: [] },
     ...fields,
