Tell losses with the status alone

Cause, found by reading: each loss was told at once in a datagram to every entry. When a whole rack of engines goes down, 500 streams are lost within moments, and 31 entries would send 15,000 datagrams on their links just then.

Change: losses go with the status that is sent four times a second anyway, and again for two seconds. A refusal comes up to 0.25 s later; the bound is 3 s.

--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -119,7 +119,6 @@
     this.#crashes = CrashWatch.create({
       logger,
       readNowMs: () => performance.now(),
-      onNews: () => this.#exchange.tell(),
     });
     this.#targets = TargetView.create({
       returnMs: bounds.targetReturnMs,
--- a/daemon/watch-suspects/src/crash_watch.ts
+++ b/daemon/watch-suspects/src/crash_watch.ts
@@ -9,8 +9,8 @@
   noteLostAnswer,
   noteTargetDown,
 } from "@dandelionbank/detect-crashes";
-import type { Logger } from "@dandelionbank/log-events";
 import type { ToldSuspects } from "@dandelionbank/follow-entries";
+import type { Logger } from "@dandelionbank/log-events";
 import type { Verdict } from "@dandelionbank/quarantine-requests";
 import { QUARANTINE_MS, SuspectTask } from "./suspect_task.ts";
 
@@ -22,8 +22,6 @@
 export interface CrashWatchOptions {
   readonly logger: Logger;
   readonly readNowMs: () => number;
-  /** There is news for the other entries. */
-  readonly onNews: () => void;
 }
 
 interface News extends ToldSuspects {
@@ -31,13 +29,13 @@
 }
 
 export class CrashWatch {
-  readonly #options: CrashWatchOptions;
+  readonly #readNowMs: () => number;
   readonly #crashes = createCrashState();
   readonly #suspects: SuspectTask;
   #news: News[] = [];
 
   private constructor(options: CrashWatchOptions) {
-    this.#options = options;
+    this.#readNowMs = options.readNowMs;
     this.#suspects = SuspectTask.create({
       ...options,
       tellLosses: (losses) =>
@@ -52,9 +50,13 @@
     return new CrashWatch(options);
   }
 
-  /** What the other entries have to know now. */
+  /**
+   * What the other entries have to know now. It goes with the status that they
+   * are sent anyway: many targets may go down at once, and a message for each
+   * loss would crowd the links just then.
+   */
   get told(): ToldSuspects {
-    const nowMs = this.#options.readNowMs();
+    const nowMs = this.#readNowMs();
     this.#news = this.#news.filter(({ untilMs }) => nowMs < untilMs);
     return {
       losses: this.#news.flatMap(({ losses }) => losses).slice(-MAX_TOLD),
@@ -79,7 +81,7 @@
 
   /** The answer was lost after the target may have begun the request. */
   noteLostAnswer(target: string, fingerprint: string): void {
-    const nowMs = this.#options.readNowMs();
+    const nowMs = this.#readNowMs();
     this.#lose(
       target,
       noteLostAnswer(this.#crashes, { target, fingerprint, nowMs }),
@@ -88,7 +90,7 @@
 
   /** The target takes no connection, or its run is over. */
   noteTargetDown(target: string): void {
-    const nowMs = this.#options.readNowMs();
+    const nowMs = this.#readNowMs();
     this.#lose(target, noteTargetDown(this.#crashes, { target, nowMs }));
   }
 
@@ -118,8 +120,7 @@
   }
 
   #tell(news: ToldSuspects, forMs: number): void {
-    const untilMs = this.#options.readNowMs() + forMs;
+    const untilMs = this.#readNowMs() + forMs;
     this.#news.push({ ...news, untilMs });
-    this.#options.onNews();
   }
 }
