--- a/testing/ingress-tests/src/fixtures.ts
+++ b/testing/ingress-tests/src/fixtures.ts
@@ -167,8 +167,14 @@
 export function createBootSettings(
   lines: Readonly<Record<string, string>>,
 ): BootSettings {
+  return decodeBootSettings(renderBootSettings(lines));
+}
+
+export function renderBootSettings(
+  lines: Readonly<Record<string, string>>,
+): string {
   const all = Object.entries({ ...BOOT_LINES, ...lines });
-  return decodeBootSettings(all.map((line) => line.join("=")).join("\n"));
+  return all.map((line) => line.join("=")).join("\n");
 }
 
 export async function findPort(): Promise<number> {
