Add a soak of entries as processes

Three entries run as processes; they are killed, stopped, frozen and told to read their settings, engines lose, spoil, repeat and swallow answers, crash, drain and come back elsewhere, the store is busy, silent and without its history, configurations change, and a key goes while no entry hears of it. Each answer is checked, and afterwards who ran what: a success is one's own and whole, what may run once ran once, 'not run' is true, no key outlives its bound, nothing allowed is denied, and all is served once faults are over.

--- a/testing/ingress-tests/src/fixtures.ts
+++ b/testing/ingress-tests/src/fixtures.ts
@@ -274,8 +274,9 @@
 
 export async function waitFor(
   isDone: () => boolean | Promise<boolean>,
+  { limitMs = WAIT_LIMIT_MS }: { readonly limitMs?: number } = {},
 ): Promise<void> {
-  const untilMs = performance.now() + WAIT_LIMIT_MS;
+  const untilMs = performance.now() + limitMs;
   while (!await isDone()) {
     assert.ok(performance.now() < untilMs, "waited in vain");
     await delay(WAIT_POLL_MS);
--- a/testing/ingress-tests/src/mod.ts
+++ b/testing/ingress-tests/src/mod.ts
@@ -1,3 +1,5 @@
-/** Tests of an entry on the platform; nothing is exported. */
+/** Tests of an entry on the platform; what other tests use of them. */
 
-export {};
+export { call, createConfiguration, KEY, ROUTES, waitFor } from "./fixtures.ts";
+export type { CallAnswer } from "./fixtures.ts";
+export { NodeProcess } from "./node_process.ts";
--- a/testing/ingress-tests/src/node_process.ts
+++ b/testing/ingress-tests/src/node_process.ts
@@ -7,6 +7,7 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
+import process from "node:process";
 import type { TestContext } from "node:test";
 import { fileURLToPath } from "node:url";
 import { type BootSettings } from "@dandelionbank/platform-adapter";
@@ -18,6 +19,9 @@
   waitFor,
 } from "./fixtures.ts";
 
+/** A store that is away for some seconds delays a start. */
+const START_LIMIT_MS = 20_000;
+
 export interface NodeOptions {
   readonly store: SiteStore;
   /** Processes of one test differ in it, like VMs. */
@@ -38,7 +42,10 @@
   }
 
   /** Resolves when the entry is ready. */
-  static async start(t: TestContext, options: NodeOptions) {
+  static async start(
+    t: Pick<TestContext, "after">,
+    options: NodeOptions,
+  ): Promise<NodeProcess> {
     const lines = await createLines(options);
     const directory = await mkdtemp(join(tmpdir(), "dandelionbank-"));
     const file = join(directory, "boot.conf");
@@ -66,7 +73,7 @@
     await waitFor(async () => {
       assert.equal(child.exitCode, null, "the process has ended");
       return await this.#readReady() === 200;
-    });
+    }, { limitMs: START_LIMIT_MS });
   }
 
   get isRunning(): boolean {
@@ -114,8 +121,7 @@
   const [callers, ready, registry, peers] = await Promise.all(
     Array.from({ length: 4 }, findPort),
   );
-  // The port of the metrics is the same on every VM.
-  const ip = `127.0.0.${40 + number}`;
+  const ip = chooseAddress(number);
   return {
     "node_name": `edge-${number}`,
     ip,
@@ -127,3 +133,12 @@
     "platform.address": store.address,
   };
 }
+
+/**
+ * A loopback address of its own, as the port of the metrics is the same on
+ * every VM; other test processes run beside this one.
+ */
+function chooseAddress(number: number): string {
+  const { pid } = process;
+  return `127.${1 + (pid >> 8) % 200}.${1 + pid % 250}.${1 + number}`;
+}
--- /dev/null
+++ b/testing/site-soak/src/main.ts
@@ -0,0 +1,19 @@
+/** Runs the soak and prints what it added up to. */
+
+import { parseArgs } from "node:util";
+import { runSiteSoak } from "./run_site_soak.ts";
+
+const { values } = parseArgs({
+  options: {
+    seconds: { type: "string", default: "60" },
+    seed: { type: "string", default: "1" },
+  },
+});
+const [durationS, seed] = [Number(values.seconds), Number(values.seed)];
+if (!(durationS > 0) || !Number.isSafeInteger(seed)) {
+  console.error("--seconds must be above 0, and --seed a whole number");
+  process.exit(2);
+}
+const summary = await runSiteSoak({ durationMs: durationS * 1_000, seed });
+console.log(JSON.stringify(summary, undefined, 2));
+process.exitCode = summary.violations.length > 0 ? 1 : 0;
--- /dev/null
+++ b/testing/site-soak/src/mod.ts
@@ -0,0 +1,4 @@
+/** A soak of entries as processes. */
+
+export { runSiteSoak } from "./run_site_soak.ts";
+export type { SiteSoakOptions, SiteSoakSummary } from "./run_site_soak.ts";
