Run entries as processes by the program that tests had already

Cause, found by reading: NodeProcess started, signalled and read a child process anew, as ChildProgram of testing/run-site does; and site-soak took its fixtures from a package of tests.

Change: EntryProgram keeps what is an entry's own (settings, readiness) and runs ChildProgram, which takes variables now. It stands with the fixtures in testing/run-entry, which ingress-tests and site-soak use. Four tests of the switch share the pass that is held before arming; the check that it is held is in all four now.

--- a/agreement/switch-group/src/switch_group_test.ts
+++ b/agreement/switch-group/src/switch_group_test.ts
@@ -58,11 +58,7 @@
 });
 
 test("A successor completes what its predecessor has held", () => {
-  const world = new World();
-  const beforeArming = RANKS + 1;
-  world.fateOf = (count) => count > beforeArming ? "lost" : "answered";
-  world.plan();
-  world.run(500);
+  const world = holdBeforeArming();
   assert.ok(world.group.hasStrayHold);
   world.replaceCoordinator();
   world.fateOf = () => "answered";
@@ -72,11 +68,7 @@
 });
 
 test("A hold is completed past an agent that is frozen, and nothing is begun", () => {
-  const world = new World();
-  const beforeArming = RANKS + 1;
-  world.fateOf = (count) => count > beforeArming ? "lost" : "answered";
-  world.plan();
-  world.run(500);
+  const world = holdBeforeArming();
   world.replaceCoordinator();
   world.isFollowedByAll = false;
   world.fateOf = () => "answered";
@@ -90,12 +82,7 @@
 });
 
 test("A pass held by a coordinator frozen with its rank is let go", () => {
-  const world = new World();
-  const beforeArming = RANKS + 1;
-  world.fateOf = (count) => count > beforeArming ? "lost" : "answered";
-  world.plan();
-  world.run(500);
-  assert.ok(world.group.isHeld);
+  const world = holdBeforeArming();
   world.replaceCoordinator();
   world.frozenRank = 0;
   world.fateOf = () => "answered";
@@ -109,12 +96,7 @@
 });
 
 test("A held pass stays while a rank is missing that did not coordinate", () => {
-  const world = new World();
-  const beforeArming = RANKS + 1;
-  world.fateOf = (count) => count > beforeArming ? "lost" : "answered";
-  world.plan();
-  world.run(500);
-  assert.ok(world.group.isHeld);
+  const world = holdBeforeArming();
   world.replaceCoordinator();
   world.fateOf = () => "answered";
   world.frozenRank = 2;
@@ -264,6 +246,17 @@
   );
 });
 
+/** A pass is held, and every order to arm is lost. */
+function holdBeforeArming(): World {
+  const world = new World();
+  const beforeArming = RANKS + 1;
+  world.fateOf = (count) => count > beforeArming ? "lost" : "answered";
+  world.plan();
+  world.run(500);
+  assert.ok(world.group.isHeld);
+  return world;
+}
+
 /** A coordinator and its group, in virtual time. */
 class World {
   readonly group = new GroupModel(RANKS);
--- a/testing/ingress-tests/src/answers_test.ts
+++ b/testing/ingress-tests/src/answers_test.ts
@@ -11,7 +11,7 @@
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
-import { call, startSite, waitFor } from "./fixtures.ts";
+import { call, startSite, waitFor } from "@dandelionbank/run-entry";
 
 test("A success goes back whole, with its seal", async (t) => {
   const site = await startSite(t, { engines: 1 });
--- a/testing/ingress-tests/src/crashes_test.ts
+++ b/testing/ingress-tests/src/crashes_test.ts
@@ -7,7 +7,7 @@
   type Site,
   startSite,
   waitFor,
-} from "./fixtures.ts";
+} from "@dandelionbank/run-entry";
 
 const CRASHING = "crashes its engine";
 const CRASHES = 3;
--- a/testing/ingress-tests/src/group_test.ts
+++ b/testing/ingress-tests/src/group_test.ts
@@ -14,7 +14,7 @@
   findPort,
   type LoggedLine,
   waitFor,
-} from "./fixtures.ts";
+} from "@dandelionbank/run-entry";
 
 const SHAPE = { ranks: 3, sets: 2, expertsPerSet: 6 };
 /** Enough ranks for the coordinator to call them by relays. */
--- a/testing/ingress-tests/src/processes_test.ts
+++ b/testing/ingress-tests/src/processes_test.ts
@@ -6,18 +6,18 @@
 import {
   call,
   createConfiguration,
+  EntryProgram,
   readDirectory,
   readReady,
   waitFor,
-} from "./fixtures.ts";
-import { NodeProcess } from "./node_process.ts";
+} from "@dandelionbank/run-entry";
 
 /** Callers keep an answer of the directory for two seconds. */
 const DIRECTORY_MS = 2_000;
 
 test("SIGHUP cuts no request, with settings that are right or wrong", async (t) => {
   const { store, engine } = await startStore(t);
-  const node = await NodeProcess.start(t, { store, number: 1 });
+  const node = await EntryProgram.start(t, { store, number: 1 });
   const agent = new Agent({ keepAlive: true });
   t.after(() => agent.destroy());
   engine.script = ({ response, sealed }) => {
@@ -39,10 +39,10 @@
 test("Entries that were all killed serve and know each other again", async (t) => {
   const { store } = await startStore(t);
   const nodes = await Promise.all(
-    [1, 2, 3].map((number) => NodeProcess.start(t, { store, number })),
+    [1, 2, 3].map((number) => EntryProgram.start(t, { store, number })),
   );
   for (const node of nodes) await waitForEntries(node, 3);
-  await Promise.all(nodes.map((node) => node.kill("SIGKILL")));
+  await Promise.all(nodes.map((node) => node.stop("SIGKILL")));
   await Promise.all(nodes.map((node) => node.start()));
   for (const node of nodes) {
     await waitForEntries(node, 3);
@@ -53,7 +53,7 @@
 test("An entry that stops is named by no other, and serves what comes", async (t) => {
   const { store } = await startStore(t);
   const [leaving, staying] = await Promise.all(
-    [1, 2].map((number) => NodeProcess.start(t, { store, number, graceS: 6 })),
+    [1, 2].map((number) => EntryProgram.start(t, { store, number, graceS: 6 })),
   );
   await waitForEntries(staying!, 2);
   leaving!.signal("SIGTERM");
@@ -69,10 +69,10 @@
 test("An entry that is killed is named by no other within a moment", async (t) => {
   const { store } = await startStore(t);
   const [killed, staying] = await Promise.all(
-    [1, 2].map((number) => NodeProcess.start(t, { store, number })),
+    [1, 2].map((number) => EntryProgram.start(t, { store, number })),
   );
   await waitForEntries(staying!, 2);
-  await killed!.kill("SIGKILL");
+  await killed!.stop("SIGKILL");
   const startedMs = performance.now();
   await waitForEntries(staying!, 1);
   assert.ok(performance.now() - startedMs < DIRECTORY_MS);
@@ -92,7 +92,7 @@
   return { store, engine };
 }
 
-function waitForEntries(node: NodeProcess, count: number): Promise<void> {
+function waitForEntries(node: EntryProgram, count: number): Promise<void> {
   return waitFor(async () => {
     const { status, text } = await readDirectory(node);
     if (status !== 200) return false;
--- a/testing/ingress-tests/src/streams_test.ts
+++ b/testing/ingress-tests/src/streams_test.ts
@@ -1,7 +1,7 @@
 import { streamEvents } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { call, startSite } from "./fixtures.ts";
+import { call, startSite } from "@dandelionbank/run-entry";
 
 test("A stream that is cut within an event goes on at another target", async (t) => {
   const site = await startSite(t);
--- a/testing/ingress-tests/src/views_test.ts
+++ b/testing/ingress-tests/src/views_test.ts
@@ -13,7 +13,7 @@
   type Site,
   startSite,
   waitFor,
-} from "./fixtures.ts";
+} from "@dandelionbank/run-entry";
 
 test("An unknown route or key is denied by a fresh configuration", async (t) => {
   const site = await startSite(t, { engines: 1 });
--- a/testing/ingress-tests/src/node_process.ts
+++ b/testing/run-entry/src/entry_program.ts
@@ -1,28 +1,27 @@
 /** An entry as a process of its own, for tests that signal and kill it. */
 
+import type { BootSettings } from "@dandelionbank/platform-adapter";
+import { ChildProgram } from "@dandelionbank/run-site";
 import type { SiteStore } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
-import { once } from "node:events";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
-import { dirname, join } from "node:path";
+import { join } from "node:path";
 import process from "node:process";
 import type { TestContext } from "node:test";
-import { fileURLToPath } from "node:url";
-import { type BootSettings } from "@dandelionbank/platform-adapter";
 import {
   createBootSettings,
   findPort,
   readReady,
   renderBootSettings,
   waitFor,
-} from "./fixtures.ts";
+} from "./run_entry.ts";
 
+const SCRIPT = "daemon/platform-node/dist/main.js";
 /** A store that is away for some seconds delays a start. */
 const START_LIMIT_MS = 20_000;
 
-export interface NodeOptions {
+export interface EntryProgramOptions {
   readonly store: SiteStore;
   /** Processes of one test differ in it, like VMs. */
   readonly number: number;
@@ -30,11 +29,10 @@
 }
 
 /** Its settings stay the same when it is started again. */
-export class NodeProcess {
+export class EntryProgram {
   readonly settings: BootSettings;
   readonly settingsFile: string;
-  #child: ChildProcess | undefined;
-  #output = "";
+  #program: ChildProgram | undefined;
 
   private constructor(settings: BootSettings, settingsFile: string) {
     this.settings = settings;
@@ -44,58 +42,52 @@
   /** Resolves when the entry is ready. */
   static async start(
     t: Pick<TestContext, "after">,
-    options: NodeOptions,
-  ): Promise<NodeProcess> {
+    options: EntryProgramOptions,
+  ): Promise<EntryProgram> {
     const lines = await createLines(options);
     const directory = await mkdtemp(join(tmpdir(), "dandelionbank-"));
     const file = join(directory, "boot.conf");
     await writeFile(file, renderBootSettings(lines));
-    const node = new NodeProcess(createBootSettings(lines), file);
+    const entry = new EntryProgram(createBootSettings(lines), file);
     t.after(async () => {
-      await node.kill("SIGKILL");
+      await entry.stop("SIGKILL");
       await rm(directory, { recursive: true });
     });
-    await node.start();
-    return node;
+    await entry.start();
+    return entry;
   }
 
   async start(): Promise<void> {
-    const environment = {
-      ...process.env,
-      DANDELIONBANK_CONFIG: this.settingsFile,
-    };
-    const child = spawn(process.execPath, [findProgram(), "entry"], {
-      env: environment,
-      stdio: ["ignore", "pipe", "inherit"],
+    const program = ChildProgram.start(this.settings.name, {
+      script: SCRIPT,
+      args: ["entry"],
+      environment: { DANDELIONBANK_CONFIG: this.settingsFile },
     });
-    child.stdout.on("data", (chunk) => this.#output += String(chunk));
-    this.#child = child;
+    this.#program = program;
     await waitFor(async () => {
-      assert.equal(child.exitCode, null, "the process has ended");
+      const said = program.lines.slice(-3).join("\n");
+      assert.ok(program.isRunning, `the process has ended: ${said}`);
       return await this.#readReady() === 200;
     }, { limitMs: START_LIMIT_MS });
   }
 
   get isRunning(): boolean {
-    return this.#child !== undefined && this.#child.exitCode === null &&
-      this.#child.signalCode === null;
+    return this.#program?.isRunning ?? false;
   }
 
   /** True once a line of the log has the name. */
   hasLogged(name: string): boolean {
-    return this.#output.includes(`"name":"${name}"`);
+    const field = `"name":"${name}"`;
+    return this.#program?.lines.some((line) => line.includes(field)) ?? false;
   }
 
   signal(signal: NodeJS.Signals): void {
-    this.#child?.kill(signal);
+    this.#program?.signal(signal);
   }
 
   /** Resolves when the process has ended. */
-  async kill(signal: NodeJS.Signals): Promise<void> {
-    if (!this.isRunning) return;
-    const exited = once(this.#child!, "exit");
-    this.signal(signal);
-    await exited;
+  async stop(signal: NodeJS.Signals): Promise<void> {
+    await this.#program?.stop(signal);
   }
 
   async #readReady(): Promise<number | undefined> {
@@ -108,15 +100,8 @@
   }
 }
 
-function findProgram(): string {
-  const entry = fileURLToPath(
-    import.meta.resolve("@dandelionbank/platform-node"),
-  );
-  return join(dirname(entry), "main.js");
-}
-
 async function createLines(
-  { store, number, graceS = 3 }: NodeOptions,
+  { store, number, graceS = 3 }: EntryProgramOptions,
 ): Promise<Readonly<Record<string, string>>> {
   const [callers, ready, registry, peers] = await Promise.all(
     Array.from({ length: 4 }, findPort),
--- /dev/null
+++ b/testing/run-entry/src/mod.ts
@@ -0,0 +1,25 @@
+/** An entry on the platform, for tests. */
+
+export { EntryProgram } from "./entry_program.ts";
+export type { EntryProgramOptions } from "./entry_program.ts";
+export {
+  call,
+  createBootSettings,
+  createConfiguration,
+  findPort,
+  HOST,
+  KEY,
+  readDirectory,
+  readReady,
+  renderBootSettings,
+  ROUTES,
+  startSite,
+  waitFor,
+} from "./run_entry.ts";
+export type {
+  CallAnswer,
+  CallOptions,
+  LoggedLine,
+  Site,
+  SiteOptions,
+} from "./run_entry.ts";
--- a/testing/run-site/src/child_program.ts
+++ b/testing/run-site/src/child_program.ts
@@ -16,6 +16,8 @@
   readonly script: string;
   readonly args: readonly string[];
   readonly nodeArgs?: readonly string[];
+  /** Added to this process's own variables. */
+  readonly environment?: Readonly<Record<string, string>>;
 }
 
 export class ChildProgram {
@@ -27,10 +29,11 @@
 
   private constructor(name: string, options: ChildProgramOptions) {
     this.name = name;
-    const { script, args, nodeArgs = [] } = options;
+    const { script, args, nodeArgs = [], environment = {} } = options;
     const path = fileURLToPath(new URL(script, ROOT));
     this.#child = spawn(process.execPath, [...nodeArgs, path, ...args], {
       stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...environment },
     });
     this.#exited = new Promise((resolve) =>
       this.#child.once("exit", (code) => resolve(code))
@@ -49,6 +52,10 @@
     return this.#child.pid ?? 0;
   }
 
+  get isRunning(): boolean {
+    return this.#child.exitCode === null && this.#child.signalCode === null;
+  }
+
   get exited(): Promise<number | null> {
     return this.#exited;
   }
--- a/testing/site-soak/src/checked_callers.ts
+++ b/testing/site-soak/src/checked_callers.ts
@@ -3,9 +3,9 @@
 import {
   call,
   type CallAnswer,
+  type EntryProgram,
   KEY,
-  type NodeProcess,
-} from "@dandelionbank/ingress-tests";
+} from "@dandelionbank/run-entry";
 import type { Random } from "@dandelionbank/message-queue";
 import { HEADERS } from "@dandelionbank/platform-adapter";
 import { setTimeout as delay } from "node:timers/promises";
@@ -27,19 +27,19 @@
 }
 
 export class CheckedCallers {
-  readonly #nodes: readonly NodeProcess[];
+  readonly #nodes: readonly EntryProgram[];
   readonly #random: Random;
   readonly #sent: SentCall[] = [];
   readonly violations: string[] = [];
   #isStopped = false;
 
-  private constructor(nodes: readonly NodeProcess[], random: Random) {
+  private constructor(nodes: readonly EntryProgram[], random: Random) {
     this.#nodes = nodes;
     this.#random = random;
   }
 
   static create(
-    nodes: readonly NodeProcess[],
+    nodes: readonly EntryProgram[],
     random: Random,
   ): CheckedCallers {
     return new CheckedCallers(nodes, random);
@@ -80,7 +80,7 @@
   }
 
   async #send(
-    node: NodeProcess,
+    node: EntryProgram,
     { id, isOnce, key }: Omit<SentCall, "status">,
   ): Promise<CallAnswer | undefined> {
     try {
--- a/testing/site-soak/src/operator.ts
+++ b/testing/site-soak/src/operator.ts
@@ -1,6 +1,6 @@
 /** The operator: writes configurations whose versions only rise. */
 
-import { createConfiguration, KEY, ROUTES } from "@dandelionbank/ingress-tests";
+import { createConfiguration, KEY, ROUTES } from "@dandelionbank/run-entry";
 import type { SiteStore } from "@dandelionbank/standin-site";
 
 /** Also what may run once only may be sent on after proof that it has not. */
--- a/testing/site-soak/src/run_site_soak.ts
+++ b/testing/site-soak/src/run_site_soak.ts
@@ -1,6 +1,6 @@
 /** One soak: faults by their seed, then rest, then the checks. */
 
-import { NodeProcess } from "@dandelionbank/ingress-tests";
+import { EntryProgram } from "@dandelionbank/run-entry";
 import { Random } from "@dandelionbank/message-queue";
 import { SiteStore } from "@dandelionbank/standin-site";
 import { setTimeout as delay } from "node:timers/promises";
@@ -53,7 +53,7 @@
       Array.from(
         { length: ENTRIES },
         (_, number) =>
-          NodeProcess.start(scope, { store, number, graceS: GRACE_S }),
+          EntryProgram.start(scope, { store, number, graceS: GRACE_S }),
       ),
     );
     const callers = CheckedCallers.create(nodes, random);
@@ -94,7 +94,7 @@
 interface FaultTargets {
   readonly store: SiteStore;
   readonly fleet: EngineFleet;
-  readonly nodes: readonly NodeProcess[];
+  readonly nodes: readonly EntryProgram[];
   readonly random: Random;
   readonly operator: Operator;
 }
@@ -104,9 +104,9 @@
 function createFaults(
   { store, fleet, nodes, random, operator }: FaultTargets,
 ): readonly Fault[] {
-  const busy = new Set<NodeProcess>();
+  const busy = new Set<EntryProgram>();
   /** One fault at a time to each entry. */
-  const onNode = (cause: (node: NodeProcess) => Promise<void>) => async () => {
+  const onNode = (cause: (node: EntryProgram) => Promise<void>) => async () => {
     const node = random.pick(nodes);
     if (busy.has(node)) return;
     busy.add(node);
@@ -126,14 +126,14 @@
     [
       "entry killed",
       onNode(async (node) => {
-        await node.kill("SIGKILL");
+        await node.stop("SIGKILL");
         await node.start();
       }),
     ],
     [
       "entry stopped",
       onNode(async (node) => {
-        await node.kill("SIGTERM");
+        await node.stop("SIGTERM");
         await node.start();
       }),
     ],
