Call an agent by one way, be it this one or another

Cause, found by reading: a relay had each order twice, for its own agent and for others; and what entries tell of crashes stood with the list of entries instead of beside the losses that it is made of.

Change: AgentWay has the three calls, made for this agent or for a client. ToldSuspects moves to quarantine-requests. Behaviour as before.

Eight tests of groups over real sockets passed.

--- a/daemon/serve-rank/src/relay_calls.ts
+++ b/daemon/serve-rank/src/relay_calls.ts
@@ -3,9 +3,14 @@
 import type { Leadership } from "@dandelionbank/lead-group";
 import {
   addCounts,
+  type ChangeReply,
+  type ChangeRequest,
   createRankClient,
   decodeMap,
   encodeCounts,
+  type EncodedOrder,
+  type OrderReply,
+  type PollReply,
   type PollRequest,
   type RankClient,
   type RankHandlers,
@@ -14,6 +19,7 @@
   type RelayReply,
   type RelayRequest,
 } from "@dandelionbank/rank-api";
+import type { GroupOrder } from "@dandelionbank/types";
 
 /** Agents are near; one that takes longer is frozen or gone. */
 const CALL_TIMEOUT_MS = 250;
@@ -92,11 +98,7 @@
       withChoices,
       sinceSnapshot: this.#lastSnapshot(address),
     };
-    const { ownAddress, own } = this.#options;
-    const reply = address === ownAddress
-      ? await own.poll(request)
-      // Fields that are undefined are left out on the way.
-      : await this.#open(address).calls.poll.mutate(request) as RelayedReply;
+    const reply = await this.#openWay(address).poll(request);
     if (reply.kind === "polled" && reply.choices !== undefined) {
       const { snapshot } = reply.choices;
       const atMs = performance.now();
@@ -119,9 +121,21 @@
       readonly call: OrderCall;
     },
   ): Promise<RelayedReply> {
-    return address === this.#options.ownAddress
-      ? await orderOwn(this.#options.own, { leadership, call })
-      : await orderOther(this.#open(address), { leadership, call });
+    const way = this.#openWay(address);
+    if (call.kind === "order") {
+      const { order, epoch } = call;
+      return await way.order({ ...leadership, order, epoch });
+    }
+    const { epoch, version, baseVersion, change } = call;
+    const map = { epoch, version, baseVersion, change };
+    return await way.prepareChange({ ...leadership, ...map });
+  }
+
+  #openWay(address: string): AgentWay {
+    const { ownAddress, own } = this.#options;
+    return address === ownAddress
+      ? createOwnWay(own)
+      : createWay(this.#open(address));
   }
 
   close(): void {
@@ -148,34 +162,37 @@
 
 type OrderCall = Exclude<RelayedCall, { readonly kind: "poll" }>;
 
-interface OrderByLeader {
-  readonly leadership: Leadership;
-  readonly call: OrderCall;
+interface EncodedRequest extends Leadership {
+  readonly epoch: number;
+  readonly order: EncodedOrder;
 }
 
-async function orderOther(
-  { calls }: RankClient,
-  { leadership, call }: OrderByLeader,
-): Promise<RelayedReply> {
-  if (call.kind === "order") {
-    const { order, epoch } = call;
-    return await calls.order.mutate({ ...leadership, order, epoch });
-  }
-  const { kind: _kind, ...change } = call;
-  return await calls.prepareChange.mutate({ ...leadership, ...change });
+/** How an agent is called, be it this one or another. */
+interface AgentWay {
+  poll(request: PollRequest): Promise<PollReply>;
+  order(request: EncodedRequest): Promise<OrderReply>;
+  prepareChange(request: ChangeRequest): Promise<ChangeReply>;
 }
 
-async function orderOwn(
-  own: CallRelayOptions["own"],
-  { leadership, call }: OrderByLeader,
-): Promise<RelayedReply> {
-  if (call.kind === "order") {
-    const { order, epoch } = call;
-    const decoded = order.kind === "prepare"
-      ? { ...order, map: decodeMap(order.map) }
-      : order;
-    return await own.order({ ...leadership, order: decoded, epoch });
-  }
-  const { kind: _kind, ...change } = call;
-  return await own.prepareChange({ ...leadership, ...change });
+function createWay({ calls }: RankClient): AgentWay {
+  return {
+    // Fields that are undefined are left out on the way.
+    poll: async (request) => await calls.poll.mutate(request) as PollReply,
+    order: (request) => calls.order.mutate(request),
+    prepareChange: (request) => calls.prepareChange.mutate(request),
+  };
+}
+
+function createOwnWay(own: CallRelayOptions["own"]): AgentWay {
+  return {
+    poll: (request) => own.poll(request),
+    order: ({ order, ...rest }) =>
+      own.order({ ...rest, order: decodeOrder(order) }),
+    prepareChange: (request) => own.prepareChange(request),
+  };
+}
+
+function decodeOrder(order: EncodedOrder): GroupOrder {
+  if (order.kind !== "prepare") return order;
+  return { ...order, map: decodeMap(order.map) };
 }
--- a/daemon/watch-suspects/src/crash_watch.ts
+++ b/daemon/watch-suspects/src/crash_watch.ts
@@ -9,9 +9,8 @@
   noteLostAnswer,
   noteTargetDown,
 } from "@dandelionbank/detect-crashes";
-import type { ToldSuspects } from "@dandelionbank/follow-entries";
 import type { Logger } from "@dandelionbank/log-events";
-import type { Verdict } from "@dandelionbank/quarantine-requests";
+import type { ToldSuspects, Verdict } from "@dandelionbank/quarantine-requests";
 import { QUARANTINE_MS, SuspectTask } from "./suspect_task.ts";
 
 /** Losses are told again for so long, since a datagram may be lost. */
--- a/routing/follow-entries/src/follow_entries.ts
+++ b/routing/follow-entries/src/follow_entries.ts
@@ -4,7 +4,7 @@
  * work; the load of the others counts when a group is nearly full.
  */
 
-import type { Loss } from "@dandelionbank/quarantine-requests";
+import type { ToldSuspects } from "@dandelionbank/quarantine-requests";
 
 /** Fewer near entries than this are not enough for callers to change over. */
 const MIN_NEAR = 2;
@@ -26,13 +26,6 @@
   readonly suspects: ToldSuspects;
 }
 
-/** What an entry has lately learnt of requests that crash their targets. */
-export interface ToldSuspects {
-  readonly losses: readonly Loss[];
-  /** Fingerprints that are refused. */
-  readonly quarantined: readonly string[];
-}
-
 interface KnownEntry {
   readonly status: EntryStatus;
   readonly heardAtMs: number;
--- a/routing/follow-entries/src/mod.ts
+++ b/routing/follow-entries/src/mod.ts
@@ -7,8 +7,4 @@
   noteEntry,
   sumActive,
 } from "./follow_entries.ts";
-export type {
-  EntryStatus,
-  FollowedEntries,
-  ToldSuspects,
-} from "./follow_entries.ts";
+export type { EntryStatus, FollowedEntries } from "./follow_entries.ts";
--- a/routing/quarantine-requests/src/events.ts
+++ b/routing/quarantine-requests/src/events.ts
@@ -19,6 +19,13 @@
   readonly alone: boolean;
 }
 
+/** What an entry has lately learnt of requests that crash their targets. */
+export interface ToldSuspects {
+  readonly losses: readonly Loss[];
+  /** Fingerprints that are refused. */
+  readonly quarantined: readonly string[];
+}
+
 export type QuarantineEvent =
   | { readonly type: "targetLost"; readonly losses: readonly Loss[] }
   /** What other entries saw. */
