Give the planning of relays a package of its own

Cause, found by reading: lead-group decides which agent coordinates and whose orders count; by which agents calls are passed on is another job.

Change: agreement/plan-relays.

--- a/daemon/serve-rank/src/fan_out.ts
+++ b/daemon/serve-rank/src/fan_out.ts
@@ -3,7 +3,8 @@
  * and to each agent by itself where it is small or an agent has failed.
  */
 
-import { type Leadership, planRelays } from "@dandelionbank/lead-group";
+import type { Leadership } from "@dandelionbank/lead-group";
+import { planRelays } from "@dandelionbank/plan-relays";
 import type {
   OrderReply,
   PollReply,
--- a/daemon/serve-rank/src/rank_process.ts
+++ b/daemon/serve-rank/src/rank_process.ts
@@ -5,7 +5,6 @@
 
 import { computeBackoffMs } from "@dandelionbank/back-off";
 import {
-  countCallsAtOnce,
   createLeadState,
   type LeadState,
   startWaiting,
@@ -19,6 +18,7 @@
   parseAddress,
   StoreClient,
 } from "@dandelionbank/platform-adapter";
+import { countCallsAtOnce } from "@dandelionbank/plan-relays";
 import { createRankRouter, RANK_PATH } from "@dandelionbank/rank-api";
 import { serveCall } from "@dandelionbank/trpc-over-http";
 import { setTimeout as delay } from "node:timers/promises";
