Coordinate each group of a service by itself

Cause: the coordinator of one group polls the agents of all targets of the service, and these followed it whatever group their rank is in. Ruled out: that passes are uneven because a few prompts share one; the first group's passes are as the plan says. Change: a leadership names its group. An agent rejects the calls of another group's coordinator, and is polled by it every 2 s only. The choices of other groups no longer add to the demand. The new test fails on the old code.

--- a/agreement/elect-coordinator/src/elect_coordinator.ts
+++ b/agreement/elect-coordinator/src/elect_coordinator.ts
@@ -12,6 +12,8 @@
 
 /** The coordinator of a term. */
 export interface Leadership {
+  /** Name of the group that it coordinates; terms of other groups are unrelated. */
+  readonly group: string;
   /** Increases with each new coordinator. */
   readonly term: number;
   readonly coordinator: string;
@@ -45,7 +47,12 @@
 /** A term is composed of a second and a rank, which makes it unique. */
 const RANKS_PER_TERM = 1_024;
 const MS_PER_S = 1_000;
-const NO_LEADERSHIP: Leadership = { term: 0, coordinator: "", rank: -1 };
+const NO_LEADERSHIP: Leadership = {
+  group: "",
+  term: 0,
+  coordinator: "",
+  rank: -1,
+};
 /** The seconds in terms wrap around after this many, about 8.5 years. */
 const TERM_SECONDS = 2 ** 28;
 
@@ -60,6 +67,22 @@
   };
 }
 
+/**
+ * Forgets the leadership of another group, once an agent has learned that its
+ * rank belongs to this one. Returns whether there was one.
+ */
+export function joinGroup(
+  state: LeadershipState,
+  { group, nowMs }: { readonly group: string; readonly nowMs: number },
+): boolean {
+  if (state.latest.group === group) return false;
+  const wasInGroup = state.latest.group !== NO_LEADERSHIP.group;
+  state.latest = { ...NO_LEADERSHIP, group };
+  state.isLeading = false;
+  restartElectionTimeout(state, nowMs);
+  return wasInGroup;
+}
+
 /** Restarts the election timeout, once an agent has learned its rank. */
 export function restartElectionTimeout(
   state: LeadershipState,
@@ -70,7 +93,8 @@
 
 /**
  * Follows the coordinator that called. Returns false if another coordinator is
- * known for the same term or any for a higher one.
+ * known for the same term or any for a higher one. The call must be for the
+ * agent's own group.
  */
 export function followCoordinator(
   state: LeadershipState,
@@ -93,7 +117,7 @@
 export function adoptNewerTerm(state: LeadershipState, term: number): void {
   if (term <= state.latest.term) return;
   state.isLeading = false;
-  state.latest = { ...NO_LEADERSHIP, term };
+  state.latest = { ...NO_LEADERSHIP, group: state.latest.group, term };
 }
 
 /** Interval at which the coordinator of a group polls all ranks. */
@@ -122,7 +146,8 @@
   const nextTerm = (Math.floor(state.latest.term / RANKS_PER_TERM) + 1) *
       RANKS_PER_TERM + rank;
   const term = Math.max(termFromClock, nextTerm);
-  state.latest = { term, coordinator: state.name, rank };
+  const { group } = state.latest;
+  state.latest = { group, term, coordinator: state.name, rank };
   state.lastContactMs = nowMs;
   state.isLeading = true;
   return true;
--- a/agreement/elect-coordinator/src/elect_coordinator_test.ts
+++ b/agreement/elect-coordinator/src/elect_coordinator_test.ts
@@ -6,6 +6,7 @@
   computePollIntervalMs,
   createLeadershipState,
   followCoordinator,
+  joinGroup,
   restartElectionTimeout,
 } from "./mod.ts";
 
@@ -41,12 +42,24 @@
     }),
   );
   const own = state.latest;
-  const newer = { term: own.term + 1, coordinator: "r1", rank: 1 };
+  const newer = { ...own, term: own.term + 1, coordinator: "r1", rank: 1 };
   assert.ok(followCoordinator(state, { leadership: newer, nowMs: 2_100 }));
   assert.ok(!state.isLeading);
   assert.ok(!followCoordinator(state, { leadership: own, nowMs: 2_200 }));
 });
 
+test("An agent whose rank joins another group forgets the leadership of the former", () => {
+  const state = createLeadershipState({ name: "r1", nowMs: 0 });
+  joinGroup(state, { group: "g0", nowMs: 0 });
+  const former = { group: "g0", term: 9_000, coordinator: "r0", rank: 0 };
+  assert.ok(followCoordinator(state, { leadership: former, nowMs: 100 }));
+  assert.ok(joinGroup(state, { group: "g1", nowMs: 200 }));
+  const leadership = { group: "g1", term: 50, coordinator: "r5", rank: 1 };
+  assert.ok(followCoordinator(state, { leadership, nowMs: 300 }));
+  assert.ok(!joinGroup(state, { group: "g1", nowMs: 400 }));
+  assert.equal(state.latest.term, 50);
+});
+
 test("A coordinator steps down when it learns of a newer term", () => {
   const state = createLeadershipState({ name: "r0", nowMs: 0 });
   claimLeadershipOnTimeout(state, {
--- a/agreement/elect-coordinator/src/mod.ts
+++ b/agreement/elect-coordinator/src/mod.ts
@@ -6,6 +6,7 @@
   computePollIntervalMs,
   createLeadershipState,
   followCoordinator,
+  joinGroup,
   restartElectionTimeout,
 } from "./elect_coordinator.ts";
 export type { Leadership, LeadershipState } from "./elect_coordinator.ts";
--- a/daemon/serve-rank/src/call_relay.ts
+++ b/daemon/serve-rank/src/call_relay.ts
@@ -99,8 +99,9 @@
       readonly withChoices: boolean;
     },
   ): Promise<RelayedReply> {
-    const { term, coordinator, rank } = leadership;
+    const { group, term, coordinator, rank } = leadership;
     const request: PollRequest = {
+      group,
       term,
       coordinator,
       rank,
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -42,10 +42,10 @@
   RankReport,
 } from "@dandelionbank/types";
 import { setTimeout as delay } from "node:timers/promises";
-import { FanOut, type OrderOutcome } from "./fan_out.ts";
+import { FanOut } from "./fan_out.ts";
 import { GroupMap } from "./group_map.ts";
 import { type PollRound, RankPoller } from "./rank_poller.ts";
-import type { RankLink } from "./rank_link.ts";
+import type { OrderOutcome, RankLink } from "./rank_link.ts";
 
 /** Poll interval while ranks copy experts, which takes a few hundred ms. */
 const PREPARE_INTERVAL_MS = 50;
--- a/daemon/serve-rank/src/fan_out.ts
+++ b/daemon/serve-rank/src/fan_out.ts
@@ -7,17 +7,21 @@
 import type { Leadership } from "@dandelionbank/elect-coordinator";
 import { planRelays } from "@dandelionbank/plan-relays";
 import type {
+  NewerTerm,
   OrderReply,
+  OtherGroup,
   PollReply,
   RelayedCall,
   RelayedReply,
 } from "@dandelionbank/rank-api";
-import type { GroupOrder, GroupOrderResult } from "@dandelionbank/types";
+import type { GroupOrder } from "@dandelionbank/types";
 import {
   encodeChange,
   encodeOrder,
+  type OrderOutcome,
   type OrderRoute,
   type RankLink,
+  readOutcome,
 } from "./rank_link.ts";
 
 const NO_REPLY = "no reply through the relay";
@@ -37,11 +41,6 @@
   readonly choices: readonly string[];
 }
 
-/** Result of an order, or the newer term that the rank's agent follows. */
-export type OrderOutcome =
-  | GroupOrderResult
-  | { readonly newerTerm: number };
-
 export interface FanOutOrder {
   readonly order: GroupOrder;
   readonly epoch: number;
@@ -114,9 +113,9 @@
     return {
       replies: members.map((link, index) => {
         const reply = replies[index];
-        return reply?.kind === "polled" || reply?.kind === "newer"
-          ? { link, reply }
-          : { link, reply: undefined };
+        if (!isPollReply(reply)) return { link, reply: undefined };
+        link.recordGroup(reply.kind);
+        return { link, reply };
       }),
       choices: choices === undefined ? [] : [choices],
     };
@@ -149,8 +148,7 @@
       // The next call to an agent that did not answer is not relayed.
       if (!isOrderReply(reply)) return onOutcome(link, "lost");
       link.recordOrderReply(order, reply);
-      if (reply.kind === "ordered") return onOutcome(link, reply.result);
-      onOutcome(link, { newerTerm: reply.term });
+      onOutcome(link, readOutcome(reply));
     });
   }
 
@@ -168,6 +166,10 @@
     });
     // If the relay does not answer, the outcome of its members is unknown.
     if (result === undefined) return { replies: [], choices: undefined };
+    if (result.kind === "otherGroup") {
+      relay.recordGroup(result.kind);
+      return { replies: [], choices: undefined };
+    }
     if (result.kind === "newer") {
       return { replies: members.map(() => result), choices: undefined };
     }
@@ -201,8 +203,18 @@
     : { kind: "order", epoch, order: encodeOrder(order) };
 }
 
+function isPollReply(reply: RelayedReply | undefined): reply is PollReply {
+  return reply?.kind === "polled" || isRejection(reply);
+}
+
 function isOrderReply(reply: RelayedReply | undefined): reply is OrderReply {
-  return reply?.kind === "ordered" || reply?.kind === "newer";
+  return reply?.kind === "ordered" || isRejection(reply);
+}
+
+function isRejection(
+  reply: RelayedReply | undefined,
+): reply is NewerTerm | OtherGroup {
+  return reply?.kind === "newer" || reply?.kind === "otherGroup";
 }
 
 function toCandidate(link: RankLink) {
--- a/daemon/serve-rank/src/rank_agent.ts
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -1,11 +1,13 @@
 /**
  * Serves the calls of the group's coordinator: reads the engine beside this
  * agent and forwards orders to it, but only for the coordinator with the newest
- * term: the number that each new coordinator raises.
+ * term: the number that each new coordinator raises. A service may have several
+ * groups; calls of another group's coordinator are rejected.
  */
 
 import {
   followCoordinator,
+  joinGroup,
   type Leadership,
   type LeadershipState,
 } from "@dandelionbank/elect-coordinator";
@@ -19,6 +21,7 @@
   type NewerTerm,
   type OrderReply,
   type OrderRequest,
+  type OtherGroup,
   type PollReply,
   type PollRequest,
   type RankHandlers,
@@ -87,8 +90,8 @@
   }
 
   async poll(request: PollRequest): Promise<PollReply> {
-    const newer = this.#checkTerm(request);
-    if (newer !== undefined) return newer;
+    const rejection = this.#rejectCall(request);
+    if (rejection !== undefined) return rejection;
     const { engine } = this.#options;
     const [report, choices] = await Promise.all([
       this.readReport(),
@@ -117,8 +120,8 @@
   }
 
   async order(request: OrderRequest): Promise<OrderReply> {
-    const newer = this.#checkTerm(request);
-    if (newer !== undefined) return newer;
+    const rejection = this.#rejectCall(request);
+    if (rejection !== undefined) return rejection;
     const { order, epoch, term } = request;
     const { engine, logger } = this.#options;
     this.#orderedByRank = request.rank;
@@ -155,8 +158,8 @@
 
   /** Relays a coordinator's call to agents near this one. */
   async relay(request: RelayRequest): Promise<RelayReply> {
-    const newer = this.#checkTerm(request);
-    if (newer !== undefined) return newer;
+    const rejection = this.#rejectCall(request);
+    if (rejection !== undefined) return rejection;
     return await this.#relay.relayCall(request);
   }
 
@@ -183,12 +186,20 @@
     };
   }
 
-  #checkTerm({ term, coordinator, rank }: Leadership): NewerTerm | undefined {
+  /** Follows the calling coordinator, or returns why the call is rejected. */
+  #rejectCall(
+    { group, term, coordinator, rank }: Leadership,
+  ): NewerTerm | OtherGroup | undefined {
     const { leadershipState, logger } = this.#options;
+    const nowMs = performance.now();
+    // Before the first report, the caller knows the group from the other ranks.
+    const ownGroup = this.#report?.group ?? group;
+    joinGroup(leadershipState, { group: ownGroup, nowMs });
+    if (group !== ownGroup) return { kind: "otherGroup" };
     const previous = leadershipState.latest;
     const isFollowed = followCoordinator(leadershipState, {
-      leadership: { term, coordinator, rank },
-      nowMs: performance.now(),
+      leadership: { group, term, coordinator, rank },
+      nowMs,
     });
     if (!isFollowed) {
       logger.log("ordersDiscarded", { term, known: previous.term });
@@ -201,17 +212,21 @@
   }
 
   #trackEngine(report: RankReport | undefined): void {
-    const { logger } = this.#options;
+    const { logger, leadershipState } = this.#options;
     if (report === undefined && !this.#isEngineLost) {
       this.#isEngineLost = true;
       const reason = this.#options.engine.lastFailure ??
         "engine is in no group";
       logger.log("engineLost", { reason });
     }
-    if (report !== undefined && (this.#isEngineLost || !this.#report)) {
-      this.#isEngineLost = false;
-      const { rank, group, epoch } = report;
-      logger.log("engineRegained", { rank, group, epoch });
-    }
+    if (report === undefined) return;
+    const { rank, group, epoch } = report;
+    const hasMoved = joinGroup(leadershipState, {
+      group,
+      nowMs: performance.now(),
+    });
+    if (!this.#isEngineLost && this.#report !== undefined && !hasMoved) return;
+    this.#isEngineLost = false;
+    logger.log("engineRegained", { rank, group, epoch });
   }
 }
--- a/daemon/serve-rank/src/rank_link.ts
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -15,6 +15,7 @@
   type RankClient,
   type RankHandlers,
   type RelayedCall,
+  type RelayedReply,
   type RelayReply,
 } from "@dandelionbank/rank-api";
 import type {
@@ -33,6 +34,8 @@
 const MAX_FAILURES = 3;
 /** Poll interval of a rank after that many failed polls. */
 const FAILED_INTERVAL_MS = 500;
+/** Poll interval of a rank in another group, which it seldom leaves. */
+const OTHER_GROUP_INTERVAL_MS = 2_000;
 
 export interface RankLinkOptions {
   /** `IP:PORT` of the agent. */
@@ -52,6 +55,11 @@
  */
 export type OrderRoute = "agent" | "direct" | "agentOrDirect";
 
+/** Result of an order, or the newer term that the rank's agent follows. */
+export type OrderOutcome =
+  | GroupOrderResult
+  | { readonly newerTerm: number };
+
 export interface LinkPoll {
   readonly leadership: Leadership;
   readonly withChoices: boolean;
@@ -77,6 +85,7 @@
   #polledAtMs: number | undefined;
   #lastFailure = "not polled yet";
   #baseMap: PreparedMap | undefined;
+  #isInOtherGroup = false;
 
   private constructor(options: RankLinkOptions) {
     this.#options = options;
@@ -100,10 +109,19 @@
     return this.#options.dataCentre;
   }
 
-  /** True if the agent is another process and answered the last call. */
+  /**
+   * True if the agent is another process, belongs to the group and answered the
+   * last call.
+   */
   get isResponsive(): boolean {
     return this.#client !== undefined && this.#polledAtMs !== undefined &&
-      this.#failures === 0;
+      this.#failures === 0 && !this.#isInOtherGroup;
+  }
+
+  /** False if the rank is in another group and was polled recently. */
+  get isPollDue(): boolean {
+    const sincePollMs = performance.now() - (this.#polledAtMs ?? 0);
+    return !this.#isInOtherGroup || sincePollMs >= OTHER_GROUP_INTERVAL_MS;
   }
 
   /** Reason of the agent's last failure to answer. */
@@ -137,6 +155,7 @@
       const reply = await (this.#options.localAgent?.poll(request) ??
         this.#client!.calls.poll.mutate(request));
       this.#failures = 0;
+      this.recordGroup(reply.kind);
       if (reply.kind === "polled" && reply.choices !== undefined) {
         this.#lastSnapshot = reply.choices.snapshot;
       }
@@ -147,6 +166,11 @@
     }
   }
 
+  /** Records from the kind of a reply whether the rank is in the group. */
+  recordGroup(kind: RelayedReply["kind"]): void {
+    this.#isInOtherGroup = kind === "otherGroup";
+  }
+
   /** Records that the agent did not answer; it is no relay until it answers. */
   recordFailure(reason: string): void {
     this.#failures += 1;
@@ -166,15 +190,14 @@
   async sendOrder(
     sent: SentOrder,
     route: OrderRoute,
-  ): Promise<GroupOrderResult | { readonly newerTerm: number }> {
+  ): Promise<OrderOutcome> {
     const { order, epoch } = sent;
     if (route === "direct") return await this.#orderEngine(order, epoch);
     try {
       const reply = await (this.#options.localAgent?.order(sent) ??
         this.#callOrder(sent));
       this.recordOrderReply(order, reply);
-      if (reply.kind === "newer") return { newerTerm: reply.term };
-      return reply.result;
+      return readOutcome(reply);
     } catch (error) {
       this.#lastFailure = String(error);
       this.#baseMap = undefined;
@@ -264,6 +287,12 @@
   }
 }
 
+/** An order that was rejected because of the group has not been forwarded. */
+export function readOutcome(reply: OrderReply): OrderOutcome {
+  if (reply.kind === "newer") return { newerTerm: reply.term };
+  return reply.kind === "otherGroup" ? "conflict" : reply.result;
+}
+
 export function encodeOrder(order: GroupOrder): EncodedOrder {
   if (order.kind !== "prepare") return order;
   return { ...order, map: encodeMap(order.map) };
--- a/daemon/serve-rank/src/rank_poller.ts
+++ b/daemon/serve-rank/src/rank_poller.ts
@@ -58,9 +58,8 @@
     { withChoices }: { readonly withChoices: boolean },
   ): Promise<PollRound> {
     const { fanOut, listLinks } = this.#options;
-    const { replies, choices } = await fanOut.poll(listLinks(), {
-      withChoices,
-    });
+    const links = listLinks().filter(({ isPollDue }) => isPollDue);
+    const { replies, choices } = await fanOut.poll(links, { withChoices });
     const answered = replies.flatMap(({ link, reply }) => {
       const report = reply?.kind === "polled" ? reply.report : undefined;
       if (reply?.kind !== "polled" || !this.#recordReport(report, link)) {
--- a/peers/rank-api/src/mod.ts
+++ b/peers/rank-api/src/mod.ts
@@ -22,6 +22,7 @@
   NewerTerm,
   OrderReply,
   OrderRequest,
+  OtherGroup,
   PollReply,
   PollRequest,
   RankHandlers,
--- a/peers/rank-api/src/rank_router.ts
+++ b/peers/rank-api/src/rank_router.ts
@@ -1,8 +1,9 @@
 /**
  * Router that the agent of each rank serves to the coordinator of its group.
  * Each request carries the coordinator's term, a number that rises with each new
- * coordinator; an agent that knows a newer term rejects the request. A request can be relayed: the receiving agent then
- * calls several others and returns their replies together.
+ * coordinator of the group; an agent that knows a newer term, or whose rank
+ * belongs to another group, rejects the request. A request can be relayed: the
+ * receiving agent then calls several others and returns their replies together.
  */
 
 import type { Leadership } from "@dandelionbank/elect-coordinator";
@@ -23,6 +24,11 @@
   readonly term: number;
 }
 
+/** Rejection of a call for another group than the one the rank belongs to. */
+export interface OtherGroup {
+  readonly kind: "otherGroup";
+}
+
 export interface PollRequest extends Leadership {
   /** Number of the last snapshot that the coordinator received; 0 for none. */
   readonly sinceSnapshot: number;
@@ -42,6 +48,7 @@
 
 export type PollReply =
   | NewerTerm
+  | OtherGroup
   | {
     readonly kind: "polled";
     /** Undefined if the engine does not answer or belongs to no group. */
@@ -57,6 +64,7 @@
 
 export type OrderReply =
   | NewerTerm
+  | OtherGroup
   | { readonly kind: "ordered"; readonly result: GroupOrderResult };
 
 /** A new map, sent as a change of one that the agent forwarded to its engine. */
@@ -105,6 +113,7 @@
 
 export type RelayReply =
   | NewerTerm
+  | OtherGroup
   | {
     readonly kind: "relayed";
     /**
@@ -126,6 +135,7 @@
 
 const COUNT = v.pipe(v.number(), v.integer(), v.minValue(0));
 const LEADERSHIP_FIELDS = {
+  group: v.pipe(v.string(), v.maxLength(256)),
   term: COUNT,
   coordinator: v.pipe(v.string(), v.minLength(1), v.maxLength(256)),
   rank: COUNT,
--- a/testing/ingress-tests/src/group_test.ts
+++ b/testing/ingress-tests/src/group_test.ts
@@ -79,6 +79,18 @@
   await waitFor(() => group.model.mapVersion > 0);
 });
 
+test("Each group of a service gets maps from a coordinator of its own", async (t) => {
+  const { groups: [first, second] } = await startGroups(t, [
+    { ...SHAPE, name: "g0" },
+    { ...SHAPE, name: "g1", firstHost: 51 },
+  ]);
+  await waitFor(() => first!.model.mapVersion > 0);
+  await waitFor(() => second!.model.mapVersion > 0);
+  const before = second!.model.mapVersion;
+  second!.hotExpert = 3;
+  await waitFor(() => second!.model.mapVersion > before);
+});
+
 test("A group that forms again at map version 0 gets a new map", async (t) => {
   const { group } = await startGroup(t);
   await waitFor(() => group.model.mapVersion > 0);
@@ -143,14 +155,26 @@
 }
 
 async function startGroup(t: TestContext, shape: SiteGroupOptions = SHAPE) {
-  const [store, group, peerPort] = await Promise.all([
+  const { groups, ...site } = await startGroups(t, [shape]);
+  return { ...site, group: groups[0]! };
+}
+
+/** Starts groups of the same shape that belong to one service. */
+async function startGroups(
+  t: TestContext,
+  shapes: readonly SiteGroupOptions[],
+) {
+  const [store, groups, peerPort] = await Promise.all([
     SiteStore.create(),
-    SiteGroup.create(shape),
+    Promise.all(shapes.map((shape) => SiteGroup.create(shape))),
     findFreePort(),
   ]);
-  store.put("config", "main", createConfiguration(shape));
-  for (let rank = 0; rank < shape.ranks; rank++) {
-    store.put("servers", `r${rank}`, {
+  store.put("config", "main", createConfiguration(shapes[0]!));
+  const ranks = groups.flatMap((group, index) =>
+    Array.from({ length: shapes[index]!.ranks }, (_, rank) => ({ group, rank }))
+  );
+  for (const [index, { group, rank }] of ranks.entries()) {
+    store.put("servers", `r${index}`, {
       service: "s",
       address: group.address(rank),
       zone: "a",
@@ -160,14 +184,14 @@
   }
   const lines: LoggedLine[][] = [];
   const agents: RankProcess[] = [];
-  for (let rank = 0; rank < shape.ranks; rank++) {
+  for (const [index, { group, rank }] of ranks.entries()) {
     const agentLines: LoggedLine[] = [];
     lines.push(agentLines);
     const logger: Logger = {
       log: (name, fields) => void agentLines.push({ name, fields }),
     };
     const settings = createBootSettings({
-      "node_name": `side-${rank}`,
+      "node_name": `side-${index}`,
       ip: group.host(rank),
       "port_range": `${peerPort},${peerPort}`,
       app: group.address(rank),
@@ -181,10 +205,10 @@
   t.after(async () => {
     await Promise.all(agents.map((agent) => agent.stop()));
     await delay(300);
-    await group.close();
+    await Promise.all(groups.map((group) => group.close()));
     await store.close();
   });
-  return { store, group, agents, lines, peerPort };
+  return { store, groups, agents, lines, peerPort };
 }
 
 function createConfiguration({ sets, expertsPerSet }: SiteGroupOptions) {
--- a/testing/standin-site/src/site_group.ts
+++ b/testing/standin-site/src/site_group.ts
@@ -22,8 +22,14 @@
   readonly ranks: number;
   readonly sets: number;
   readonly expertsPerSet: number;
+  readonly name?: string;
+  /** Last number of the address of rank 0; those of further ranks follow. */
+  readonly firstHost?: number;
 }
 
+const DEFAULT_NAME = "g";
+const DEFAULT_FIRST_HOST = 11;
+
 export class SiteGroup {
   readonly model: GroupModel;
   readonly #options: SiteGroupOptions;
@@ -52,7 +58,7 @@
   static async create(options: SiteGroupOptions): Promise<SiteGroup> {
     const group = new SiteGroup(options);
     await Promise.all(group.#servers.map(async (server, rank) => {
-      server.listen(0, getHost(rank));
+      server.listen(0, group.host(rank));
       await once(server, "listening");
     }));
     group.#timer = setInterval(() => group.#runPass(), PASS_INTERVAL_MS);
@@ -60,12 +66,13 @@
   }
 
   host(rank: number): string {
-    return getHost(rank);
+    const { firstHost = DEFAULT_FIRST_HOST } = this.#options;
+    return `127.0.0.${firstHost + rank}`;
   }
 
   address(rank: number): string {
     const { port } = this.#servers[rank]!.address() as AddressInfo;
-    return `${getHost(rank)}:${port}`;
+    return `${this.host(rank)}:${port}`;
   }
 
   async close(): Promise<void> {
@@ -110,8 +117,9 @@
 
   #createReport(rank: number) {
     const report = this.model.listReports()[rank]!;
+    const { name = DEFAULT_NAME } = this.#options;
     return {
-      group: { name: "g", epoch: report.epoch, rank, state: "open" },
+      group: { name, epoch: report.epoch, rank, state: "open" },
       size: report.groupSize,
       step: report.step,
       mapping: report.mapVersion,
@@ -173,10 +181,6 @@
   }
 }
 
-function getHost(rank: number): string {
-  return `127.0.0.${11 + rank}`;
-}
-
 function reply(response: ServerResponse, value: unknown, status = 200): void {
   response.writeHead(status, { "content-type": "application/json" });
   response.end(JSON.stringify(value));
