Repeat an order without an answer sooner while a pass is held

Change: repeat after 30 ms, or 1.1 ms for each rank of a large group. The new test fails with 80 ms.

--- a/agreement/switch-group/src/switch_group_test.ts
+++ b/agreement/switch-group/src/switch_group_test.ts
@@ -27,6 +27,21 @@
   assert.equal(world.heldTicks, 0);
 });
 
+test("An order to arm that gets no answer is repeated before the group misses a pass", () => {
+  const world = new World();
+  let lostOrders = 0;
+  world.chooseDeliveryOf = (rank, { kind }) => {
+    if (kind !== "arm" || rank !== 1 || lostOrders > 0) return "answered";
+    lostOrders += 1;
+    return "late";
+  };
+  world.plan();
+  world.run(1_000);
+  assert.ok(world.group.mapVersion > 0);
+  assert.equal(lostOrders, 1);
+  assert.equal(world.heldTicks, 0);
+});
+
 test("Each phase of a switch and its end are reported once, with the version", () => {
   const world = new World();
   const phases: string[] = [];
@@ -273,6 +288,10 @@
 class World {
   readonly group = new GroupModel(RANKS);
   chooseDelivery: (count: number) => OrderDelivery = () => "answered";
+  /** Decides by the order instead, if set. */
+  chooseDeliveryOf:
+    | ((rank: number, order: GroupOrder) => OrderDelivery)
+    | undefined;
   chooseDelayMs: (count: number) => number = () => 5_000;
   onOrder: (rank: number, order: GroupOrder) => void = () => undefined;
   onAdvanced: (effect: AdvancedEffect) => void = () => undefined;
@@ -342,7 +361,8 @@
     this.#sent += 1;
     this.onOrder(rank, order);
     const result = this.group.send({ rank, order, epoch }, {
-      delivery: this.chooseDelivery(this.#sent),
+      delivery: this.chooseDeliveryOf?.(rank, order) ??
+        this.chooseDelivery(this.#sent),
       delayMs: this.chooseDelayMs(this.#sent),
       nowMs: this.#nowMs,
     });
--- a/agreement/switch-group/src/switch_state.ts
+++ b/agreement/switch-group/src/switch_state.ts
@@ -8,8 +8,13 @@
 } from "@dandelionbank/types";
 import type { ActivePhase, Phase, SwitchEffect } from "./types.ts";
 
-/** Time after which an order without an answer is resent. */
-const RESEND_MS = 80;
+/**
+ * Time after which an order without an answer is resent. While a rank is not
+ * armed, its group may be kept from beginning a pass.
+ */
+const RESEND_MS = 30;
+/** A large group takes longer to answer, as its calls are relayed. */
+const RESEND_PER_RANK_MS = 1.1;
 /**
  * Time after which an order that carries a map is resent. A map is large: resent
  * while the first copy is in flight, it would delay its own answer on a slow
@@ -109,7 +114,9 @@
 ): void {
   const key = getOrderKey(sent);
   const sentAtMs = state.sentAtMs.get(key);
-  const resendMs = sent.order.kind === "prepare" ? RESEND_MAP_MS : RESEND_MS;
+  const resendMs = sent.order.kind === "prepare"
+    ? RESEND_MAP_MS
+    : Math.max(RESEND_MS, state.groupSize * RESEND_PER_RANK_MS);
   if (sentAtMs !== undefined && nowMs - sentAtMs < resendMs) return;
   state.sentAtMs.set(key, nowMs);
   effects.push({ type: "send", isDirect: false, ...sent });
