Confirm that all agents answer before ranks are armed

Change: after a hold is confirmed, one more round of polls, begun at once, has to be answered by all agents before any rank is armed. Otherwise the hold is cancelled: nothing is armed, so nothing needs to be taken back. A frozen rank that could not be armed no longer keeps its group waiting either.

--- a/agreement/switch-group/src/order_result.ts
+++ b/agreement/switch-group/src/order_result.ts
@@ -30,7 +30,11 @@
       if (phase.name !== "holding" || phase.step !== order.step) return;
       // After a conflict the next reports show its cause.
       if (!isDone) return;
-      enterPhase(context, { ...phase, name: "arming", armed: new Set() });
+      enterPhase(context, {
+        ...phase,
+        name: "confirming",
+        sinceMs: context.nowMs,
+      });
       return;
     case "arm":
       if (phase.name !== "arming" || phase.step !== order.step) return;
--- a/agreement/switch-group/src/switch_group.ts
+++ b/agreement/switch-group/src/switch_group.ts
@@ -5,11 +5,13 @@
  *
  * 1. Every rank prepares the new version, which has no effect by itself.
  * 2. One rank holds an upcoming pass, so that the group cannot begin it.
- * 3. Every rank is armed to switch when that pass begins.
- * 4. The hold is released once every rank is armed.
+ * 3. Every agent confirms that it still answers. Otherwise the hold is cancelled:
+ *    a rank that cannot be armed would keep the whole group waiting.
+ * 4. Every rank is armed to switch when that pass begins.
+ * 5. The hold is released once every rank is armed.
  *
- * Once a pass is held, the switch is never rolled back. An order without an
- * answer is repeated, because it may still be carried out at any later time:
+ * Once the first rank is armed, the switch is never rolled back. An order without
+ * an answer is repeated, because it may still be carried out at any later time:
  * abandoning the switch could leave a rank armed. A group that restarts with a
  * new epoch has dropped all orders, so every order carries the epoch it is for.
  *
@@ -59,6 +61,7 @@
   switch (event.type) {
     case "reported":
       state.reports = event.reports;
+      state.polledAtMs = event.polledAtMs;
       state.isFollowedByAll = event.isFollowedByAll;
       state.agentOrders = event.agentOrders;
       state.groupSize = event.reports[0]?.groupSize ?? state.groupSize;
--- a/agreement/switch-group/src/switch_group_test.ts
+++ b/agreement/switch-group/src/switch_group_test.ts
@@ -54,6 +54,7 @@
   assert.deepEqual(phases, [
     "preparing",
     "holding",
+    "confirming",
     "arming",
     "releasing",
     "settling",
@@ -96,6 +97,47 @@
   assert.equal(world.group.mapVersion, version);
 });
 
+test("A hold is cancelled if an agent stops answering before any rank is armed", () => {
+  for (const answersDirectly of [true, false]) {
+    const world = new World();
+    world.onOrder = (_rank, { kind }) => {
+      assert.notEqual(kind, "arm");
+      if (kind !== "hold") return;
+      world.isFollowedByAll = false;
+      if (!answersDirectly) world.frozenRank = 0;
+    };
+    world.plan();
+    world.run(1_000);
+    assert.ok(!world.group.hasAnyHold);
+    assert.ok(world.heldTicks <= 1, `held for ${world.heldTicks} passes`);
+    world.onOrder = () => undefined;
+    world.frozenRank = undefined;
+    world.isFollowedByAll = true;
+    world.plan();
+    world.run(1_000);
+    assert.ok(world.group.mapVersion > 0);
+  }
+});
+
+test("A hold that arrives again after it was cancelled is released", () => {
+  const world = new World();
+  let holds = 0;
+  world.chooseDeliveryOf = (_rank, { kind }) => {
+    if (kind !== "hold") return "answered";
+    holds += 1;
+    return holds === 1 ? "late" : "answered";
+  };
+  world.chooseDelayMs = () => 900;
+  world.onOrder = (_rank, { kind }) => {
+    if (kind === "hold") world.isFollowedByAll = false;
+  };
+  world.group.isBusy = false;
+  world.plan();
+  world.run(3_000);
+  assert.ok(holds > 1);
+  assert.ok(!world.group.hasAnyHold);
+});
+
 test("A pass held by a coordinator that froze with its rank is released", () => {
   const world = createWorldWithHeldPass();
   world.replaceCoordinator();
@@ -143,6 +185,7 @@
   const reported = {
     type: "reported",
     reports: group.listReports(),
+    polledAtMs: 0,
     isFollowedByAll: true,
     agentOrders: new Map(),
   } as const;
@@ -340,6 +383,7 @@
       reports: this.group.listReports().filter(({ rank }) =>
         rank !== this.frozenRank
       ),
+      polledAtMs: this.#nowMs,
       isFollowedByAll: this.isFollowedByAll,
       agentOrders: new Map(
         this.group.listReports().map(({ rank }) => [rank, {
--- a/agreement/switch-group/src/switch_phases.ts
+++ b/agreement/switch-group/src/switch_phases.ts
@@ -34,6 +34,10 @@
       return prepareRanks(context, phase);
     case "holding":
       return holdPass(context, phase);
+    case "confirming":
+      return confirmAgents(context, phase);
+    case "cancelling":
+      return cancelHold(context, phase);
     case "arming":
       return armRanks(context, phase);
     case "releasing":
@@ -102,7 +106,8 @@
   const { epoch, step, holder } = phase;
   const report = reports.find(({ rank }) => rank === holder);
   if (report?.heldStep === step) {
-    return enterPhase(context, { ...phase, name: "arming", armed: new Set() });
+    const sinceMs = context.nowMs;
+    return enterPhase(context, { ...phase, name: "confirming", sinceMs });
   }
   const latestStep = findLatestStep(reports);
   if (latestStep >= step) {
@@ -125,6 +130,39 @@
   });
 }
 
+/**
+ * Awaits reports of polls that began after the pass was held. No rank has been
+ * armed so far, so the hold can still be cancelled.
+ */
+function confirmAgents(
+  context: SwitchContext,
+  phase: PhaseOf<"confirming">,
+): void {
+  const { reports, polledAtMs, isFollowedByAll } = context.state;
+  if (polledAtMs <= phase.sinceMs) return;
+  const { version, epoch, step, holder } = phase;
+  const held = { version, epoch, step, holder };
+  if (isFollowedByAll && isGroupComplete(reports)) {
+    return enterPhase(context, { ...held, name: "arming", armed: new Set() });
+  }
+  enterPhase(context, { ...held, name: "cancelling" });
+}
+
+/**
+ * Releases the held pass until it has begun: a hold that was sent twice may still
+ * be carried out before that.
+ */
+function cancelHold(
+  context: SwitchContext,
+  { step, holder, epoch }: PhaseOf<"cancelling">,
+): void {
+  const { reports } = context.state;
+  if (findLatestStep(reports) >= step) return endSwitch(context, "abandoned");
+  const report = reports.find(({ rank }) => rank === holder);
+  const isReleased = report !== undefined && report.heldStep !== step;
+  if (!isReleased) sendRelease(context, { rank: holder, step, epoch });
+}
+
 function armRanks(context: SwitchContext, phase: PhaseOf<"arming">): void {
   const { reports, groupSize, options } = context.state;
   const { version, epoch, step, holder, armed } = phase;
--- a/agreement/switch-group/src/switch_state.ts
+++ b/agreement/switch-group/src/switch_state.ts
@@ -34,6 +34,8 @@
   readonly options: SwitchOptions;
   phase: Phase;
   reports: readonly RankReport[];
+  /** When the first of the ranks was asked for the reports. */
+  polledAtMs: number;
   /** Whether all agents follow this coordinator. */
   isFollowedByAll: boolean;
   agentOrders: ReadonlyMap<number, OrderForwardingState>;
@@ -64,6 +66,7 @@
     options,
     phase: { name: "idle" },
     reports: [],
+    polledAtMs: Number.NEGATIVE_INFINITY,
     isFollowedByAll: false,
     agentOrders: new Map(),
     groupSize: 0,
--- a/agreement/switch-group/src/types.ts
+++ b/agreement/switch-group/src/types.ts
@@ -13,6 +13,8 @@
     readonly type: "reported";
     /** Reports of all ranks that could be read, newer than any earlier ones. */
     readonly reports: readonly RankReport[];
+    /** When the first of the ranks was asked. */
+    readonly polledAtMs: number;
     /** Whether every report came through an agent that follows this coordinator. */
     readonly isFollowedByAll: boolean;
     /** Orders known to the agents that answered, by rank. */
@@ -74,6 +76,23 @@
     /** The rank that holds the pass. */
     readonly holder: number;
   }
+  | {
+    readonly name: "confirming";
+    readonly version: number;
+    readonly epoch: number;
+    readonly step: number;
+    readonly holder: number;
+    /** When the pass was found to be held. */
+    readonly sinceMs: number;
+  }
+  | {
+    readonly name: "cancelling";
+    readonly version: number;
+    readonly epoch: number;
+    /** The held pass, for which no rank was armed. */
+    readonly step: number;
+    readonly holder: number;
+  }
   | {
     readonly name: "arming";
     readonly version: number;
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -41,7 +41,6 @@
   Instant,
   RankReport,
 } from "@dandelionbank/types";
-import { setTimeout as delay } from "node:timers/promises";
 import { FanOut } from "./fan_out.ts";
 import { GroupMap } from "./group_map.ts";
 import { type PollRound, RankPoller } from "./rank_poller.ts";
@@ -90,6 +89,7 @@
   #pendingMap: ExpertMap | undefined;
   /** When an agent last replied to a poll. */
   #repliedAt: Instant | undefined;
+  #endSleep: () => void = () => undefined;
   #choicesPolledAtMs = 0;
   #switchStartedAtMs = 0;
 
@@ -121,10 +121,21 @@
   async run(): Promise<void> {
     while (this.#isLeading) {
       await this.#runRound();
-      await delay(this.#intervalMs);
+      await this.#sleep(this.#intervalMs);
     }
   }
 
+  /** Sleeps until the next round, or until `#endSleep` is called. */
+  async #sleep(durationMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, durationMs);
+      this.#endSleep = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   get #isLeading(): boolean {
     const { leadershipState } = this.#options;
     return leadershipState.isLeading &&
@@ -173,6 +184,7 @@
     this.#dispatch({
       type: "reported",
       reports: [...reports, ...directReports],
+      polledAtMs: nowMs,
       isFollowedByAll: directReports.length === 0,
       agentOrders,
     });
@@ -258,6 +270,8 @@
         ? currentPhase.map
         : undefined;
     }
+    // The pass is held until the next round has confirmed that agents answer.
+    if (phase === "confirming") this.#endSleep();
     this.#options.logger.log("switchAdvanced", {
       version,
       epoch,
