Arm no rank for a hold that may have been cancelled

Cause: read, not seen. A coordinator that cancels a hold repeats its order to release. If one copy is carried out late and the coordinator is replaced, its successor finds the pass held and every rank prepared, and went on to arm them; the late release would let the pass begin with only some ranks armed. Change: a successor releases a held pass unless some rank is armed or some agent knows of an order to arm that may still be carried out. Agents report that also while an order to arm awaits its answer. The model of the tests now derives this from lost orders, as agents do.

--- a/agreement/switch-group/src/earlier_switch.ts
+++ b/agreement/switch-group/src/earlier_switch.ts
@@ -39,6 +39,8 @@
  * Handles a hold that does not belong to a switch of this coordinator. If a
  * prepared version may have been armed for the held pass, even by an order that
  * is still in flight, the switch is completed; otherwise the pass is released.
+ * An earlier coordinator may have cancelled the hold, and its order to release
+ * may still arrive, so no rank is armed for a pass for which none can be yet.
  */
 function completeOrReleaseHold(
   context: SwitchContext,
@@ -50,10 +52,15 @@
 ): void {
   const step = held.heldStep as number;
   const version = armed?.armedVersion ?? held.preparedVersion;
-  const mayBeArmed = version > held.mapVersion &&
-    context.state.reports.every((report) =>
-      report.preparedVersion === version || report.armedVersion === version
-    );
+  const { reports, agentOrders } = context.state;
+  const isPrepared = reports.every((report) =>
+    report.preparedVersion === version || report.armedVersion === version
+  );
+  const mayArmLate = reports.some(({ rank }) =>
+    agentOrders.get(rank)?.mayArmLate ?? true
+  );
+  const mayBeArmed = version > held.mapVersion && isPrepared &&
+    (armed !== undefined || mayArmLate);
   if (!mayBeArmed) {
     sendRelease(context, { rank: held.rank, step, epoch });
     return;
--- a/agreement/switch-group/src/switch_group_test.ts
+++ b/agreement/switch-group/src/switch_group_test.ts
@@ -18,6 +18,8 @@
 const TICK_MS = 20;
 const PASS_MS = 60;
 const LATE_MS = 12_000;
+/** Time for which an agent reports that a lost order to arm may be carried out. */
+const MAY_ARM_LATE_MS = 13_000;
 
 test("Without faults a switch delays no pass", () => {
   const world = new World();
@@ -138,6 +140,25 @@
   assert.ok(!world.group.hasAnyHold);
 });
 
+test("A successor does not arm ranks for a pass whose hold was cancelled", () => {
+  const world = new World();
+  world.onOrder = (_rank, { kind }) => {
+    if (kind === "hold") world.isFollowedByAll = false;
+  };
+  world.chooseDeliveryOf = (_rank, { kind }) =>
+    kind === "release" ? "late" : "answered";
+  world.chooseDelayMs = () => 2_000;
+  world.plan();
+  world.run(300);
+  assert.ok(world.group.isHeld);
+  world.replaceCoordinator();
+  world.isFollowedByAll = true;
+  world.onOrder = (_rank, { kind }) => assert.notEqual(kind, "arm");
+  world.run(4_000);
+  assert.ok(!world.group.hasAnyHold);
+  assert.equal(world.group.mapVersion, 0);
+});
+
 test("A pass held by a coordinator that froze with its rank is released", () => {
   const world = createWorldWithHeldPass();
   world.replaceCoordinator();
@@ -341,8 +362,12 @@
   heldTicks = 0;
   /** A rank that does not answer at all. */
   frozenRank: number | undefined;
-  /** Whether the agents report that an order to arm may still be carried out. */
-  mayArmLate = false;
+  /**
+   * Whether the agents report that an order to arm may still be carried out; by
+   * default as they know from orders without an answer.
+   */
+  mayArmLate: boolean | undefined;
+  readonly #lostArmAtMs = new Map<number, number>();
   /** False while the reports of some rank do not come through its agent. */
   isFollowedByAll = true;
   #nowMs = 0;
@@ -387,7 +412,7 @@
       isFollowedByAll: this.isFollowedByAll,
       agentOrders: new Map(
         this.group.listReports().map(({ rank }) => [rank, {
-          mayArmLate: this.mayArmLate,
+          mayArmLate: this.mayArmLate ?? this.#hasLostArm(rank),
           orderedByRank: 0,
         }]),
       ),
@@ -410,6 +435,14 @@
       delayMs: this.chooseDelayMs(this.#sent),
       nowMs: this.#nowMs,
     });
+    if (order.kind === "arm" && result === "lost") {
+      this.#lostArmAtMs.set(rank, this.#nowMs);
+    }
     this.#post({ type: "orderEnded", rank, order, epoch, result });
   }
+
+  #hasLostArm(rank: number): boolean {
+    const lostAtMs = this.#lostArmAtMs.get(rank);
+    return lostAtMs !== undefined && this.#nowMs - lostAtMs < MAY_ARM_LATE_MS;
+  }
 }
--- a/daemon/serve-rank/src/rank_agent.ts
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -71,6 +71,8 @@
    * earlier orders are unknown.
    */
   #lostArmAtMs = performance.now();
+  /** Orders to arm that the engine has not answered yet. */
+  #armsInFlight = 0;
 
   private constructor(options: RankAgentOptions) {
     this.#options = options;
@@ -125,13 +127,16 @@
     const { order, epoch, term } = request;
     const { engine, logger } = this.#options;
     this.#orderedByRank = request.rank;
+    const isArm = order.kind === "arm";
+    if (isArm) this.#armsInFlight += 1;
     const result = await engine.sendOrder(order, epoch);
+    if (isArm) this.#armsInFlight -= 1;
     const reason = engine.lastFailure ?? "";
     if (order.kind === "prepare" && result === "done") {
       const { version, map } = order;
       this.#prepared = { version, map };
     }
-    if (order.kind === "arm" && result === "lost") {
+    if (isArm && result === "lost") {
       this.#lostArmAtMs = performance.now();
     }
     if (result !== "done") {
@@ -181,7 +186,7 @@
   get #orderForwardingState(): OrderForwardingState {
     const elapsedMs = performance.now() - this.#lostArmAtMs;
     return {
-      mayArmLate: elapsedMs < LATE_ORDER_MS,
+      mayArmLate: this.#armsInFlight > 0 || elapsedMs < LATE_ORDER_MS,
       orderedByRank: this.#orderedByRank,
     };
   }
