--- a/agreement/switch-group/src/switch_phases.ts
+++ b/agreement/switch-group/src/switch_phases.ts
@@ -21,7 +21,10 @@
 
 /** The switch is abandoned if ranks take longer to copy experts. */
 const PREPARE_TIMEOUT_MS = 8_000;
-/** Passes between the newest report and the held pass: time for the orders to arrive. */
+/**
+ * Passes between the newest report and the held pass: time for the hold to arrive
+ * and be confirmed, and for all ranks to be armed.
+ */
 const HOLD_LEAD_STEPS = 2;
 
 /** Runs the current phase once; `epoch` is the newest that any rank reported. */
