--- a/agreement/switch-group/src/switch_group.ts
+++ b/agreement/switch-group/src/switch_group.ts
@@ -5,8 +5,9 @@
  *
  * 1. Every rank prepares the new version, which has no effect by itself.
  * 2. One rank holds an upcoming pass, so that the group cannot begin it.
- * 3. Every agent confirms that it still answers. Otherwise the hold is cancelled:
- *    a rank that cannot be armed would keep the whole group waiting.
+ * 3. Every agent confirms that it still answers, unless the group is large.
+ *    Otherwise the hold is cancelled: a rank that cannot be armed would keep the
+ *    whole group waiting.
  * 4. Every rank is armed to switch when that pass begins.
  * 5. The hold is released once every rank is armed.
  *
--- a/agreement/switch-group/src/switch_phases.ts
+++ b/agreement/switch-group/src/switch_phases.ts
@@ -21,6 +21,12 @@
 
 /** The switch is abandoned if ranks take longer to copy experts. */
 const PREPARE_TIMEOUT_MS = 8_000;
+/**
+ * Largest group whose agents confirm that they answer. In a larger one, a round
+ * of polls goes through relays and takes longer than the pass that would wait
+ * for it.
+ */
+const MAX_CONFIRMING_RANKS = 16;
 /**
  * Passes between the newest report and the held pass: time for the hold to arrive
  * and be confirmed, and for all ranks to be armed.
@@ -141,11 +147,12 @@
   context: SwitchContext,
   phase: PhaseOf<"confirming">,
 ): void {
-  const { reports, polledAtMs, isFollowedByAll } = context.state;
-  if (polledAtMs <= phase.sinceMs) return;
+  const { reports, polledAtMs, isFollowedByAll, groupSize } = context.state;
+  const isLarge = groupSize > MAX_CONFIRMING_RANKS;
+  if (!isLarge && polledAtMs <= phase.sinceMs) return;
   const { version, epoch, step, holder } = phase;
   const held = { version, epoch, step, holder };
-  if (isFollowedByAll && isGroupComplete(reports)) {
+  if (isLarge || (isFollowedByAll && isGroupComplete(reports))) {
     return enterPhase(context, { ...held, name: "arming", armed: new Set() });
   }
   enterPhase(context, { ...held, name: "cancelling" });
