Enter the confirmation of a hold in one place

Cause: two places wrote the same change of phase, and confirmAgents tested for a large group in both of its conditions. Change: beginConfirming in switch_state, and one condition an outcome. No behaviour changes.

--- a/agreement/switch-group/src/order_result.ts
+++ b/agreement/switch-group/src/order_result.ts
@@ -2,6 +2,7 @@
 
 import {
   allowImmediateResend,
+  beginConfirming,
   endSwitch,
   enterPhase,
   type SwitchContext,
@@ -30,11 +31,7 @@
       if (phase.name !== "holding" || phase.step !== order.step) return;
       // After a conflict the next reports show its cause.
       if (!isDone) return;
-      enterPhase(context, {
-        ...phase,
-        name: "confirming",
-        sinceMs: context.nowMs,
-      });
+      beginConfirming(context, phase);
       return;
     case "arm":
       if (phase.name !== "arming" || phase.step !== order.step) return;
--- a/agreement/switch-group/src/switch_phases.ts
+++ b/agreement/switch-group/src/switch_phases.ts
@@ -6,6 +6,7 @@
 import type { RankReport } from "@dandelionbank/types";
 import { completeEarlierSwitch } from "./earlier_switch.ts";
 import {
+  beginConfirming,
   endSwitch,
   enterPhase,
   findLatestStep,
@@ -114,10 +115,7 @@
   const { reports } = context.state;
   const { epoch, step, holder } = phase;
   const report = reports.find(({ rank }) => rank === holder);
-  if (report?.heldStep === step) {
-    const sinceMs = context.nowMs;
-    return enterPhase(context, { ...phase, name: "confirming", sinceMs });
-  }
+  if (report?.heldStep === step) return beginConfirming(context, phase);
   const latestStep = findLatestStep(reports);
   if (latestStep >= step) {
     // The pass began before the hold arrived. No rank is armed for it.
@@ -148,14 +146,15 @@
   phase: PhaseOf<"confirming">,
 ): void {
   const { reports, polledAtMs, isFollowedByAll, groupSize } = context.state;
-  const isLarge = groupSize > MAX_CONFIRMING_RANKS;
-  if (!isLarge && polledAtMs <= phase.sinceMs) return;
-  const { version, epoch, step, holder } = phase;
+  const { version, epoch, step, holder, sinceMs } = phase;
   const held = { version, epoch, step, holder };
-  if (isLarge || (isFollowedByAll && isGroupComplete(reports))) {
-    return enterPhase(context, { ...held, name: "arming", armed: new Set() });
+  const isNeeded = groupSize <= MAX_CONFIRMING_RANKS;
+  if (isNeeded && polledAtMs <= sinceMs) return;
+  const hasAnswers = isFollowedByAll && isGroupComplete(reports);
+  if (isNeeded && !hasAnswers) {
+    return enterPhase(context, { ...held, name: "cancelling" });
   }
-  enterPhase(context, { ...held, name: "cancelling" });
+  enterPhase(context, { ...held, name: "arming", armed: new Set() });
 }
 
 /**
--- a/agreement/switch-group/src/switch_state.ts
+++ b/agreement/switch-group/src/switch_state.ts
@@ -6,7 +6,7 @@
   OrderForwardingState,
   RankReport,
 } from "@dandelionbank/types";
-import type { ActivePhase, Phase, SwitchEffect } from "./types.ts";
+import type { ActivePhase, Phase, PhaseOf, SwitchEffect } from "./types.ts";
 
 /**
  * Time after which an order without an answer is resent. While a rank is not
@@ -90,6 +90,16 @@
   });
 }
 
+/** Records that the pass is held, before any rank is armed for it. */
+export function beginConfirming(
+  context: SwitchContext,
+  { version, epoch, step, holder }: PhaseOf<"holding">,
+): void {
+  const held = { version, epoch, step, holder };
+  const sinceMs = context.nowMs;
+  enterPhase(context, { ...held, name: "confirming", sinceMs });
+}
+
 /** Ends the switch and emits an effect that reports how. */
 export function endSwitch(
   { state, effects }: SwitchContext,
