Freeze agents in tests of groups by one fixture

Cause: the new test wrote for the third time how an agent is replaced by a server that never answers. Change: freezeAgent, used by the three tests; what they assert is as before.

--- a/testing/ingress-tests/src/group_test.ts
+++ b/testing/ingress-tests/src/group_test.ts
@@ -66,14 +66,11 @@
 });
 
 test("A pass that a frozen coordinator put on hold is released", async (t) => {
-  const { group, agents, lines, peerPort } = await startGroup(t);
+  const site = await startGroup(t);
+  const { group, lines } = site;
   group.chooseDelivery = (order) => order.kind === "arm" ? "lost" : "answered";
   await waitFor(() => group.model.hasAnyHold);
-  const coordinator = findCoordinator(lines);
-  await agents[coordinator]!.stop();
-  // Accepts connections and never answers.
-  const unresponsive = createServer().listen(peerPort, group.host(coordinator));
-  t.after(() => unresponsive.close());
+  await freezeAgent(t, site, findCoordinator(lines));
   group.chooseDelivery = () => "answered";
   await waitFor(() => !group.model.hasAnyHold);
   await waitFor(() => group.model.mapVersion > 0);
@@ -111,22 +108,19 @@
 });
 
 test("A switch completes although relays freeze while a pass is on hold", async (t) => {
-  const { group, agents, lines, peerPort } = await startGroup(t, LARGE_SHAPE);
+  const site = await startGroup(t, LARGE_SHAPE);
+  const { group, lines } = site;
   await waitFor(() => group.model.mapVersion > 0);
   const coordinator = findCoordinator(lines);
-  const freeze = async (rank: number) => {
-    await agents[rank]!.stop();
-    // Accepts connections and never answers.
-    const unresponsive = createServer().listen(peerPort, group.host(rank));
-    t.after(() => unresponsive.close());
-  };
   let isFrozen = false;
   group.chooseDelivery = ({ kind }) => {
     if (kind === "hold" && !isFrozen) {
       isFrozen = true;
       for (let rank = 0; rank < LARGE_SHAPE.ranks; rank++) {
         // Freezes three of four agents, so that every relay is among them.
-        if (rank !== coordinator && rank % 4 !== 3) void freeze(rank);
+        if (rank !== coordinator && rank % 4 !== 3) {
+          void freezeAgent(t, site, rank);
+        }
       }
     }
     return "answered";
@@ -140,19 +134,15 @@
 });
 
 test("A pass on hold is released if an agent freezes before any rank is armed", async (t) => {
-  const { group, agents, lines, peerPort } = await startGroup(t);
+  const site = await startGroup(t);
+  const { group, lines } = site;
   await waitFor(() => group.model.mapVersion > 0);
   const frozen = findCoordinator(lines) === 2 ? 1 : 2;
   let isFrozen = false;
   group.chooseDelivery = ({ kind }) => {
     if (kind === "hold" && !isFrozen) {
       isFrozen = true;
-      void agents[frozen]!.stop().then(() => {
-        // Accepts connections and never answers.
-        const unresponsive = createServer();
-        unresponsive.listen(peerPort, group.host(frozen));
-        t.after(() => unresponsive.close());
-      });
+      void freezeAgent(t, site, frozen);
     }
     return "answered";
   };
@@ -165,6 +155,17 @@
   assert.equal(group.model.mapVersion, before);
 });
 
+/** Replaces an agent by a server that accepts connections and never answers. */
+async function freezeAgent(
+  t: TestContext,
+  { group, agents, peerPort }: Awaited<ReturnType<typeof startGroup>>,
+  rank: number,
+): Promise<void> {
+  await agents[rank]!.stop();
+  const unresponsive = createServer().listen(peerPort, group.host(rank));
+  t.after(() => unresponsive.close());
+}
+
 /** Returns the rank whose agent started coordinating in the highest term, or -1. */
 function findCoordinator(lines: readonly LoggedLine[][]): number {
   let coordinator = -1;
