Reset the connection of a cancelled request

Cause: a cancelled request closed its connection in the regular way, which still delivers the bytes before it. While the VM of an engine was frozen, request and close lay on their way, and both reached the engine when the VM woke.

All cancellations, timeouts included, go through RequestHandle.cancel of open-http, which now resets the connection: bytes in flight are dropped by the sender. This holds for attempts, orders to engines, calls to the store and between processes alike, so an order that timed out is not carried out later either. resetAndDestroy of Node.js would wait until pending writes are sent, which a frozen peer delays; hence the flag. TLS connections are closed as before.

Left: of requests that reached an engine before its VM froze, the engine notices the end only when the VM wakes.

--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -7,7 +7,7 @@
 import type { buildConnector, Dispatcher } from "undici";
 import createConnector from "undici/lib/core/connect.js";
 import Pool from "undici/lib/dispatcher/pool.js";
-import { ResetDetector } from "./reset_detector.ts";
+import { ConnectionResets } from "./connection_resets.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
@@ -47,6 +47,7 @@
 }
 
 export interface RequestHandle {
+  /** Resets the connection, so that bytes still in flight are not delivered. */
   cancel(): void;
   pause(): void;
   resume(): void;
@@ -55,7 +56,7 @@
 export class HttpPool {
   readonly origin: string;
   readonly #pool: Pool;
-  readonly #resets = ResetDetector.create();
+  readonly #resets = ConnectionResets.create();
 
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
@@ -106,19 +107,21 @@
 
 class RequestDispatch implements Dispatcher.DispatchHandler, RequestHandle {
   readonly #handler: HttpHandler;
-  readonly #resets: ResetDetector;
+  readonly #resets: ConnectionResets;
   #controller: Dispatcher.DispatchController | undefined;
   #isCancelled = false;
   #isEnded = false;
 
-  constructor(handler: HttpHandler, resets: ResetDetector) {
+  constructor(handler: HttpHandler, resets: ConnectionResets) {
     this.#handler = handler;
     this.#resets = resets;
   }
 
   cancel(): void {
     this.#isCancelled = true;
-    this.#controller?.abort(new Error("Cancelled"));
+    this.#resets.resetWhile(() =>
+      this.#controller?.abort(new Error("Cancelled"))
+    );
   }
 
   pause(): void {
@@ -149,7 +152,7 @@
   onResponseEnd(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
-    if (this.#resets.isResetting) {
+    if (this.#resets.isPeerResetting) {
       this.#handler.onError(new Error("Connection was reset"), true);
       return;
     }
