Let the stand-in for a frozen agent bear a reset connection

Three tests of groups failed since, which I had committed after the tests of its own packages only: calls that time out now reset their connection, and the stand-in that accepts connections and never answers had no listener for errors, so the error ended the test. The checks are unchanged.

--- a/testing/ingress-tests/src/group_test.ts
+++ b/testing/ingress-tests/src/group_test.ts
@@ -162,7 +162,10 @@
   rank: number,
 ): Promise<void> {
   await agents[rank]!.stop();
-  const unresponsive = createServer().listen(peerPort, group.host(rank));
+  const unresponsive = createServer((socket) => {
+    // Callers reset the connection of a call that times out.
+    socket.on("error", () => {});
+  }).listen(peerPort, group.host(rank));
   t.after(() => unresponsive.close());
 }
 
