Keep together to the request limit that a target names

Cause: entries forwarded the header and took no notice of it.

The adapter decodes the header, and the new core share-target-limits divides the limit among some of the entries, which tell each other what they have observed. Placement passes over targets at their limits, and refuses at once, with staggered times to retry, if none is left. Log events 10028 and 10029 show limits and shares, as no event did before.

--- a/daemon/exchange-status/src/parse_status.ts
+++ b/daemon/exchange-status/src/parse_status.ts
@@ -8,6 +8,7 @@
   v.string(),
   v.check((text) => parseAddress(text) !== undefined),
 );
+const NON_NEGATIVE = v.pipe(v.number(), v.minValue(0));
 const STATUS = v.pipe(
   v.string(),
   v.parseJson(),
@@ -27,6 +28,15 @@
       })),
       quarantined: v.array(v.string()),
     }),
+    // Entries of earlier versions do not send it.
+    targetLimits: v.optional(
+      v.array(v.object({
+        target: v.string(),
+        perSecond: v.nullable(NON_NEGATIVE),
+        ageMs: NON_NEGATIVE,
+      })),
+      [],
+    ),
   }),
 );
 
--- a/daemon/exchange-status/src/parse_status_test.ts
+++ b/daemon/exchange-status/src/parse_status_test.ts
@@ -14,6 +14,10 @@
     losses: [{ fingerprint: "f", target: "t", alone: false }],
     quarantined: ["g"],
   },
+  targetLimits: [
+    { target: "t", perSecond: 1.5, ageMs: 20 },
+    { target: "u", perSecond: null, ageMs: 0 },
+  ],
 };
 
 test("A status survives encoding and parsing unchanged", () => {
--- a/daemon/exchange-status/src/status_exchange.ts
+++ b/daemon/exchange-status/src/status_exchange.ts
@@ -37,6 +37,8 @@
   readonly port: number;
   readonly logger: Logger;
   readonly readStatus: () => EntryStatus;
+  /** Called with each status of another entry as it arrives. */
+  readonly onStatus: (status: EntryStatus) => void;
   /** Called after each round with the other live entries. */
   readonly onUpdate: (liveEntries: readonly EntryStatus[]) => void;
 }
@@ -135,5 +137,6 @@
     if (status.name === this.#options.readStatus().name) return;
     this.#addresses.add(status.peerAddress);
     recordEntryStatus(this.#tracker, { status, nowMs: performance.now() });
+    this.#options.onStatus(status);
   }
 }
--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -23,6 +23,8 @@
 }
 
 export interface AttemptListener {
+  /** Called with the headers of any answer to this attempt. */
+  onHead(head: AnswerHead): void;
   /** Called with the headers of the target's own successful answer. */
   onSuccess(head: AnswerHead, fields: HeaderFields): void;
   onData(chunk: Buffer): void;
@@ -136,6 +138,7 @@
       this.abort("broken", "answer belongs to another attempt id");
       return;
     }
+    this.#listener.onHead(head);
     if (status >= 300 || head.isNotRun) return;
     if (!head.isSealed) {
       this.abort("broken", "successful answer without a seal");
--- a/daemon/forward-requests/src/forward_context.ts
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -5,6 +5,7 @@
 import type { Logger } from "@dandelionbank/log-events";
 import type { PlacementState } from "@dandelionbank/pick-target";
 import type { ProgressTracker } from "@dandelionbank/track-progress";
+import type { TargetLimits } from "@dandelionbank/share-target-limits";
 import type { RegisteredTarget } from "@dandelionbank/types";
 import type { CrashMonitor } from "@dandelionbank/watch-suspects";
 import type { ForwardMetrics } from "./forward_metrics.ts";
@@ -16,6 +17,7 @@
   readonly metrics: ForwardMetrics;
   readonly configuration: ActiveConfiguration;
   readonly placement: PlacementState;
+  readonly targetLimits: TargetLimits;
   readonly pools: TargetPools;
   readonly admission: StreamAdmission;
   readonly retryBudget: RetryBudget;
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -236,6 +236,7 @@
     return Attempt.send(this.#context.pools.getPool(target), {
       request: { attemptId: head.attemptId, method, path, headers, body },
       listener: {
+        onHead: ({ limitPerS }) => this.#targets.reportLimit(limitPerS),
         onSuccess: (answerHead, answerFields) => {
           this.#hasAnswerBegun = true;
           this.#recordProgress();
@@ -334,7 +335,10 @@
         this.#answer.cut();
         return this.#finish("cut", this.#relay.status);
       case "refuse":
-        return this.#refuse("refusedByTargets", REFUSED_RETRY_MS);
+        return this.#refuse(
+          "refusedByTargets",
+          this.#targets.busyForMs ?? REFUSED_RETRY_MS,
+        );
       case "fail":
         return this.#fail(action.status);
     }
--- a/daemon/forward-requests/src/target_selector.ts
+++ b/daemon/forward-requests/src/target_selector.ts
@@ -10,6 +10,7 @@
 } from "@dandelionbank/pick-target";
 import type { RegisteredTarget, TargetLoad } from "@dandelionbank/types";
 import type { ForwardContext } from "./forward_context.ts";
+import { logLimitChange } from "./log_limit_change.ts";
 
 export interface TargetSelectorOptions {
   readonly service: string;
@@ -22,6 +23,8 @@
   readonly #options: TargetSelectorOptions;
   readonly #tried: string[] = [];
   #current: RegisteredTarget | undefined;
+  #sentAtMs = 0;
+  #busyForMs: number | undefined;
 
   private constructor(context: ForwardContext, options: TargetSelectorOptions) {
     this.#context = context;
@@ -58,8 +61,13 @@
       pool: this.#options.service,
       exclude: this.#tried,
     });
+    this.#busyForMs = effect?.type === "refused" &&
+        effect.code === "DANDELIONBANK_POOL_BUSY"
+      ? effect.retryAfterMs
+      : undefined;
     if (effect?.type !== "picked") return undefined;
     this.#tried.push(effect.target);
+    this.#sentAtMs = performance.now();
     this.#current = this.#context.findTarget(effect.target);
     if (this.#current === undefined) {
       this.#dispatch({ type: "targetLost", attemptId: this.#attemptId });
@@ -67,6 +75,26 @@
     return this.#current;
   }
 
+  /**
+   * Time until a target takes a request, if none did when the last one was to be
+   * selected because of their limits.
+   */
+  get busyForMs(): number | undefined {
+    return this.#busyForMs;
+  }
+
+  /** Records the limit in an answer's headers, or that they name none. */
+  reportLimit(perSecond: number | undefined): void {
+    if (this.#current === undefined) return;
+    const { targetLimits, logger } = this.#context;
+    const target = this.#current.id;
+    const change = targetLimits.recordAnswer(
+      { target, perSecond, sentAtMs: this.#sentAtMs },
+      performance.now(),
+    );
+    if (change !== undefined) logLimitChange(logger, change);
+  }
+
   reportLoad(load: TargetLoad): void {
     if (this.#current === undefined) return;
     const target = this.#current.id;
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -23,6 +23,7 @@
   Forwarder,
   ForwardMetrics,
   type GroupLoad,
+  logLimitChange,
   StreamAdmission,
   TargetPools,
 } from "@dandelionbank/forward-requests";
@@ -42,6 +43,7 @@
   type SocketAddress,
   StoreClient,
 } from "@dandelionbank/platform-adapter";
+import { TargetLimits } from "@dandelionbank/share-target-limits";
 import { createProgressTracker } from "@dandelionbank/track-progress";
 import { readInstant } from "@dandelionbank/read-instant";
 import type { IngressConfiguration } from "@dandelionbank/types";
@@ -94,6 +96,7 @@
   readonly #forwarder: Forwarder;
   readonly #admission: StreamAdmission;
   readonly #targets: TargetView;
+  readonly #targetLimits: TargetLimits;
   readonly #exchange: StatusExchange;
   readonly #crashMonitor: CrashMonitor;
   readonly #callerServer: HttpListener;
@@ -122,10 +125,12 @@
       watchWaitMs: this.#watchWaitMs,
     });
     this.#client = StoreClient.create(formatAddress(settings.store));
+    this.#targetLimits = TargetLimits.create({ entry: settings.name, hash });
     const placement = createPlacementState({
       entry: settings.name,
       random: Math.random,
       hash,
+      limits: this.#targetLimits,
     });
     const pools = TargetPools.create();
     const progress = createProgressTracker();
@@ -136,6 +141,7 @@
     this.#targets = TargetView.create({
       reregistrationMs: bounds.targetReregistrationMs,
       placement,
+      limits: this.#targetLimits,
       pools,
       progress,
       logger,
@@ -149,6 +155,7 @@
       metrics: ForwardMetrics.create(registry),
       configuration: this.#configuration,
       placement,
+      targetLimits: this.#targetLimits,
       pools,
       admission: this.#admission,
       retryBudget: createRetryBudget({
@@ -172,13 +179,8 @@
       port: settings.peerPort,
       logger,
       readStatus: () => this.#readStatus(),
-      onUpdate: (otherEntries) => {
-        this.#otherEntries = otherEntries;
-        for (const { suspects } of otherEntries) {
-          this.#crashMonitor.applyReport(suspects);
-        }
-        this.#crashMonitor.tick();
-      },
+      onStatus: (status) => this.#applyStatus(status),
+      onUpdate: (otherEntries) => this.#applyLiveEntries(otherEntries),
     });
     this.#callerServer = this.#createServer(
       addresses.callers,
@@ -324,6 +326,25 @@
     };
   }
 
+  /** Applies the limits that another entry has observed. */
+  #applyStatus({ targetLimits }: EntryStatus): void {
+    const changes = this.#targetLimits.applyReports(
+      targetLimits,
+      performance.now(),
+    );
+    for (const change of changes) logLimitChange(this.#options.logger, change);
+  }
+
+  #applyLiveEntries(otherEntries: readonly EntryStatus[]): void {
+    this.#otherEntries = otherEntries;
+    const names = otherEntries.map(({ name }) => name);
+    this.#targetLimits.setOtherEntries(names, performance.now());
+    for (const { suspects } of otherEntries) {
+      this.#crashMonitor.applyReport(suspects);
+    }
+    this.#crashMonitor.tick();
+  }
+
   #readStatus(): EntryStatus {
     const { settings } = this.#options;
     return {
@@ -335,6 +356,7 @@
       mayUseKeys: this.#mayUseKeys,
       activeByService: this.#admission.countActive(),
       suspects: this.#crashMonitor.pendingReport,
+      targetLimits: this.#targetLimits.listReports(performance.now()),
     };
   }
 
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -17,6 +17,7 @@
   type ProgressTracker,
   retainTargets,
 } from "@dandelionbank/track-progress";
+import type { TargetLimits } from "@dandelionbank/share-target-limits";
 import type { RegisteredTarget } from "@dandelionbank/types";
 import type { KindEvent } from "@dandelionbank/watch-kind";
 
@@ -24,6 +25,7 @@
   /** Time for targets to re-register after an outage of the store. */
   readonly reregistrationMs: number;
   readonly placement: PlacementState;
+  readonly limits: TargetLimits;
   readonly pools: TargetPools;
   readonly progress: ProgressTracker;
   readonly logger: Logger;
@@ -48,14 +50,13 @@
     return this.#tracker.targets.get(id);
   }
 
+  /** Whether a target that was not tried yet takes a request now. */
   hasUntriedTarget(service: string, tried: readonly string[]): boolean {
-    for (
-      const { id, service: targetService, isDraining } of this.#tracker.targets
-        .values()
-    ) {
-      if (targetService === service && !isDraining && !tried.includes(id)) {
-        return true;
-      }
+    const nowMs = performance.now();
+    for (const target of this.#tracker.targets.values()) {
+      if (target.service !== service || target.isDraining) continue;
+      if (tried.includes(target.id)) continue;
+      if (this.#options.limits.readDelayMs(target.id, nowMs) === 0) return true;
     }
     return false;
   }
@@ -133,6 +134,7 @@
     }, performance.now());
     const ids = new Set(targets.map(({ id }) => id));
     this.#options.pools.retainPools(ids);
+    this.#options.limits.retainTargets(ids);
     retainTargets(this.#options.progress, ids);
     this.#logChange(targets, event);
   }
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -125,6 +125,20 @@
       "Request {requestId} ended with outcome {outcome} and status {status} after {elapsedMs} ms, first byte after {firstMs} ms, {attempts} attempts, the last at {target}",
     help: "None needed",
   },
+  targetLimited: {
+    id: 10028,
+    level: "info",
+    text:
+      "Target {target} takes {perSecond} requests a second from all {entries} entries, {share} of them from this one",
+    help:
+      "The target is overloaded; its other requests go to other targets. Add targets if many are limited",
+  },
+  targetLimitEnded: {
+    id: 10029,
+    level: "info",
+    text: "Target {target} has no limit any more",
+    help: "None needed",
+  },
   linesDropped: {
     id: 10030,
     level: "warn",
--- a/routing/pick-target/src/pick_target.ts
+++ b/routing/pick-target/src/pick_target.ts
@@ -25,6 +25,7 @@
   PlacementEffect,
   PlacementEvent,
   PlacementTarget,
+  SendLimits,
   TargetLost,
   TargetReplied,
 } from "./types.ts";
@@ -46,6 +47,8 @@
   readonly hash: (text: string) => number;
   readonly policy?: string;
   readonly subsetSize?: number;
+  /** Limits that targets have named; unlimited if absent. */
+  readonly limits?: SendLimits;
 }
 
 /** Opaque; created by `createPlacementState`. */
@@ -121,8 +124,11 @@
     return [refuse(event, "DANDELIONBANK_POOL_EMPTY", EMPTY_RETRY_MS)];
   }
   const target = chooseTarget(state, { event, pool, nowMs });
-  if (target === undefined) return [refuseUnavailable(event, pool, nowMs)];
+  if (target === undefined) {
+    return [refuseUnavailable(state, { event, pool, nowMs })];
+  }
   target.ownInFlight += 1;
+  state.options.limits?.recordSend(target.name, nowMs);
   state.picks.set(event.attemptId, target);
   return [{
     type: "picked",
@@ -143,7 +149,8 @@
   const estimate = (target: TargetRecord) =>
     target.estimate(meanFromOthers, nowMs);
   const isAvailable = (target: TargetRecord) =>
-    target.mayAcceptAttempts(nowMs) && !event.exclude.includes(target.name);
+    readWaitMs(state, target, nowMs) === 0 &&
+    target.state !== "closed" && !event.exclude.includes(target.name);
   const isHealthy = (target: TargetRecord) =>
     isAvailable(target) && !target.isSuspected(nowMs);
   const candidates = firstNonEmpty(
@@ -174,21 +181,43 @@
   return [];
 }
 
+/** Time until the target accepts an attempt of this entry. */
+function readWaitMs(
+  { options }: PlacementState,
+  target: TargetRecord,
+  nowMs: number,
+): number {
+  const limitMs = options.limits?.readDelayMs(target.name, nowMs) ?? 0;
+  return Math.max(0, target.refusesUntilMs - nowMs, limitMs);
+}
+
 /**
- * Refuses a pick for which no target is available, until the first target stops
- * refusing. The code tells whether the request has tried all targets already.
+ * Refuses a pick for which no target is available, until the first target
+ * accepts attempts again. The code tells whether the request has tried all
+ * targets already.
  */
 function refuseUnavailable(
-  event: PickRequested,
-  pool: TargetPool,
-  nowMs: number,
+  state: PlacementState,
+  { event, pool, nowMs }: {
+    readonly event: PickRequested;
+    readonly pool: TargetPool;
+    readonly nowMs: number;
+  },
 ): PlacementEffect {
   const untried = pool.members.filter((target) =>
     target.state !== "closed" && !event.exclude.includes(target.name)
   );
   if (untried.length > 0) {
-    const earliestMs = Math.min(...untried.map((t) => t.refusesUntilMs));
-    return refuse(event, "DANDELIONBANK_POOL_BUSY", earliestMs - nowMs);
+    const waitMs = Math.min(
+      ...untried.map((target) => readWaitMs(state, target, nowMs)),
+    );
+    const sharePerMs = sumShares(state, untried);
+    if (sharePerMs === undefined) {
+      return refuse(event, "DANDELIONBANK_POOL_BUSY", waitMs);
+    }
+    const stepMs = sharePerMs === 0 ? 0 : 1 / sharePerMs;
+    const retryAfterMs = pool.retryTimes.next({ waitMs, stepMs }, nowMs);
+    return refuse(event, "DANDELIONBANK_POOL_BUSY", retryAfterMs);
   }
   const open = pool.members.filter((target) => target.state !== "closed");
   if (open.length === 0) {
@@ -198,6 +227,18 @@
   return refuse(event, "DANDELIONBANK_TARGETS_EXHAUSTED", earliestMs - nowMs);
 }
 
+/** Sums this entry's shares of the targets' limits; undefined without limits. */
+function sumShares(
+  { options }: PlacementState,
+  targets: readonly TargetRecord[],
+): number | undefined {
+  const shares = targets.flatMap(({ name }) =>
+    options.limits?.readSharePerMs(name) ?? []
+  );
+  if (shares.length === 0) return undefined;
+  return shares.reduce((sum, share) => sum + share, 0);
+}
+
 function refuse(
   event: PickRequested,
   code: PickRefusalCode,
--- a/routing/pick-target/src/pick_target_test.ts
+++ b/routing/pick-target/src/pick_target_test.ts
@@ -6,6 +6,7 @@
   PlacementEffect,
   PlacementEvent,
   PlacementTarget,
+  SendLimits,
   TargetPlacementState,
 } from "./mod.ts";
 
@@ -14,6 +15,7 @@
   readonly policy?: string;
   readonly subsetSize?: number;
   readonly targets?: readonly PlacementTarget[];
+  readonly limits?: SendLimits;
 }
 
 function hash(text: string): number {
@@ -266,3 +268,50 @@
     "invariantViolated",
   );
 });
+
+test("A target at its limit is not picked, and sends to it are counted", () => {
+  const sent: string[] = [];
+  const limits = createLimits({
+    delayMs: (target) => target === "t0" ? 400 : 0,
+    recordSend: (target) => sent.push(target),
+  });
+  const { pick } = createPlacement({ targets: createTargets(2), limits });
+  for (let index = 0; index < 5; index++) {
+    assert.equal(targetOf(pick()), "t1");
+  }
+  assert.equal(sent.length, 5);
+});
+
+test("Callers that find all targets at their limits are told to return one after another", () => {
+  const limits = createLimits({ delayMs: () => 400 });
+  const { pick } = createPlacement({ targets: createTargets(2), limits });
+  const retryTimes = [1, 2, 3].map(() => {
+    const effect = pick();
+    assert.ok(effect.type === "refused");
+    assert.equal(effect.code, "DANDELIONBANK_POOL_BUSY");
+    return effect.retryAfterMs;
+  });
+  assert.deepEqual(retryTimes, [400, 900, 1_400]);
+});
+
+test("Where no limited target ever takes requests, the time to retry is finite", () => {
+  const limits = createLimits({ delayMs: () => Infinity, sharePerMs: 0 });
+  const { pick } = createPlacement({ limits });
+  const effect = pick();
+  assert.ok(effect.type === "refused");
+  assert.equal(effect.retryAfterMs, 1_000);
+});
+
+function createLimits(
+  { delayMs, recordSend = () => {}, sharePerMs = 0.001 }: {
+    readonly delayMs: (target: string) => number;
+    readonly recordSend?: (target: string) => void;
+    readonly sharePerMs?: number;
+  },
+): SendLimits {
+  return {
+    readDelayMs: delayMs,
+    readSharePerMs: () => sharePerMs,
+    recordSend,
+  };
+}
--- a/routing/pick-target/src/target_pool.ts
+++ b/routing/pick-target/src/target_pool.ts
@@ -6,9 +6,12 @@
  * pool.
  */
 
+import { RetryTimes } from "@dandelionbank/limit-requests";
 import type { TargetRecord } from "./target_record.ts";
 
 export class TargetPool {
+  /** Staggers the callers that are refused while the targets are limited. */
+  readonly retryTimes = RetryTimes.create();
   readonly #members: TargetRecord[] = [];
   #subset: readonly TargetRecord[] = [];
 
--- a/routing/pick-target/src/target_record.ts
+++ b/routing/pick-target/src/target_record.ts
@@ -69,11 +69,6 @@
     return this.ownInFlight + this.#estimateFromOthers(meanFromOthers, nowMs);
   }
 
-  /** Whether the target is not closed and its agent is not refusing attempts. */
-  mayAcceptAttempts(nowMs: number): boolean {
-    return this.state !== "closed" && nowMs >= this.refusesUntilMs;
-  }
-
   isSuspected(nowMs: number): boolean {
     return this.state === "suspected" || nowMs < this.suspectedUntilMs;
   }
--- a/routing/pick-target/src/types.ts
+++ b/routing/pick-target/src/types.ts
@@ -13,6 +13,15 @@
   readonly state: TargetPlacementState;
 }
 
+/** Limits on how many requests this entry may send to each target. */
+export interface SendLimits {
+  /** Time until the target may get another request; may be infinite. */
+  readDelayMs(target: string, nowMs: number): number;
+  /** Requests allowed per millisecond; undefined if the target has no limit. */
+  readSharePerMs(target: string): number | undefined;
+  recordSend(target: string, nowMs: number): void;
+}
+
 export type PlacementEvent =
   | PickRequested
   | TargetReplied
--- /dev/null
+++ b/routing/share-target-limits/src/mod.ts
@@ -0,0 +1,8 @@
+/** Request limits that targets name, and this entry's share of them. */
+
+export { TargetLimits } from "./target_limits.ts";
+export type {
+  LimitChange,
+  LimitReport,
+  TargetLimitsOptions,
+} from "./target_limits.ts";
--- a/routing/track-entries/src/entry_tracker.ts
+++ b/routing/track-entries/src/entry_tracker.ts
@@ -6,6 +6,7 @@
  */
 
 import type { SuspectReport } from "@dandelionbank/quarantine-requests";
+import type { LimitReport } from "@dandelionbank/share-target-limits";
 
 /** Fewer entries than this in a data centre leave no alternative for failover. */
 const MIN_NEAR_ENTRIES = 2;
@@ -25,6 +26,8 @@
   /** Requests in flight at targets, by service. */
   readonly activeByService: Readonly<Record<string, number>>;
   readonly suspects: SuspectReport;
+  /** Limits that targets have named in answers to this entry. */
+  readonly targetLimits: readonly LimitReport[];
 }
 
 interface KnownEntry {
--- a/routing/track-entries/src/entry_tracker_test.ts
+++ b/routing/track-entries/src/entry_tracker_test.ts
@@ -64,6 +64,7 @@
     mayUseKeys: true,
     activeByService: {},
     suspects: { losses: [], quarantined: [] },
+    targetLimits: [],
     ...fields,
   };
 }
