Keep what is in force when the store comes back from an older copy

Cause of what would have gone wrong: entries compared revisions alone. A later configuration had a lower revision and was never applied; a watch went on where the old revision exists again, and missed changes; proofs came from a store that had forgotten a revocation; targets vanished, came back or opened again; an entry was not registered any more.

On a restored list, the configuration keeps its version and is proven only by a store that is not behind it, targets are kept until they could register again, and those that had left count once they are written again.

--- a/daemon/serve-ingress/src/configuration_view.ts
+++ b/daemon/serve-ingress/src/configuration_view.ts
@@ -7,6 +7,7 @@
   type ActiveConfiguration,
   applyConfiguration,
   recordProof,
+  recordRestore,
 } from "@dandelionbank/track-configuration";
 import type { Logger } from "@dandelionbank/log-events";
 import {
@@ -14,6 +15,7 @@
   decodeConfiguration,
   type StoredItem,
 } from "@dandelionbank/platform-adapter";
+import { readInstant } from "@dandelionbank/read-instant";
 import type { IngressConfiguration } from "@dandelionbank/types";
 import type { KindEvent } from "@dandelionbank/watch-kind";
 
@@ -21,6 +23,8 @@
   readonly active: ActiveConfiguration;
   readonly logger: Logger;
   readonly onApplied: (configuration: IngressConfiguration) => void;
+  /** Called when the store has come back from an older copy. */
+  readonly onRestored: () => void;
 }
 
 export class ConfigurationView {
@@ -37,6 +41,10 @@
   handleEvent(event: KindEvent): void {
     switch (event.type) {
       case "listed":
+        if (event.isRestored) {
+          recordRestore(this.#options.active, readInstant());
+          this.#options.onRestored();
+        }
         for (const item of event.items) this.#apply(item);
         return;
       case "changed":
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -123,6 +123,7 @@
     this.#configuration = createActiveConfiguration({
       ...bounds,
       watchWaitMs: this.#watchWaitMs,
+      rewriteMs: bounds.targetReregistrationMs,
     });
     this.#client = StoreClient.create(formatAddress(settings.store));
     this.#targetLimits = TargetLimits.create({ entry: settings.name, hash });
@@ -283,6 +284,8 @@
       active: this.#configuration,
       logger,
       onApplied: (applied) => this.#applyLimits(applied),
+      // The copy may lack the registration of this entry, or of others.
+      onRestored: () => void this.#register(),
     });
     const shared = { client: this.#client, waitMs, logger };
     this.#watchers.push(
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -78,6 +78,7 @@
         this.#dispatch({
           type: "listed",
           targets: event.items.flatMap(toTarget),
+          isRestored: event.isRestored,
         });
         return;
       case "changed": {
--- a/daemon/watch-kind/src/kind_watcher.ts
+++ b/daemon/watch-kind/src/kind_watcher.ts
@@ -33,6 +33,11 @@
     readonly type: "listed";
     readonly items: readonly StoredItem[];
     readonly revision: number;
+    /**
+     * True if the store has come back from an older copy since the last list, so
+     * that the list lacks changes which were acknowledged before.
+     */
+    readonly isRestored: boolean;
   }
   | { readonly type: "changed"; readonly change: StoredChange }
   /** All changes made before `sentAt` have been reported. */
@@ -54,6 +59,8 @@
 export class KindWatcher {
   readonly #options: KindWatcherOptions;
   #revision: number | undefined;
+  /** The store's era at the last list. */
+  #era: number | undefined;
   #outageStartedAtMs: number | undefined;
   #failures = 0;
   #isStopped = false;
@@ -86,15 +93,19 @@
   }
 
   async #list(): Promise<boolean> {
-    const { client, kind, onEvent } = this.#options;
+    const { client, kind, logger, onEvent } = this.#options;
     const sentAt = readInstant();
     const result = await client.list(kind);
     if (this.#isStopped) return true;
     if (result.kind !== "ok") return this.#handleFailure(result);
     this.#handleSuccess();
-    const { items, revision } = result.value;
+    const { items, revision, era } = result.value;
+    const previousEra = this.#era ?? era;
+    const isRestored = era > previousEra;
+    if (isRestored) logger.log("storeRestored", { kind, era, previousEra });
     this.#revision = revision;
-    onEvent({ type: "listed", items, revision });
+    this.#era = era;
+    onEvent({ type: "listed", items, revision, isRestored });
     onEvent({ type: "proven", sentAt });
     return true;
   }
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -48,6 +48,14 @@
     text: "The store answers requests for {kind} again after {lostMs} ms",
     help: "None needed",
   },
+  storeRestored: {
+    id: 10007,
+    level: "warn",
+    text:
+      "The store came back from an older copy: era {era} after {previousEra}; {kind} was listed again",
+    help:
+      "What was in force stays; requests with API keys may be refused until the operator has written the configuration again",
+  },
   entryHeard: {
     id: 10008,
     level: "info",
--- a/foundation/open-http/src/fetch_answer.ts
+++ b/foundation/open-http/src/fetch_answer.ts
@@ -6,8 +6,7 @@
   readonly body: Buffer;
 }
 
-export interface JsonAnswer {
-  readonly status: number;
+export interface JsonAnswer extends HttpAnswerHead {
   /** The parsed body, or `undefined` if it is not JSON. */
   readonly value: unknown;
 }
@@ -57,7 +56,8 @@
     headers: { "content-type": "application/json", ...rest.headers },
     ...(value === undefined ? {} : { body: JSON.stringify(value) }),
   }, options);
-  return { status: answer.status, value: parseJson(answer.body) };
+  const { status, headers } = answer;
+  return { status, headers, value: parseJson(answer.body) };
 }
 
 function parseJson(body: Buffer): unknown {
--- a/routing/track-configuration/src/active_configuration.ts
+++ b/routing/track-configuration/src/active_configuration.ts
@@ -22,6 +22,8 @@
   readonly configurationMs: number;
   /** Wait time of a watch call; a proof may be older by as much. */
   readonly watchWaitMs: number;
+  /** Time in which lost changes are written again to a restored store. */
+  readonly rewriteMs: number;
 }
 
 /** Opaque; mutated in place. */
@@ -32,6 +34,10 @@
   revision: number;
   /** Send time of the last call that confirmed this configuration. */
   provenAt: Instant | undefined;
+  /** True while the store holds an older configuration than this one, or none. */
+  isStoreBehind: boolean;
+  /** Calls sent before this time of the steady clock prove nothing. */
+  provesFromMs: number;
 }
 
 /** A configuration with its revision in the store. */
@@ -43,7 +49,14 @@
 export function createActiveConfiguration(
   bounds: FreshnessBounds,
 ): ActiveConfiguration {
-  return { bounds, table: undefined, revision: 0, provenAt: undefined };
+  return {
+    bounds,
+    table: undefined,
+    revision: 0,
+    provenAt: undefined,
+    isStoreBehind: false,
+    provesFromMs: 0,
+  };
 }
 
 /** Applies a configuration unless it is older; returns true if it was applied. */
@@ -54,17 +67,25 @@
   if (revision <= active.revision) return false;
   const currentVersion = active.table?.configuration.version ?? -1;
   if (configuration.version < currentVersion) return false;
+  active.isStoreBehind = false;
   active.revision = revision;
   active.table = createRouteTable(configuration);
   return true;
 }
 
+/** Records that the store has come back from an older copy. */
+export function recordRestore(active: ActiveConfiguration, now: Instant): void {
+  active.isStoreBehind = active.table !== undefined;
+  active.provesFromMs = now.monotonicMs + active.bounds.rewriteMs;
+}
+
 /** Records that a call sent at `sentAt` confirmed the active configuration. */
 export function recordProof(
   active: ActiveConfiguration,
   sentAt: Instant,
 ): void {
-  if (active.table === undefined) return;
+  if (active.table === undefined || active.isStoreBehind) return;
+  if (sentAt.monotonicMs < active.provesFromMs) return;
   active.provenAt = sentAt;
 }
 
--- a/routing/track-configuration/src/active_configuration_test.ts
+++ b/routing/track-configuration/src/active_configuration_test.ts
@@ -7,12 +7,14 @@
   mayDeny,
   mayUseKeys,
   recordProof,
+  recordRestore,
 } from "./mod.ts";
 
 const BOUNDS = {
   revocationMs: 5_000,
   configurationMs: 2_000,
   watchWaitMs: 1_500,
+  rewriteMs: 2_000,
 };
 
 test("An older configuration never replaces a newer one", () => {
@@ -57,6 +59,31 @@
   assert.ok(!mayDeny(active, createInstant(3_600)));
 });
 
+test("A restored store proves nothing until lost changes could be written again", () => {
+  const active = createActiveConfiguration(BOUNDS);
+  applyConfiguration(active, createStored({ version: 3, revision: 30 }));
+  recordProof(active, createInstant(0));
+  recordRestore(active, createInstant(1_000));
+  applyConfiguration(active, createStored({ version: 3, revision: 100 }));
+  recordProof(active, createInstant(2_900));
+  assert.equal(active.provenAt?.monotonicMs, 0);
+  recordProof(active, createInstant(3_100));
+  assert.equal(active.provenAt?.monotonicMs, 3_100);
+});
+
+test("A restored store with an older configuration proves nothing", () => {
+  const active = createActiveConfiguration(BOUNDS);
+  applyConfiguration(active, createStored({ version: 3, revision: 30 }));
+  recordRestore(active, createInstant(1_000));
+  applyConfiguration(active, createStored({ version: 2, revision: 100 }));
+  recordProof(active, createInstant(5_000));
+  assert.ok(!mayUseKeys(active, createInstant(5_000)));
+  assert.equal(active.table?.configuration.version, 3);
+  applyConfiguration(active, createStored({ version: 4, revision: 101 }));
+  recordProof(active, createInstant(6_000));
+  assert.equal(active.provenAt?.monotonicMs, 6_000);
+});
+
 test("A proof before the first configuration has no effect", () => {
   const active = createActiveConfiguration(BOUNDS);
   recordProof(active, createInstant(0));
--- a/routing/track-configuration/src/mod.ts
+++ b/routing/track-configuration/src/mod.ts
@@ -7,6 +7,7 @@
   mayDeny,
   mayUseKeys,
   recordProof,
+  recordRestore,
 } from "./active_configuration.ts";
 export type {
   ActiveConfiguration,
--- a/routing/track-targets/src/target_tracker.ts
+++ b/routing/track-targets/src/target_tracker.ts
@@ -5,6 +5,10 @@
  * missing right after an outage is kept until it has had time to register again;
  * otherwise the first list after the outage could empty a pool.
  *
+ * The same holds for a store that came back from an older copy. Besides, such a
+ * copy may list targets that have left, and draining targets as open. Such
+ * registrations take effect only once they are written again.
+ *
  * A restarted target registers under a new id at the same address, while its old
  * registration remains for some time. Among registrations with the same address,
  * the one written last takes effect. A registration whose address answers as
@@ -30,7 +34,12 @@
 }
 
 export type TargetsEvent =
-  | { readonly type: "listed"; readonly targets: readonly RegisteredTarget[] }
+  | {
+    readonly type: "listed";
+    readonly targets: readonly RegisteredTarget[];
+    /** True if the store has come back from an older copy since the last list. */
+    readonly isRestored?: boolean;
+  }
   | { readonly type: "put"; readonly target: RegisteredTarget }
   /** The registration was deleted, or no longer describes a target. */
   | { readonly type: "removed"; readonly id: string }
@@ -72,6 +81,7 @@
       startGracePeriod(state, nowMs);
       return false;
     case "listed":
+      if (event.isRestored === true) prepareRestoredList(state, event, nowMs);
       return applyList(state, { targets: event.targets, nowMs });
     case "put":
       putTarget(state, event.target);
@@ -96,6 +106,20 @@
     REREGISTRATION_MARGIN_MS;
 }
 
+function prepareRestoredList(
+  state: TargetTracker,
+  { targets }: { readonly targets: readonly RegisteredTarget[] },
+  nowMs: number,
+): void {
+  state.isStoreLost = true;
+  startGracePeriod(state, nowMs);
+  for (const { id, revision, isDraining } of targets) {
+    const known = state.targets.get(id);
+    const hasLeft = known === undefined || (known.isDraining && !isDraining);
+    if (hasLeft) state.ignoredRevisions.set(id, revision);
+  }
+}
+
 function applyList(
   state: TargetTracker,
   { targets, nowMs }: {
--- a/routing/track-targets/src/target_tracker_test.ts
+++ b/routing/track-targets/src/target_tracker_test.ts
@@ -49,6 +49,27 @@
   assert.ok(!state.targets.has("a"));
 });
 
+test("A list from an older copy brings back no target that had left and opens none that drains", () => {
+  const state = createState(["a", "drains"]);
+  const draining = { ...target("drains"), isDraining: true, revision: 5 };
+  updateTargets(state, { type: "put", target: draining }, 500);
+  updateTargets(state, { type: "removed", id: "gone" }, 600);
+  const targets = ["gone", "drains"].map((id) => ({
+    ...target(id),
+    revision: 7,
+  }));
+  const list = { type: "listed", targets, isRestored: true } as const;
+  updateTargets(state, list, 1_000);
+  assert.ok(state.targets.has("a"), "it had no time to register again");
+  assert.ok(state.targets.get("drains")?.isDraining);
+  assert.ok(!state.targets.has("gone"));
+  const written = { ...target("gone"), revision: 8 };
+  updateTargets(state, { type: "put", target: written }, 1_500);
+  assert.ok(state.targets.has("gone"));
+  updateTargets(state, { type: "tick" }, 3_500);
+  assert.ok(!state.targets.has("a"));
+});
+
 test("Of two registrations with one address, the one written last takes effect", () => {
   const state = createState([]);
   const old = { ...target("old"), address: "10.0.0.9:1", revision: 5 };
--- a/testing/ingress-tests/src/views_test.ts
+++ b/testing/ingress-tests/src/views_test.ts
@@ -69,6 +69,10 @@
   assert.equal((await call(site, { path: "/safe/a" })).status, 404);
 });
 
+function hasLogged(site: Site, event: string): boolean {
+  return site.lines.some(({ name }) => name === event);
+}
+
 test("Changes are applied after the store has dropped its history", async (t) => {
   const site = await startSite(t, { engines: 1 });
   site.store.put("config", "main", createConfiguration({ version: 2 }));
@@ -76,6 +80,66 @@
   await waitForVersion(site, 2);
 });
 
+test("A store that comes back from an older copy reverts no configuration, and later ones apply", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const snapshot = site.store.createSnapshot();
+  const routes = ROUTES.filter(({ name }) => name !== "safe");
+  for (let version = 2; version <= 5; version++) {
+    site.store.put("config", "main", createConfiguration({ version, routes }));
+  }
+  await waitForVersion(site, 5);
+  site.store.restore(snapshot);
+  await waitFor(() => hasLogged(site, "storeRestored"));
+  assert.equal((await call(site, { path: "/safe/a" })).status, 404);
+  // The store gives out revisions again that the entry has seen.
+  site.store.put("config", "main", createConfiguration({ version: 6 }));
+  await waitForVersion(site, 6);
+  assert.equal((await call(site, { path: "/safe/a" })).status, 200);
+});
+
+test("A watch does not go on unnoticed where a restored store has the same revision", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const snapshot = site.store.createSnapshot();
+  site.store.put("config", "main", createConfiguration({ version: 2 }));
+  await waitForVersion(site, 2);
+  const seenRevision = site.store.revision;
+  site.store.restore(snapshot);
+  site.store.put("config", "main", createConfiguration({ version: 7 }));
+  while (site.store.revision < seenRevision + 2) {
+    site.store.put("other", "object", site.store.revision);
+  }
+  await waitForVersion(site, 7);
+});
+
+test("Keys are refused while a restored store holds an older configuration", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const snapshot = site.store.createSnapshot();
+  site.store.put("config", "main", createConfiguration({ version: 2 }));
+  await waitForVersion(site, 2);
+  site.store.restore(snapshot);
+  await waitFor(async () =>
+    (await call(site, { path: "/safe/a" })).status === 503
+  );
+  site.store.put("config", "main", createConfiguration({ version: 2 }));
+  await waitFor(async () =>
+    (await call(site, { path: "/safe/a" })).status === 200
+  );
+});
+
+test("After the store came back from an older copy, the entry is registered again", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const { name } = site.settings;
+  await waitFor(() => site.store.read("entries", name) !== undefined);
+  const snapshot = site.store.createSnapshot();
+  site.store.restore({
+    ...snapshot,
+    objects: new Map(
+      [...snapshot.objects].filter(([key]) => key !== `entries/${name}`),
+    ),
+  });
+  await waitFor(() => site.store.read("entries", name) !== undefined);
+});
+
 test("A draining or removed target gets no new calls", async (t) => {
   const site = await startSite(t);
   const [first, second] = site.engines;
--- a/testing/standin-site/src/mod.ts
+++ b/testing/standin-site/src/mod.ts
@@ -15,4 +15,4 @@
 export { SiteGroup } from "./site_group.ts";
 export type { SiteGroupOptions } from "./site_group.ts";
 export { SiteStore } from "./site_store.ts";
-export type { StoreAvailability } from "./site_store.ts";
+export type { StoreAvailability, StoreSnapshot } from "./site_store.ts";
--- a/testing/standin-site/src/site_store.ts
+++ b/testing/standin-site/src/site_store.ts
@@ -8,6 +8,7 @@
   type ServerResponse,
 } from "node:http";
 import type { AddressInfo } from "node:net";
+import { HEADERS } from "@dandelionbank/platform-adapter";
 
 interface StoredObject {
   readonly kind: string;
@@ -25,6 +26,13 @@
   readonly answer: () => void;
 }
 
+/** A copy of the store's contents, from which it can be restored. */
+export interface StoreSnapshot {
+  readonly objects: ReadonlyMap<string, StoredObject>;
+  readonly history: readonly StoredObject[];
+  readonly revision: number;
+}
+
 /** Whether calls are answered, refused with 503, or left without an answer. */
 export type StoreAvailability = "available" | "unavailable" | "unresponsive";
 
@@ -38,6 +46,7 @@
   #history: StoredObject[] = [];
   #compactedRevision = 0;
   #revision = 1;
+  #era = 1;
   #watchers: Watcher[] = [];
   availability: StoreAvailability = "available";
   /** Number of calls received, answered or not. */
@@ -77,6 +86,28 @@
     this.#write({ kind, name, spec: undefined, isDeleted: true });
   }
 
+  createSnapshot(): StoreSnapshot {
+    return {
+      objects: new Map(this.#objects),
+      history: [...this.#history],
+      revision: this.#revision,
+    };
+  }
+
+  /**
+   * Comes back from an older copy: later changes are lost, their revisions are
+   * given out again, and a new era begins. Waiting watches are cut.
+   */
+  restore({ objects, history, revision }: StoreSnapshot): void {
+    this.#objects.clear();
+    for (const [key, object] of objects) this.#objects.set(key, object);
+    this.#history = [...history];
+    this.#revision = revision;
+    this.#era += 1;
+    this.#watchers = [];
+    this.#server.closeAllConnections();
+  }
+
   /** Drops all past changes: a watch from an earlier revision is answered 410. */
   compactHistory(): void {
     this.#history = [];
@@ -114,6 +145,7 @@
     response: ServerResponse,
   ): Promise<void> {
     this.callCount += 1;
+    response.setHeader(HEADERS.storeEra, this.#era);
     if (this.availability === "unresponsive") return;
     if (this.availability === "unavailable") return reply(response, 503, {});
     const url = new URL(request.url ?? "/", "http://store");
@@ -165,15 +197,15 @@
       readonly waitMs: number;
     },
   ): void {
+    const isGone = fromRevision < this.#compactedRevision ||
+      fromRevision > this.#revision;
     let isAnswered = false;
     const answer = () => {
       if (isAnswered) return;
       isAnswered = true;
       clearTimeout(timer);
       if (this.availability === "unresponsive") return;
-      if (fromRevision < this.#compactedRevision) {
-        return reply(response, 410, {});
-      }
+      if (isGone) return reply(response, 410, {});
       reply(response, 200, {
         events: this.#listChanges(kind, fromRevision).map((object) => ({
           deleted: object.isDeleted,
@@ -184,7 +216,7 @@
     };
     const timer = setTimeout(answer, waitMs);
     response.on("close", () => clearTimeout(timer));
-    const hasAnswer = fromRevision < this.#compactedRevision ||
+    const hasAnswer = isGone ||
       this.#listChanges(kind, fromRevision).length > 0;
     if (hasAnswer) return answer();
     this.#watchers.push({ kind, fromRevision, answer });
