Take no limit from another target's answer

An answer with status 421 comes from the target that has the address now; without a limit it would have ended the limit of the one that was called. Found in reading the diff; not seen.

--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -23,7 +23,7 @@
 }
 
 export interface AttemptListener {
-  /** Called with the headers of any answer to this attempt. */
+  /** Called with the headers of any answer that the target itself gave. */
   onHead(head: AnswerHead): void;
   /** Called with the headers of the target's own successful answer. */
   onSuccess(head: AnswerHead, fields: HeaderFields): void;
@@ -138,7 +138,7 @@
       this.abort("broken", "answer belongs to another attempt id");
       return;
     }
-    this.#listener.onHead(head);
+    if (status !== STATUS_MISDIRECTED) this.#listener.onHead(head);
     if (status >= 300 || head.isNotRun) return;
     if (!head.isSealed) {
       this.abort("broken", "successful answer without a seal");
