Keep the time of sending in one place

Cause: the selector of targets kept a time of sending of its own for the limits that targets name, beside that of the request's task. Change: the task hands its own time over.

--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -236,7 +236,11 @@
     return Attempt.send(this.#context.pools.getPool(target), {
       request: { attemptId: head.attemptId, method, path, headers, body },
       listener: {
-        onHead: ({ limitPerS }) => this.#targets.reportLimit(limitPerS),
+        onHead: ({ limitPerS }) =>
+          this.#targets.reportLimit({
+            perSecond: limitPerS,
+            sentAtMs: this.#sentAtMs,
+          }),
         onSuccess: (answerHead, answerFields) => {
           this.#hasAnswerBegun = true;
           this.#recordProgress();
--- a/daemon/forward-requests/src/target_selector.ts
+++ b/daemon/forward-requests/src/target_selector.ts
@@ -23,7 +23,6 @@
   readonly #options: TargetSelectorOptions;
   readonly #tried: string[] = [];
   #current: RegisteredTarget | undefined;
-  #sentAtMs = 0;
   #busyForMs: number | undefined;
 
   private constructor(context: ForwardContext, options: TargetSelectorOptions) {
@@ -67,7 +66,6 @@
       : undefined;
     if (effect?.type !== "picked") return undefined;
     this.#tried.push(effect.target);
-    this.#sentAtMs = performance.now();
     this.#current = this.#context.findTarget(effect.target);
     if (this.#current === undefined) {
       this.#dispatch({ type: "targetLost", attemptId: this.#attemptId });
@@ -84,12 +82,18 @@
   }
 
   /** Records the limit in an answer's headers, or that they name none. */
-  reportLimit(perSecond: number | undefined): void {
+  reportLimit(
+    { perSecond, sentAtMs }: {
+      readonly perSecond: number | undefined;
+      /** When the request was sent to the current target. */
+      readonly sentAtMs: number;
+    },
+  ): void {
     if (this.#current === undefined) return;
     const { targetLimits, logger } = this.#context;
     const target = this.#current.id;
     const change = targetLimits.recordAnswer(
-      { target, perSecond, sentAtMs: this.#sentAtMs },
+      { target, perSecond, sentAtMs },
       performance.now(),
     );
     if (change !== undefined) logLimitChange(logger, change);
