Start the grace period of targets without a pretended outage

Cause: a restored store's list marked the store as lost, only to pass the guard of the function that starts the grace period. Change: the guard stands where the store's answer is handled, its only place. Result: the tests of targets and views pass; no decision changes.

--- a/routing/track-targets/src/target_tracker.ts
+++ b/routing/track-targets/src/target_tracker.ts
@@ -78,7 +78,8 @@
       state.isStoreLost = true;
       return false;
     case "storeAnswered":
-      startGracePeriod(state, nowMs);
+      if (state.isStoreLost) startGracePeriod(state, nowMs);
+      state.isStoreLost = false;
       return false;
     case "listed":
       if (event.isRestored === true) prepareRestoredList(state, event, nowMs);
@@ -100,8 +101,6 @@
 }
 
 function startGracePeriod(state: TargetTracker, nowMs: number): void {
-  if (!state.isStoreLost) return;
-  state.isStoreLost = false;
   state.graceUntilMs = nowMs + state.reregistrationMs +
     REREGISTRATION_MARGIN_MS;
 }
@@ -111,7 +110,6 @@
   { targets }: { readonly targets: readonly RegisteredTarget[] },
   nowMs: number,
 ): void {
-  state.isStoreLost = true;
   startGracePeriod(state, nowMs);
   for (const { id, revision, isDraining } of targets) {
     const known = state.targets.get(id);
