Give token buckets and retry times a package of their own

Cause: placement and the limits of targets took them from limit-requests, which enforces organisations' contracts and exported them for that only. Change: both files move, unchanged, to routing/pace-requests, and all three packages take them from there.

--- a/routing/limit-requests/src/organisation_limits.ts
+++ b/routing/limit-requests/src/organisation_limits.ts
@@ -8,9 +8,11 @@
 import type { Contract, LimitShare, ShareHolding } from "@dandelionbank/types";
 import { DemandMeter } from "./demand_meter.ts";
 import { MeanDuration } from "./mean_duration.ts";
-import { RetryTimes } from "./retry_times.ts";
-import type { CapacityForecast } from "./retry_times.ts";
-import { TokenBucket } from "./token_bucket.ts";
+import {
+  type CapacityForecast,
+  RetryTimes,
+  TokenBucket,
+} from "@dandelionbank/pace-requests";
 import type { LimitRefusalCode } from "./types.ts";
 
 /** The requests bucket holds at most this time's worth of the rate. */
--- a/routing/limit-requests/src/pool_capacity.ts
+++ b/routing/limit-requests/src/pool_capacity.ts
@@ -10,7 +10,7 @@
 
 import type { Contract } from "@dandelionbank/types";
 import { MeanDuration } from "./mean_duration.ts";
-import { RetryTimes } from "./retry_times.ts";
+import { RetryTimes } from "@dandelionbank/pace-requests";
 
 const HIGHEST_PRIORITY = 9;
 /** Usable part of the capacity within the fair share, at the lowest priority. */
--- a/routing/pick-target/src/target_pool.ts
+++ b/routing/pick-target/src/target_pool.ts
@@ -6,7 +6,7 @@
  * pool.
  */
 
-import { RetryTimes } from "@dandelionbank/limit-requests";
+import { RetryTimes } from "@dandelionbank/pace-requests";
 import type { TargetRecord } from "./target_record.ts";
 
 export class TargetPool {
--- a/routing/share-target-limits/src/target_limits.ts
+++ b/routing/share-target-limits/src/target_limits.ts
@@ -15,7 +15,7 @@
  * different connections overtake each other.
  */
 
-import { TokenBucket } from "@dandelionbank/limit-requests";
+import { TokenBucket } from "@dandelionbank/pace-requests";
 import { mixHashes, type SendLimits } from "@dandelionbank/pick-target";
 
 /** Senders in addition to one per request a second of the limit. */
