Bind the site's stand-ins to the loopback address in one place

Cause: the new stand-in for a held link wrote again how the store and the engine listen and name their address. Change: both are functions that all three use; nothing else of the stand-ins changes.

--- a/testing/standin-site/src/held_link.ts
+++ b/testing/standin-site/src/held_link.ts
@@ -5,13 +5,8 @@
  */
 
 import { once } from "node:events";
-import {
-  type AddressInfo,
-  connect,
-  createServer,
-  type Server,
-  type Socket,
-} from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
+import { listenOnLoopback, readLoopbackAddress } from "./listen_on_loopback.ts";
 
 interface LinkConnection {
   readonly sender: Socket;
@@ -36,13 +31,12 @@
   /** Opens a link to `receiverAddress`, given as `IP:PORT`. */
   static async create(receiverAddress: string): Promise<HeldLink> {
     const link = new HeldLink(receiverAddress);
-    link.#server.listen(0, "127.0.0.1");
-    await once(link.#server, "listening");
+    await listenOnLoopback(link.#server);
     return link;
   }
 
   get address(): string {
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    return readLoopbackAddress(this.#server);
   }
 
   /** Connections that the sender has neither ended nor reset. */
--- a/testing/standin-site/src/site_engine.ts
+++ b/testing/standin-site/src/site_engine.ts
@@ -11,8 +11,8 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
 import { HEADERS } from "@dandelionbank/platform-adapter";
+import { listenOnLoopback, readLoopbackAddress } from "./listen_on_loopback.ts";
 
 export interface EngineCall {
   readonly method: string;
@@ -44,8 +44,7 @@
 
   static async create(id: string): Promise<SiteEngine> {
     const engine = new SiteEngine(id);
-    engine.#server.listen(0, "127.0.0.1");
-    await once(engine.#server, "listening");
+    await listenOnLoopback(engine.#server);
     return engine;
   }
 
@@ -54,7 +53,7 @@
   }
 
   get address(): string {
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    return readLoopbackAddress(this.#server);
   }
 
   /** Creates the `servers` object that registers this engine in the store. */
--- a/testing/standin-site/src/site_store.ts
+++ b/testing/standin-site/src/site_store.ts
@@ -7,8 +7,8 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo } from "node:net";
 import { HEADERS } from "@dandelionbank/platform-adapter";
+import { listenOnLoopback, readLoopbackAddress } from "./listen_on_loopback.ts";
 
 interface StoredObject {
   readonly kind: string;
@@ -60,13 +60,12 @@
 
   static async create(): Promise<SiteStore> {
     const store = new SiteStore();
-    store.#server.listen(0, "127.0.0.1");
-    await once(store.#server, "listening");
+    await listenOnLoopback(store.#server);
     return store;
   }
 
   get address(): string {
-    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    return readLoopbackAddress(this.#server);
   }
 
   get revision(): number {
