--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -5,6 +5,7 @@
  * that resumes it continues after the last complete event.
  */
 
+import { type BodyFraming, readBodyFraming } from "@dandelionbank/open-http";
 import {
   type AnswerHead,
   encodeAnswerHeaders,
@@ -38,6 +39,7 @@
   #lastEventId: string | undefined;
   #fields: HeaderFields = {};
   #status = 0;
+  #framing: BodyFraming | undefined;
 
   private constructor({ answer, isStream, lastEventId }: AnswerRelayOptions) {
     this.#answer = answer;
@@ -58,7 +60,18 @@
     return this.#lastEventId;
   }
 
+  /** How the end of the target's latest answer is marked. */
+  get framing(): BodyFraming | undefined {
+    return this.#framing;
+  }
+
+  /** Bytes of an incomplete event that are held back. */
+  get unfinishedBytes(): number {
+    return this.#splitter.pending.length;
+  }
+
   handleHead({ status }: AnswerHead, fields: HeaderFields): void {
+    this.#framing = readBodyFraming(fields);
     // A resumed stream keeps the headers sent by its first target.
     if (this.#answer.hasBegun) return;
     this.#fields = fields;
--- a/daemon/forward-requests/src/request_log.ts
+++ b/daemon/forward-requests/src/request_log.ts
@@ -2,6 +2,7 @@
 
 import { computeProofAgeMs } from "@dandelionbank/track-configuration";
 import { readInstant } from "@dandelionbank/read-instant";
+import type { BodyFraming } from "@dandelionbank/open-http";
 import type { NextAction } from "@dandelionbank/decide-retries";
 import type { RegisteredTarget } from "@dandelionbank/types";
 import type { AttemptFailure } from "./attempt.ts";
@@ -21,6 +22,10 @@
   readonly attempts: number;
   readonly target: string | undefined;
   readonly firstByteAtMs: number | undefined;
+  /** How the end of the target's answer was marked, if it began. */
+  readonly framing: BodyFraming | undefined;
+  /** Bytes after the last complete event of a stream. */
+  readonly unfinishedBytes: number;
 }
 
 export class RequestLog {
@@ -120,9 +125,8 @@
     metrics.countAttempt(service, outcome);
   }
 
-  logRequestEnd(
-    { outcome, status, attempts, target, firstByteAtMs }: RequestEnd,
-  ) {
+  logRequestEnd(end: RequestEnd): void {
+    const { outcome, status, attempts, target, firstByteAtMs } = end;
     const { logger, metrics } = this.#context;
     const { requestId, service, arrivedAtMs } = this.#options;
     const elapsedMs = performance.now() - arrivedAtMs;
@@ -139,6 +143,8 @@
       firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
       attempts,
       target,
+      framing: end.framing,
+      unfinishedBytes: end.unfinishedBytes,
     });
   }
 }
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -411,6 +411,8 @@
       attempts: this.#attemptCount,
       target: this.#targets.lastTargetId,
       firstByteAtMs: this.#answer.firstByteAtMs,
+      framing: this.#relay.framing,
+      unfinishedBytes: this.#relay.unfinishedBytes,
     });
     onEnd(this);
   }
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -130,7 +130,7 @@
     id: 10026,
     level: "info",
     text:
-      "Request {requestId} ended with outcome {outcome} and status {status} after {elapsedMs} ms, first byte after {firstMs} ms, {attempts} attempts, the last at {target}",
+      "Request {requestId} ended with outcome {outcome} and status {status} after {elapsedMs} ms, first byte after {firstMs} ms, {attempts} attempts, the last at {target}; end of the answer marked by {framing}, {unfinishedBytes} bytes of an incomplete event",
     help: "None needed",
   },
   targetLimited: {
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -38,6 +38,19 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
+/**
+ * What marks the end of a body: its length, its last chunk, or only the end of
+ * its connection, which a sender that broke off may cause as well.
+ */
+export type BodyFraming = "length" | "chunked" | "connection";
+
+export function readBodyFraming(
+  headers: Readonly<Record<string, unknown>>,
+): BodyFraming {
+  if (headers["transfer-encoding"] !== undefined) return "chunked";
+  return headers["content-length"] === undefined ? "connection" : "length";
+}
+
 export interface HttpHandler {
   onHead(head: HttpAnswerHead): void;
   onData(chunk: Buffer): void;
--- a/foundation/open-http/src/mod.ts
+++ b/foundation/open-http/src/mod.ts
@@ -3,8 +3,9 @@
  * loaded: the whole library would take some ten megabytes more resident memory.
  */
 
-export { HttpPool } from "./http_pool.ts";
+export { HttpPool, readBodyFraming } from "./http_pool.ts";
 export type {
+  BodyFraming,
   HttpAnswerHead,
   HttpConnector,
   HttpHandler,
