Show that a stream that ends inside an event looks complete

Six tests fail: however the target marks the end of its answer, the entry adds the bytes of the incomplete event and ends its own answer in the regular way. A reset after an event is recognised (two tests pass), which speaks against a missed reset.

--- a/testing/run-entry/src/run_entry.ts
+++ b/testing/run-entry/src/run_entry.ts
@@ -72,6 +72,13 @@
     resumable: true,
     "target_gap_ms": 120,
   },
+  {
+    ...ROUTE,
+    name: "live",
+    "path_prefix": "/live/",
+    type: "streaming",
+    "target_gap_ms": 120,
+  },
   {
     ...ROUTE,
     name: "open",
