Send what was written before an answer is cut, and reset HTTP/1.0 callers

Callers of a stream that broke off lost events that the entry had already written: destroying a response drops what its socket has not sent yet. A caller of HTTP/1.0 moreover took the cut answer as complete, since the regular end of its connection is the mark of completeness there.

cutAnswer ends the connection after the bytes written so far, without the last chunk, and resets it where the connection marks the end. With response.destroy() in its place two of its three tests fail.

--- a/daemon/forward-requests/src/caller_answer.ts
+++ b/daemon/forward-requests/src/caller_answer.ts
@@ -4,6 +4,7 @@
  * cannot mistake it for a complete one.
  */
 
+import { cutAnswer } from "@dandelionbank/cut-answer";
 import type { ServerResponse } from "node:http";
 
 export interface FinalAnswer {
@@ -79,9 +80,9 @@
     this.#response.end();
   }
 
-  /** Closes the connection in the middle of an answer. */
+  /** Ends the answer in the middle, after the bytes written so far. */
   cut(): void {
-    this.#response.destroy();
+    cutAnswer(this.#response);
   }
 
   onceDrained(listener: () => void): void {
