Drop the length that a target gives for a stream

A stream that another target resumed was longer than the length its first target had announced, which the entry passed on: its caller rejected the bytes beyond it. The test failed before and passes now.

--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -131,7 +131,10 @@
   }
 
   #start(): void {
-    this.#answer.startStream(this.#status, encodeAnswerHeaders(this.#fields));
+    const headers = encodeAnswerHeaders(this.#fields);
+    // Another target may resume the stream, so this target's length may be wrong.
+    if (this.#isStream) delete headers["content-length"];
+    this.#answer.startStream(this.#status, headers);
   }
 
   #write(bytes: Buffer, source: RelaySource | undefined): void {
--- a/testing/ingress-tests/src/streams_test.ts
+++ b/testing/ingress-tests/src/streams_test.ts
@@ -49,6 +49,28 @@
   assert.equal([...answer.body.matchAll(/id: /g)].length, 4);
 });
 
+test("A resumed stream does not keep the length that its first target gave", async (t) => {
+  const site = await startSite(t);
+  let isFirst = true;
+  for (const engine of site.engines) {
+    engine.script = (engineCall) => {
+      if (!isFirst) return streamEvents({ last: 6 })(engineCall);
+      isFirst = false;
+      const { response, answerHeaders } = engineCall;
+      const lengthBytes = FOUR_EVENTS.length + 1;
+      response.writeHead(200, {
+        ...answerHeaders,
+        "content-length": lengthBytes,
+      });
+      response.write(FOUR_EVENTS, () => response.socket?.resetAndDestroy());
+    };
+  }
+  const answer = await call(site, { path: "/stream/a" });
+  assert.equal(answer.headers["content-length"], undefined);
+  assert.ok(answer.isComplete);
+  assert.equal([...answer.body.matchAll(/id: /g)].length, 6);
+});
+
 const FOUR_EVENTS = [1, 2, 3, 4]
   .map((id) => `id: ${id}\ndata: token ${id}\n\n`)
   .join("");
