Treat a stream that ends inside an event as broken off

A target that breaks off may end its message in the regular way, though, with a last chunk or by closing its connection. The entry even added the incomplete event.

The end of an answer is now checked in one place: an attempt whose message has ended asks the relay for a defect, and an incomplete event makes the attempt broken, so that it is resumed elsewhere or its caller's connection is cut. The answer's own end only follows where there is none.

--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -99,6 +99,19 @@
     return true;
   }
 
+  /**
+   * Returns why the answer is incomplete although its message has ended;
+   * `undefined` if it is complete. A target that breaks off may still end its
+   * message in the regular way, with a last chunk or by closing its connection.
+   */
+  findDefect(): string | undefined {
+    if (!this.#isStream) return undefined;
+    const { unfinishedBytes, framing } = this;
+    return unfinishedBytes === 0
+      ? undefined
+      : `stream ended inside an event, after ${unfinishedBytes} bytes of it; its end was marked by ${framing}`;
+  }
+
   /** Ends the answer after its last byte. */
   complete(): void {
     if (!this.#answer.hasBegun) {
@@ -109,9 +122,6 @@
       });
       return;
     }
-    // A complete answer includes the bytes after its last complete event.
-    const { pending: trailingBytes } = this.#splitter;
-    if (trailingBytes.length > 0) this.#answer.write(trailingBytes);
     this.#answer.end();
   }
 
--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -28,6 +28,11 @@
   /** Called with the headers of the target's own successful answer. */
   onSuccess(head: AnswerHead, fields: HeaderFields): void;
   onData(chunk: Buffer): void;
+  /**
+   * Called when the message of a successful answer has ended. Returns why the
+   * answer is incomplete nevertheless; `undefined` if it is complete.
+   */
+  findDefect(): string | undefined;
   /** Called when the successful answer is complete. */
   onComplete(): void;
   onFailed(failure: AttemptFailure): void;
@@ -174,6 +179,8 @@
       return;
     }
     if (this.#isSuccess) {
+      const defect = this.#listener.findDefect();
+      if (defect !== undefined) return this.#fail("broken", defect);
       this.#hasEnded = true;
       this.#listener.onComplete();
       return;
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -253,6 +253,7 @@
           const hasProgress = this.#relay.handleData(chunk, this.#attempt);
           if (this.#isStream && hasProgress) this.#recordProgress();
         },
+        findDefect: () => this.#relay.findDefect(),
         onComplete: () => this.#handleComplete(),
         onFailed: (failure) => this.#handleFailure(failure),
       },
