Check the end of streams on the product's own interface by events

The end is checked by the last bytes in one place for all kinds of targets, and the entry forwards event by event.

--- a/daemon/call-target/src/call_target_test.ts
+++ b/daemon/call-target/src/call_target_test.ts
@@ -18,6 +18,10 @@
   code: "TARGET_CONNECTION_LOST",
   mayHaveRun: true,
 };
+const STREAM_CUT: TargetFailure = {
+  code: "TARGET_STREAM_CUT",
+  mayHaveRun: true,
+};
 const CASES: readonly Case[] = [
   {
     name: "complete body",
@@ -67,7 +71,43 @@
       response.writeHead(200, { "content-type": "text/event-stream" });
       response.end("data: a\n\n");
     },
-    result: { code: "TARGET_STREAM_CUT", mayHaveRun: true },
+    result: STREAM_CUT,
+  },
+  {
+    name: "stream that ends inside its final event",
+    kind: "engine",
+    answer: (_, response) => {
+      response.writeHead(200, { "content-type": "text/event-stream" });
+      response.end("data: a\n\ndata: [DONE]\n");
+    },
+    result: STREAM_CUT,
+  },
+  {
+    name: "stream that ends inside an event whose text names the final one",
+    kind: "engine",
+    answer: (_, response) => {
+      response.writeHead(200, { "content-type": "text/event-stream" });
+      response.end("data: a\n\ndata: then data: [DONE] foll");
+    },
+    result: STREAM_CUT,
+  },
+  {
+    name: "stream that ends inside an event",
+    kind: "plain",
+    answer: (_, response) => {
+      response.writeHead(200, { "content-type": "text/event-stream" });
+      response.end("data: a\n\ndata: ha");
+    },
+    result: STREAM_CUT,
+  },
+  {
+    name: "stream that ends after an event",
+    kind: "plain",
+    answer: (_, response) => {
+      response.writeHead(200, { "content-type": "text/event-stream" });
+      response.end("data: a\r\n\r\n");
+    },
+    result: "complete",
   },
 ];
 
--- a/daemon/call-target/src/plain_adapter.ts
+++ b/daemon/call-target/src/plain_adapter.ts
@@ -1,6 +1,7 @@
 /**
- * Calls a plain service. HTTP itself detects a truncated answer, by the content
- * length or the final chunk.
+ * Calls a plain service. HTTP detects a truncated answer by its length or its
+ * last chunk; an answer with neither is complete unless its connection is reset.
+ * An event stream has to end after an event.
  */
 
 import type { HttpPool } from "@dandelionbank/open-http";
@@ -24,7 +25,10 @@
   }
 
   call(call: TargetCall, sink: TargetSink): RunningCall {
-    return sendCall(this.#pool, call, sink);
+    return sendCall(this.#pool, call, {
+      sink,
+      isStreamComplete: (tail) => tail.endsAfterEvent,
+    });
   }
 
   close(): Promise<void> {
--- a/daemon/call-target/src/send_call.ts
+++ b/daemon/call-target/src/send_call.ts
@@ -1,13 +1,21 @@
 /** HTTP transport shared by the target adapters. */
 
 import type { HttpPool } from "@dandelionbank/open-http";
+import { StreamTail } from "@dandelionbank/read-events";
 import type { RunningCall, TargetCall, TargetSink } from "./target_adapter.ts";
 
+export interface AnswerReceiver {
+  readonly sink: TargetSink;
+  /** Whether an event stream whose message has ended with `tail` is complete. */
+  readonly isStreamComplete: (tail: StreamTail) => boolean;
+}
+
 export function sendCall(
   pool: HttpPool,
   call: TargetCall,
-  sink: TargetSink,
+  { sink, isStreamComplete }: AnswerReceiver,
 ): RunningCall {
+  let tail: StreamTail | undefined;
   return pool.send(
     {
       method: call.method,
@@ -16,10 +24,20 @@
       body: call.body,
     },
     {
-      onHead: ({ status, headers }) =>
-        sink.onHead(status, String(headers["content-type"] ?? "")),
-      onData: (chunk) => sink.onData(chunk),
-      onEnd: () => sink.onEnd(),
+      onHead: ({ status, headers }) => {
+        const contentType = String(headers["content-type"] ?? "");
+        const isStream = contentType.startsWith("text/event-stream");
+        tail = isStream ? StreamTail.create() : undefined;
+        sink.onHead(status, contentType);
+      },
+      onData: (chunk) => {
+        tail?.push(chunk);
+        sink.onData(chunk);
+      },
+      onEnd: () => {
+        if (tail === undefined || isStreamComplete(tail)) return sink.onEnd();
+        sink.onFailure({ code: "TARGET_STREAM_CUT", mayHaveRun: true });
+      },
       onError: (_, wasSent) =>
         sink.onFailure({
           code: wasSent ? "TARGET_CONNECTION_LOST" : "TARGET_UNREACHABLE",
--- a/daemon/route-requests/src/http_caller_port.ts
+++ b/daemon/route-requests/src/http_caller_port.ts
@@ -1,9 +1,10 @@
 /**
- * Answers a caller over HTTP. An event stream is forwarded as it arrives. Any
- * other answer is buffered until it is complete, up to a limit, so that a caller
+ * Answers a caller over HTTP. An event stream is forwarded event by event, so
+ * that the error which ends one that breaks off is an event of its own. Any other answer is buffered until it is complete, up to a limit, so that a caller
  * does not receive a truncated body with a success status.
  */
 
+import { EventSplitter } from "@dandelionbank/read-events";
 import type { CallerAnswer } from "@dandelionbank/serve-callers";
 import type {
   AnswerHead,
@@ -17,6 +18,8 @@
 export class HttpCallerPort implements CallerPort {
   readonly #answer: CallerAnswer;
   #head: AnswerHead | undefined;
+  /** Set for an event stream. */
+  #splitter: EventSplitter | undefined;
   #buffered: Buffer[] | undefined;
   #bufferedBytes = 0;
 
@@ -31,6 +34,7 @@
   sendHead(head: AnswerHead): void {
     this.#head = head;
     if (head.contentType.startsWith("text/event-stream")) {
+      this.#splitter = EventSplitter.create();
       this.#answer.start(head);
       return;
     }
@@ -38,14 +42,22 @@
   }
 
   sendData(data: string): boolean {
-    if (this.#buffered === undefined) return this.#write(data);
     const chunk = Buffer.from(data, this.#head?.encoding);
+    if (this.#splitter !== undefined) {
+      const events = this.#splitter.push(chunk);
+      return events === undefined || this.#answer.write(events.bytes);
+    }
+    if (this.#buffered === undefined) return this.#answer.write(chunk);
     this.#buffered.push(chunk);
     this.#bufferedBytes += chunk.length;
     return this.#bufferedBytes < BUFFER_LIMIT_BYTES || this.#flushBuffer();
   }
 
   sendEnd({ lengthBytes }: { readonly lengthBytes: number }): void {
+    if (this.#splitter !== undefined && this.#splitter.pending.length > 0) {
+      this.#answer.sendOutcome({ kind: "failed", code: "answerCut" });
+      return;
+    }
     if (this.#head !== undefined && this.#buffered !== undefined) {
       this.#answer.start({ ...this.#head, lengthBytes });
       this.#answer.write(Buffer.concat(this.#buffered));
@@ -67,12 +79,6 @@
     this.#answer.onAbandoned(listener);
   }
 
-  #write(data: string): boolean {
-    return this.#answer.write(
-      this.#head?.encoding === "base64" ? Buffer.from(data, "base64") : data,
-    );
-  }
-
   #flushBuffer(): boolean {
     if (this.#head === undefined || this.#buffered === undefined) return true;
     this.#answer.start(this.#head);
