--- a/daemon/serve-callers/src/caller_answer.ts
+++ b/daemon/serve-callers/src/caller_answer.ts
@@ -1,5 +1,6 @@
 /** Sends one caller its response: the target's answer, or the request's outcome. */
 
+import { cutAnswer } from "@dandelionbank/cut-answer";
 import { describeOutcome } from "@dandelionbank/describe-outcome";
 import type { Outcome } from "@dandelionbank/types";
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
@@ -99,7 +100,7 @@
       this.#response.end(`event: error\ndata: ${body}\n\n`);
       return;
     }
-    this.#response.destroy();
+    cutAnswer(this.#response);
   }
 
   onDrained(listener: () => void): void {
--- a/daemon/serve-callers/src/caller_answer_test.ts
+++ b/daemon/serve-callers/src/caller_answer_test.ts
@@ -45,6 +45,17 @@
   assert.match(text, /^event: error\n/);
 });
 
+test("A long answer that fails is cut after the bytes written before", async (t) => {
+  const { text, isComplete } = await sendAndObserve(t, (response) => {
+    const caller = createAnswer(response);
+    caller.start({ ...HEAD, contentType: "text/plain" });
+    caller.write("part");
+    caller.sendOutcome({ kind: "failed", code: "answerCut" });
+  });
+  assert.equal(text, "part");
+  assert.ok(!isComplete);
+});
+
 function createAnswer(response: ServerResponse): HttpCallerAnswer {
   return HttpCallerAnswer.create(response, {
     requestId: "request-1",
@@ -55,6 +66,8 @@
 interface ObservedResponse {
   readonly status: number;
   readonly text: string;
+  /** False if the connection closed before the end of the body. */
+  readonly isComplete: boolean;
   /** Number of writes to the connection. */
   readonly writes: number;
 }
@@ -79,8 +92,14 @@
       onHead();
       response.setEncoding("utf8");
       response.on("data", (part: string) => text += part);
-      response.on("end", () => {
-        resolve({ status: response.statusCode ?? 0, text, writes });
+      response.on("error", () => {});
+      response.on("close", () => {
+        resolve({
+          status: response.statusCode ?? 0,
+          text,
+          isComplete: response.complete,
+          writes,
+        });
       });
     });
     clientRequest.on("error", reject);
