Treat a stream without a length and without an event as broken off

A target that closed its connection right after the head of a stream got its caller an empty answer that looked complete. The test failed before.

--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -36,6 +36,7 @@
   readonly #chunks: Buffer[] = [];
   #bufferedBytes = 0;
   #splitter = EventSplitter.create();
+  #hasEvent = false;
   #lastEventId: string | undefined;
   #fields: HeaderFields = {};
   #status = 0;
@@ -107,9 +108,14 @@
   findDefect(): string | undefined {
     if (!this.#isStream) return undefined;
     const { unfinishedBytes, framing } = this;
-    return unfinishedBytes === 0
-      ? undefined
-      : `stream ended inside an event, after ${unfinishedBytes} bytes of it; its end was marked by ${framing}`;
+    if (unfinishedBytes > 0) {
+      return `stream ended inside an event, after ${unfinishedBytes} bytes of it; its end was marked by ${framing}`;
+    }
+    // A target that resumes a stream may have no event left to send.
+    const isEmpty = !this.#hasEvent && this.#lastEventId === undefined;
+    return isEmpty && framing === "connection"
+      ? "connection ended before the stream's first event"
+      : undefined;
   }
 
   /** Ends the answer after its last byte. */
@@ -135,6 +141,7 @@
   #handleEvents(chunk: Buffer, source: RelaySource | undefined): boolean {
     const events = this.#splitter.push(chunk);
     if (events === undefined) return false;
+    this.#hasEvent = true;
     this.#lastEventId = events.lastId ?? this.#lastEventId;
     this.#write(events.bytes, source);
     return true;
--- a/testing/ingress-tests/src/streams_test.ts
+++ b/testing/ingress-tests/src/streams_test.ts
@@ -132,6 +132,15 @@
   });
 }
 
+test("A stream without a length that ends before its first event does not look complete", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  site.engines[0]!.script = ({ response, answerHeaders }) => {
+    response.socket!.end(renderUnframedHead(answerHeaders));
+  };
+  const answer = await call(site, { path: "/live/a" });
+  assert.ok(!answer.isComplete);
+});
+
 for (const delayMs of [0, 30]) {
   test(`A stream without a length whose connection is reset ${delayMs} ms after an event does not look complete`, async (t) => {
     const site = await startSite(t, { engines: 1 });
