Bound the events of a stream, and split chunks in linear time

An event beyond 1 MiB now ends the attempt as broken and resets the connection, and a chunk takes time by its own length.

--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -16,6 +16,8 @@
 
 /** A longer plain answer is no longer buffered but streamed. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/** A longer event of a stream is no answer; events hold a few tokens. */
+const MAX_EVENT_BYTES = 1_048_576;
 
 export interface AnswerRelayOptions {
   readonly answer: CallerAnswer;
@@ -68,7 +70,7 @@
 
   /** Bytes of an incomplete event that are held back. */
   get unfinishedBytes(): number {
-    return this.#splitter.pending.length;
+    return this.#splitter.pendingBytes;
   }
 
   handleHead({ status }: AnswerHead, fields: HeaderFields): void {
@@ -100,6 +102,13 @@
     return true;
   }
 
+  /** Returns why no more bytes are taken from the target, if none are. */
+  findOverflow(): string | undefined {
+    return this.unfinishedBytes > MAX_EVENT_BYTES
+      ? `event of ${this.unfinishedBytes} bytes without an end; the limit is ${MAX_EVENT_BYTES}`
+      : undefined;
+  }
+
   /**
    * Returns why the answer is incomplete although its message has ended;
    * `undefined` if it is complete. A target that breaks off may still end its
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -251,6 +251,11 @@
         },
         onData: (chunk) => {
           const hasProgress = this.#relay.handleData(chunk, this.#attempt);
+          const overflow = this.#relay.findOverflow();
+          if (overflow !== undefined) {
+            this.#attempt?.abort("broken", overflow);
+            return;
+          }
           if (this.#isStream && hasProgress) this.#recordProgress();
         },
         findDefect: () => this.#relay.findDefect(),
--- a/daemon/route-requests/src/http_caller_port.ts
+++ b/daemon/route-requests/src/http_caller_port.ts
@@ -54,7 +54,7 @@
   }
 
   sendEnd({ lengthBytes }: { readonly lengthBytes: number }): void {
-    if (this.#splitter !== undefined && this.#splitter.pending.length > 0) {
+    if ((this.#splitter?.pendingBytes ?? 0) > 0) {
       this.#answer.sendOutcome({ kind: "failed", code: "answerCut" });
       return;
     }
--- a/routing/read-events/src/event_splitter_test.ts
+++ b/routing/read-events/src/event_splitter_test.ts
@@ -23,7 +23,7 @@
       }
       assert.equal(output, STREAM);
       assert.equal(lastId, "3");
-      assert.equal(splitter.pending.length, 0);
+      assert.equal(splitter.pendingBytes, 0);
     }),
   );
 });
@@ -31,9 +31,19 @@
 test("An incomplete event is held back", () => {
   const splitter = EventSplitter.create();
   assert.equal(splitter.push(Buffer.from("id: 1\ndata: a\n")), undefined);
-  assert.equal(splitter.pending.length, 14);
+  assert.equal(splitter.pendingBytes, 14);
   const events = splitter.push(Buffer.from("\nid: 2\ndata"));
   assert.equal(events?.bytes.toString(), "id: 1\ndata: a\n\n");
   assert.equal(events?.lastId, "1");
   assert.equal(events?.count, 1);
 });
+
+test("A chunk takes time by its own length, whatever is pending", () => {
+  const splitter = EventSplitter.create();
+  const chunk = Buffer.alloc(1_024, "x");
+  const startedAtMs = performance.now();
+  for (let index = 0; index < 20_000; index++) splitter.push(chunk);
+  const elapsedMs = performance.now() - startedAtMs;
+  assert.equal(splitter.pendingBytes, 20_480_000);
+  assert.ok(elapsedMs < 2_000, `${elapsedMs} ms`);
+});
--- /dev/null
+++ b/testing/ingress-tests/src/endless_answers_test.ts
@@ -0,0 +1,117 @@
+/**
+ * Targets in trouble send bytes that are no answer, without end, until the
+ * connection is closed. An entry has to close it long before the route's timeout
+ * and must not keep the bytes.
+ */
+
+import { call, startSite, waitFor } from "@dandelionbank/run-entry";
+import {
+  type EngineCall,
+  type EngineScript,
+} from "@dandelionbank/standin-site";
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { test } from "node:test";
+
+const CHUNK = Buffer.alloc(65_536, "x");
+/** Far below the timeout of the routes, which is 2 s. */
+const MAX_ELAPSED_MS = 1_500;
+
+interface EndlessCase {
+  readonly name: string;
+  /** Sent once, before the bytes without end. */
+  readonly renderStart: (call: EngineCall) => string;
+  readonly repeated: Buffer;
+}
+
+const CASES: readonly EndlessCase[] = [
+  {
+    name: "an event without end",
+    renderStart: (call) => `${renderHead(call, 200)}data: `,
+    repeated: CHUNK,
+  },
+  {
+    name: "a head without end",
+    renderStart: () => "HTTP/1.1 200 OK\r\n",
+    repeated: Buffer.from("x-filler: 0123456789\r\n".repeat(200)),
+  },
+  {
+    name: "an error without end",
+    renderStart: (call) => renderHead(call, 500),
+    repeated: CHUNK,
+  },
+  {
+    name: "bytes without end after its answer",
+    renderStart: ({ answerHeaders }) => {
+      const lines = renderLines(answerHeaders);
+      return `HTTP/1.1 500 Failed\r\n${lines}content-length: 2\r\n\r\nno`;
+    },
+    repeated: CHUNK,
+  },
+];
+
+for (const { name, renderStart, repeated } of CASES) {
+  test(`A target that sends ${name} is cut off`, async (t) => {
+    const site = await startSite(t, { engines: 1 });
+    const sockets: Socket[] = [];
+    site.engines[0]!.script = (engineCall) => {
+      const socket = engineCall.response.socket!;
+      sockets.push(socket);
+      socket.write(renderStart(engineCall));
+      sendWithoutEnd(socket, repeated);
+    };
+    const answer = await call(site, { path: "/live/a" });
+    assert.ok(answer.status >= 500 || !answer.isComplete);
+    assert.ok(answer.elapsedMs < MAX_ELAPSED_MS, `${answer.elapsedMs} ms`);
+    await waitFor(() => sockets.every(({ destroyed }) => destroyed));
+  });
+}
+
+test("Calm callers are served while ten targets send without end", async (t) => {
+  const site = await startSite(t, { engines: 12 });
+  const endless: EngineScript = (engineCall) => {
+    const socket = engineCall.response.socket!;
+    socket.write(`${renderHead(engineCall, 200)}data: `);
+    sendWithoutEnd(socket, CHUNK);
+  };
+  for (const engine of site.engines.slice(2)) {
+    const whole = engine.script;
+    engine.script = (engineCall) => {
+      const isStream = engineCall.path.startsWith("/live/");
+      (isStream ? endless : whole)(engineCall);
+    };
+  }
+  const before = process.memoryUsage().rss;
+  const streams = Array.from(
+    { length: 20 },
+    () => call(site, { path: "/live/a" }),
+  );
+  for (let index = 0; index < 50; index++) {
+    const answer = await call(site, { path: "/safe/a" });
+    assert.equal(answer.status, 200);
+    assert.ok(answer.elapsedMs < 300, `${answer.elapsedMs} ms`);
+  }
+  await Promise.all(streams);
+  const grownBytes = process.memoryUsage().rss - before;
+  assert.ok(grownBytes < 200_000_000, `${grownBytes} bytes`);
+});
+
+/** Writes `bytes` as fast as they are taken, until the connection is closed. */
+function sendWithoutEnd(socket: Socket, bytes: Buffer): void {
+  const send = () => {
+    while (!socket.destroyed && socket.write(bytes));
+  };
+  socket.on("drain", send);
+  socket.on("error", () => {});
+  send();
+}
+
+function renderHead({ answerHeaders }: EngineCall, status: number): string {
+  return `HTTP/1.1 ${status} Status\r\n${renderLines(answerHeaders)}\r\n`;
+}
+
+function renderLines(headers: Readonly<Record<string, string>>): string {
+  return Object.entries(headers)
+    .map((field) => `${field.join(": ")}\r\n`)
+    .join("");
+}
