--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -11,6 +11,10 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
+/** A peer that sends more interim heads (1xx) than this sends no answer. */
+const MAX_INTERIM_HEAD_BYTES = 65_536;
+/** Status line and line ends of a head, about. */
+const HEAD_OVERHEAD_BYTES = 32;
 
 /** Replaces undici's own way of connecting, for example to use TLS. */
 export type HttpConnector = buildConnector.connector;
@@ -122,6 +126,7 @@
   readonly #handler: HttpHandler;
   readonly #resets: ConnectionResets;
   #controller: Dispatcher.DispatchController | undefined;
+  #interimHeadBytes = 0;
   #isCancelled = false;
   #isEnded = false;
 
@@ -132,9 +137,7 @@
 
   cancel(): void {
     this.#isCancelled = true;
-    this.#resets.resetWhile(() =>
-      this.#controller?.abort(new Error("Cancelled"))
-    );
+    this.#abort(new Error("Cancelled"));
   }
 
   pause(): void {
@@ -155,7 +158,14 @@
     status: number,
     headers: HttpAnswerHead["headers"],
   ): void {
-    if (status >= 200) this.#handler.onHead({ status, headers });
+    if (status >= 200) return this.#handler.onHead({ status, headers });
+    this.#interimHeadBytes += HEAD_OVERHEAD_BYTES + countHeaderBytes(headers);
+    if (this.#interimHeadBytes <= MAX_INTERIM_HEAD_BYTES) return;
+    this.#abort(
+      new Error(
+        `Interim heads of ${this.#interimHeadBytes} bytes; the limit is ${MAX_INTERIM_HEAD_BYTES}`,
+      ),
+    );
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -177,6 +187,15 @@
     this.#isEnded = true;
     this.#handler.onError(error, wasSent(error));
   }
+
+  /** Resets the connection; `onResponseError` is called with the reason. */
+  #abort(reason: Error): void {
+    this.#resets.resetWhile(() => this.#controller?.abort(reason));
+  }
+}
+
+function countHeaderBytes(headers: HttpAnswerHead["headers"]): number {
+  return Object.entries(headers).flat(2).join("").length;
 }
 
 /**
--- a/testing/ingress-tests/src/endless_answers_test.ts
+++ b/testing/ingress-tests/src/endless_answers_test.ts
@@ -30,6 +30,13 @@
     renderStart: (call) => `${renderHead(call, 200)}data: `,
     repeated: CHUNK,
   },
+  {
+    name: "interim heads without end",
+    renderStart: () => "",
+    repeated: Buffer.from(
+      "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(200),
+    ),
+  },
   {
     name: "a head without end",
     renderStart: () => "HTTP/1.1 200 OK\r\n",
