Bound the answers that are buffered whole

Reports of engines, answers of the store and calls between our processes were read until their timeout, however long they became. Beyond 16 MiB the call fails and resets its connection. The test failed before: no answer in 5,000 ms, and the memory of the process grew all the while.

--- a/foundation/open-http/src/fetch_answer.ts
+++ b/foundation/open-http/src/fetch_answer.ts
@@ -2,6 +2,9 @@
 
 import type { HttpAnswerHead, HttpPool, HttpRequest } from "./http_pool.ts";
 
+/** The longest answers are lists of objects, of a few MiB. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
 export interface BufferedAnswer extends HttpAnswerHead {
   readonly body: Buffer;
 }
@@ -11,7 +14,10 @@
   readonly value: unknown;
 }
 
-/** Rejects with the error of the connection, or after `timeoutMs`. */
+/**
+ * Rejects with the error of the connection, after `timeoutMs`, or if the answer
+ * is too long.
+ */
 export function fetchAnswer(
   pool: HttpPool,
   request: HttpRequest,
@@ -19,17 +25,30 @@
 ): Promise<BufferedAnswer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
+    let sizeBytes = 0;
     let head: HttpAnswerHead = { status: 0, headers: {} };
-    const timer = setTimeout(() => {
-      const { timeoutMs } = options;
-      reject(new Error(`No answer from ${pool.origin} in ${timeoutMs} ms`));
+    const giveUp = (reason: string) => {
+      clearTimeout(timer);
+      reject(new Error(reason));
       running.cancel();
-    }, options.timeoutMs);
+    };
+    const { timeoutMs } = options;
+    const timer = setTimeout(
+      () => giveUp(`No answer from ${pool.origin} in ${timeoutMs} ms`),
+      timeoutMs,
+    );
     const running = pool.send(request, {
       onHead: (answered) => {
         head = answered;
       },
       onData: (chunk) => {
+        sizeBytes += chunk.length;
+        if (sizeBytes > MAX_ANSWER_BYTES) {
+          giveUp(
+            `Answer from ${pool.origin} of more than ${MAX_ANSWER_BYTES} bytes`,
+          );
+          return;
+        }
         chunks.push(chunk);
       },
       onEnd: () => {
--- a/foundation/open-http/src/http_pool_test.ts
+++ b/foundation/open-http/src/http_pool_test.ts
@@ -75,6 +75,25 @@
   assert.equal(await readEnd(socket), "ECONNRESET");
 });
 
+test("A buffered answer without end is given up before it fills the memory", async (t) => {
+  const chunk = Buffer.alloc(1_048_576);
+  const server = await listen((_, response) => {
+    const send = () => {
+      while (!response.destroyed && response.write(chunk));
+    };
+    response.on("drain", send);
+    send();
+  });
+  t.after(() => server.close());
+  const pool = HttpPool.create({ origin: urlOf(server) });
+  const request = { method: "GET", path: "/", headers: {} };
+  await assert.rejects(
+    fetchAnswer(pool, request, { timeoutMs: 5_000 }),
+    /more than 16777216 bytes/,
+  );
+  await pool.close();
+});
+
 async function sendAndFail(pool: HttpPool): Promise<Failure> {
   const failure = await new Promise<Failure>((resolve) =>
     pool.send({ method: "POST", path: "/", headers: {}, body: "x" }, {
