Bound the answer that an agent keeps of a call

An answer without end grew in the agent's memory until the call's deadline. Beyond 64 MiB the connection is reset and the call fails with TARGET_ANSWER_TOO_LONG. The test did not end before.

--- a/daemon/call-target/src/call_target_test.ts
+++ b/daemon/call-target/src/call_target_test.ts
@@ -100,6 +100,19 @@
     },
     result: STREAM_CUT,
   },
+  {
+    name: "answer without end",
+    kind: "plain",
+    answer: (_, response) => {
+      const chunk = Buffer.alloc(1_048_576);
+      const send = () => {
+        while (!response.destroyed && response.write(chunk));
+      };
+      response.on("drain", send);
+      send();
+    },
+    result: { code: "TARGET_ANSWER_TOO_LONG", mayHaveRun: true },
+  },
   {
     name: "stream that ends after an event",
     kind: "plain",
--- a/daemon/call-target/src/send_call.ts
+++ b/daemon/call-target/src/send_call.ts
@@ -4,6 +4,9 @@
 import { StreamTail } from "@dandelionbank/read-events";
 import type { RunningCall, TargetCall, TargetSink } from "./target_adapter.ts";
 
+/** An agent keeps the answer until it is delivered, so its memory bounds it. */
+const MAX_ANSWER_BYTES = 67_108_864;
+
 export interface AnswerReceiver {
   readonly sink: TargetSink;
   /** Whether an event stream whose message has ended with `tail` is complete. */
@@ -16,7 +19,8 @@
   { sink, isStreamComplete }: AnswerReceiver,
 ): RunningCall {
   let tail: StreamTail | undefined;
-  return pool.send(
+  let sizeBytes = 0;
+  const running = pool.send(
     {
       method: call.method,
       path: call.path,
@@ -31,6 +35,11 @@
         sink.onHead(status, contentType);
       },
       onData: (chunk) => {
+        sizeBytes += chunk.length;
+        if (sizeBytes > MAX_ANSWER_BYTES) {
+          running.cancel();
+          return;
+        }
         tail?.push(chunk);
         sink.onData(chunk);
       },
@@ -40,11 +49,22 @@
       },
       onError: (_, wasSent) =>
         sink.onFailure({
-          code: wasSent ? "TARGET_CONNECTION_LOST" : "TARGET_UNREACHABLE",
+          code: describeFailure({ sizeBytes, wasSent }),
           mayHaveRun: wasSent,
         }),
     },
   );
+  return running;
+}
+
+function describeFailure(
+  { sizeBytes, wasSent }: {
+    readonly sizeBytes: number;
+    readonly wasSent: boolean;
+  },
+): string {
+  if (sizeBytes > MAX_ANSWER_BYTES) return "TARGET_ANSWER_TOO_LONG";
+  return wasSent ? "TARGET_CONNECTION_LOST" : "TARGET_UNREACHABLE";
 }
 
 function createHeaders(call: TargetCall): Record<string, string> {
