Heed what targets announce: that they leave, and when to return

Targets announce in their answers that they leave (Server-Leaving) or, with a 503, for how long they want nothing (Retry-After).

One core keeps all notices, the limits among them, and answers for placement, retries and admission when a target may get another request. Leaving targets are told between entries. A pool whose targets all refuse turns its callers away at once, with times one after another; streams wait where that is within their callers' patience.

--- a/daemon/exchange-status/src/parse_status.ts
+++ b/daemon/exchange-status/src/parse_status.ts
@@ -28,7 +28,7 @@
       })),
       quarantined: v.array(v.string()),
     }),
-    // Entries of earlier versions do not send it.
+    // Entries of earlier versions do not send these two.
     targetLimits: v.optional(
       v.array(v.object({
         target: v.string(),
@@ -37,6 +37,7 @@
       })),
       [],
     ),
+    leavingTargets: v.optional(v.array(v.string()), []),
   }),
 );
 
--- a/daemon/exchange-status/src/parse_status_test.ts
+++ b/daemon/exchange-status/src/parse_status_test.ts
@@ -18,6 +18,7 @@
     { target: "t", perSecond: 1.5, ageMs: 20 },
     { target: "u", perSecond: null, ageMs: 0 },
   ],
+  leavingTargets: ["v"],
 };
 
 test("A status survives encoding and parsing unchanged", () => {
--- a/daemon/forward-requests/src/forward_context.ts
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -5,7 +5,7 @@
 import type { Logger } from "@dandelionbank/log-events";
 import type { PlacementState } from "@dandelionbank/pick-target";
 import type { ProgressTracker } from "@dandelionbank/track-progress";
-import type { TargetLimits } from "@dandelionbank/share-target-limits";
+import type { TrackedNotices } from "@dandelionbank/track-notices";
 import type { RegisteredTarget } from "@dandelionbank/types";
 import type { CrashMonitor } from "@dandelionbank/watch-suspects";
 import type { ForwardMetrics } from "./forward_metrics.ts";
@@ -17,7 +17,7 @@
   readonly metrics: ForwardMetrics;
   readonly configuration: ActiveConfiguration;
   readonly placement: PlacementState;
-  readonly targetLimits: TargetLimits;
+  readonly notices: TrackedNotices;
   readonly pools: TargetPools;
   readonly admission: StreamAdmission;
   readonly retryBudget: RetryBudget;
@@ -28,11 +28,6 @@
   readonly findTarget: (id: string) => RegisteredTarget | undefined;
   /** Reports that a different target answers at the target's address. */
   readonly reportMisdirected: (id: string) => void;
-  /** True if the service has an open target that is not among those tried. */
-  readonly hasUntriedTarget: (
-    service: string,
-    tried: readonly string[],
-  ) => boolean;
   /** Number of live entries, this one included. */
   readonly countEntries: () => number;
   readonly isStopping: () => boolean;
--- a/daemon/forward-requests/src/forward_metrics.ts
+++ b/daemon/forward-requests/src/forward_metrics.ts
@@ -1,6 +1,11 @@
-/** Counters and histograms of requests and attempts. */
+/** Counters and histograms of requests and attempts, and gauges of targets. */
 
-import { Counter, Histogram, type Registry } from "@dandelionbank/metrics";
+import {
+  Counter,
+  Gauge,
+  Histogram,
+  type Registry,
+} from "@dandelionbank/metrics";
 
 /** Covers plain calls of some milliseconds up to streams of several seconds. */
 const LATENCY_BUCKETS_S = [
@@ -57,6 +62,24 @@
     return new ForwardMetrics(registry);
   }
 
+  /** Registers a gauge of the targets with a notice in force, by its kind. */
+  static registerNotices(
+    registry: Registry,
+    countNotices: () => Readonly<Record<string, number>>,
+  ): void {
+    new Gauge({
+      name: "dandelionbank_targets_with_notice",
+      help: "Targets that leave, are not to be called yet, or have a limit",
+      labelNames: ["kind"],
+      registers: [registry],
+      collect() {
+        for (const [kind, count] of Object.entries(countNotices())) {
+          this.set({ kind }, count);
+        }
+      },
+    });
+  }
+
   countAttempt(service: string, result: string): void {
     this.#attempts.inc({ service, result });
   }
--- a/daemon/forward-requests/src/mod.ts
+++ b/daemon/forward-requests/src/mod.ts
@@ -7,7 +7,7 @@
 export type { ForwardContext } from "./forward_context.ts";
 export { ForwardMetrics } from "./forward_metrics.ts";
 export { Forwarder } from "./forwarder.ts";
-export { logLimitChange } from "./log_limit_change.ts";
+export { logNoticeChange } from "./log_notice_change.ts";
 export { StreamAdmission } from "./stream_admission.ts";
 export type { GroupLoad } from "./stream_admission.ts";
 export { TargetPools } from "./target_pools.ts";
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -236,11 +236,8 @@
     return Attempt.send(this.#context.pools.getPool(target), {
       request: { attemptId: head.attemptId, method, path, headers, body },
       listener: {
-        onHead: ({ limitPerS }) =>
-          this.#targets.reportLimit({
-            perSecond: limitPerS,
-            sentAtMs: this.#sentAtMs,
-          }),
+        onHead: ({ notices }) =>
+          this.#targets.reportNotices({ notices, sentAtMs: this.#sentAtMs }),
         onSuccess: (answerHead, answerFields) => {
           this.#hasAnswerBegun = true;
           this.#recordProgress();
@@ -347,7 +344,7 @@
       case "refuse":
         return this.#refuse(
           "refusedByTargets",
-          this.#targets.busyForMs ?? REFUSED_RETRY_MS,
+          this.#targets.assignRetryMs() ?? REFUSED_RETRY_MS,
         );
       case "fail":
         return this.#fail(action.status);
--- a/daemon/forward-requests/src/stream_admission.ts
+++ b/daemon/forward-requests/src/stream_admission.ts
@@ -19,6 +19,8 @@
   readonly capacity: number;
   readonly activeFromOtherEntries: number;
   readonly entryCount: number;
+  /** Time until the group takes streams; infinite if all of its targets leave. */
+  readonly opensInMs: number;
 }
 
 export interface AdmissionRequest {
@@ -48,7 +50,8 @@
 }
 
 export interface StreamAdmissionOptions {
-  readonly readLoad: (service: string) => GroupLoad;
+  /** Reads the load of a service whose streams run for about `runMs`. */
+  readonly readLoad: (service: string, runMs: number) => GroupLoad;
 }
 
 export class StreamAdmission {
@@ -136,7 +139,8 @@
   }
 
   #readLoad(service: string): GroupLoad {
-    return this.#options.readLoad(service);
+    const runMs = this.#services.get(service)?.options.expectedRunMs ?? 0;
+    return this.#options.readLoad(service, runMs);
   }
 
   #dispatch(service: string, event: AdmissionEvent): void {
--- a/daemon/forward-requests/src/target_selector.ts
+++ b/daemon/forward-requests/src/target_selector.ts
@@ -4,13 +4,19 @@
  */
 
 import {
+  assignRetryMs,
+  hasAvailableTarget,
   type PlacementEffect,
   type PlacementEvent,
   stepPlacement,
 } from "@dandelionbank/pick-target";
-import type { RegisteredTarget, TargetLoad } from "@dandelionbank/types";
+import type {
+  RegisteredTarget,
+  TargetLoad,
+  TargetNotices,
+} from "@dandelionbank/types";
 import type { ForwardContext } from "./forward_context.ts";
-import { logLimitChange } from "./log_limit_change.ts";
+import { logNoticeChange } from "./log_notice_change.ts";
 
 export interface TargetSelectorOptions {
   readonly service: string;
@@ -47,9 +53,14 @@
     return this.#tried.at(-1);
   }
 
-  /** True if there is an open target that has not been tried. */
+  /** True if a target that has not been tried takes a request now. */
   get hasUntried(): boolean {
-    return this.#context.hasUntriedTarget(this.#options.service, this.#tried);
+    const pool = { pool: this.#options.service, exclude: this.#tried };
+    return hasAvailableTarget(
+      this.#context.placement,
+      pool,
+      performance.now(),
+    );
   }
 
   /** Selects the next target; undefined if none is available. */
@@ -74,29 +85,33 @@
   }
 
   /**
-   * Time until a target takes a request, if none did when the last one was to be
-   * selected because of their limits.
+   * Assigns the time after which the refused caller may return, if no target takes
+   * a request now because of what they have announced.
    */
-  get busyForMs(): number | undefined {
-    return this.#busyForMs;
+  assignRetryMs(): number | undefined {
+    const { placement } = this.#context;
+    const { service } = this.#options;
+    return this.#busyForMs ??
+      assignRetryMs(placement, service, performance.now());
   }
 
-  /** Records the limit in an answer's headers, or that they name none. */
-  reportLimit(
-    { perSecond, sentAtMs }: {
-      readonly perSecond: number | undefined;
+  /** Records what the target announces in the head of an answer. */
+  reportNotices(
+    { notices, sentAtMs }: {
+      readonly notices: TargetNotices;
       /** When the request was sent to the current target. */
       readonly sentAtMs: number;
     },
   ): void {
     if (this.#current === undefined) return;
-    const { targetLimits, logger } = this.#context;
+    const { notices: tracked, logger, pools } = this.#context;
     const target = this.#current.id;
-    const change = targetLimits.recordAnswer(
-      { target, perSecond, sentAtMs },
+    const changes = tracked.recordAnswer(
+      { target, notices, sentAtMs },
       performance.now(),
     );
-    if (change !== undefined) logLimitChange(logger, change);
+    for (const change of changes) logNoticeChange(logger, change);
+    if (notices.isLeaving) pools.drainPool(target);
   }
 
   reportLoad(load: TargetLoad): void {
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -23,7 +23,7 @@
   Forwarder,
   ForwardMetrics,
   type GroupLoad,
-  logLimitChange,
+  logNoticeChange,
   StreamAdmission,
   TargetPools,
 } from "@dandelionbank/forward-requests";
@@ -43,7 +43,7 @@
   type SocketAddress,
   StoreClient,
 } from "@dandelionbank/platform-adapter";
-import { TargetLimits } from "@dandelionbank/share-target-limits";
+import { TrackedNotices } from "@dandelionbank/track-notices";
 import { createProgressTracker } from "@dandelionbank/track-progress";
 import { readInstant } from "@dandelionbank/read-instant";
 import type { IngressConfiguration } from "@dandelionbank/types";
@@ -96,7 +96,7 @@
   readonly #forwarder: Forwarder;
   readonly #admission: StreamAdmission;
   readonly #targets: TargetView;
-  readonly #targetLimits: TargetLimits;
+  readonly #notices: TrackedNotices;
   readonly #exchange: StatusExchange;
   readonly #crashMonitor: CrashMonitor;
   readonly #callerServer: HttpListener;
@@ -126,12 +126,12 @@
       rewriteMs: bounds.targetReregistrationMs,
     });
     this.#client = StoreClient.create(formatAddress(settings.store));
-    this.#targetLimits = TargetLimits.create({ entry: settings.name, hash });
+    this.#notices = TrackedNotices.create({ entry: settings.name, hash });
     const placement = createPlacementState({
       entry: settings.name,
       random: Math.random,
       hash,
-      limits: this.#targetLimits,
+      limits: this.#notices,
     });
     const pools = TargetPools.create();
     const progress = createProgressTracker();
@@ -142,21 +142,25 @@
     this.#targets = TargetView.create({
       reregistrationMs: bounds.targetReregistrationMs,
       placement,
-      limits: this.#targetLimits,
+      notices: this.#notices,
       pools,
       progress,
       logger,
       onTargetLost: (id) => this.#crashMonitor.recordTargetDown(id),
     });
     this.#admission = StreamAdmission.create({
-      readLoad: (service) => this.#readLoad(service),
+      readLoad: (service, runMs) => this.#readLoad(service, runMs),
     });
+    ForwardMetrics.registerNotices(
+      registry,
+      () => this.#notices.countByKind(performance.now()),
+    );
     const context: ForwardContext = {
       logger,
       metrics: ForwardMetrics.create(registry),
       configuration: this.#configuration,
       placement,
-      targetLimits: this.#targetLimits,
+      notices: this.#notices,
       pools,
       admission: this.#admission,
       retryBudget: createRetryBudget({
@@ -169,8 +173,6 @@
       stallMs: bounds.stallMs,
       findTarget: (id) => this.#targets.findTarget(id),
       reportMisdirected: (id) => this.#targets.markMisdirected(id),
-      hasUntriedTarget: (service, tried) =>
-        this.#targets.hasUntriedTarget(service, tried),
       countEntries: () => this.#otherEntries.length + 1,
       isStopping: () => this.#isStopping,
     };
@@ -321,27 +323,32 @@
     );
   }
 
-  #readLoad(service: string): GroupLoad {
+  #readLoad(service: string, runMs: number): GroupLoad {
+    const { slots, opensInMs } = this.#targets.readGroupCapacity(
+      service,
+      runMs,
+    );
     return {
-      capacity: this.#targets.countSlots(service),
+      capacity: slots,
+      opensInMs,
       activeFromOtherEntries: sumActiveRequests(this.#otherEntries, service),
       entryCount: this.#otherEntries.length + 1,
     };
   }
 
-  /** Applies the limits that another entry has observed. */
-  #applyStatus({ targetLimits }: EntryStatus): void {
-    const changes = this.#targetLimits.applyReports(
-      targetLimits,
+  /** Applies what another entry has observed of its targets. */
+  #applyStatus({ targetLimits, leavingTargets }: EntryStatus): void {
+    const changes = this.#notices.applyReports(
+      { limits: targetLimits, leaving: leavingTargets },
       performance.now(),
     );
-    for (const change of changes) logLimitChange(this.#options.logger, change);
+    for (const change of changes) logNoticeChange(this.#options.logger, change);
   }
 
   #applyLiveEntries(otherEntries: readonly EntryStatus[]): void {
     this.#otherEntries = otherEntries;
     const names = otherEntries.map(({ name }) => name);
-    this.#targetLimits.setOtherEntries(names, performance.now());
+    this.#notices.setOtherEntries(names, performance.now());
     for (const { suspects } of otherEntries) {
       this.#crashMonitor.applyReport(suspects);
     }
@@ -350,6 +357,7 @@
 
   #readStatus(): EntryStatus {
     const { settings } = this.#options;
+    const { limits, leaving } = this.#notices.listReports(performance.now());
     return {
       name: settings.name,
       callersAddress: formatAddress(this.#addresses.callers),
@@ -359,7 +367,8 @@
       mayUseKeys: this.#mayUseKeys,
       activeByService: this.#admission.countActive(),
       suspects: this.#crashMonitor.pendingReport,
-      targetLimits: this.#targetLimits.listReports(performance.now()),
+      targetLimits: limits,
+      leavingTargets: leaving,
     };
   }
 
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -17,15 +17,23 @@
   type ProgressTracker,
   retainTargets,
 } from "@dandelionbank/track-progress";
-import type { TargetLimits } from "@dandelionbank/share-target-limits";
+import type { TrackedNotices } from "@dandelionbank/track-notices";
 import type { RegisteredTarget } from "@dandelionbank/types";
 import type { KindEvent } from "@dandelionbank/watch-kind";
 
+/** What the targets of a service take together. */
+export interface GroupCapacity {
+  /** Slots that requests of all entries can keep busy. */
+  readonly slots: number;
+  /** Time until there are slots: 0 if there are, infinite if all targets leave. */
+  readonly opensInMs: number;
+}
+
 export interface TargetViewOptions {
   /** Time for targets to re-register after an outage of the store. */
   readonly reregistrationMs: number;
   readonly placement: PlacementState;
-  readonly limits: TargetLimits;
+  readonly notices: TrackedNotices;
   readonly pools: TargetPools;
   readonly progress: ProgressTracker;
   readonly logger: Logger;
@@ -50,26 +58,27 @@
     return this.#tracker.targets.get(id);
   }
 
-  /** Whether a target that was not tried yet takes a request now. */
-  hasUntriedTarget(service: string, tried: readonly string[]): boolean {
+  /** Reads what a service's targets take together. */
+  readGroupCapacity(service: string, runMs: number): GroupCapacity {
+    const { notices } = this.#options;
     const nowMs = performance.now();
-    for (const target of this.#tracker.targets.values()) {
-      if (target.service !== service || target.isDraining) continue;
-      if (tried.includes(target.id)) continue;
-      if (this.#options.limits.readDelayMs(target.id, nowMs) === 0) return true;
-    }
-    return false;
-  }
-
-  /** Sums the slots of a service's targets that accept requests. */
-  countSlots(service: string): number {
-    let slots = 0;
-    for (const target of this.#tracker.targets.values()) {
-      if (target.service === service && !target.isDraining) {
-        slots += target.slots;
-      }
+    const members = [...this.#tracker.targets.values()]
+      .filter((target) => target.service === service);
+    const open = members.filter(({ id, isDraining }) =>
+      !isDraining && !notices.isLeaving(id)
+    );
+    const usableSlots = open.reduce(
+      (sum, { id: target, slots }) =>
+        sum + notices.countUsableSlots({ target, slots, runMs }, nowMs),
+      0,
+    );
+    if (usableSlots > 0) {
+      return { slots: Math.max(1, Math.floor(usableSlots)), opensInMs: 0 };
     }
-    return slots;
+    // A service without targets may get some at any time.
+    if (members.length === 0) return { slots: 0, opensInMs: 0 };
+    const delaysMs = open.map(({ id }) => notices.readDelayMs(id, nowMs));
+    return { slots: 0, opensInMs: Math.min(...delaysMs) };
   }
 
   handleEvent(event: KindEvent): void {
@@ -135,7 +144,7 @@
     }, performance.now());
     const ids = new Set(targets.map(({ id }) => id));
     this.#options.pools.retainPools(ids);
-    this.#options.limits.retainTargets(ids);
+    this.#options.notices.retainTargets(ids);
     retainTargets(this.#options.progress, ids);
     this.#logChange(targets, event);
   }
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -147,6 +147,25 @@
     text: "Target {target} has no limit any more",
     help: "None needed",
   },
+  targetLeaving: {
+    id: 10031,
+    level: "info",
+    text: "Target {target} leaves and gets no new work, says {source}",
+    help: "Planned work on the target; its running requests go on",
+  },
+  targetNotBefore: {
+    id: 10032,
+    level: "info",
+    text: "Target {target} wants no request of this entry for {forMs} ms",
+    help: "The target is overloaded; requests go to other targets meanwhile",
+  },
+  targetNoticeRejected: {
+    id: 10033,
+    level: "warn",
+    text:
+      "Target {target} announced {value} as the time after which to return, which is no time of up to 10 minutes",
+    help: "Check the target's program and its clock",
+  },
   linesDropped: {
     id: 10030,
     level: "warn",
--- a/foundation/types/src/mod.ts
+++ b/foundation/types/src/mod.ts
@@ -13,6 +13,7 @@
 export type * from "./stop.ts";
 export type * from "./stored_object.ts";
 export type * from "./target.ts";
+export type * from "./target_notices.ts";
 export type * from "./tls.ts";
 export type * from "./view.ts";
 export type * from "./view_exchange.ts";
--- a/routing/admit-streams/src/admit_streams.ts
+++ b/routing/admit-streams/src/admit_streams.ts
@@ -12,6 +12,7 @@
  * with a retry time, if possible on arrival, instead of waiting in vain.
  */
 
+import { RetryTimes, RETURN_STEP_MS } from "@dandelionbank/pace-requests";
 import type { Step } from "@dandelionbank/types";
 
 export interface StreamArrival {
@@ -40,6 +41,11 @@
     readonly activeFromOtherEntries: number;
     /** Entries that share the group, this one included. */
     readonly entryCount: number;
+    /**
+     * Time until the group takes streams: 0 if it does now, infinite if all of
+     * its targets leave.
+     */
+    readonly opensInMs: number;
   }
   | { readonly type: "tick" };
 
@@ -74,8 +80,13 @@
   readonly queue: QueuedStream[];
   active: number;
   capacity: number;
+  /** The latest capacity of the group while it took streams. */
+  openCapacity: number;
   activeFromOtherEntries: number;
   entryCount: number;
+  opensInMs: number;
+  /** Staggers the callers that are refused while the group takes no streams. */
+  readonly retryTimes: RetryTimes;
   /** Smoothed interval between the ends of two streams of this entry. */
   endIntervalMs: number | undefined;
   lastEndAtMs: number | undefined;
@@ -99,8 +110,11 @@
     queue: [],
     active: 0,
     capacity: 1,
+    openCapacity: 1,
     activeFromOtherEntries: 0,
     entryCount: 1,
+    opensInMs: 0,
+    retryTimes: RetryTimes.create(),
     endIntervalMs: undefined,
     lastEndAtMs: undefined,
   };
@@ -130,6 +144,8 @@
       return [];
     case "groupChanged":
       state.capacity = event.capacity;
+      if (event.capacity > 0) state.openCapacity = event.capacity;
+      state.opensInMs = event.opensInMs;
       state.activeFromOtherEntries = event.activeFromOtherEntries;
       state.entryCount = event.entryCount;
       return admitQueued(state, nowMs);
@@ -152,7 +168,7 @@
     expectedFirstEventMs;
   const predictedWaitMs = predictWaitMs(state, nowMs);
   if (nowMs + predictedWaitMs > latestStartMs) {
-    return [refuse(arrival.id, predictedWaitMs)];
+    return [refuse(state, { id: arrival.id, predictedWaitMs, nowMs })];
   }
   state.queue.push({ arrival, latestStartMs });
   return admitQueued(state, nowMs);
@@ -171,13 +187,13 @@
 /** Expected time that a stream arriving now would spend in the queue. */
 function predictWaitMs(state: AdmissionState, nowMs: number): number {
   const waitMs = (state.queue.length + 1) * estimateEndIntervalMs(state);
-  return waitMs + estimateStallMs(state, nowMs);
+  return state.opensInMs + waitMs + estimateStallMs(state, nowMs);
 }
 
 /** Expected interval between two stream ends of this entry at a full group. */
 function estimateEndIntervalMs(state: AdmissionState): number {
   const { expectedRunMs } = state.options;
-  const ownShare = Math.max(1, state.capacity / state.entryCount);
+  const ownShare = Math.max(1, state.openCapacity / state.entryCount);
   return state.endIntervalMs ?? expectedRunMs / ownShare;
 }
 
@@ -230,12 +246,14 @@
     readonly effects: AdmissionEffect[];
   },
 ): void {
-  const earliestStartMs = nowMs + estimateStallMs(state, nowMs);
+  const earliestStartMs = nowMs + state.opensInMs +
+    estimateStallMs(state, nowMs);
   for (let index = state.queue.length - 1; index >= 0; index--) {
     const { arrival, latestStartMs } = state.queue[index] as QueuedStream;
     if (earliestStartMs <= latestStartMs) continue;
     state.queue.splice(index, 1);
-    effects.push(refuse(arrival.id, predictWaitMs(state, nowMs)));
+    const predictedWaitMs = predictWaitMs(state, nowMs);
+    effects.push(refuse(state, { id: arrival.id, predictedWaitMs, nowMs }));
   }
 }
 
@@ -263,11 +281,20 @@
   if (index >= 0) state.queue.splice(index, 1);
 }
 
-function refuse(id: string, predictedWaitMs: number): AdmissionEffect {
-  return {
-    type: "refused",
-    id,
-    predictedWaitMs,
-    retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, predictedWaitMs),
-  };
+function refuse(
+  { opensInMs, retryTimes }: AdmissionState,
+  { id, predictedWaitMs, nowMs }: {
+    readonly id: string;
+    readonly predictedWaitMs: number;
+    readonly nowMs: number;
+  },
+): AdmissionEffect {
+  const type = "refused";
+  if (opensInMs === 0) {
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, predictedWaitMs);
+    return { type, id, predictedWaitMs, retryAfterMs };
+  }
+  const forecast = { waitMs: opensInMs, stepMs: RETURN_STEP_MS };
+  const retryAfterMs = retryTimes.next(forecast, nowMs);
+  return { type, id, predictedWaitMs: retryAfterMs, retryAfterMs };
 }
--- a/routing/admit-streams/src/admit_streams_test.ts
+++ b/routing/admit-streams/src/admit_streams_test.ts
@@ -114,9 +114,41 @@
   );
 });
 
+test("A stream waits for a group that takes streams again within its patience", () => {
+  const state = createGroup({ capacity: 0, opensInMs: 300 });
+  assert.deepEqual(arrive(state, "a", 0), []);
+  const group = { activeFromOtherEntries: 0, entryCount: 1, opensInMs: 0 };
+  const opened = { type: "groupChanged", capacity: 4, ...group } as const;
+  assert.deepEqual(post(state, opened, 300), ["admitted a"]);
+});
+
+for (const opensInMs of [5_000, Infinity]) {
+  test(`A group that takes no streams for ${opensInMs} ms refuses them at once, with times to return one after another`, () => {
+    const state = createGroup({ capacity: 0, opensInMs });
+    const refusals = ["a", "b"].map((id) =>
+      stepAdmission(state, {
+        type: "arrived",
+        id,
+        arrivedAtMs: 0,
+        objectiveMs: 500,
+        patienceMs: 1_500,
+        priority: 1,
+      }, 0).effects[0]!
+    );
+    const expectedMs = opensInMs === Infinity ? [1_000, 1_000] : [5_000, 5_010];
+    assert.deepEqual(
+      refusals.map((effect) =>
+        effect.type === "refused" ? effect.retryAfterMs : 0
+      ),
+      expectedMs,
+    );
+  });
+}
+
 function createGroup(
-  { capacity, activeFromOtherEntries = 0, entryCount = 1 }: {
+  { capacity, activeFromOtherEntries = 0, entryCount = 1, opensInMs = 0 }: {
     readonly capacity: number;
+    readonly opensInMs?: number;
     readonly activeFromOtherEntries?: number;
     readonly entryCount?: number;
   },
@@ -130,6 +162,7 @@
     capacity,
     activeFromOtherEntries,
     entryCount,
+    opensInMs,
   }, 0);
   return state;
 }
--- a/routing/pace-requests/src/retry_times.ts
+++ b/routing/pace-requests/src/retry_times.ts
@@ -5,6 +5,8 @@
 
 const MIN_RETRY_MS = 10;
 const MAX_RETRY_MS = 60_000;
+/** Time between two callers that return to targets whose rate is not known. */
+export const RETURN_STEP_MS = 10;
 /** Retry time if the time of the next free capacity is unknown. */
 const UNKNOWN_RETRY_MS = 1_000;
 
--- a/routing/pick-target/src/mod.ts
+++ b/routing/pick-target/src/mod.ts
@@ -1,6 +1,11 @@
 /** Placement of attempts on targets. */
 
-export { createPlacementState, stepPlacement } from "./pick_target.ts";
+export {
+  assignRetryMs,
+  createPlacementState,
+  hasAvailableTarget,
+  stepPlacement,
+} from "./pick_target.ts";
 export type { PlacementOptions, PlacementState } from "./pick_target.ts";
 export { createPolicy, DEFAULT_POLICY } from "./policies.ts";
 export type { PlacementPolicy, RandomSource } from "./policies.ts";
--- a/routing/pick-target/src/pick_target.ts
+++ b/routing/pick-target/src/pick_target.ts
@@ -9,6 +9,7 @@
  * produce the same effects.
  */
 
+import { RETURN_STEP_MS } from "@dandelionbank/pace-requests";
 import type { Step } from "@dandelionbank/types";
 import { isWithinAffinityBounds } from "./affinity_bounds.ts";
 import type { PlacementPolicy, RandomSource } from "./policies.ts";
@@ -149,8 +150,8 @@
   const estimate = (target: TargetRecord) =>
     target.estimate(meanFromOthers, nowMs);
   const isAvailable = (target: TargetRecord) =>
-    readWaitMs(state, target, nowMs) === 0 &&
-    target.state !== "closed" && !event.exclude.includes(target.name);
+    isUntried(state, target, event.exclude) &&
+    readWaitMs(state, target, nowMs) === 0;
   const isHealthy = (target: TargetRecord) =>
     isAvailable(target) && !target.isSuspected(nowMs);
   const candidates = firstNonEmpty(
@@ -181,6 +182,73 @@
   return [];
 }
 
+/**
+ * Returns true if a target of the pool that is not among those tried takes a
+ * request now.
+ */
+export function hasAvailableTarget(
+  state: PlacementState,
+  { pool, exclude }: {
+    readonly pool: string;
+    readonly exclude: readonly string[];
+  },
+  nowMs: number,
+): boolean {
+  const members = state.pools.get(pool)?.members ?? [];
+  return members.some((target) =>
+    isUntried(state, target, exclude) && readWaitMs(state, target, nowMs) === 0
+  );
+}
+
+/**
+ * Assigns the time after which a refused caller may return: undefined if a target
+ * of the pool takes a request now, or if the pool has no open target.
+ */
+export function assignRetryMs(
+  state: PlacementState,
+  poolName: string,
+  nowMs: number,
+): number | undefined {
+  const pool = state.pools.get(poolName);
+  if (pool === undefined) return undefined;
+  const targets = pool.members.filter((target) => isOpen(state, target));
+  const isAvailable = targets.some((target) =>
+    readWaitMs(state, target, nowMs) === 0
+  );
+  return isAvailable || targets.length === 0
+    ? undefined
+    : assignReturn(state, { pool, targets, nowMs });
+}
+
+/** Staggers the refused callers over the time from which targets are available. */
+function assignReturn(
+  state: PlacementState,
+  { pool, targets, nowMs }: {
+    readonly pool: TargetPool;
+    readonly targets: readonly TargetRecord[];
+    readonly nowMs: number;
+  },
+): number {
+  const waitMs = Math.min(
+    ...targets.map((target) => readWaitMs(state, target, nowMs)),
+  );
+  const stepMs = computeReturnStepMs(sumShares(state, targets));
+  return pool.retryTimes.next({ waitMs, stepMs }, nowMs);
+}
+
+/** Returns true if the target takes new requests at all. */
+function isOpen({ options }: PlacementState, target: TargetRecord): boolean {
+  return target.state !== "closed" && !options.limits?.isLeaving(target.name);
+}
+
+function isUntried(
+  state: PlacementState,
+  target: TargetRecord,
+  tried: readonly string[],
+): boolean {
+  return isOpen(state, target) && !tried.includes(target.name);
+}
+
 /** Time until the target accepts an attempt of this entry. */
 function readWaitMs(
   { options }: PlacementState,
@@ -205,28 +273,31 @@
   },
 ): PlacementEffect {
   const untried = pool.members.filter((target) =>
-    target.state !== "closed" && !event.exclude.includes(target.name)
+    isUntried(state, target, event.exclude)
   );
   if (untried.length > 0) {
-    const waitMs = Math.min(
-      ...untried.map((target) => readWaitMs(state, target, nowMs)),
-    );
-    const sharePerMs = sumShares(state, untried);
-    if (sharePerMs === undefined) {
-      return refuse(event, "DANDELIONBANK_POOL_BUSY", waitMs);
-    }
-    const stepMs = sharePerMs === 0 ? 0 : 1 / sharePerMs;
-    const retryAfterMs = pool.retryTimes.next({ waitMs, stepMs }, nowMs);
+    const retryAfterMs = assignReturn(state, { pool, targets: untried, nowMs });
     return refuse(event, "DANDELIONBANK_POOL_BUSY", retryAfterMs);
   }
-  const open = pool.members.filter((target) => target.state !== "closed");
+  const open = pool.members.filter((target) => isOpen(state, target));
   if (open.length === 0) {
-    return refuse(event, "DANDELIONBANK_POOL_EMPTY", EMPTY_RETRY_MS);
+    const { limits } = state.options;
+    const areLeaving = pool.members.some(({ name }) => limits?.isLeaving(name));
+    const code = areLeaving
+      ? "DANDELIONBANK_POOL_BUSY"
+      : "DANDELIONBANK_POOL_EMPTY";
+    return refuse(event, code, EMPTY_RETRY_MS);
   }
   const earliestMs = Math.min(...open.map((target) => target.refusesUntilMs));
   return refuse(event, "DANDELIONBANK_TARGETS_EXHAUSTED", earliestMs - nowMs);
 }
 
+/** Time between two refused callers that are told to return. */
+function computeReturnStepMs(sharePerMs: number | undefined): number {
+  if (sharePerMs === undefined) return RETURN_STEP_MS;
+  return sharePerMs === 0 ? 0 : 1 / sharePerMs;
+}
+
 /** Sums this entry's shares of the targets' limits; undefined without limits. */
 function sumShares(
   { options }: PlacementState,
--- a/routing/pick-target/src/pick_target_test.ts
+++ b/routing/pick-target/src/pick_target_test.ts
@@ -310,6 +310,7 @@
   },
 ): SendLimits {
   return {
+    isLeaving: (target) => delayMs(target) === Infinity,
     readDelayMs: delayMs,
     readSharePerMs: () => sharePerMs,
     recordSend,
--- a/routing/pick-target/src/types.ts
+++ b/routing/pick-target/src/types.ts
@@ -13,8 +13,10 @@
   readonly state: TargetPlacementState;
 }
 
-/** Limits on how many requests this entry may send to each target. */
+/** What targets have announced about the requests that they take. */
 export interface SendLimits {
+  /** True if the target takes no new requests any more. */
+  isLeaving(target: string): boolean;
   /** Time until the target may get another request; may be infinite. */
   readDelayMs(target: string, nowMs: number): number;
   /** Requests allowed per millisecond; undefined if the target has no limit. */
--- a/routing/share-target-limits/src/target_limits.ts
+++ b/routing/share-target-limits/src/target_limits.ts
@@ -16,7 +16,7 @@
  */
 
 import { TokenBucket } from "@dandelionbank/pace-requests";
-import { mixHashes, type SendLimits } from "@dandelionbank/pick-target";
+import { mixHashes } from "@dandelionbank/pick-target";
 
 /** Senders in addition to one per request a second of the limit. */
 const BASE_SENDERS = 2;
@@ -75,7 +75,7 @@
   readonly isOwn: boolean;
 }
 
-export class TargetLimits implements SendLimits {
+export class TargetLimits {
   readonly #options: TargetLimitsOptions;
   readonly #limits = new Map<string, KnownLimit>();
   /** Hashes of the live entries' names, this one included. */
@@ -167,6 +167,18 @@
     return bucket.ratePerMs === 0 ? Infinity : bucket.waitMs(1, nowMs);
   }
 
+  /** Number of targets with a limit in force. */
+  countLimits(): number {
+    return [...this.#limits.values()]
+      .filter(({ perSecond }) => perSecond !== undefined).length;
+  }
+
+  /** The target's limit for all entries together; undefined if it has none. */
+  readLimitPerMs(target: string): number | undefined {
+    const perSecond = this.#limits.get(target)?.perSecond;
+    return perSecond === undefined ? undefined : perSecond / MS_PER_S;
+  }
+
   /** This entry's share of the target's limit; undefined if it has none. */
   readSharePerMs(target: string): number | undefined {
     return this.#limits.get(target)?.bucket?.ratePerMs;
--- a/routing/track-entries/src/entry_tracker.ts
+++ b/routing/track-entries/src/entry_tracker.ts
@@ -28,6 +28,8 @@
   readonly suspects: SuspectReport;
   /** Limits that targets have named in answers to this entry. */
   readonly targetLimits: readonly LimitReport[];
+  /** Targets that said in answers to this entry that they leave. */
+  readonly leavingTargets: readonly string[];
 }
 
 interface KnownEntry {
--- a/routing/track-entries/src/entry_tracker_test.ts
+++ b/routing/track-entries/src/entry_tracker_test.ts
@@ -65,6 +65,7 @@
     activeByService: {},
     suspects: { losses: [], quarantined: [] },
     targetLimits: [],
+    leavingTargets: [],
     ...fields,
   };
 }
--- /dev/null
+++ b/testing/ingress-tests/src/target_notices_test.ts
@@ -0,0 +1,213 @@
+import { HEADERS } from "@dandelionbank/platform-adapter";
+import {
+  type EngineScript,
+  sendCompleteAnswer,
+  SiteEngine,
+  SiteStore,
+  streamEvents,
+} from "@dandelionbank/standin-site";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import {
+  call,
+  createConfiguration,
+  EntryProgram,
+  type Site,
+  startSite,
+  waitFor,
+} from "@dandelionbank/run-entry";
+
+const LEAVING = { "server-leaving": "1" };
+
+/** Answers as `script` does, with a header that says that the target leaves. */
+function announceLeaving(script: EngineScript): EngineScript {
+  return (engineCall) =>
+    script({
+      ...engineCall,
+      answerHeaders: { ...engineCall.answerHeaders, ...LEAVING },
+    });
+}
+
+/** Refuses as not run, with the seconds in which nothing more is wanted. */
+function refuseFor(retryAfterS: number | string): EngineScript {
+  return ({ response }) => {
+    response.writeHead(503, {
+      [HEADERS.notRun]: "1",
+      "retry-after": String(retryAfterS),
+      "content-length": 0,
+    }).end();
+  };
+}
+
+async function callTimes(
+  site: Pick<Site, "settings">,
+  { path, count }: { readonly path: string; readonly count: number },
+): Promise<readonly number[]> {
+  const answers = await Promise.all(
+    Array.from({ length: count }, () => call(site, { path })),
+  );
+  return answers.map(({ status }) => status);
+}
+
+for (const path of ["/safe/a", "/live/a"]) {
+  test(`A target that says that it leaves gets no more work at ${path}`, async (t) => {
+    const site = await startSite(t);
+    const [leaving, other] = site.engines;
+    leaving!.script = announceLeaving(streamEvents({ last: 2 }));
+    other!.script = streamEvents({ last: 2 });
+    while (leaving!.calls.length === 0) await call(site, { path });
+    const before = leaving!.calls.length;
+    const statuses = await callTimes(site, { path, count: 20 });
+    assert.ok(statuses.every((status) => status === 200));
+    assert.equal(leaving!.calls.length, before);
+  });
+}
+
+test("A target that leaves gets no work while the store is away and lists it as ready", async (t) => {
+  const site = await startSite(t);
+  const [leaving] = site.engines;
+  leaving!.script = announceLeaving(sendCompleteAnswer);
+  while (leaving!.calls.length === 0) await call(site, { path: "/safe/a" });
+  await site.store.close();
+  await delay(300);
+  const before = leaving!.calls.length;
+  await callTimes(site, { path: "/safe/a", count: 20 });
+  assert.equal(leaving!.calls.length, before);
+});
+
+test("What a leaving target runs goes on to its end", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const [engine] = site.engines;
+  engine!.script = ({ response, answerHeaders }) => {
+    response.writeHead(200, answerHeaders);
+    response.write("id: 1\ndata: a\n\n");
+    setTimeout(() => response.end("id: 2\ndata: b\n\n"), 300);
+  };
+  const running = call(site, { path: "/live/a" });
+  await waitFor(() => engine!.calls.length === 1);
+  engine!.script = announceLeaving(sendCompleteAnswer);
+  await call(site, { path: "/safe/a" });
+  const answer = await running;
+  assert.ok(answer.isComplete);
+  assert.equal(answer.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+});
+
+for (const path of ["/safe/a", "/live/a"]) {
+  test(`When the last target leaves, calls to ${path} are refused at once with a time to return`, async (t) => {
+    const site = await startSite(t, { engines: 1 });
+    site.engines[0]!.script = announceLeaving(streamEvents({ last: 2 }));
+    await call(site, { path });
+    const answer = await call(site, { path });
+    assert.equal(answer.status, 503);
+    assert.ok(answer.elapsedMs < 150, `${answer.elapsedMs} ms`);
+    assert.ok(Number(answer.headers["retry-after"]) >= 0.5);
+    assert.equal(site.engines[0]!.calls.length, 1);
+  });
+}
+
+test("Entries tell each other which targets leave", async (t) => {
+  const store = await SiteStore.create();
+  store.put("config", "main", createConfiguration());
+  t.after(() => store.close());
+  const engines = await Promise.all(
+    ["e0", "e1"].map((id) => SiteEngine.create(id)),
+  );
+  for (const engine of engines) {
+    t.after(() => engine.close());
+    store.put("servers", engine.id, engine.createServerSpec({ service: "s" }));
+  }
+  const [first, second] = await Promise.all(
+    [1, 2].map((number) => EntryProgram.start(t, { store, number })),
+  );
+  const [leaving] = engines;
+  leaving!.script = announceLeaving(sendCompleteAnswer);
+  while (leaving!.calls.length === 0) await call(first!, { path: "/safe/a" });
+  await waitFor(() => second!.hasLogged("targetLeaving"));
+  const before = leaving!.calls.length;
+  await callTimes(second!, { path: "/safe/a", count: 20 });
+  assert.equal(leaving!.calls.length, before);
+});
+
+test("A target that wants nothing for a time gets nothing, and then work again", async (t) => {
+  const site = await startSite(t);
+  const [busy] = site.engines;
+  busy!.script = refuseFor(1);
+  while (busy!.calls.length === 0) await call(site, { path: "/safe/a" });
+  const refusedAtMs = performance.now();
+  const before = busy!.calls.length;
+  busy!.script = sendCompleteAnswer;
+  while (performance.now() < refusedAtMs + 950) {
+    assert.equal((await call(site, { path: "/safe/a" })).status, 200);
+    assert.equal(busy!.calls.length, before);
+  }
+  await waitFor(async () => {
+    await call(site, { path: "/safe/a" });
+    return busy!.calls.length > before + 5;
+  }, { timeoutMs: 2_000 });
+});
+
+test("A shorter time does not shorten a longer one", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const [busy] = site.engines;
+  let refusals = 0;
+  busy!.script = (engineCall) => {
+    refusals += 1;
+    // The first answer arrives last.
+    if (refusals === 1) setTimeout(() => refuseFor(0.1)(engineCall), 200);
+    else refuseFor(2)(engineCall);
+  };
+  await callTimes(site, { path: "/safe/a", count: 2 });
+  assert.equal(refusals, 2);
+  await delay(300);
+  await callTimes(site, { path: "/safe/a", count: 5 });
+  assert.equal(refusals, 2);
+});
+
+test("While the only target wants nothing, calls are refused at once with the time until it returns", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const [busy] = site.engines;
+  busy!.script = refuseFor(3);
+  const first = await call(site, { path: "/safe/a" });
+  const others = await Promise.all(
+    Array.from({ length: 10 }, () => call(site, { path: "/safe/a" })),
+  );
+  const answers = [first, ...others];
+  const retryAfterS = answers.map(({ headers }) =>
+    Number(headers["retry-after"])
+  );
+  assert.ok(answers.every(({ status }) => status === 503));
+  assert.ok(answers.every(({ elapsedMs }) => elapsedMs < 300));
+  assert.ok(retryAfterS.every((seconds) => seconds > 2.5 && seconds < 4));
+  const spreadS = Math.max(...retryAfterS) - Math.min(...retryAfterS);
+  assert.ok(spreadS > 0.05, `callers return within ${spreadS} s`);
+  assert.equal(busy!.calls.length, 1);
+});
+
+test("A stream is refused at once if its group returns after its caller's patience", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const [busy] = site.engines;
+  busy!.script = refuseFor(30);
+  await call(site, { path: "/live/a" });
+  const answer = await call(site, { path: "/live/a" });
+  assert.equal(answer.status, 503);
+  assert.ok(answer.elapsedMs < 150, `${answer.elapsedMs} ms`);
+  assert.ok(Number(answer.headers["retry-after"]) > 20);
+  assert.equal(busy!.calls.length, 1);
+});
+
+for (const value of ["-5", "soon", "Wed, 21 Oct 2099 07:28:00 GMT", "1e9"]) {
+  test(`A target that announces ${value} as its time to return is not lost for long`, async (t) => {
+    const site = await startSite(t, { engines: 1 });
+    const [busy] = site.engines;
+    busy!.script = refuseFor(value);
+    await call(site, { path: "/safe/a" });
+    busy!.script = sendCompleteAnswer;
+    const answer = await call(site, { path: "/safe/a" });
+    assert.ok(
+      answer.status === 200 || Number(answer.headers["retry-after"]) <= 601,
+      String(answer.headers["retry-after"]),
+    );
+    assert.ok(site.lines.some(({ name }) => name === "targetNoticeRejected"));
+  });
+}
