Let the engines of the site soak leave and want nothing for a time

The soak checks, from what engines see, that no request comes from an entry to which an engine said that it leaves, and at most two to one that wants nothing.

--- a/testing/site-soak/src/checked_callers.ts
+++ b/testing/site-soak/src/checked_callers.ts
@@ -19,6 +19,14 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const DENIED_STATUSES: ReadonlySet<number> = new Set([400, 401, 403, 404]);
 
+/** Ids end with the name of the entry that was called. */
+const ENTRY_SEPARATOR = "@";
+
+/** Returns the name of the entry to which the call with this id was sent. */
+export function readEntryName(id: string): string {
+  return id.slice(id.lastIndexOf(ENTRY_SEPARATOR) + 1);
+}
+
 interface SentCall {
   readonly id: string;
   /** Whether the request may run at most once. */
@@ -75,8 +83,9 @@
       readonly key?: string;
     },
   ): Promise<number | undefined> {
-    const id = `soak-${this.#sent.length}-${this.#random.int(0, 1e9)}`;
     const entry = this.#random.pick(this.#entries);
+    const number = `${this.#sent.length}-${this.#random.int(0, 1e9)}`;
+    const id = `soak-${number}${ENTRY_SEPARATOR}${entry.settings.name}`;
     const answer = await this.#send(entry, { id, isOnce, key });
     const status = answer?.status;
     this.#sent.push({ id, isOnce, key, status });
--- a/testing/site-soak/src/engine_fleet.ts
+++ b/testing/site-soak/src/engine_fleet.ts
@@ -1,4 +1,7 @@
-/** Engines that refuse requests, drop and corrupt answers, crash, drain and are replaced. */
+/**
+ * Engines that refuse requests, drop and corrupt answers, crash, drain, announce
+ * that they leave or want nothing for a time, and are replaced.
+ */
 
 import type { Random } from "@dandelionbank/message-queue";
 import { HEADERS } from "@dandelionbank/platform-adapter";
@@ -11,11 +14,19 @@
   type SiteStore,
 } from "@dandelionbank/standin-site";
 import { setTimeout as delay } from "node:timers/promises";
+import { readEntryName } from "./checked_callers.ts";
+import { NoticeChecks } from "./notice_checks.ts";
 
 const SERVICE = "s";
 const MAX_SERVICE_TIME_MS = 40;
 /** Time that a draining engine continues to serve before it closes. */
 const DRAIN_MS = 800;
+/** Time that a leaving engine, which stays registered, serves before it closes. */
+const LEAVING_MS = 2_500;
+/** Range of the times for which an engine wants nothing. */
+const MIN_NOT_BEFORE_MS = 800;
+const MAX_NOT_BEFORE_MS = 1_800;
+const MS_PER_S = 1_000;
 
 export class EngineFleet {
   readonly #store: SiteStore;
@@ -23,6 +34,10 @@
   readonly #engines = new Set<SiteEngine>();
   /** Start times of each attempt's runs, by its ID. */
   readonly runs = new Map<string, number[]>();
+  readonly notices = NoticeChecks.create();
+  readonly #leaving = new Set<SiteEngine>();
+  /** Until when each engine refuses, by `performance.now()`. */
+  readonly #refusesUntilMs = new Map<SiteEngine, number>();
   /** Whether every request is answered correctly, without injected faults. */
   isHealthy = false;
   #startCount = 0;
@@ -65,6 +80,29 @@
     await engine.close();
   }
 
+  /**
+   * Starts a replacement, announces in all answers of an engine that it leaves,
+   * and closes it; until then it stays registered as ready.
+   */
+  async leave(): Promise<void> {
+    const engine = this.#random.pick([...this.#engines]);
+    this.#engines.delete(engine);
+    await this.#start();
+    this.#leaving.add(engine);
+    await delay(LEAVING_MS);
+    this.#store.remove("servers", engine.id);
+    await delay(DRAIN_MS);
+    await engine.close();
+  }
+
+  /** Lets an engine refuse everything for a time that it announces. */
+  refuse(): Promise<void> {
+    const engine = this.#random.pick([...this.#engines]);
+    const forMs = this.#random.int(MIN_NOT_BEFORE_MS, MAX_NOT_BEFORE_MS);
+    this.#refusesUntilMs.set(engine, performance.now() + forMs);
+    return Promise.resolve();
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.#engines].map((engine) => engine.close()));
   }
@@ -72,13 +110,26 @@
   async #start(): Promise<void> {
     this.#startCount += 1;
     const engine = await SiteEngine.create(`engine-${this.#startCount}`);
-    engine.script = (call) => void this.#serve(call);
+    engine.script = (call) => void this.#serve(engine, call);
     this.#engines.add(engine);
     const spec = engine.createServerSpec({ service: SERVICE });
     this.#store.put("servers", engine.id, spec);
   }
 
-  async #serve(call: EngineCall): Promise<void> {
+  async #serve(engine: SiteEngine, original: EngineCall): Promise<void> {
+    const entry = readEntryName(original.body);
+    const contact = { engine: engine.id, entry };
+    this.notices.recordArrival(contact);
+    if (this.#refuseForTime(engine, original)) return;
+    const call = this.#leaving.has(engine)
+      ? {
+        ...original,
+        answerHeaders: {
+          ...original.answerHeaders,
+          [HEADERS.targetLeaving]: "1",
+        },
+      }
+      : original;
     // From 1 to 100, in percent: up to 18 a fault, above it a complete answer.
     const roll = this.isHealthy ? 100 : this.#random.int(1, 100);
     if (roll <= 6) return refuseAsNotRun(call);
@@ -90,8 +141,25 @@
     if (roll <= 16) return answerTwice(call);
     // The engine never answers this request.
     if (roll <= 18) return;
+    if (call !== original) {
+      this.notices.recordAnnouncement(contact, Infinity);
+    }
     sendCompleteAnswer(call);
   }
+
+  /** Refuses the request if the engine wants nothing now. */
+  #refuseForTime(engine: SiteEngine, { response, body }: EngineCall): boolean {
+    const forMs = (this.#refusesUntilMs.get(engine) ?? 0) - performance.now();
+    if (forMs <= 0) return false;
+    const entry = readEntryName(body);
+    this.notices.recordAnnouncement({ engine: engine.id, entry }, forMs);
+    response.writeHead(503, {
+      [HEADERS.notRun]: "1",
+      [HEADERS.retryAfter]: (forMs / MS_PER_S).toFixed(3),
+      "content-length": 0,
+    }).end();
+    return true;
+  }
 }
 
 function answerTruncated({ response, answerHeaders }: EngineCall): void {
--- a/testing/site-soak/src/run_site_soak.ts
+++ b/testing/site-soak/src/run_site_soak.ts
@@ -34,6 +34,8 @@
   readonly seed: number;
   readonly calls: number;
   readonly served: number;
+  /** Times that engines announced that they leave or want nothing. */
+  readonly announcements: number;
   /** Number of injected faults by kind. */
   readonly faults: Readonly<Record<string, number>>;
   readonly violations: readonly string[];
@@ -97,8 +99,13 @@
     await Promise.all(callerLoops);
     await checkRecovery(callers);
     callers.checkRuns(fleet, operator);
-    const { callCount: calls, servedCount: served, violations } = callers;
-    return { seed, calls, served, faults, violations };
+    const { callCount: calls, servedCount: served } = callers;
+    const { announcementCount: announcements } = fleet.notices;
+    const violations = [
+      ...callers.violations,
+      ...fleet.notices.findViolations(),
+    ];
+    return { seed, calls, served, announcements, faults, violations };
   } finally {
     for (const cleanup of cleanups.reverse()) await cleanup();
   }
@@ -124,10 +131,12 @@
       const entry = random.pick(entries);
       if (affectedEntries.has(entry)) return;
       affectedEntries.add(entry);
+      const fromMs = performance.now();
       try {
         await inject(entry);
       } finally {
         affectedEntries.delete(entry);
+        fleet.notices.recordDisturbance(entry.settings.name, fromMs);
       }
     };
   const onStore = (availability: SiteStore["availability"]) => async () => {
@@ -168,6 +177,8 @@
     ],
     ["engine crashes", () => fleet.crash()],
     ["engine drains", () => fleet.drain()],
+    ["engine leaves", () => fleet.leave()],
+    ["engine wants nothing", () => fleet.refuse()],
     ["store busy", onStore("unavailable")],
     ["store silent", onStore("unresponsive")],
     ["history dropped", () => {
