--- a/routing/admit-streams/src/admit_streams_test.ts
+++ b/routing/admit-streams/src/admit_streams_test.ts
@@ -122,6 +122,11 @@
   assert.deepEqual(post(state, opened, 300), ["admitted a"]);
 });
 
+test("A stream is refused at once if it could not run in time after the group opens", () => {
+  const state = createGroup({ capacity: 0, opensInMs: 1_000 });
+  assert.deepEqual(arrive(state, "a", 0), ["refused a"]);
+});
+
 for (const opensInMs of [5_000, Infinity]) {
   test(`A group that takes no streams for ${opensInMs} ms refuses them at once, with times to return one after another`, () => {
     const state = createGroup({ capacity: 0, opensInMs });
