Spread callers over a second where the rate of their targets is not known

Times to return of 10 ms more for each refused caller grow without bound where more than a hundred a second are refused at one entry: some would be told to return half a minute after there is room. They are now spread over one second from the time at which a target returns.

--- a/routing/admit-streams/src/admit_streams.ts
+++ b/routing/admit-streams/src/admit_streams.ts
@@ -12,7 +12,7 @@
  * with a retry time, if possible on arrival, instead of waiting in vain.
  */
 
-import { RetryTimes, RETURN_STEP_MS } from "@dandelionbank/pace-requests";
+import { RetryTimes } from "@dandelionbank/pace-requests";
 import type { Step } from "@dandelionbank/types";
 
 export interface StreamArrival {
@@ -294,7 +294,6 @@
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, predictedWaitMs);
     return { type, id, predictedWaitMs, retryAfterMs };
   }
-  const forecast = { waitMs: opensInMs, stepMs: RETURN_STEP_MS };
-  const retryAfterMs = retryTimes.next(forecast, nowMs);
+  const retryAfterMs = retryTimes.spread(opensInMs, nowMs);
   return { type, id, predictedWaitMs: retryAfterMs, retryAfterMs };
 }
--- a/routing/pick-target/src/pick_target.ts
+++ b/routing/pick-target/src/pick_target.ts
@@ -9,7 +9,6 @@
  * produce the same effects.
  */
 
-import { RETURN_STEP_MS } from "@dandelionbank/pace-requests";
 import type { Step } from "@dandelionbank/types";
 import { isWithinAffinityBounds } from "./affinity_bounds.ts";
 import type { PlacementPolicy, RandomSource } from "./policies.ts";
@@ -232,7 +231,9 @@
   const waitMs = Math.min(
     ...targets.map((target) => readWaitMs(state, target, nowMs)),
   );
-  const stepMs = computeReturnStepMs(sumShares(state, targets));
+  const sharePerMs = sumShares(state, targets);
+  if (sharePerMs === undefined) return pool.retryTimes.spread(waitMs, nowMs);
+  const stepMs = sharePerMs === 0 ? 0 : 1 / sharePerMs;
   return pool.retryTimes.next({ waitMs, stepMs }, nowMs);
 }
 
@@ -292,12 +293,6 @@
   return refuse(event, "DANDELIONBANK_TARGETS_EXHAUSTED", earliestMs - nowMs);
 }
 
-/** Time between two refused callers that are told to return. */
-function computeReturnStepMs(sharePerMs: number | undefined): number {
-  if (sharePerMs === undefined) return RETURN_STEP_MS;
-  return sharePerMs === 0 ? 0 : 1 / sharePerMs;
-}
-
 /** Sums this entry's shares of the targets' limits; undefined without limits. */
 function sumShares(
   { options }: PlacementState,
