--- a/testing/site-soak/src/engine_fleet.ts
+++ b/testing/site-soak/src/engine_fleet.ts
@@ -36,6 +36,9 @@
   readonly runs = new Map<string, number[]>();
   readonly notices = NoticeChecks.create();
   readonly #leaving = new Set<SiteEngine>();
+  /** Engines that are registered, and their states. */
+  readonly #registered = new Map<SiteEngine, "ready" | "draining">();
+  readonly #removedIds = new Set<string>();
   /** Until when each engine refuses, by `performance.now()`. */
   readonly #refusesUntilMs = new Map<SiteEngine, number>();
   /** Whether every request is answered correctly, without injected faults. */
@@ -62,7 +65,7 @@
     this.#engines.delete(engine);
     await engine.close();
     await this.#start();
-    this.#store.remove("servers", engine.id);
+    this.#remove(engine);
   }
 
   /** Starts a replacement, marks an engine as draining and closes it after `DRAIN_MS`. */
@@ -70,13 +73,9 @@
     const engine = this.#random.pick([...this.#engines]);
     this.#engines.delete(engine);
     await this.#start();
-    const spec = engine.createServerSpec({
-      service: SERVICE,
-      state: "draining",
-    });
-    this.#store.put("servers", engine.id, spec);
+    this.#register(engine, "draining");
     await delay(DRAIN_MS);
-    this.#store.remove("servers", engine.id);
+    this.#remove(engine);
     await engine.close();
   }
 
@@ -90,7 +89,7 @@
     await this.#start();
     this.#leaving.add(engine);
     await delay(LEAVING_MS);
-    this.#store.remove("servers", engine.id);
+    this.#remove(engine);
     await delay(DRAIN_MS);
     await engine.close();
   }
@@ -103,6 +102,17 @@
     return Promise.resolve();
   }
 
+  /** Writes all registrations again, after the store has lost some. */
+  registerAgain(): void {
+    for (const [engine, state] of this.#registered) {
+      this.#register(engine, state);
+    }
+    for (const id of this.#removedIds) {
+      if (this.#store.read("servers", id) === undefined) continue;
+      this.#store.remove("servers", id);
+    }
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.#engines].map((engine) => engine.close()));
   }
@@ -112,10 +122,21 @@
     const engine = await SiteEngine.create(`engine-${this.#startCount}`);
     engine.script = (call) => void this.#serve(engine, call);
     this.#engines.add(engine);
-    const spec = engine.createServerSpec({ service: SERVICE });
+    this.#register(engine, "ready");
+  }
+
+  #register(engine: SiteEngine, state: "ready" | "draining"): void {
+    this.#registered.set(engine, state);
+    const spec = engine.createServerSpec({ service: SERVICE, state });
     this.#store.put("servers", engine.id, spec);
   }
 
+  #remove(engine: SiteEngine): void {
+    this.#registered.delete(engine);
+    this.#removedIds.add(engine.id);
+    this.#store.remove("servers", engine.id);
+  }
+
   async #serve(engine: SiteEngine, original: EngineCall): Promise<void> {
     const entry = readEntryName(original.body);
     const contact = { engine: engine.id, entry };
--- a/testing/site-soak/src/operator.ts
+++ b/testing/site-soak/src/operator.ts
@@ -36,6 +36,11 @@
   /** Writes a new version with the same routes and keys. */
   change(): void {
     this.#version += 1;
+    this.writeAgain();
+  }
+
+  /** Writes the newest version again, after the store may have lost it. */
+  writeAgain(): void {
     const configuration = createConfiguration({
       version: this.#version,
       routes: SOAK_ROUTES,
--- a/testing/site-soak/src/run_site_soak.ts
+++ b/testing/site-soak/src/run_site_soak.ts
@@ -17,6 +17,10 @@
 const FAULT_INTERVAL_MS = 350;
 const FREEZE_DURATION_MS = 1_200;
 const STORE_FAULT_DURATION_MS = 1_500;
+/** Age of the copy from which the store comes back. */
+const COPY_AGE_MS = 900;
+/** Time after which the operator and the engines write again what was lost. */
+const REWRITE_DELAY_MS = 250;
 /** Longer than an entry may use a key without contact with the store. */
 const REVOCATION_OUTAGE_MS = 4_000;
 /** Time after the last fault by which every request must succeed again. */
@@ -185,6 +189,14 @@
       store.compactHistory();
       return Promise.resolve();
     }],
+    ["store restored", async () => {
+      const copy = store.createSnapshot();
+      await delay(COPY_AGE_MS);
+      store.restore(copy);
+      await delay(REWRITE_DELAY_MS);
+      operator.writeAgain();
+      fleet.registerAgain();
+    }],
     ["configuration changes", () => {
       operator.change();
       return Promise.resolve();
--- a/testing/standin-site/src/site_store.ts
+++ b/testing/standin-site/src/site_store.ts
@@ -30,6 +30,8 @@
 export interface StoreSnapshot {
   readonly objects: ReadonlyMap<string, StoredObject>;
   readonly history: readonly StoredObject[];
+  /** Earliest revision from which a watch finds its history. */
+  readonly compactedRevision: number;
   readonly revision: number;
 }
 
@@ -89,6 +91,7 @@
     return {
       objects: new Map(this.#objects),
       history: [...this.#history],
+      compactedRevision: this.#compactedRevision,
       revision: this.#revision,
     };
   }
@@ -97,10 +100,13 @@
    * Comes back from an older copy: later changes are lost, their revisions are
    * given out again, and a new era begins. Waiting watches are cut.
    */
-  restore({ objects, history, revision }: StoreSnapshot): void {
+  restore(
+    { objects, history, compactedRevision, revision }: StoreSnapshot,
+  ): void {
     this.#objects.clear();
     for (const [key, object] of objects) this.#objects.set(key, object);
     this.#history = [...history];
+    this.#compactedRevision = compactedRevision;
     this.#revision = revision;
     this.#era += 1;
     this.#watchers = [];
