--- a/testing/ingress-tests/src/streams_test.ts
+++ b/testing/ingress-tests/src/streams_test.ts
@@ -1,25 +1,24 @@
-import { type EngineCall, streamEvents } from "@dandelionbank/standin-site";
+import {
+  type EngineCall,
+  type EngineScript,
+  streamEvents,
+} from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { call, startSite } from "@dandelionbank/run-entry";
+import {
+  call,
+  type CallAnswer,
+  type Site,
+  startSite,
+} from "@dandelionbank/run-entry";
 
 test("A stream that is cut within an event is resumed at another target", async (t) => {
   const site = await startSite(t);
-  let isFirst = true;
-  for (const engine of site.engines) {
-    engine.script = (engineCall) => {
-      const script = isFirst
-        ? streamEvents({ last: 6, cutAfter: 3 })
-        : streamEvents({ last: 6 });
-      isFirst = false;
-      script(engineCall);
-    };
-  }
+  answerFirst(site, streamEvents({ last: 6, cutAfter: 3 }), { last: 6 });
   const answer = await call(site, { path: "/stream/a" });
   assert.equal(answer.status, 200);
   assert.ok(answer.isComplete);
-  const ids = [...answer.body.matchAll(/id: (\d+)\ndata: token/g)];
-  assert.deepEqual(ids.map(([, id]) => Number(id)), [1, 2, 3, 4, 5, 6]);
+  assert.deepEqual(listEventIds(answer), [1, 2, 3, 4, 5, 6]);
 });
 
 test("A stream that no target completes does not look complete", async (t) => {
@@ -29,46 +28,33 @@
   }
   const answer = await call(site, { path: "/stream/a" });
   assert.ok(!answer.isComplete);
-  const ids = [...answer.body.matchAll(/id: (\d+)\ndata: token/g)];
-  assert.deepEqual(ids.map(([, id]) => Number(id)), [1, 2, 3, 4]);
+  assert.deepEqual(listEventIds(answer), [1, 2, 3, 4]);
 });
 
 test("A stream that makes no progress is resumed at another target", async (t) => {
   const site = await startSite(t);
-  let isFirst = true;
-  for (const engine of site.engines) {
-    engine.script = (engineCall) => {
-      if (!isFirst) return streamEvents({ last: 4 })(engineCall);
-      isFirst = false;
-      engineCall.response.writeHead(200, engineCall.answerHeaders);
-      engineCall.response.write("id: 1\ndata: token 1\n\n");
-    };
-  }
+  answerFirst(site, ({ response, answerHeaders }) => {
+    response.writeHead(200, answerHeaders);
+    response.write("id: 1\ndata: token 1\n\n");
+  }, { last: 4 });
   const answer = await call(site, { path: "/stream/a" });
   assert.ok(answer.isComplete);
-  assert.equal([...answer.body.matchAll(/id: /g)].length, 4);
+  assert.deepEqual(listEventIds(answer), [1, 2, 3, 4]);
 });
 
 test("A resumed stream does not keep the length that its first target gave", async (t) => {
   const site = await startSite(t);
-  let isFirst = true;
-  for (const engine of site.engines) {
-    engine.script = (engineCall) => {
-      if (!isFirst) return streamEvents({ last: 6 })(engineCall);
-      isFirst = false;
-      const { response, answerHeaders } = engineCall;
-      const lengthBytes = FOUR_EVENTS.length + 1;
-      response.writeHead(200, {
-        ...answerHeaders,
-        "content-length": lengthBytes,
-      });
-      response.write(FOUR_EVENTS, () => response.socket?.resetAndDestroy());
-    };
-  }
+  answerFirst(site, ({ response, answerHeaders }) => {
+    response.writeHead(200, {
+      ...answerHeaders,
+      "content-length": FOUR_EVENTS.length + 1,
+    });
+    response.write(FOUR_EVENTS, () => response.socket?.resetAndDestroy());
+  }, { last: 6 });
   const answer = await call(site, { path: "/stream/a" });
   assert.equal(answer.headers["content-length"], undefined);
   assert.ok(answer.isComplete);
-  assert.equal([...answer.body.matchAll(/id: /g)].length, 6);
+  assert.deepEqual(listEventIds(answer), [1, 2, 3, 4, 5, 6]);
 });
 
 const FOUR_EVENTS = [1, 2, 3, 4]
@@ -109,18 +95,14 @@
 
   test(`A stream that ends inside an event, by ${framing}, is resumed at another target`, async (t) => {
     const site = await startSite(t);
-    let isFirst = true;
-    for (const engine of site.engines) {
-      engine.script = (engineCall) => {
-        if (!isFirst) return streamEvents({ last: 6 })(engineCall);
-        isFirst = false;
-        send(engineCall, FOUR_EVENTS + INCOMPLETE_EVENT);
-      };
-    }
+    answerFirst(
+      site,
+      (engineCall) => send(engineCall, FOUR_EVENTS + INCOMPLETE_EVENT),
+      { last: 6 },
+    );
     const answer = await call(site, { path: "/stream/a" });
     assert.ok(answer.isComplete);
-    const ids = [...answer.body.matchAll(/id: (\d+)\ndata: token/g)];
-    assert.deepEqual(ids.map(([, id]) => Number(id)), [1, 2, 3, 4, 5, 6]);
+    assert.deepEqual(listEventIds(answer), [1, 2, 3, 4, 5, 6]);
   });
 
   test(`A stream that ends after an event, by ${framing}, is complete`, async (t) => {
@@ -161,3 +143,25 @@
     "\r\n",
   );
 }
+
+/** Answers the site's first call by `script`, and later ones with all events. */
+function answerFirst(
+  { engines }: Pick<Site, "engines">,
+  script: EngineScript,
+  { last }: { readonly last: number },
+): void {
+  let isFirst = true;
+  for (const engine of engines) {
+    engine.script = (engineCall) => {
+      const chosen = isFirst ? script : streamEvents({ last });
+      isFirst = false;
+      chosen(engineCall);
+    };
+  }
+}
+
+/** Lists the ids of the events in an answer. */
+function listEventIds({ body }: CallAnswer): readonly number[] {
+  const ids = [...body.matchAll(/id: (\d+)\ndata: token/g)];
+  return ids.map(([, id]) => Number(id));
+}
