Take targets that registered while a restored store was away

An entry that was cut off from the store until after the targets had written again took all registrations that it had not known for those of targets that had left, and waited for them to be written once more, which no healthy target does.

Only registrations of targets whose end the entry has seen are passed over, and for 10 s at most: the store removes those of silent targets sooner. The drill of the soak ends once lost changes had time to be written again, as entries prove nothing until then.

--- a/routing/track-targets/src/target_tracker.ts
+++ b/routing/track-targets/src/target_tracker.ts
@@ -7,7 +7,10 @@
  *
  * The same holds for a store that came back from an older copy. Besides, such a
  * copy may list targets that have left, and draining targets as open. Such
- * registrations take effect only once they are written again.
+ * registrations take effect only once they are written again; that of a target
+ * that had left also if it is still listed long after, as the store removes the
+ * registrations of silent targets. Targets that this process has not known before
+ * take effect at once: they may have registered while the store was away from it.
  *
  * A restarted target registers under a new id at the same address, while its old
  * registration remains for some time. Among registrations with the same address,
@@ -19,6 +22,16 @@
 
 /** Allowance for the propagation from the store to this process. */
 const REREGISTRATION_MARGIN_MS = 300;
+/** Longer than the store keeps the registration of a target that has left. */
+const HOLD_MS = 10_000;
+/** Bounds the memory of targets that have left. */
+const MAX_LEFT_TARGETS = 1_024;
+
+/** A registration that takes effect if it is still listed later. */
+interface HeldTarget {
+  readonly target: RegisteredTarget;
+  readonly releaseAtMs: number;
+}
 
 /** Opaque; mutated in place. */
 export interface TargetTracker {
@@ -28,6 +41,10 @@
   readonly ignoredRevisions: Map<string, number>;
   /** Removal times of targets whose registration expired in an outage, by id. */
   readonly removeAtMs: Map<string, number>;
+  /** Targets whose registration has ended, the latest last. */
+  readonly leftIds: Set<string>;
+  /** Registrations of such targets in an older copy of the store, by id. */
+  readonly held: Map<string, HeldTarget>;
   /** Until this time, missing registrations are assumed to have expired. */
   graceUntilMs: number;
   isStoreLost: boolean;
@@ -62,6 +79,8 @@
     targets: new Map(),
     ignoredRevisions: new Map(),
     removeAtMs: new Map(),
+    leftIds: new Set(),
+    held: new Map(),
     graceUntilMs: 0,
     isStoreLost: false,
   };
@@ -89,14 +108,18 @@
       return true;
     case "removed":
       state.ignoredRevisions.delete(event.id);
+      state.held.delete(event.id);
+      recordLeft(state, event.id);
       return removeTarget(state, { id: event.id, nowMs });
     case "misdirected": {
       const target = state.targets.get(event.id);
       if (target === undefined) return false;
       return ignoreRegistration(state, target);
     }
-    case "tick":
-      return removeExpired(state, nowMs);
+    case "tick": {
+      const hasReleased = releaseHeld(state, nowMs);
+      return removeExpired(state, nowMs) || hasReleased;
+    }
   }
 }
 
@@ -111,10 +134,35 @@
   nowMs: number,
 ): void {
   startGracePeriod(state, nowMs);
-  for (const { id, revision, isDraining } of targets) {
+  for (const target of targets) {
+    const { id, revision, isDraining } = target;
     const known = state.targets.get(id);
-    const hasLeft = known === undefined || (known.isDraining && !isDraining);
-    if (hasLeft) state.ignoredRevisions.set(id, revision);
+    const isReopened = known?.isDraining === true && !isDraining;
+    const hasLeft = known === undefined && state.leftIds.has(id);
+    if (isReopened || hasLeft) state.ignoredRevisions.set(id, revision);
+    if (hasLeft) state.held.set(id, { target, releaseAtMs: nowMs + HOLD_MS });
+  }
+}
+
+/** Lets registrations take effect that the store has not removed meanwhile. */
+function releaseHeld(state: TargetTracker, nowMs: number): boolean {
+  let hasChanged = false;
+  for (const [id, { target, releaseAtMs }] of state.held) {
+    if (nowMs < releaseAtMs) continue;
+    state.held.delete(id);
+    state.ignoredRevisions.delete(id);
+    putTarget(state, target);
+    hasChanged = true;
+  }
+  return hasChanged;
+}
+
+function recordLeft({ leftIds }: TargetTracker, id: string): void {
+  leftIds.delete(id);
+  leftIds.add(id);
+  const [oldest] = leftIds;
+  if (leftIds.size > MAX_LEFT_TARGETS && oldest !== undefined) {
+    leftIds.delete(oldest);
   }
 }
 
@@ -130,6 +178,9 @@
   for (const id of [...state.ignoredRevisions.keys()]) {
     if (!listed.has(id)) state.ignoredRevisions.delete(id);
   }
+  for (const id of [...state.held.keys()]) {
+    if (!listed.has(id)) state.held.delete(id);
+  }
   for (const id of [...state.targets.keys()]) {
     if (!listed.has(id)) removeTarget(state, { id, nowMs });
   }
@@ -141,6 +192,8 @@
   const ignoredRevision = state.ignoredRevisions.get(id);
   if (ignoredRevision !== undefined && revision <= ignoredRevision) return;
   state.ignoredRevisions.delete(id);
+  state.held.delete(id);
+  state.leftIds.delete(id);
   for (const other of [...state.targets.values()]) {
     if (other.id === id || other.address !== address) continue;
     if (other.revision > revision) {
@@ -176,6 +229,7 @@
     return false;
   }
   state.removeAtMs.delete(id);
+  recordLeft(state, id);
   return state.targets.delete(id);
 }
 
@@ -185,6 +239,7 @@
     if (nowMs < dueMs) continue;
     state.removeAtMs.delete(id);
     state.targets.delete(id);
+    recordLeft(state, id);
     hasChanged = true;
   }
   return hasChanged;
--- a/routing/track-targets/src/target_tracker_test.ts
+++ b/routing/track-targets/src/target_tracker_test.ts
@@ -1,7 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { RegisteredTarget } from "@dandelionbank/types";
-import { createTargetTracker, updateTargets } from "./mod.ts";
+import {
+  createTargetTracker,
+  type TargetsEvent,
+  updateTargets,
+} from "./mod.ts";
 
 test("A target is removed with its registration while the store is reachable", () => {
   const state = createState(["a", "b"]);
@@ -70,6 +74,37 @@
   assert.ok(!state.targets.has("a"));
 });
 
+test("A list after a restore takes targets that registered while the store was away", () => {
+  const state = createState(["a"]);
+  updateTargets(state, { type: "storeLost" }, 1_000);
+  updateTargets(state, { type: "storeAnswered" }, 6_000);
+  const targets = [target("a"), target("new")];
+  const list = { type: "listed", targets, isRestored: true } as const;
+  updateTargets(state, list, 6_000);
+  assert.ok(state.targets.has("new"));
+});
+
+test("A target that had left and is still listed long after a restore is taken", () => {
+  const state = createState(["a"]);
+  updateTargets(state, { type: "removed", id: "a" }, 500);
+  const list = { type: "listed", targets: [target("a")], isRestored: true };
+  updateTargets(state, list as TargetsEvent, 1_000);
+  updateTargets(state, { type: "tick" }, 10_900);
+  assert.ok(!state.targets.has("a"));
+  assert.ok(updateTargets(state, { type: "tick" }, 11_000));
+  assert.ok(state.targets.has("a"));
+});
+
+test("A target that had left and is removed again after a restore stays away", () => {
+  const state = createState(["a"]);
+  updateTargets(state, { type: "removed", id: "a" }, 500);
+  const list = { type: "listed", targets: [target("a")], isRestored: true };
+  updateTargets(state, list as TargetsEvent, 1_000);
+  updateTargets(state, { type: "removed", id: "a" }, 5_000);
+  updateTargets(state, { type: "tick" }, 20_000);
+  assert.ok(!state.targets.has("a"));
+});
+
 test("Of two registrations with one address, the one written last takes effect", () => {
   const state = createState([]);
   const old = { ...target("old"), address: "10.0.0.9:1", revision: 5 };
--- a/testing/site-soak/src/run_site_soak.ts
+++ b/testing/site-soak/src/run_site_soak.ts
@@ -21,6 +21,8 @@
 const COPY_AGE_MS = 900;
 /** Time after which the operator and the engines write again what was lost. */
 const REWRITE_DELAY_MS = 250;
+/** Time in which lost changes are written again, as in the entries' settings. */
+const MAX_REWRITE_MS = 2_000;
 /** Longer than an entry may use a key without contact with the store. */
 const REVOCATION_OUTAGE_MS = 4_000;
 /** Time after the last fault by which every request must succeed again. */
@@ -196,6 +198,8 @@
       await delay(REWRITE_DELAY_MS);
       operator.writeAgain();
       fleet.registerAgain();
+      // Until then the store may lack changes, for all that an entry knows.
+      await delay(MAX_REWRITE_MS);
     }],
     ["configuration changes", () => {
       operator.change();
