--- a/daemon/route-requests/src/http_caller_port.ts
+++ b/daemon/route-requests/src/http_caller_port.ts
@@ -1,7 +1,8 @@
 /**
  * Answers a caller over HTTP. An event stream is forwarded event by event, so
- * that the error which ends one that breaks off is an event of its own. Any other answer is buffered until it is complete, up to a limit, so that a caller
- * does not receive a truncated body with a success status.
+ * that the error which ends one that breaks off is an event of its own. Any other
+ * answer is buffered until it is complete, up to a limit, so that a caller does
+ * not receive a truncated body with a success status.
  */
 
 import { EventSplitter } from "@dandelionbank/read-events";
--- a/routing/pick-target/src/pick_target.ts
+++ b/routing/pick-target/src/pick_target.ts
@@ -47,7 +47,7 @@
   readonly hash: (text: string) => number;
   readonly policy?: string;
   readonly subsetSize?: number;
-  /** Limits that targets have named; unlimited if absent. */
+  /** What targets have announced; nothing if absent. */
   readonly limits?: SendLimits;
 }
 
