Ask in one place whether a target takes a request now

The same two conditions, untried and without a wait, stood three times in the placement core since. No change of behaviour: the tests of pick-target and of notices and limits through an entry pass unchanged.

--- a/routing/pick-target/src/pick_target.ts
+++ b/routing/pick-target/src/pick_target.ts
@@ -148,9 +148,9 @@
   const meanFromOthers = pool.meanFromOthers();
   const estimate = (target: TargetRecord) =>
     target.estimate(meanFromOthers, nowMs);
+  const { exclude } = event;
   const isAvailable = (target: TargetRecord) =>
-    isUntried(state, target, event.exclude) &&
-    readWaitMs(state, target, nowMs) === 0;
+    takesRequest(state, target, { exclude, nowMs });
   const isHealthy = (target: TargetRecord) =>
     isAvailable(target) && !target.isSuspected(nowMs);
   const candidates = firstNonEmpty(
@@ -195,7 +195,7 @@
 ): boolean {
   const members = state.pools.get(pool)?.members ?? [];
   return members.some((target) =>
-    isUntried(state, target, exclude) && readWaitMs(state, target, nowMs) === 0
+    takesRequest(state, target, { exclude, nowMs })
   );
 }
 
@@ -210,11 +210,10 @@
 ): number | undefined {
   const pool = state.pools.get(poolName);
   if (pool === undefined) return undefined;
-  const targets = pool.members.filter((target) => isOpen(state, target));
-  const isAvailable = targets.some((target) =>
-    readWaitMs(state, target, nowMs) === 0
-  );
-  return isAvailable || targets.length === 0
+  const request = { pool: poolName, exclude: [] };
+  if (hasAvailableTarget(state, request, nowMs)) return undefined;
+  const targets = pool.members.filter((member) => isOpen(state, member));
+  return targets.length === 0
     ? undefined
     : assignReturn(state, { pool, targets, nowMs });
 }
@@ -242,6 +241,19 @@
   return target.state !== "closed" && !options.limits?.isLeaving(target.name);
 }
 
+/** Returns true if a request that has tried `exclude` may go to the target now. */
+function takesRequest(
+  state: PlacementState,
+  target: TargetRecord,
+  { exclude, nowMs }: {
+    readonly exclude: readonly string[];
+    readonly nowMs: number;
+  },
+): boolean {
+  return isUntried(state, target, exclude) &&
+    readWaitMs(state, target, nowMs) === 0;
+}
+
 function isUntried(
   state: PlacementState,
   target: TargetRecord,
