Use the options and report bounds of limits for all notices

The core of notices had copies of the options, the time for which an observation is reported and the number of reports, which the core of limits that it contains had already. No change of behaviour; their tests pass unchanged.

--- a/routing/share-target-limits/src/mod.ts
+++ b/routing/share-target-limits/src/mod.ts
@@ -1,6 +1,6 @@
 /** Request limits that targets name, and this entry's share of them. */
 
-export { TargetLimits } from "./target_limits.ts";
+export { MAX_REPORTS, REPORT_MS, TargetLimits } from "./target_limits.ts";
 export type {
   LimitChange,
   LimitReport,
--- a/routing/share-target-limits/src/target_limits.ts
+++ b/routing/share-target-limits/src/target_limits.ts
@@ -27,10 +27,13 @@
  * that its limit has ended.
  */
 const MIN_PER_S = 0.2;
-/** How long the end of a limit is reported, as datagrams may be lost. */
-const END_REPORT_MS = 5_000;
-/** Limits the reports of an entry, so that its status fits into a datagram. */
-const MAX_REPORTS = 32;
+/** How long a single observation is reported, as datagrams may be lost. */
+export const REPORT_MS = 5_000;
+/**
+ * Limits the reports of each kind of an entry, so that its status fits into a
+ * datagram.
+ */
+export const MAX_REPORTS = 32;
 const MS_PER_S = 1_000;
 
 export interface TargetLimitsOptions {
@@ -128,7 +131,7 @@
     return [...this.#limits]
       .filter(([, { isOwn, perSecond, observedAtMs }]) =>
         isOwn &&
-        (perSecond !== undefined || nowMs - observedAtMs < END_REPORT_MS)
+        (perSecond !== undefined || nowMs - observedAtMs < REPORT_MS)
       )
       .sort(([, left], [, right]) => right.observedAtMs - left.observedAtMs)
       .slice(0, MAX_REPORTS)
--- a/routing/track-notices/src/mod.ts
+++ b/routing/track-notices/src/mod.ts
@@ -5,5 +5,4 @@
   NoticeChange,
   NoticeKind,
   NoticeReports,
-  TrackedNoticesOptions,
 } from "./tracked_notices.ts";
--- a/routing/track-notices/src/tracked_notices.ts
+++ b/routing/track-notices/src/tracked_notices.ts
@@ -14,7 +14,10 @@
 import {
   type LimitChange,
   type LimitReport,
+  MAX_REPORTS,
+  REPORT_MS,
   TargetLimits,
+  type TargetLimitsOptions,
 } from "@dandelionbank/share-target-limits";
 import type { TargetNotices } from "@dandelionbank/types";
 
@@ -26,19 +29,8 @@
 const TRIAL_TIMEOUT_MS = 1_000;
 /** Expected time until the answer to a trial request begins. */
 const TRIAL_ANSWER_MS = 250;
-/** How long a leaving target is reported, as datagrams may be lost. */
-const LEAVING_REPORT_MS = 5_000;
-/** Limits the reports of an entry, so that its status fits into a datagram. */
-const MAX_LEAVING_REPORTS = 32;
 const HASH_RANGE = 2 ** 32;
 
-export interface TrackedNoticesOptions {
-  /** This entry's name. */
-  readonly entry: string;
-  /** Returns an unsigned 32-bit hash, the same on all entries. */
-  readonly hash: (text: string) => number;
-}
-
 /** What an entry has observed of its targets, for the other entries. */
 export interface NoticeReports {
   readonly limits: readonly LimitReport[];
@@ -83,17 +75,17 @@
 }
 
 export class TrackedNotices implements SendLimits {
-  readonly #options: TrackedNoticesOptions;
+  readonly #options: TargetLimitsOptions;
   readonly #limits: TargetLimits;
   readonly #leaving = new Map<string, LeavingTarget>();
   readonly #waiting = new Map<string, WaitingTarget>();
 
-  private constructor(options: TrackedNoticesOptions) {
+  private constructor(options: TargetLimitsOptions) {
     this.#options = options;
     this.#limits = TargetLimits.create(options);
   }
 
-  static create(options: TrackedNoticesOptions): TrackedNotices {
+  static create(options: TargetLimitsOptions): TrackedNotices {
     return new TrackedNotices(options);
   }
 
@@ -135,9 +127,9 @@
   listReports(nowMs: number): NoticeReports {
     const leaving = [...this.#leaving]
       .filter(([, { isOwn, observedAtMs }]) =>
-        isOwn && nowMs - observedAtMs < LEAVING_REPORT_MS
+        isOwn && nowMs - observedAtMs < REPORT_MS
       )
-      .slice(-MAX_LEAVING_REPORTS)
+      .slice(-MAX_REPORTS)
       .map(([target]) => target);
     return { limits: this.#limits.listReports(nowMs), leaving };
   }
