Register the gauge of notices with the other metrics of requests

It was registered by a static method of ForwardMetrics that used nothing of the class. The options now hold the function that counts. Name, help and labels of the metric are unchanged; the tests through an entry pass.

--- a/daemon/forward-requests/src/forward_metrics.ts
+++ b/daemon/forward-requests/src/forward_metrics.ts
@@ -22,13 +22,19 @@
 ] as const;
 const MS_PER_S = 1_000;
 
+export interface ForwardMetricsOptions {
+  readonly registry: Registry;
+  /** Counts the targets with a notice in force, by its kind. */
+  readonly countNotices: () => Readonly<Record<string, number>>;
+}
+
 export class ForwardMetrics {
   readonly #requests: Counter<"service" | "outcome">;
   readonly #attempts: Counter<"service" | "result">;
   readonly #firstByte: Histogram<"service">;
   readonly #duration: Histogram<"service">;
 
-  private constructor(registry: Registry) {
+  private constructor({ registry, countNotices }: ForwardMetricsOptions) {
     const registers = [registry];
     this.#requests = new Counter({
       name: "dandelionbank_requests_total",
@@ -56,22 +62,11 @@
       buckets: [...LATENCY_BUCKETS_S],
       registers,
     });
-  }
-
-  static create(registry: Registry): ForwardMetrics {
-    return new ForwardMetrics(registry);
-  }
-
-  /** Registers a gauge of the targets with a notice in force, by its kind. */
-  static registerNotices(
-    registry: Registry,
-    countNotices: () => Readonly<Record<string, number>>,
-  ): void {
     new Gauge({
       name: "dandelionbank_targets_with_notice",
       help: "Targets that leave, are not to be called yet, or have a limit",
       labelNames: ["kind"],
-      registers: [registry],
+      registers,
       collect() {
         for (const [kind, count] of Object.entries(countNotices())) {
           this.set({ kind }, count);
@@ -80,6 +75,10 @@
     });
   }
 
+  static create(options: ForwardMetricsOptions): ForwardMetrics {
+    return new ForwardMetrics(options);
+  }
+
   countAttempt(service: string, result: string): void {
     this.#attempts.inc({ service, result });
   }
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -151,13 +151,12 @@
     this.#admission = StreamAdmission.create({
       readLoad: (service, runMs) => this.#readLoad(service, runMs),
     });
-    ForwardMetrics.registerNotices(
-      registry,
-      () => this.#notices.countByKind(performance.now()),
-    );
     const context: ForwardContext = {
       logger,
-      metrics: ForwardMetrics.create(registry),
+      metrics: ForwardMetrics.create({
+        registry,
+        countNotices: () => this.#notices.countByKind(performance.now()),
+      }),
       configuration: this.#configuration,
       placement,
       notices: this.#notices,
