--- a/testing/ingress-tests/src/answers_test.ts
+++ b/testing/ingress-tests/src/answers_test.ts
@@ -4,6 +4,7 @@
   type EngineScript,
   HeldLink,
   refuseAsNotRun,
+  renderAnswerHead,
   resetConnection,
   sendCompleteAnswer,
 } from "@dandelionbank/standin-site";
@@ -149,28 +150,25 @@
   assert.equal(answer.body, "half");
 });
 
+/** The end of the connection ends the answer. */
+const CLOSED = { fields: { connection: "close" } };
+
 /** Writes an answer without a length, which ends when its connection is closed. */
 function writeUnframed(
-  { response, answerHeaders }: EngineCall,
+  engineCall: EngineCall,
   end: (socket: Socket) => void,
 ): void {
-  const socket = response.socket!;
-  const lines = Object.entries(answerHeaders).map((field) => field.join(": "));
-  const head = ["HTTP/1.1 200 OK", ...lines, "Connection: close"];
-  socket.write(`${head.join("\r\n")}\r\n\r\nhalf`);
+  const socket = engineCall.response.socket!;
+  socket.write(`${renderAnswerHead(engineCall, CLOSED)}half`);
   // The delay lets the answer's bytes arrive before the connection ends.
   setTimeout(() => end(socket), 30);
 }
 
 test("A reset right after the last bytes does not complete an answer", async (t) => {
   const site = await startSite(t, { engines: 1 });
-  site.engines[0]!.script = ({ response, answerHeaders }) => {
-    const socket = response.socket!;
-    const lines = Object.entries(answerHeaders).map((field) =>
-      field.join(": ")
-    );
-    const head = ["HTTP/1.1 200 OK", ...lines, "Connection: close"];
-    socket.write(`${head.join("\r\n")}\r\n\r\nhalf`);
+  site.engines[0]!.script = (engineCall) => {
+    const socket = engineCall.response.socket!;
+    socket.write(`${renderAnswerHead(engineCall, CLOSED)}half`);
     socket.resetAndDestroy();
   };
   for (let index = 0; index < 20; index++) {
--- a/testing/ingress-tests/src/endless_answers_test.ts
+++ b/testing/ingress-tests/src/endless_answers_test.ts
@@ -8,6 +8,7 @@
 import {
   type EngineCall,
   type EngineScript,
+  renderAnswerHead,
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
@@ -27,7 +28,7 @@
 const CASES: readonly EndlessCase[] = [
   {
     name: "an event without end",
-    renderStart: (call) => `${renderHead(call, 200)}data: `,
+    renderStart: (call) => `${renderAnswerHead(call)}data: `,
     repeated: CHUNK,
   },
   {
@@ -44,14 +45,14 @@
   },
   {
     name: "an error without end",
-    renderStart: (call) => renderHead(call, 500),
+    renderStart: (call) => renderAnswerHead(call, { status: 500 }),
     repeated: CHUNK,
   },
   {
     name: "bytes without end after its answer",
-    renderStart: ({ answerHeaders }) => {
-      const lines = renderLines(answerHeaders);
-      return `HTTP/1.1 500 Failed\r\n${lines}content-length: 2\r\n\r\nno`;
+    renderStart: (call) => {
+      const fields = { "content-length": 2 };
+      return `${renderAnswerHead(call, { status: 500, fields })}no`;
     },
     repeated: CHUNK,
   },
@@ -78,7 +79,7 @@
   const site = await startSite(t, { engines: 12 });
   const endless: EngineScript = (engineCall) => {
     const socket = engineCall.response.socket!;
-    socket.write(`${renderHead(engineCall, 200)}data: `);
+    socket.write(`${renderAnswerHead(engineCall)}data: `);
     sendWithoutEnd(socket, CHUNK);
   };
   for (const engine of site.engines.slice(2)) {
@@ -112,13 +113,3 @@
   socket.on("error", () => {});
   send();
 }
-
-function renderHead({ answerHeaders }: EngineCall, status: number): string {
-  return `HTTP/1.1 ${status} Status\r\n${renderLines(answerHeaders)}\r\n`;
-}
-
-function renderLines(headers: Readonly<Record<string, string>>): string {
-  return Object.entries(headers)
-    .map((field) => `${field.join(": ")}\r\n`)
-    .join("");
-}
--- a/testing/ingress-tests/src/streams_test.ts
+++ b/testing/ingress-tests/src/streams_test.ts
@@ -1,6 +1,7 @@
 import {
   type EngineCall,
   type EngineScript,
+  renderAnswerHead,
   streamEvents,
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
@@ -61,13 +62,17 @@
   .map((id) => `id: ${id}\ndata: token ${id}\n\n`)
   .join("");
 const INCOMPLETE_EVENT = "id: 5\ndata: ha";
+/** The end of the connection ends the answer. */
+const CLOSED = { fields: { connection: "close" } };
 
 /** Ways in which a target may mark the end of its answer. */
 const FRAMINGS: Readonly<
   Record<string, (call: EngineCall, text: string) => void>
 > = {
-  "its connection": ({ response, answerHeaders }, text) => {
-    response.socket!.end(renderUnframedHead(answerHeaders) + text);
+  "its connection": (engineCall, text) => {
+    engineCall.response.socket!.end(
+      renderAnswerHead(engineCall, CLOSED) + text,
+    );
   },
   "a last chunk": ({ response, answerHeaders }, text) => {
     response.writeHead(200, answerHeaders);
@@ -116,8 +121,8 @@
 
 test("A stream without a length that ends before its first event does not look complete", async (t) => {
   const site = await startSite(t, { engines: 1 });
-  site.engines[0]!.script = ({ response, answerHeaders }) => {
-    response.socket!.end(renderUnframedHead(answerHeaders));
+  site.engines[0]!.script = (engineCall) => {
+    engineCall.response.socket!.end(renderAnswerHead(engineCall, CLOSED));
   };
   const answer = await call(site, { path: "/live/a" });
   assert.ok(!answer.isComplete);
@@ -126,9 +131,9 @@
 for (const delayMs of [0, 30]) {
   test(`A stream without a length whose connection is reset ${delayMs} ms after an event does not look complete`, async (t) => {
     const site = await startSite(t, { engines: 1 });
-    site.engines[0]!.script = ({ response, answerHeaders }) => {
-      const socket = response.socket!;
-      socket.write(renderUnframedHead(answerHeaders) + FOUR_EVENTS);
+    site.engines[0]!.script = (engineCall) => {
+      const socket = engineCall.response.socket!;
+      socket.write(renderAnswerHead(engineCall, CLOSED) + FOUR_EVENTS);
       setTimeout(() => socket.resetAndDestroy(), delayMs);
     };
     for (let index = 0; index < 10; index++) {
@@ -137,13 +142,6 @@
   });
 }
 
-function renderUnframedHead(headers: EngineCall["answerHeaders"]): string {
-  const lines = Object.entries(headers).map((field) => field.join(": "));
-  return ["HTTP/1.1 200 OK", ...lines, "connection: close", "", ""].join(
-    "\r\n",
-  );
-}
-
 /** Answers the site's first call by `script`, and later ones with all events. */
 function answerFirst(
   { engines }: Pick<Site, "engines">,
--- a/testing/site-soak/src/engine_fleet.ts
+++ b/testing/site-soak/src/engine_fleet.ts
@@ -8,6 +8,7 @@
 import {
   type EngineCall,
   refuseAsNotRun,
+  renderAnswerHead,
   resetConnection,
   sendCompleteAnswer,
   SiteEngine,
@@ -190,10 +191,8 @@
 
 /** Sends a second answer, which an entry could take for the answer to its next request. */
 function answerTwice(call: EngineCall): void {
-  const { response, answerHeaders } = call;
-  const { socket } = response;
+  const { socket } = call.response;
   sendCompleteAnswer(call);
-  const lines = Object.entries(answerHeaders).map((field) => field.join(": "));
-  const head = ["HTTP/1.1 200 OK", ...lines, "Content-Length: 5"].join("\r\n");
-  socket?.write(`${head}\r\n\r\nextra`);
+  const head = renderAnswerHead(call, { fields: { "content-length": 5 } });
+  socket?.write(`${head}extra`);
 }
--- a/testing/standin-site/src/mod.ts
+++ b/testing/standin-site/src/mod.ts
@@ -6,6 +6,7 @@
 export { HeldLink } from "./held_link.ts";
 export {
   refuseAsNotRun,
+  renderAnswerHead,
   resetConnection,
   sendCompleteAnswer,
   SiteEngine,
--- a/testing/standin-site/src/site_engine.ts
+++ b/testing/standin-site/src/site_engine.ts
@@ -121,6 +121,22 @@
   response.end(text);
 }
 
+/**
+ * Renders the head of an answer for scripts that write to the raw socket. Without
+ * a `content-length` in `fields`, the end of the connection ends the answer.
+ */
+export function renderAnswerHead(
+  { answerHeaders }: Pick<EngineCall, "answerHeaders">,
+  { status = 200, fields = {} }: {
+    readonly status?: number;
+    readonly fields?: Readonly<Record<string, string | number>>;
+  } = {},
+): string {
+  const lines = Object.entries({ ...answerHeaders, ...fields })
+    .map((field) => field.join(": "));
+  return [`HTTP/1.1 ${status} Status`, ...lines, "", ""].join("\r\n");
+}
+
 /** Answers 503 with the header that proves that the request did not run. */
 export function refuseAsNotRun({ response }: EngineCall): void {
   response.writeHead(503, { [HEADERS.notRun]: "1", "content-length": 0 }).end();
