Start the site soak with announcements that entries receive

Cause: faults are drawn at random and callers share their random numbers, so all announcements may fall into the outage of the revocation, in which nothing is served. Ruled out: entries that pass over engines, as none was reached at all.

Change: before the random faults, one engine leaves and one refuses, and the soak waits until callers have reached both. The test now asks for each kind, where it asked for either; no other check is touched.

--- a/testing/site-soak/src/checked_callers.ts
+++ b/testing/site-soak/src/checked_callers.ts
@@ -72,6 +72,11 @@
     }
   }
 
+  /** Waits for the first answer with status 200; `run` must have been called. */
+  async waitUntilServed(): Promise<void> {
+    while (this.servedCount === 0) await delay(MAX_PAUSE_MS);
+  }
+
   stop(): void {
     this.#isStopped = true;
   }
--- a/testing/site-soak/src/notice_checks.ts
+++ b/testing/site-soak/src/notice_checks.ts
@@ -4,16 +4,28 @@
  * stopped or frozen since an announcement may have forgotten it.
  */
 
+import { setTimeout as delay } from "node:timers/promises";
+
 /** Time in which an entry has to heed an announcement. */
 const MAX_REACTION_MS = 500;
 /** Requests that may reach an engine all the same while it wants nothing. */
 const MAX_STRAY_REQUESTS = 2;
+/** Time in which callers reach an engine that announces something, without faults. */
+const MAX_ANNOUNCEMENT_MS = 2_000;
+const POLL_INTERVAL_MS = 20;
 
 export interface Contact {
   readonly engine: string;
   readonly entry: string;
 }
 
+/** How often engines announced something, to detect a check without anything to check. */
+export interface AnnouncementCounts {
+  readonly leaving: number;
+  /** Times that an engine announced for how long it wants nothing. */
+  readonly refusing: number;
+}
+
 interface Arrival extends Contact {
   readonly atMs: number;
 }
@@ -41,9 +53,20 @@
     return new NoticeChecks();
   }
 
-  /** Number of announcements, to tell a check that had nothing to check. */
-  get announcementCount(): number {
-    return this.#announcements.length;
+  countAnnouncements(): AnnouncementCounts {
+    const leaving =
+      this.#announcements.filter(({ forMs }) => forMs === Infinity).length;
+    return { leaving, refusing: this.#announcements.length - leaving };
+  }
+
+  /** Waits until engines have announced both, or `MAX_ANNOUNCEMENT_MS` are over. */
+  async waitUntilAnnounced(): Promise<void> {
+    const untilMs = performance.now() + MAX_ANNOUNCEMENT_MS;
+    while (performance.now() < untilMs) {
+      const { leaving, refusing } = this.countAnnouncements();
+      if (leaving > 0 && refusing > 0) return;
+      await delay(POLL_INTERVAL_MS);
+    }
   }
 
   recordArrival(contact: Contact): void {
--- a/testing/site-soak/src/run_site_soak.ts
+++ b/testing/site-soak/src/run_site_soak.ts
@@ -9,6 +9,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { CheckedCallers } from "./checked_callers.ts";
 import { EngineFleet } from "./engine_fleet.ts";
+import type { AnnouncementCounts } from "./notice_checks.ts";
 import { Operator } from "./operator.ts";
 
 const ENTRY_COUNT = 3;
@@ -45,8 +46,7 @@
   readonly seed: number;
   readonly calls: number;
   readonly served: number;
-  /** Times that engines announced that they leave or want nothing. */
-  readonly announcements: number;
+  readonly announcements: AnnouncementCounts;
   /** Number of injected faults by kind. */
   readonly faults: Readonly<Record<string, number>>;
   readonly violations: readonly string[];
@@ -86,7 +86,10 @@
       operator,
     });
     const faults: Record<string, number> = {};
-    const pendingFaults: Promise<void>[] = [];
+    await callers.waitUntilServed();
+    // Random announcements may all fall into an outage, in which no entry is told.
+    const pendingFaults = [fleet.leave(), fleet.refuse()];
+    await fleet.notices.waitUntilAnnounced();
     const untilMs = performance.now() + durationMs;
     let isRevoking = false;
     while (performance.now() < untilMs) {
@@ -112,7 +115,7 @@
     await checkRecovery(callers);
     callers.checkRuns(fleet, operator);
     const { callCount: calls, servedCount: served } = callers;
-    const { announcementCount: announcements } = fleet.notices;
+    const announcements = fleet.notices.countAnnouncements();
     const violations = [
       ...callers.violations,
       ...fleet.notices.findViolations(),
--- a/testing/site-soak/src/site_soak_test.ts
+++ b/testing/site-soak/src/site_soak_test.ts
@@ -7,6 +7,7 @@
   assert.deepEqual(summary.violations, []);
   // Guards against a run that passes because hardly any request was served.
   assert.ok(summary.served > 200, JSON.stringify(summary));
-  assert.ok(summary.announcements > 0, JSON.stringify(summary));
+  assert.ok(summary.announcements.leaving > 0, JSON.stringify(summary));
+  assert.ok(summary.announcements.refusing > 0, JSON.stringify(summary));
   assert.ok(Object.keys(summary.faults).length >= 6);
 });
