Count a revoked key's requests by their first run in the site soak

Cause: the check took the last run of a request. An entry proves a key when the request arrives; a repeatable request whose engine falls silent is sent to another one some 600 ms later. The users' rule on revocations is about requests sent after the bound, so this case is allowed. Ruled out: a stale proof, as the first runs are within 1.8 s.

Change: the first run has to be within the bound, which is still stricter than the rule, and any further run within the route's timeout of the first.

--- a/testing/run-entry/src/mod.ts
+++ b/testing/run-entry/src/mod.ts
@@ -14,6 +14,7 @@
   findFreePort,
   queryDirectory,
   renderBootSettings,
+  ROUTE,
   ROUTE_HOST,
   ROUTES,
   startSite,
--- a/testing/run-entry/src/run_entry.ts
+++ b/testing/run-entry/src/run_entry.ts
@@ -45,7 +45,7 @@
 }
 
 /** Fields that the routes share. */
-const ROUTE = {
+export const ROUTE = {
   host: ROUTE_HOST,
   "timeout_ms": 2_000,
   "latency_goal_ms": 300,
--- a/testing/site-soak/src/checked_callers.ts
+++ b/testing/site-soak/src/checked_callers.ts
@@ -5,6 +5,7 @@
   type CallAnswer,
   CALLER_KEY,
   type EntryProgram,
+  ROUTE,
 } from "@dandelionbank/run-entry";
 import type { Random } from "@dandelionbank/message-queue";
 import { HEADERS } from "@dandelionbank/platform-adapter";
@@ -12,8 +13,10 @@
 import type { EngineFleet } from "./engine_fleet.ts";
 import { REVOKED_KEY } from "./operator.ts";
 
-/** Maximum time between the revocation of a key and the last run with it, as configured. */
+/** Maximum time between the revocation of a key and the first run with it, as configured. */
 const MAX_REVOCATION_MS = 2_000;
+/** Time in which a request that has begun to run may be repeated elsewhere. */
+const MAX_REPEAT_MS = ROUTE["timeout_ms"];
 const MAX_PAUSE_MS = 30;
 /** Statuses that guarantee that the request has not run and will not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -150,14 +153,20 @@
       ) {
         this.violations.push(`${id}: answered ${status}, and ran`);
       }
-      const lastStartMs = Math.max(0, ...startTimesMs);
       if (key !== REVOKED_KEY || revokedAtMs === undefined) continue;
-      const afterMs = Math.round(lastStartMs - revokedAtMs);
+      const [firstStartMs = 0] = startTimesMs;
+      const afterMs = Math.round(firstStartMs - revokedAtMs);
       if (afterMs > MAX_REVOCATION_MS) {
         this.violations.push(
           `${id}: ran ${afterMs} ms after its key went`,
         );
       }
+      const repeatMs = Math.round((startTimesMs.at(-1) ?? 0) - firstStartMs);
+      if (repeatMs > MAX_REPEAT_MS) {
+        this.violations.push(
+          `${id}: ran again ${repeatMs} ms after its first run`,
+        );
+      }
     }
   }
 }
