--- a/testing/run-entry/src/entry_program.ts
+++ b/testing/run-entry/src/entry_program.ts
@@ -34,6 +34,7 @@
   readonly settings: BootSettings;
   readonly settingsFile: string;
   #program: ChildProgram | undefined;
+  readonly #earlierLines: string[] = [];
 
   private constructor(settings: BootSettings, settingsFile: string) {
     this.settings = settings;
@@ -64,6 +65,7 @@
       args: ["entry"],
       environment: { DANDELIONBANK_CONFIG: this.settingsFile },
     });
+    this.#earlierLines.push(...this.#program?.lines ?? []);
     this.#program = program;
     await waitFor(async () => {
       const lastLines = program.lines.slice(-3).join("\n");
@@ -76,6 +78,11 @@
     return this.#program?.isRunning ?? false;
   }
 
+  /** The output of all its processes, in order. */
+  get loggedLines(): readonly string[] {
+    return [...this.#earlierLines, ...this.#program?.lines ?? []];
+  }
+
   /** Whether the entry has logged an event with this name. */
   hasLogged(name: string): boolean {
     const field = `"name":"${name}"`;
--- a/testing/site-soak/src/main.ts
+++ b/testing/site-soak/src/main.ts
@@ -7,6 +7,7 @@
   options: {
     seconds: { type: "string", default: "60" },
     seed: { type: "string", default: "1" },
+    logs: { type: "string" },
   },
 });
 const [durationS, seed] = [Number(values.seconds), Number(values.seed)];
@@ -16,6 +17,10 @@
   );
   process.exit(2);
 }
-const summary = await runSiteSoak({ durationMs: durationS * 1_000, seed });
+const summary = await runSiteSoak({
+  durationMs: durationS * 1_000,
+  seed,
+  logDirectory: values.logs,
+});
 console.log(JSON.stringify(summary, undefined, 2));
 process.exitCode = summary.violations.length > 0 ? 1 : 0;
--- a/testing/site-soak/src/run_site_soak.ts
+++ b/testing/site-soak/src/run_site_soak.ts
@@ -6,6 +6,8 @@
 import { EntryProgram } from "@dandelionbank/run-entry";
 import { Random } from "@dandelionbank/message-queue";
 import { SiteStore } from "@dandelionbank/standin-site";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import { CheckedCallers } from "./checked_callers.ts";
 import { EngineFleet } from "./engine_fleet.ts";
@@ -40,6 +42,8 @@
 export interface SiteSoakOptions {
   readonly durationMs: number;
   readonly seed: number;
+  /** Where the logs of a run with violations are written; not kept if absent. */
+  readonly logDirectory?: string;
 }
 
 export interface SiteSoakSummary {
@@ -53,7 +57,7 @@
 }
 
 export async function runSiteSoak(
-  { durationMs, seed }: SiteSoakOptions,
+  { durationMs, seed, logDirectory }: SiteSoakOptions,
 ): Promise<SiteSoakSummary> {
   const cleanups: (() => unknown)[] = [];
   const scope = {
@@ -86,6 +90,7 @@
       operator,
     });
     const faults: Record<string, number> = {};
+    const faultLines: string[] = [];
     await callers.waitUntilServed();
     // Random announcements may all fall into an outage, in which no entry is told.
     const pendingFaults = [fleet.leave(), fleet.refuse()];
@@ -95,6 +100,7 @@
     while (performance.now() < untilMs) {
       const [name, inject] = random.pick(faultKinds);
       faults[name] = (faults[name] ?? 0) + 1;
+      faultLines.push(JSON.stringify({ time: new Date(), fault: name }));
       pendingFaults.push(
         inject().catch((error) => {
           callers.violations.push(`${name}: ${String(error)}`);
@@ -120,6 +126,14 @@
       ...callers.violations,
       ...fleet.notices.findViolations(),
     ];
+    if (violations.length > 0 && logDirectory !== undefined) {
+      await writeLogs(join(logDirectory, `seed-${seed}`), [
+        ["faults", [...faultLines, ...violations]],
+        ...entries.map(({ settings, loggedLines }) =>
+          [settings.name, loggedLines] as const
+        ),
+      ]);
+    }
     return { seed, calls, served, announcements, faults, violations };
   } finally {
     for (const cleanup of cleanups.reverse()) await cleanup();
@@ -215,6 +229,17 @@
   ];
 }
 
+/** Writes one file for each source, with its name. */
+async function writeLogs(
+  directory: string,
+  logs: readonly (readonly [source: string, lines: readonly string[]])[],
+): Promise<void> {
+  await mkdir(directory, { recursive: true });
+  for (const [source, lines] of logs) {
+    await writeFile(join(directory, `${source}.jsonl`), lines.join("\n"));
+  }
+}
+
 /** Revokes a key while the store answers no entry. */
 async function revokeDuringOutage(
   { store, operator }: Pick<SoakSite, "store" | "operator">,
