Heed a target's time to return in the agents of dandelionbankd

Cause: an agent passed a 429 or 503 with Retry-After on to the caller and kept sending calls to its target meanwhile.

Change: the head of each answer is an event of the admission core. A named time pauses admission: attempts are refused as not run, with the time left, and the entries avoid the target for as long, as they do for any refusal. Afterwards one trial call goes first. Times are bounded to 10 minutes; one that is no number of seconds is logged and ignored.

--- a/daemon/call-target/src/call_target_test.ts
+++ b/daemon/call-target/src/call_target_test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { createTargetAdapter } from "./mod.ts";
-import type { TargetFailure } from "./target_adapter.ts";
+import type { TargetFailure, TargetHead } from "./target_adapter.ts";
 
 interface Case {
   readonly name: string;
@@ -145,7 +145,19 @@
   });
 });
 
+test("The time to return is read from refusals for load only", async () => {
+  for (const [status, expected] of [[503, "2"], [429, "2"], [200, undefined]]) {
+    const server = await listen((_, response) => {
+      response.writeHead(Number(status), { "retry-after": "2" }).end();
+    });
+    const { head } = await callOnce("plain", formatUrl(server));
+    server.close();
+    assert.equal(head?.retryAfter, expected);
+  }
+});
+
 interface CallResult {
+  readonly head: TargetHead | undefined;
   readonly result: "complete" | TargetFailure;
   readonly body: string;
 }
@@ -157,6 +169,7 @@
   const adapter = createTargetAdapter(kind, { targetUrl });
   const call = await new Promise<CallResult>((resolve) => {
     const chunks: Buffer[] = [];
+    let head: TargetHead | undefined;
     const body = (): string => Buffer.concat(chunks).toString("utf8");
     adapter.call(
       {
@@ -167,12 +180,15 @@
         body: Buffer.from("{}"),
       },
       {
-        onHead: () => {},
+        onHead: (answerHead) => {
+          head = answerHead;
+        },
         onData: (chunk) => {
           chunks.push(chunk);
         },
-        onEnd: () => resolve({ result: "complete", body: body() }),
-        onFailure: (failure) => resolve({ result: failure, body: body() }),
+        onEnd: () => resolve({ head, result: "complete", body: body() }),
+        onFailure: (failure) =>
+          resolve({ head, result: failure, body: body() }),
       },
     );
   });
--- a/daemon/call-target/src/mod.ts
+++ b/daemon/call-target/src/mod.ts
@@ -6,5 +6,6 @@
   TargetAdapter,
   TargetCall,
   TargetFailure,
+  TargetHead,
   TargetSink,
 } from "./target_adapter.ts";
--- a/daemon/call-target/src/send_call.ts
+++ b/daemon/call-target/src/send_call.ts
@@ -6,6 +6,8 @@
 
 /** An agent keeps the answer until it is delivered, so its memory bounds it. */
 const MAX_ANSWER_BYTES = 67_108_864;
+/** Statuses with which a target turns a call away because of its load. */
+const BUSY_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
 export interface AnswerReceiver {
   readonly sink: TargetSink;
@@ -32,7 +34,10 @@
         const contentType = String(headers["content-type"] ?? "");
         const isStream = contentType.startsWith("text/event-stream");
         tail = isStream ? StreamTail.create() : undefined;
-        sink.onHead(status, contentType);
+        const retryAfter = headers["retry-after"];
+        const isBusy = BUSY_STATUSES.has(status) &&
+          typeof retryAfter === "string";
+        sink.onHead({ status, contentType, ...(isBusy ? { retryAfter } : {}) });
       },
       onData: (chunk) => {
         sizeBytes += chunk.length;
--- a/daemon/call-target/src/target_adapter.ts
+++ b/daemon/call-target/src/target_adapter.ts
@@ -10,9 +10,16 @@
   readonly body: Uint8Array;
 }
 
+export interface TargetHead {
+  readonly status: number;
+  readonly contentType: string;
+  /** `Retry-After` of an answer that turns the call away because of the load. */
+  readonly retryAfter?: string;
+}
+
 /** Receives the answer. The last call is exactly one of `onEnd` and `onFailure`. */
 export interface TargetSink {
-  onHead(status: number, contentType: string): void;
+  onHead(head: TargetHead): void;
   onData(chunk: Buffer): void;
   /** Called when the answer is complete. */
   onEnd(): void;
--- a/daemon/run-attempts/src/attempt_run.ts
+++ b/daemon/run-attempts/src/attempt_run.ts
@@ -4,6 +4,7 @@
   RunningCall,
   TargetAdapter,
   TargetFailure,
+  TargetHead,
 } from "@dandelionbank/call-target";
 import type { AnswerLog } from "@dandelionbank/keep-answers";
 import type { AttemptHead } from "@dandelionbank/types";
@@ -17,6 +18,7 @@
   readonly log: AnswerLog;
   readonly adapter: TargetAdapter;
   readonly readNowMs: () => number;
+  readonly onHead: (head: TargetHead) => void;
   readonly onComplete: () => void;
   readonly onFailure: (failure: TargetFailure) => void;
 }
@@ -33,7 +35,10 @@
       body: options.body,
     },
     {
-      onHead: (status, contentType) => log.writeHead(status, contentType),
+      onHead: (answerHead) => {
+        options.onHead(answerHead);
+        log.writeHead(answerHead.status, answerHead.contentType);
+      },
       onData: (chunk) => {
         if (!log.writeData(chunk, readNowMs())) call.pause();
       },
--- a/daemon/run-attempts/src/attempt_task.ts
+++ b/daemon/run-attempts/src/attempt_task.ts
@@ -15,7 +15,7 @@
   step,
   type StopReason,
 } from "@dandelionbank/admit-attempts";
-import type { TargetAdapter } from "@dandelionbank/call-target";
+import type { TargetAdapter, TargetHead } from "@dandelionbank/call-target";
 import { digestKey } from "@dandelionbank/digest-bodies";
 import { AnswerLog } from "@dandelionbank/keep-answers";
 import type { Logger } from "@dandelionbank/log-events";
@@ -40,6 +40,9 @@
 /** Heartbeats sent within one progress timeout. */
 const HEARTBEATS_PER_TIMEOUT = 3;
 const DEFAULT_PROGRESS_TIMEOUT_MS = 2_000;
+const MS_PER_S = 1_000;
+/** Bounds the log line, whatever a target sends. */
+const MAX_VALUE_LENGTH = 64;
 
 export interface AttemptTaskOptions {
   readonly admission: AdmitOptions;
@@ -196,6 +199,7 @@
       log,
       adapter: this.#options.adapter,
       readNowMs: this.#options.readNowMs,
+      onHead: (answerHead) => this.#recordHead(attemptId, answerHead),
       onComplete: () => this.#endRun(log),
       onFailure: (failure) => this.#failRun(log, failure),
     });
@@ -203,6 +207,22 @@
     this.#options.metrics.setInFlight(this.readLoad().inFlight);
   }
 
+  #recordHead(attemptId: string, { retryAfter }: TargetHead): void {
+    const { logger } = this.#options;
+    const pauseMs = readPauseMs(retryAfter);
+    this.#runner.post({
+      type: "answerBegan",
+      attemptId,
+      ...(pauseMs === undefined ? {} : { pauseMs }),
+    });
+    if (pauseMs !== undefined) {
+      logger.log("targetPaused", { attemptId, pauseMs });
+    } else if (retryAfter !== undefined) {
+      const value = retryAfter.slice(0, MAX_VALUE_LENGTH);
+      logger.log("targetPauseRejected", { attemptId, value });
+    }
+  }
+
   #endRun(log: AnswerLog): void {
     const { attemptId, lengthBytes: answerBytes } = log;
     this.#runs.delete(attemptId);
@@ -328,6 +348,13 @@
   }
 }
 
+/** Reads seconds; undefined for a date, a negative number or no number. */
+function readPauseMs(retryAfter: string | undefined): number | undefined {
+  if (retryAfter === undefined || retryAfter.trim() === "") return undefined;
+  const pauseMs = Number(retryAfter) * MS_PER_S;
+  return pauseMs >= 0 && Number.isFinite(pauseMs) ? pauseMs : undefined;
+}
+
 function attemptIdOf(message: AttemptMessage | AttemptQuery): string {
   return message.kind === "attempt"
     ? message.head.attemptId
--- a/foundation/log-events/src/agent_events.ts
+++ b/foundation/log-events/src/agent_events.ts
@@ -36,4 +36,18 @@
       "Drain timeout of target {target} expired with {inFlight} attempts in flight",
     help: "Raise drainTimeoutMs in the configuration if requests take longer",
   },
+  targetPaused: {
+    id: 3005,
+    level: "info",
+    text:
+      "The target answered attempt {attemptId} that it wants no calls for {pauseMs} ms",
+    help: "The target is overloaded; calls are refused or go to other targets",
+  },
+  targetPauseRejected: {
+    id: 3006,
+    level: "warn",
+    text:
+      "The target answered attempt {attemptId} with a Retry-After of {value}, which is no number of seconds",
+    help: "Check the target's program",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
--- a/routing/admit-attempts/src/admit_attempts.ts
+++ b/routing/admit-attempts/src/admit_attempts.ts
@@ -67,6 +67,8 @@
       return handleAttemptArrived(context, event);
     case "attemptQueried":
       return handleAttemptQueried(context, event);
+    case "answerBegan":
+      return state.pause.recordAnswer(event, context.nowMs);
     case "runEnded":
       return handleRunEnded(context, event);
     case "runFailed":
--- a/routing/admit-attempts/src/admit_attempts_test.ts
+++ b/routing/admit-attempts/src/admit_attempts_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { AdmitEvent } from "./mod.ts";
 import {
+  answered,
   arrival,
   createAgent,
   createReadyAgent,
@@ -18,6 +19,45 @@
 import type { Case } from "./test_fixtures.ts";
 
 const CASES: readonly Case[] = [
+  {
+    name: "Runs no call before the time that the target named, then one trial",
+    events: [
+      [arrival({ number: 1 }), "run e1.1"],
+      [arrival({ number: 2 }), "run e1.2"],
+      [answered(1, 800), "", 100],
+      [answered(2, 300), "", 100],
+      [ended(1), "", 100],
+      [arrival({ number: 3 }), "refuse e1.3 targetPaused 350", 550],
+      [arrival({ number: 4 }), "run e1.4", 900],
+      [answered(2), "", 905],
+      [arrival({ number: 5 }), "refuse e1.5 targetPaused 990", 910],
+      [answered(4), "", 920],
+      [arrival({ number: 6 }), "run e1.6", 920],
+    ],
+  },
+  {
+    name: "Runs another trial if one fails, or gets no answer for 1 s",
+    events: [
+      [arrival({ number: 1 }), "run e1.1"],
+      [answered(1, 100), ""],
+      [arrival({ number: 2 }), "run e1.2", 200],
+      [arrival({ number: 3 }), "run e1.3", 1_200],
+      [answered(1, 100), "", 1_200],
+      [ended(2), "", 1_200],
+      [arrival({ number: 4 }), "run e1.4", 1_300],
+      [failed(4, false), "", 1_310],
+      [arrival({ number: 5 }), "run e1.5", 1_310],
+    ],
+  },
+  {
+    name: "Bounds the time that the target names to 10 minutes",
+    events: [
+      [arrival({ number: 1 }), "run e1.1"],
+      [answered(1, 1e9), ""],
+      [ended(1), ""],
+      [arrival({ number: 2 }), "refuse e1.2 targetPaused 600000"],
+    ],
+  },
   {
     name: "Joins a repeat to the running call or replays its kept answer",
     events: [
--- a/routing/admit-attempts/src/admit_property_test.ts
+++ b/routing/admit-attempts/src/admit_property_test.ts
@@ -44,6 +44,11 @@
       mayHaveRun: fc.boolean(),
     }),
   },
+  fc.record({
+    type: fc.constant("answerBegan" as const),
+    attemptId: PARTS.map(toId),
+    pauseMs: fc.constantFrom(0, 0, 15, 200),
+  }),
   fc.constantFrom<AdmitEvent>(
     { type: "tick" },
     { type: "stopBegan", reason: "plannedStop" },
@@ -130,6 +135,7 @@
     onceKeys: new Map(),
   };
   let nowMs = 0;
+  let pauseEndsAtMs = 0;
   for (const { event, afterMs } of events) {
     nowMs += afterMs;
     const ran = event.type === "runFailed" && !event.mayHaveRun
@@ -137,13 +143,22 @@
       : 0;
     for (const effect of step(state, event, nowMs).effects) {
       assert.notEqual(effect.type, "violation", JSON.stringify(effect));
-      if (effect.type === "run") addRun(model, event);
+      if (effect.type === "run") {
+        addRun(model, event);
+        assert.ok(
+          nowMs >= pauseEndsAtMs,
+          "ran while the target wanted no calls",
+        );
+      }
       if (effect.type === "refuse") {
         const began = model.runs.has(effect.attemptId) &&
           !model.unbegun.has(effect.attemptId);
         assert.ok(!began, `${effect.attemptId} was refused after it ran`);
       }
     }
+    if (event.type === "answerBegan" && event.pauseMs !== undefined) {
+      pauseEndsAtMs = Math.max(pauseEndsAtMs, nowMs + event.pauseMs);
+    }
     const { running, keptBytes } = readFigures(state);
     if (event.type === "runFailed" && running < ran) {
       freeKey(model, event.attemptId);
@@ -172,7 +187,7 @@
   }
 }
 
-test("Runs no attempt or key twice and refuses none that ran, for any events", () => {
+test("Runs no attempt or key twice, none in a pause, and refuses none that ran, for any events", () => {
   const withinRetention = EVENTS.filter((events) =>
     events.reduce((sum, { afterMs }) => sum + afterMs, 0) <
       OPTIONS.keyRetentionMs
--- a/routing/admit-attempts/src/arrivals.ts
+++ b/routing/admit-attempts/src/arrivals.ts
@@ -158,6 +158,7 @@
   if (entry.decided.has(arrival.number)) return "attemptSettled";
   if (state.stopReasons.size > 0) return "agentStopping";
   if (head.timeLeftMs <= 0) return "tooLate";
+  if (state.pause.readDelayMs(context.nowMs) > 0) return "targetPaused";
   if (state.running.size >= state.options.maxInFlight) return "targetBusy";
   if (arrival.suspect && isSuspectRunning(context)) return "suspectRunning";
   if (arrival.runsOnce && state.keys.isFull) return "tableFull";
@@ -221,6 +222,7 @@
   const record = createRecord(context, arrival);
   entry.decided.add(arrival.number);
   entry.ran.add(arrival.number);
+  state.pause.recordStart(head.attemptId, nowMs);
   state.keys.add(keyId, { record, runsOnce: arrival.runsOnce });
   state.keys.trimEvictable((dropped) => recordEviction(context, dropped));
   state.running.set(head.attemptId, {
--- a/routing/admit-attempts/src/endings.ts
+++ b/routing/admit-attempts/src/endings.ts
@@ -83,9 +83,10 @@
   context: AdmitContext,
   attemptId: string,
 ): RunningCall | undefined {
-  const { running } = context.state;
+  const { running, pause } = context.state;
   const call = running.get(attemptId);
   running.delete(attemptId);
+  pause.recordEnd(attemptId);
   return call;
 }
 
--- a/routing/admit-attempts/src/events.ts
+++ b/routing/admit-attempts/src/events.ts
@@ -37,6 +37,7 @@
   | "suspectRunning"
   | "tableFull"
   | "targetBusy"
+  | "targetPaused"
   | "tooLate";
 
 /** Why the agent has no answer, although the call may have run. */
@@ -61,6 +62,7 @@
   | IncarnationClosed
   | AttemptArrived
   | AttemptQueried
+  | AnswerBegan
   | RunEnded
   | RunFailed
   | ListenerDisconnected
@@ -109,6 +111,14 @@
   readonly agentIncarnation: string;
 }
 
+/** The head of the target's answer has arrived. */
+export interface AnswerBegan {
+  readonly type: "answerBegan";
+  readonly attemptId: string;
+  /** Time for which the target wants no calls, if it named one. */
+  readonly pauseMs?: number;
+}
+
 /** The target completed its answer. */
 export interface RunEnded {
   readonly type: "runEnded";
--- a/routing/admit-attempts/src/state.ts
+++ b/routing/admit-attempts/src/state.ts
@@ -9,6 +9,7 @@
 } from "./events.ts";
 import { IncarnationTable } from "./incarnation_table.ts";
 import { type KeyRecord, KeyTable, lastMillisecondOf } from "./key_table.ts";
+import { TargetPause } from "./target_pause.ts";
 
 /** Refusals after which a retry at the same target may succeed. */
 const RETRYABLE_CODES: ReadonlySet<RefusalCode> = new Set([
@@ -43,6 +44,7 @@
   readonly keys: KeyTable;
   readonly running: Map<string, RunningCall>;
   readonly stopReasons: Set<StopReason>;
+  readonly pause: TargetPause;
   /** Number of checks by invariant. */
   readonly checks: Map<string, number>;
   /** Whether the closings have been read, before which no attempt is admitted. */
@@ -66,6 +68,7 @@
     keys: KeyTable.create(options),
     running: new Map(),
     stopReasons: new Set(),
+    pause: TargetPause.create(),
     checks: new Map(),
     ready: false,
     drainedReported: false,
@@ -77,13 +80,17 @@
   context: AdmitContext,
   refusal: { readonly attemptId: string; readonly code: RefusalCode },
 ): void {
-  const isRetryable = RETRYABLE_CODES.has(refusal.code);
-  context.effects.push({
-    type: "refuse",
-    attemptId: refusal.attemptId,
-    code: refusal.code,
-    retryAfterMs: isRetryable ? context.state.options.retryAfterMs : 0,
-  });
+  const { attemptId, code } = refusal;
+  const retryAfterMs = computeRetryAfterMs(context, code);
+  context.effects.push({ type: "refuse", attemptId, code, retryAfterMs });
+}
+
+function computeRetryAfterMs(
+  { state, nowMs }: AdmitContext,
+  code: RefusalCode,
+): number {
+  if (code === "targetPaused") return state.pause.readDelayMs(nowMs);
+  return RETRYABLE_CODES.has(code) ? state.options.retryAfterMs : 0;
 }
 
 export function failAttempt(
--- a/routing/admit-attempts/src/test_fixtures.ts
+++ b/routing/admit-attempts/src/test_fixtures.ts
@@ -124,6 +124,11 @@
   return { type: "runFailed", attemptId: `e1.${number}`, mayHaveRun };
 }
 
+export function answered(number: number, pauseMs?: number): AdmitEvent {
+  const event = { type: "answerBegan", attemptId: `e1.${number}` } as const;
+  return pauseMs === undefined ? event : { ...event, pauseMs };
+}
+
 export const KEY = keyOf("a");
 
 export interface Case {
--- a/routing/track-requests/src/frames.ts
+++ b/routing/track-requests/src/frames.ts
@@ -29,6 +29,7 @@
   "suspectRunning",
   "tableFull",
   "targetBusy",
+  "targetPaused",
 ]);
 
 interface Received<Frame> {
