--- a/testing/run-entry/src/entry_program.ts
+++ b/testing/run-entry/src/entry_program.ts
@@ -74,6 +74,10 @@
     }, { timeoutMs: START_TIMEOUT_MS });
   }
 
+  get pid(): number {
+    return this.#program?.pid ?? 0;
+  }
+
   get isRunning(): boolean {
     return this.#program?.isRunning ?? false;
   }
