--- a/testing/soak/src/map/group_world.ts
+++ b/testing/soak/src/map/group_world.ts
@@ -182,11 +182,26 @@
     }
   }
 
-  /** Records a rank's outcome of a proposal, without a comparison with other ranks. */
-  recordOutcome(outcome: SettledMap & { readonly committed: boolean }): void {
+  /**
+   * Checks that all ranks have the same outcome of a proposal. A VM that was
+   * replaced while it was paused settles alone, as it has left the group.
+   */
+  recordOutcome(
+    vmName: string,
+    { mapVersion, committed }: SettledMap & { readonly committed: boolean },
+  ): void {
+    if (!this.#currentVmNames.includes(vmName)) return;
     this.count("invariants", "oneOutcomePerProposal");
-    this.#outcomes.set(outcome.mapVersion, outcome.committed);
-    this.count("outcomes", outcome.committed ? "rankCommits" : "rankAborts");
+    const known = this.#outcomes.get(mapVersion);
+    if (known !== undefined && known !== committed) {
+      this.reportViolation(
+        `Map ${mapVersion} is ${describeOutcome(committed)} at one rank, ${
+          describeOutcome(known)
+        } at another`,
+      );
+    }
+    this.#outcomes.set(mapVersion, committed);
+    this.count("outcomes", committed ? "rankCommits" : "rankAborts");
   }
 
   recordSettledMap(
@@ -278,3 +293,7 @@
     return isStale ? former.name : this.#currentVmNames[rank]!;
   }
 }
+
+function describeOutcome(isCommitted: boolean): string {
+  return isCommitted ? "committed" : "aborted";
+}
--- a/testing/soak/src/map/rank_vm.ts
+++ b/testing/soak/src/map/rank_vm.ts
@@ -126,7 +126,7 @@
       case "send":
         return this.#world.send(this.name, effect.to, effect.message);
       case "settled":
-        return this.#world.recordOutcome(effect);
+        return this.#world.recordOutcome(this.name, effect);
       case "invariantViolated":
         return this.#world.reportViolation(
           `${effect.invariant}: ${effect.detail}`,
