Wait for replies, not for 50 ms, in the test of the agent follower

Change: the fake agent counts pushes, the follower's callbacks count replies, and the test waits until both are equal.

--- a/daemon/follow-peers/src/agent_follower_test.ts
+++ b/daemon/follow-peers/src/agent_follower_test.ts
@@ -20,7 +20,7 @@
 test("A closing is pushed until the agent's answer covers its revision", async (t) => {
   t.mock.timers.enable({ apis: ["setInterval"] });
   const agent = await FakeAgent.start(t);
-  const follower = await createFollower(t);
+  const follower = await createFollower(t, agent);
   const first = agent.nextView();
   follower.applyView(createView(agent.peerUrl, { revision: 9, closings: [4] }));
   assert.deepEqual(closingsOf(await first), ["closed-4"]);
@@ -38,7 +38,7 @@
 test("A closing is pushed again when the agent's answer was lost", async (t) => {
   t.mock.timers.enable({ apis: ["setInterval"] });
   const agent = await FakeAgent.start(t);
-  const follower = await createFollower(t);
+  const follower = await createFollower(t, agent);
   agent.failsNextPush = true;
   const first = agent.nextView();
   follower.applyView(createView(agent.peerUrl, { revision: 9, closings: [4] }));
@@ -52,6 +52,8 @@
   peerUrl = "";
   readonly #events = new EventEmitter();
   #viewRevision = 0;
+  #pushCount = 0;
+  #replyCount = 0;
 
   static async start(t: TestContext): Promise<FakeAgent> {
     const agent = new FakeAgent();
@@ -76,9 +78,17 @@
     return view as AgentView;
   }
 
-  /** Waits until the reply has reached the follower. */
+  /** Waits until the replies to all pushes have reached the follower. */
   async waitForReply(): Promise<void> {
-    await new Promise((resolve) => setTimeout(resolve, 50));
+    while (this.#replyCount < this.#pushCount) {
+      await once(this.#events, "reply");
+    }
+  }
+
+  /** Called when the follower has received a reply or an error. */
+  recordReply(): void {
+    this.#replyCount += 1;
+    this.#events.emit("reply");
   }
 
   async nextPeriodicView(t: TestContext): Promise<AgentView> {
@@ -88,6 +98,7 @@
   }
 
   #applyView(view: AgentView): AgentStatus {
+    this.#pushCount += 1;
     queueMicrotask(() => this.#events.emit("view", view));
     if (this.failsNextPush) {
       this.failsNextPush = false;
@@ -108,15 +119,18 @@
   }
 }
 
-async function createFollower(t: TestContext): Promise<AgentFollower> {
+async function createFollower(
+  t: TestContext,
+  agent: FakeAgent,
+): Promise<AgentFollower> {
   const follower = AgentFollower.create({
     entry: "entry-1",
     incarnation: "entry-incarnation",
     access: { peerSecret: PEER_SECRET, timeoutMs: 1_000 },
     hash: await createTextHash(),
     isLeaving: () => false,
-    onStatus: () => {},
-    onNoAnswer: () => {},
+    onStatus: () => agent.recordReply(),
+    onNoAnswer: () => agent.recordReply(),
   });
   t.after(() => follower.stop());
   return follower;
