Take attempts whose body has the largest size that is configurable

What callers saw: a body of 64 MiB, which bodyLimitBytes allows, was answered as lost, since the agent cut the connection.

Cause: the limit of 64 MiB counted the message line together with the body. The new test failed with a reset connection.

Change: a limit for each of the two. A larger body is answered 413.

Result: a body of 67,108,864 bytes is received, one more byte is refused.

--- a/objects/parse-objects/src/config_schema.ts
+++ b/objects/parse-objects/src/config_schema.ts
@@ -16,6 +16,9 @@
   "random",
 ] as const;
 
+/** Largest `bodyLimitBytes`, since a request's body is kept in memory. */
+export const MAX_BODY_LIMIT_BYTES = 67_108_864;
+
 /** Values of the fields that a configuration omits. */
 export const DEFAULT_CONFIG: Config = {
   pools: [],
@@ -91,7 +94,7 @@
     DEFAULT_CONFIG.hedgeAfterMs,
   ),
   bodyLimitBytes: v.optional(
-    integerBetween({ min: 1, max: 67_108_864 }),
+    integerBetween({ min: 1, max: MAX_BODY_LIMIT_BYTES }),
     DEFAULT_CONFIG.bodyLimitBytes,
   ),
   ticketValidityMs: v.optional(
--- a/objects/parse-objects/src/mod.ts
+++ b/objects/parse-objects/src/mod.ts
@@ -4,6 +4,7 @@
 export {
   CONFIG_SCHEMA,
   DEFAULT_CONFIG,
+  MAX_BODY_LIMIT_BYTES,
   PLACEMENT_POLICIES,
 } from "./config_schema.ts";
 export { CONTRACT_SCHEMA, OPERATOR_SCHEMA } from "./contract_schema.ts";
--- a/peers/serve-peers/src/peer_server.ts
+++ b/peers/serve-peers/src/peer_server.ts
@@ -7,6 +7,7 @@
 import { isSameSecret, readBearerKey } from "@dandelionbank/check-credential";
 import { HttpListener } from "@dandelionbank/listen-http";
 import type { TlsMaterial } from "@dandelionbank/load-tls";
+import { MAX_BODY_LIMIT_BYTES } from "@dandelionbank/parse-objects";
 import { serveCall } from "@dandelionbank/trpc-over-http";
 import type { PeerFrame, PeerMessage } from "@dandelionbank/types";
 import type { AnyRouter } from "@trpc/server";
@@ -21,8 +22,12 @@
  */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 
-/** Limit for an attempt's message line together with the caller's body. */
-const MAX_ATTEMPT_BYTES = 64 * 1024 * 1024;
+/**
+ * Limit for an attempt's message line. It holds a path, a key and a content type
+ * from a head of at most 16 KiB, which escapes make up to six times as long.
+ */
+const MAX_LINE_BYTES = 128 * 1024;
+const MAX_ATTEMPT_BYTES = MAX_LINE_BYTES + MAX_BODY_LIMIT_BYTES;
 
 /** A received message and the body that follows it. */
 export interface AttemptRequest {
@@ -120,6 +125,10 @@
         response.writeHead(400).end();
         return;
       }
+      if (attempt.body.length > MAX_BODY_LIMIT_BYTES) {
+        response.writeHead(413).end();
+        return;
+      }
       response.writeHead(200, { "content-type": "application/x-ndjson" });
       this.#options.onAttempt(attempt, createResponder(response));
     });
--- a/peers/serve-peers/src/peer_server_test.ts
+++ b/peers/serve-peers/src/peer_server_test.ts
@@ -1,12 +1,23 @@
 import assert from "node:assert/strict";
 import { request } from "node:http";
 import { test, type TestContext } from "node:test";
+import { encodeMessage } from "@dandelionbank/attempt-codec";
+import { MAX_BODY_LIMIT_BYTES } from "@dandelionbank/parse-objects";
+import type { AttemptQuery } from "@dandelionbank/types";
 import { initTRPC } from "@trpc/server";
 import * as v from "valibot";
 import { PeerServer } from "./mod.ts";
 
 const SECRET = "secret-of-the-peers";
 
+const QUERY: AttemptQuery = {
+  kind: "question",
+  agentIncarnation: "agent-1",
+  attemptId: "e1.1",
+  organisation: "acme",
+  fingerprint: "0123456789abcdef",
+};
+
 interface Case {
   readonly name: string;
   readonly path: string;
@@ -81,7 +92,22 @@
   });
 }
 
-async function listen(t: TestContext): Promise<number> {
+test("An attempt with the largest body is received, and no larger one", async (t) => {
+  const received: number[] = [];
+  const port = await listen(t, (bodyBytes) => received.push(bodyBytes));
+  const call = { name: "", path: "/attempts", status: 200, reply: /^$/ };
+  const body = "x".repeat(MAX_BODY_LIMIT_BYTES);
+  const line = encodeMessage(QUERY);
+  assert.equal((await send(port, { ...call, body: line + body })).status, 200);
+  const larger = { ...call, body: `${line}${body}x` };
+  assert.equal((await send(port, larger)).status, 413);
+  assert.deepEqual(received, [MAX_BODY_LIMIT_BYTES]);
+});
+
+async function listen(
+  t: TestContext,
+  onBody: (sizeBytes: number) => void = () => {},
+): Promise<number> {
   const trpc = initTRPC.create();
   const server = PeerServer.create({
     host: "127.0.0.1",
@@ -96,7 +122,10 @@
           return `stored ${input.text}`;
         }),
     }),
-    onAttempt: (_, responder) => responder.end(),
+    onAttempt: ({ body }, responder) => {
+      onBody(body.length);
+      responder.end();
+    },
   });
   t.after(() => server.close());
   return await server.listen();
