Say in the quickstart when a repeat got the stored answer

Change: the line is printed when the repeat's answer is the first one's, which holds the number of the run.

--- a/testing/quickstart/src/run_quickstart.ts
+++ b/testing/quickstart/src/run_quickstart.ts
@@ -79,7 +79,10 @@
     allAnswered &&= replies.every(({ status, isComplete }) =>
       status === 200 && isComplete
     );
-    allAnswered &&= replies[2]?.body === replies[3]?.body;
+    // The service counts its runs in its answer, so a second run would differ.
+    const isStored = replies[2]?.body === replies[3]?.body;
+    if (isStored) print("  the repeat got the stored answer");
+    allAnswered &&= isStored;
   }
   return allAnswered;
 }
@@ -91,8 +94,7 @@
 ): Promise<CallerReply> {
   const { status, headers, body } = await reply;
   const target = headers["dandelionbank-target"];
-  const origin = target === undefined ? "stored answer" : `ran on ${target}`;
-  print(`  ${label}: status ${status}, ${origin}`);
+  print(`  ${label}: status ${status}, ran on ${target ?? "no target"}`);
   print(`    ${extractText(body)}`);
   return await reply;
 }
