Take blank lines after an event as the end of no event

What callers saw: a complete stream was cut, or repeated elsewhere, if its target sent a blank line after the last event in a packet of its own.

The new test of whole streams and the property test failed before.

Change: the splitter remembers that an event has just ended, or that none has begun. Blank lines are passed on at once, count as no event and as no progress.

--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -83,8 +83,8 @@
   }
 
   /**
-   * Returns true if any bytes were forwarded or buffered; false if the chunk
-   * completes no event of a stream.
+   * Returns true if the chunk completes an event of a stream, or if its bytes
+   * were forwarded or buffered as those of a plain answer.
    */
   handleData(chunk: Buffer, source: RelaySource | undefined): boolean {
     if (this.#isStream) return this.#handleEvents(chunk, source);
@@ -150,9 +150,10 @@
   #handleEvents(chunk: Buffer, source: RelaySource | undefined): boolean {
     const events = this.#splitter.push(chunk);
     if (events === undefined) return false;
+    this.#write(events.bytes, source);
+    if (events.count === 0) return false;
     this.#hasEvent = true;
     this.#lastEventId = events.lastId ?? this.#lastEventId;
-    this.#write(events.bytes, source);
     return true;
   }
 
--- a/routing/read-events/src/event_splitter.ts
+++ b/routing/read-events/src/event_splitter.ts
@@ -12,14 +12,16 @@
 /** Bounds the memory of an event that arrives in pieces of a few bytes. */
 const MAX_PIECES = 1_024;
 const ID_FIELD = "id:";
-const EMPTY = Buffer.alloc(0);
+/** The end of an event, or of the stream's head: a blank line may follow it. */
+const AFTER_EVENT = Buffer.from("\n");
+const BLANK_LINES = /(?:\r?\n){2,}/;
 
-/** One or more complete events. */
+/** Complete events, and blank lines around them. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
   /** Id of the last event that has one; `undefined` if none has. */
   readonly lastId: string | undefined;
-  /** Number of events. */
+  /** Number of events; 0 for blank lines alone. */
   readonly count: number;
 }
 
@@ -27,8 +29,8 @@
   /** The incomplete event at the end. */
   #pending: Buffer[] = [];
   #pendingBytes = 0;
-  /** The last bytes of the incomplete event. */
-  #joint: Buffer = EMPTY;
+  /** The last bytes of the incomplete event, or of the end of the one before. */
+  #joint: Buffer = AFTER_EVENT;
 
   private constructor() {}
 
@@ -51,7 +53,7 @@
     const complete = Buffer.concat([...this.#pending, chunk.subarray(0, end)]);
     this.#pending = [];
     this.#pendingBytes = 0;
-    this.#joint = EMPTY;
+    this.#joint = AFTER_EVENT;
     this.#keep(chunk.subarray(end));
     const text = complete.toString("latin1");
     return {
@@ -99,5 +101,5 @@
 }
 
 function countEvents(text: string): number {
-  return text.split(/\r?\n\r?\n/).length - 1;
+  return text.split(BLANK_LINES).filter((block) => block.trim() !== "").length;
 }
--- a/routing/read-events/src/event_splitter_test.ts
+++ b/routing/read-events/src/event_splitter_test.ts
@@ -28,6 +28,24 @@
   );
 });
 
+test("Blank lines around events belong to no event, wherever chunks end", () => {
+  const bytes = Buffer.from("\n\r\ndata: a\n\n\n\r\ndata: b\r\n\r\n\r\n\n");
+  fc.assert(
+    fc.property(fc.array(fc.nat(bytes.length)), (cuts) => {
+      const splitter = EventSplitter.create();
+      const ends = [0, ...cuts.sort((a, b) => a - b), bytes.length];
+      const chunks = ends.slice(1).map((end, index) =>
+        bytes.subarray(ends[index], end)
+      );
+      const events = chunks.flatMap((chunk) => splitter.push(chunk) ?? []);
+      const output = Buffer.concat(events.map((event) => event.bytes));
+      assert.deepEqual(output, bytes);
+      assert.equal(events.reduce((sum, { count }) => sum + count, 0), 2);
+      assert.equal(splitter.pendingBytes, 0);
+    }),
+  );
+});
+
 test("An incomplete event is held back", () => {
   const splitter = EventSplitter.create();
   assert.equal(splitter.push(Buffer.from("id: 1\ndata: a\n")), undefined);
--- a/testing/ingress-tests/src/streams_test.ts
+++ b/testing/ingress-tests/src/streams_test.ts
@@ -119,6 +119,18 @@
   });
 }
 
+test("A stream that ends with a blank line in a packet of its own is complete", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  site.engines[0]!.script = ({ response, answerHeaders }) => {
+    response.writeHead(200, answerHeaders);
+    response.write(FOUR_EVENTS);
+    setTimeout(() => response.end("\n"), 50);
+  };
+  const answer = await call(site, { path: "/live/a" });
+  assert.ok(answer.isComplete);
+  assert.equal(answer.body, `${FOUR_EVENTS}\n`);
+});
+
 test("A stream without a length that ends before its first event does not look complete", async (t) => {
   const site = await startSite(t, { engines: 1 });
   site.engines[0]!.script = (engineCall) => {
