--- a/daemon/exchange-status/src/parse_status.ts
+++ b/daemon/exchange-status/src/parse_status.ts
@@ -8,7 +8,7 @@
   v.string(),
   v.check((text) => parseAddress(text) !== undefined),
 );
-const NON_NEGATIVE = v.pipe(v.number(), v.minValue(0));
+const NON_NEGATIVE = v.pipe(v.number(), v.finite(), v.minValue(0));
 const STATUS = v.pipe(
   v.string(),
   v.parseJson(),
@@ -19,7 +19,7 @@
     dataCentre: v.string(),
     takesCallers: v.boolean(),
     mayUseKeys: v.boolean(),
-    activeByService: v.record(v.string(), v.number()),
+    activeByService: v.record(v.string(), NON_NEGATIVE),
     suspects: v.object({
       losses: v.array(v.object({
         fingerprint: v.string(),
--- a/peers/attempt-codec/src/frame_codec.ts
+++ b/peers/attempt-codec/src/frame_codec.ts
@@ -13,6 +13,8 @@
   | { readonly kind: "invalid"; readonly problem: string };
 
 const COUNT = v.pipe(v.number(), v.integer(), v.minValue(0));
+/** JSON may hold numbers beyond all that JavaScript can represent. */
+const DURATION = v.pipe(v.number(), v.finite(), v.minValue(0));
 const LOAD_SCHEMA = v.object({
   inFlight: COUNT,
   queued: COUNT,
@@ -27,17 +29,17 @@
       v.object({ kind: v.literal("refusedByAgent"), attemptId: v.string() }),
     ]),
     code: v.string(),
-    retryAfterMs: v.pipe(v.number(), v.minValue(0)),
+    retryAfterMs: DURATION,
   }),
   v.object({
     kind: v.literal("unknown"),
     code: v.string(),
-    retryAfterMs: v.optional(v.pipe(v.number(), v.minValue(0))),
+    retryAfterMs: v.optional(DURATION),
   }),
   v.object({
     kind: v.literal("failed"),
     code: v.string(),
-    retryAfterMs: v.optional(v.pipe(v.number(), v.minValue(0))),
+    retryAfterMs: v.optional(DURATION),
   }),
 ]);
 const FRAME_SCHEMA = v.variant("type", [
@@ -50,7 +52,7 @@
     type: v.literal("refused"),
     attemptId: v.string(),
     code: v.string(),
-    retryAfterMs: v.pipe(v.number(), v.minValue(0)),
+    retryAfterMs: DURATION,
     load: LOAD_SCHEMA,
   }),
   v.object({
--- a/peers/attempt-codec/src/message_codec.ts
+++ b/peers/attempt-codec/src/message_codec.ts
@@ -25,7 +25,7 @@
   path: v.pipe(v.string(), v.startsWith("/")),
   contentType: v.string(),
   priority: v.pipe(v.number(), v.integer()),
-  timeLeftMs: v.pipe(v.number(), v.minValue(0)),
+  timeLeftMs: v.pipe(v.number(), v.finite(), v.minValue(0)),
   viewRevision: v.pipe(v.number(), v.integer()),
 });
 
@@ -41,7 +41,7 @@
     homeIncarnation: v.string(),
     pool: v.pipe(v.string(), v.minLength(1)),
     resumable: v.boolean(),
-    estimatedTokens: v.pipe(v.number(), v.minValue(0)),
+    estimatedTokens: v.pipe(v.number(), v.finite(), v.minValue(0)),
     supersedes: v.array(v.pipe(v.number(), v.integer(), v.minValue(1))),
     head: HEAD_SCHEMA,
   }),
