--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -125,7 +125,9 @@
       watchWaitMs: this.#watchWaitMs,
       rewriteMs: bounds.targetReregistrationMs,
     });
-    this.#client = StoreClient.create(formatAddress(settings.store));
+    this.#client = StoreClient.create(formatAddress(settings.store), {
+      onInvalidEra: (era) => logger.log("storeEraInvalid", { era }),
+    });
     this.#notices = TrackedNotices.create({ entry: settings.name, hash });
     const placement = createPlacementState({
       entry: settings.name,
--- a/daemon/serve-rank/src/rank_process.ts
+++ b/daemon/serve-rank/src/rank_process.ts
@@ -68,7 +68,9 @@
       logger,
       address: `${ip}:${peerPort}`,
     });
-    const client = StoreClient.create(`${store.host}:${store.port}`);
+    const client = StoreClient.create(`${store.host}:${store.port}`, {
+      onInvalidEra: (era) => logger.log("storeEraInvalid", { era }),
+    });
     this.#view = GroupView.create({ client, service, logger });
     const router = createRankRouter(this.#agent);
     this.#server = HttpListener.create({
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -166,6 +166,13 @@
       "Target {target} announced {value} as the time after which to return, which is no time of up to 10 minutes",
     help: "Check the target's program and its clock",
   },
+  storeEraInvalid: {
+    id: 10034,
+    level: "warn",
+    text:
+      'An answer of the store names the era "{era}", which is no number of at least 0; the last known era stays',
+    help: "Check what answers at the store's address",
+  },
   linesDropped: {
     id: 10030,
     level: "warn",
