Accept blank lines after the final event of an engine's stream

What callers saw: a complete stream of dandelionbankd ended with event: error if its engine sent a blank line after data: [DONE].

Cause: the tail was compared with the final event up to its own blank line, the same fault as in the splitter. The new test failed.

Change: any number of blank lines may follow, as far as the tail of 64 bytes reaches, and a stream of blank lines alone ends after an event.

Result: the test passes. Nothing of the users' platform uses this check.

--- a/routing/read-events/src/stream_tail.ts
+++ b/routing/read-events/src/stream_tail.ts
@@ -6,8 +6,8 @@
 
 /** Longer than the final event with its line ends. */
 const TAIL_BYTES = 64;
-const EVENT_END = /(?:^|\n\r?\n)$/;
-const FINAL_EVENT = /(?:^|\n)data: ?\[DONE\]\r?\n\r?\n$/;
+const EVENT_END = /(?:^(?:\r?\n)*|\n\r?\n)$/;
+const FINAL_EVENT = /(?:^|\n)data: ?\[DONE\](?:\r?\n){2,}$/;
 
 export class StreamTail {
   #text = "";
--- a/routing/read-events/src/stream_tail_test.ts
+++ b/routing/read-events/src/stream_tail_test.ts
@@ -21,6 +21,15 @@
   );
 });
 
+test("Blank lines may follow the final event or stand alone", () => {
+  for (const blankLines of ["\n", "\r\n", "\n\r\n\n"]) {
+    const tail = readTail(`${EVENTS}data: [DONE]\n\n${blankLines}`, 7);
+    assert.ok(tail.endsAfterEvent);
+    assert.ok(tail.endsAfterFinalEvent);
+    assert.ok(readTail(blankLines, 1).endsAfterEvent);
+  }
+});
+
 test("Text that names the final event does not end a stream", () => {
   const tail = readTail(`${EVENTS}data: say data: [DONE]\n\n`, 7);
   assert.ok(tail.endsAfterEvent);
