--- a/testing/run-entry/src/entry_program.ts
+++ b/testing/run-entry/src/entry_program.ts
@@ -22,7 +22,7 @@
 const START_TIMEOUT_MS = 20_000;
 
 export interface EntryProgramOptions {
-  readonly store: SiteStore;
+  readonly store: Pick<SiteStore, "address">;
   /** Distinguishes the entries of one test, as VMs are distinguished. */
   readonly number: number;
   /** Time from SIGTERM to SIGKILL, within which a stopping entry has to finish. */
