Let one trial call follow another that gets no answer

Cause: after a pause, a trial call without an answer for 1 s let all waiting calls run at once.

Change: the next call after an unanswered trial is the next trial.

--- a/routing/admit-attempts/src/admit_attempts_test.ts
+++ b/routing/admit-attempts/src/admit_attempts_test.ts
@@ -42,6 +42,7 @@
       [answered(1, 100), ""],
       [arrival({ number: 2 }), "run e1.2", 200],
       [arrival({ number: 3 }), "run e1.3", 1_200],
+      [arrival({ number: 9 }), "refuse e1.9 targetPaused 1000", 1_200],
       [answered(1, 100), "", 1_200],
       [ended(2), "", 1_200],
       [arrival({ number: 4 }), "run e1.4", 1_300],
--- a/routing/admit-attempts/src/target_pause.ts
+++ b/routing/admit-attempts/src/target_pause.ts
@@ -28,8 +28,10 @@
     );
   }
 
+  /** Records a call that runs, which is only after the delay. */
   recordStart(attemptId: string, nowMs: number): void {
-    if (!this.#isTrialDue) return;
+    const hasUnansweredTrial = this.#trial !== undefined;
+    if (!this.#isTrialDue && !hasUnansweredTrial) return;
     this.#isTrialDue = false;
     this.#trial = { attemptId, endsAtMs: nowMs + TRIAL_TIMEOUT_MS };
   }
