Share the scripts of engines that refuse for a time or send without end

Cause: the read-through found a refusal with Retry-After written in two places and bytes without end in two, in tests, soak and bench.

Change: refuseFor and sendWithoutEnd of the stand-in engine serve all of them. No check is changed.

--- a/testing/bench/src/endless/endless_engines.ts
+++ b/testing/bench/src/endless/endless_engines.ts
@@ -5,7 +5,11 @@
  */
 
 import process from "node:process";
-import { renderAnswerHead, SiteEngine } from "@dandelionbank/standin-site";
+import {
+  renderAnswerHead,
+  sendWithoutEnd,
+  SiteEngine,
+} from "@dandelionbank/standin-site";
 
 const ENGINE_COUNT = 10;
 const CHUNK = Buffer.alloc(65_536, "x");
@@ -19,15 +23,8 @@
 );
 for (const engine of engines) {
   engine.script = (call) => {
-    const { socket } = call.response;
-    const send = () => {
-      while (!socket?.destroyed && socket?.write(CHUNK));
-    };
-    // The entry resets the connection.
-    socket?.on("error", () => undefined);
-    socket?.on("drain", send);
-    socket?.write(`${renderAnswerHead(call)}data: `);
-    send();
+    const start = `${renderAnswerHead(call)}data: `;
+    sendWithoutEnd(call, { start, repeated: CHUNK });
   };
 }
 console.log(JSON.stringify({
--- a/testing/ingress-tests/src/endless_answers_test.ts
+++ b/testing/ingress-tests/src/endless_answers_test.ts
@@ -9,6 +9,7 @@
   type EngineCall,
   type EngineScript,
   renderAnswerHead,
+  sendWithoutEnd,
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import type { Socket } from "node:net";
@@ -63,10 +64,9 @@
     const site = await startSite(t, { engines: 1 });
     const sockets: Socket[] = [];
     site.engines[0]!.script = (engineCall) => {
-      const socket = engineCall.response.socket!;
-      sockets.push(socket);
-      socket.write(renderStart(engineCall));
-      sendWithoutEnd(socket, repeated);
+      sockets.push(engineCall.response.socket!);
+      const start = renderStart(engineCall);
+      sendWithoutEnd(engineCall, { start, repeated });
     };
     const answer = await call(site, { path: "/live/a" });
     assert.ok(answer.status >= 500 || !answer.isComplete);
@@ -78,9 +78,8 @@
 test("Calm callers are served while ten targets send without end", async (t) => {
   const site = await startSite(t, { engines: 12 });
   const endless: EngineScript = (engineCall) => {
-    const socket = engineCall.response.socket!;
-    socket.write(`${renderAnswerHead(engineCall)}data: `);
-    sendWithoutEnd(socket, CHUNK);
+    const start = `${renderAnswerHead(engineCall)}data: `;
+    sendWithoutEnd(engineCall, { start, repeated: CHUNK });
   };
   for (const engine of site.engines.slice(2)) {
     const whole = engine.script;
@@ -103,13 +102,3 @@
   const grownBytes = process.memoryUsage().rss - before;
   assert.ok(grownBytes < 200_000_000, `${grownBytes} bytes`);
 });
-
-/** Writes `bytes` as fast as they are taken, until the connection is closed. */
-function sendWithoutEnd(socket: Socket, bytes: Buffer): void {
-  const send = () => {
-    while (!socket.destroyed && socket.write(bytes));
-  };
-  socket.on("drain", send);
-  socket.on("error", () => {});
-  send();
-}
--- a/testing/ingress-tests/src/target_notices_test.ts
+++ b/testing/ingress-tests/src/target_notices_test.ts
@@ -1,6 +1,6 @@
-import { HEADERS } from "@dandelionbank/platform-adapter";
 import {
   type EngineScript,
+  refuseFor,
   sendCompleteAnswer,
   SiteEngine,
   SiteStore,
@@ -29,17 +29,6 @@
     });
 }
 
-/** Refuses as not run, with the seconds in which nothing more is wanted. */
-function refuseFor(retryAfterS: number | string): EngineScript {
-  return ({ response }) => {
-    response.writeHead(503, {
-      [HEADERS.notRun]: "1",
-      "retry-after": String(retryAfterS),
-      "content-length": 0,
-    }).end();
-  };
-}
-
 async function callTimes(
   site: Pick<Site, "settings">,
   { path, count }: { readonly path: string; readonly count: number },
--- a/testing/site-soak/src/engine_fleet.ts
+++ b/testing/site-soak/src/engine_fleet.ts
@@ -8,6 +8,7 @@
 import {
   type EngineCall,
   refuseAsNotRun,
+  refuseFor,
   renderAnswerHead,
   resetConnection,
   sendCompleteAnswer,
@@ -170,16 +171,12 @@
   }
 
   /** Refuses the request if the engine wants nothing now. */
-  #refuseForTime(engine: SiteEngine, { response, body }: EngineCall): boolean {
+  #refuseForTime(engine: SiteEngine, call: EngineCall): boolean {
     const forMs = (this.#refusesUntilMs.get(engine) ?? 0) - performance.now();
     if (forMs <= 0) return false;
-    const entry = readEntryName(body);
+    const entry = readEntryName(call.body);
     this.notices.recordAnnouncement({ engine: engine.id, entry }, forMs);
-    response.writeHead(503, {
-      [HEADERS.notRun]: "1",
-      [HEADERS.retryAfter]: (forMs / MS_PER_S).toFixed(3),
-      "content-length": 0,
-    }).end();
+    refuseFor((forMs / MS_PER_S).toFixed(3))(call);
     return true;
   }
 }
--- a/testing/standin-site/src/mod.ts
+++ b/testing/standin-site/src/mod.ts
@@ -6,9 +6,11 @@
 export { HeldLink } from "./held_link.ts";
 export {
   refuseAsNotRun,
+  refuseFor,
   renderAnswerHead,
   resetConnection,
   sendCompleteAnswer,
+  sendWithoutEnd,
   SiteEngine,
   streamEvents,
 } from "./site_engine.ts";
--- a/testing/standin-site/src/site_engine.ts
+++ b/testing/standin-site/src/site_engine.ts
@@ -142,6 +142,36 @@
   response.writeHead(503, { [HEADERS.notRun]: "1", "content-length": 0 }).end();
 }
 
+/** Creates a script that refuses as not run, with the seconds in which nothing more is wanted. */
+export function refuseFor(retryAfterS: number | string): EngineScript {
+  return ({ response }) => {
+    response.writeHead(503, {
+      [HEADERS.notRun]: "1",
+      [HEADERS.retryAfter]: String(retryAfterS),
+      "content-length": 0,
+    }).end();
+  };
+}
+
+/**
+ * Writes `start`, and then `repeated` as fast as it is taken, until the
+ * connection is closed.
+ */
+export function sendWithoutEnd(
+  { response }: EngineCall,
+  { start, repeated }: { readonly start: string; readonly repeated: Buffer },
+): void {
+  const socket = response.socket!;
+  const send = () => {
+    while (!socket.destroyed && socket.write(repeated));
+  };
+  // An entry resets the connection.
+  socket.on("error", () => undefined);
+  socket.on("drain", send);
+  socket.write(start);
+  send();
+}
+
 /** Resets the connection after the request was read. */
 export function resetConnection({ response }: EngineCall): void {
   response.socket?.resetAndDestroy();
