Move the reading of a process's usage beside the benches that share it

Cause: process_usage.ts stood in the folder of the relay bench, while the benches of capacity and of targets without end import it.

Nothing else is changed.

--- a/testing/bench/src/capacity/path_cost.ts
+++ b/testing/bench/src/capacity/path_cost.ts
@@ -9,7 +9,7 @@
   CompletionCaller,
   createCompletionBody,
 } from "../relay/completion_caller.ts";
-import { readProcessUsage } from "../relay/process_usage.ts";
+import { readProcessUsage } from "../process_usage.ts";
 import { fitLine, type Point } from "./slope.ts";
 
 const ANSWER_LENGTHS_TOKENS = [8, 64, 256] as const;
--- a/testing/bench/src/endless/endless_bench.ts
+++ b/testing/bench/src/endless/endless_bench.ts
@@ -21,7 +21,7 @@
   type Figure,
   unbounded,
 } from "../bench.ts";
-import { readProcessUsage } from "../relay/process_usage.ts";
+import { readProcessUsage } from "../process_usage.ts";
 
 export const ENDLESS_BENCH: Bench = { name: "endless", run };
 
--- a/testing/bench/src/relay/measure_memory.ts
+++ b/testing/bench/src/relay/measure_memory.ts
@@ -2,7 +2,7 @@
 
 import { Site } from "@dandelionbank/run-site";
 import { atMost, type Figure, unbounded } from "../bench.ts";
-import { readProcessUsage } from "./process_usage.ts";
+import { readProcessUsage } from "../process_usage.ts";
 
 /** Memory limit for one control process on a node. */
 const MAX_RESIDENT_MB = 64;
--- a/testing/bench/src/relay/measure_throughput.ts
+++ b/testing/bench/src/relay/measure_throughput.ts
@@ -7,7 +7,7 @@
 import type { Site } from "@dandelionbank/run-site";
 import { atLeast, type Figure, unbounded } from "../bench.ts";
 import { CompletionCaller, createCompletionBody } from "./completion_caller.ts";
-import { readProcessUsage } from "./process_usage.ts";
+import { readProcessUsage } from "../process_usage.ts";
 
 const MIN_CHUNKS_PER_SECOND = 20_000;
 /** Number of concurrent streams. */
