Log and count the targets that are down and the answers lost with them

Change: event targetDown (10035) with the sign and the number of lost requests, and two counters, dandelionbank_targets_down_total and dandelionbank_requests_lost_with_targets_total. No decision changes.

--- a/daemon/forward-requests/src/crash_guard.ts
+++ b/daemon/forward-requests/src/crash_guard.ts
@@ -42,7 +42,9 @@
 
   /** Reports a failed attempt that may mean its target crashed. */
   recordFailure(target: string, outcome: AttemptOutcome): void {
-    if (outcome === "notSent") this.#monitor.recordTargetDown(target);
+    if (outcome === "notSent") {
+      this.#monitor.recordTargetDown(target, "connection failed");
+    }
     if (outcome === "broken" || outcome === "silent") {
       this.#monitor.recordLostAnswer(target, this.fingerprint);
     }
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -48,7 +48,7 @@
 import { readInstant } from "@dandelionbank/read-instant";
 import type { IngressConfiguration } from "@dandelionbank/types";
 import { KindWatcher } from "@dandelionbank/watch-kind";
-import { CrashMonitor } from "@dandelionbank/watch-suspects";
+import { CrashMetrics, CrashMonitor } from "@dandelionbank/watch-suspects";
 import type { RequestListener } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { ConfigurationView } from "./configuration_view.ts";
@@ -139,6 +139,7 @@
     const progress = createProgressTracker();
     this.#crashMonitor = CrashMonitor.create({
       logger,
+      metrics: CrashMetrics.create(registry),
       readNowMs: () => performance.now(),
     });
     this.#targets = TargetView.create({
@@ -148,7 +149,8 @@
       pools,
       progress,
       logger,
-      onTargetLost: (id) => this.#crashMonitor.recordTargetDown(id),
+      onTargetLost: (id) =>
+        this.#crashMonitor.recordTargetDown(id, "removed from the store"),
     });
     this.#admission = StreamAdmission.create({
       readLoad: (service, runMs) => this.#readLoad(service, runMs),
--- a/daemon/watch-suspects/src/crash_monitor.ts
+++ b/daemon/watch-suspects/src/crash_monitor.ts
@@ -14,6 +14,7 @@
   SuspectReport,
   Verdict,
 } from "@dandelionbank/quarantine-requests";
+import type { CrashMetrics } from "./crash_metrics.ts";
 import { QUARANTINE_MS, SuspectTask } from "./suspect_task.ts";
 
 /** How long a loss is repeated in the status, as a datagram may be lost. */
@@ -21,8 +22,12 @@
 /** Limits each list of a report, so that the status fits into a datagram. */
 const MAX_ITEMS_PER_LIST = 16;
 
+/** What showed that a target is down. */
+export type DownSign = "connection failed" | "removed from the store";
+
 export interface CrashMonitorOptions {
   readonly logger: Logger;
+  readonly metrics: CrashMetrics;
   readonly readNowMs: () => number;
 }
 
@@ -31,12 +36,14 @@
 }
 
 export class CrashMonitor {
+  readonly #options: CrashMonitorOptions;
   readonly #readNowMs: () => number;
   readonly #crashState = createCrashState();
   readonly #suspects: SuspectTask;
   #pendingReports: ExpiringReport[] = [];
 
   private constructor(options: CrashMonitorOptions) {
+    this.#options = options;
     this.#readNowMs = options.readNowMs;
     this.#suspects = SuspectTask.create({
       ...options,
@@ -94,19 +101,28 @@
   /** Records an answer lost after the target may have begun the request. */
   recordLostAnswer(target: string, fingerprint: string): void {
     const nowMs = this.#readNowMs();
-    this.#reportLosses(
+    const fingerprints = recordLostAnswer(this.#crashState, {
       target,
-      recordLostAnswer(this.#crashState, { target, fingerprint, nowMs }),
-    );
+      fingerprint,
+      nowMs,
+    });
+    if (fingerprints.length === 0) return;
+    this.#logTargetDown(target, { sign: "lost answer", fingerprints });
+    this.#reportLosses(target, fingerprints);
   }
 
   /** Records that the target accepts no connection, or has ended. */
-  recordTargetDown(target: string): void {
+  recordTargetDown(target: string, sign: DownSign): void {
     const nowMs = this.#readNowMs();
-    this.#reportLosses(
+    const { isNew, fingerprints } = recordTargetDown(this.#crashState, {
       target,
-      recordTargetDown(this.#crashState, { target, nowMs }),
-    );
+      nowMs,
+    });
+    if (isNew) this.#options.metrics.countTargetDown();
+    if (isNew || fingerprints.length > 0) {
+      this.#logTargetDown(target, { sign, fingerprints });
+    }
+    this.#reportLosses(target, fingerprints);
   }
 
   /** Applies the report of another entry. */
@@ -123,6 +139,22 @@
     this.#suspects.tick();
   }
 
+  #logTargetDown(
+    target: string,
+    { sign, fingerprints }: {
+      readonly sign: DownSign | "lost answer";
+      readonly fingerprints: readonly string[];
+    },
+  ): void {
+    const { logger, metrics } = this.#options;
+    metrics.countLostRequests(fingerprints.length);
+    logger.log("targetDown", {
+      target,
+      sign,
+      lostRequests: fingerprints.length,
+    });
+  }
+
   #reportLosses(target: string, fingerprints: readonly string[]): void {
     if (fingerprints.length === 0) return;
     this.#suspects.reportLosses(
--- a/daemon/watch-suspects/src/crash_monitor_test.ts
+++ b/daemon/watch-suspects/src/crash_monitor_test.ts
@@ -1,7 +1,8 @@
 import type { Logger } from "@dandelionbank/log-events";
+import { Registry } from "@dandelionbank/metrics";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { CrashMonitor } from "./mod.ts";
+import { CrashMetrics, CrashMonitor } from "./mod.ts";
 
 const SETTLED_MS = 1_100;
 
@@ -9,9 +10,9 @@
   const cluster = new Cluster();
   const [first, second] = cluster.monitors;
   first.recordLostAnswer("a", "crashing");
-  first.recordTargetDown("a");
+  first.recordTargetDown("a", "connection failed");
   second.recordLostAnswer("b", "crashing");
-  second.recordTargetDown("b");
+  second.recordTargetDown("b", "connection failed");
   cluster.exchangeReports();
   for (const monitor of cluster.monitors) {
     assert.equal(monitor.evaluate("crashing").kind, "quarantined");
@@ -28,7 +29,7 @@
   const [first, second] = cluster.monitors;
   for (const target of ["a", "b"]) {
     first.recordLostAnswer(target, "crashing");
-    first.recordTargetDown(target);
+    first.recordTargetDown(target, "connection failed");
   }
   cluster.advance(SETTLED_MS);
   cluster.advance(300_000);
@@ -46,7 +47,7 @@
   const [first, second] = cluster.monitors;
   for (const target of ["a", "b", "c"]) {
     first.recordLostAnswer(target, "popular");
-    first.recordTargetDown(target);
+    first.recordTargetDown(target, "connection failed");
     for (const monitor of cluster.monitors) monitor.recordAnswer("popular");
     cluster.exchangeReports();
     second.recordAnswer("popular");
@@ -60,7 +61,7 @@
 test("A target that goes down without lost answers makes no request suspect", () => {
   const cluster = new Cluster();
   const [first] = cluster.monitors;
-  first.recordTargetDown("a");
+  first.recordTargetDown("a", "connection failed");
   assert.ok(!first.hasSuspects);
   assert.deepEqual(first.pendingReport, { losses: [], quarantined: [] });
 });
@@ -70,7 +71,7 @@
   const [first] = cluster.monitors;
   for (let index = 0; index < 200; index++) {
     first.recordLostAnswer(`t${index}`, `f${index}`);
-    first.recordTargetDown(`t${index}`);
+    first.recordTargetDown(`t${index}`, "connection failed");
   }
   assert.equal(first.pendingReport.losses.length, 16);
   cluster.advance(2_000);
@@ -97,6 +98,7 @@
     const logger: Logger = { log: () => undefined };
     return CrashMonitor.create({
       logger,
+      metrics: CrashMetrics.create(new Registry()),
       readNowMs: () => this.#nowMs,
     });
   }
--- a/daemon/watch-suspects/src/mod.ts
+++ b/daemon/watch-suspects/src/mod.ts
@@ -1,5 +1,6 @@
 /** Detection and quarantine of requests that crash their targets. */
 
+export { CrashMetrics } from "./crash_metrics.ts";
 export { CrashMonitor } from "./crash_monitor.ts";
 export type { CrashMonitorOptions } from "./crash_monitor.ts";
 export { SuspectTask } from "./suspect_task.ts";
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -173,6 +173,13 @@
       'An answer of the store names the era "{era}", which is no number of at least 0; the last known era stays',
     help: "Check what answers at the store's address",
   },
+  targetDown: {
+    id: 10035,
+    level: "warn",
+    text:
+      "Target {target} is down ({sign}); answers to {lostRequests} requests of this entry were lost with it",
+    help: "Check the target's own logs; if several follow, look for event 7003",
+  },
   linesDropped: {
     id: 10030,
     level: "warn",
--- a/routing/detect-crashes/src/detect_crashes.ts
+++ b/routing/detect-crashes/src/detect_crashes.ts
@@ -14,6 +14,14 @@
 /** More than a target runs concurrently; older lost answers are dropped. */
 const MAX_LOST_PER_TARGET = 64;
 
+/** A target that is down, and what it was running. */
+export interface CrashedTarget {
+  /** False if the target was already known to be down. */
+  readonly isNew: boolean;
+  /** Distinct fingerprints of the requests whose answers were lost. */
+  readonly fingerprints: readonly string[];
+}
+
 interface LostAnswer {
   readonly fingerprint: string;
   readonly atMs: number;
@@ -53,18 +61,20 @@
 }
 
 /**
- * Records that a target is down. Returns the distinct fingerprints of the
- * requests that were running when it crashed.
+ * Records that a target is down. Returns the requests that were running when it
+ * crashed.
  */
 export function recordTargetDown(
   state: CrashState,
   { target, nowMs }: { readonly target: string; readonly nowMs: number },
-): readonly string[] {
+): CrashedTarget {
   expireOld(state, nowMs);
+  const isNew = !state.downAtMs.has(target);
   state.downAtMs.set(target, nowMs);
   const answers = state.lost.get(target) ?? [];
   state.lost.delete(target);
-  return [...new Set(answers.map(({ fingerprint }) => fingerprint))];
+  const fingerprints = new Set(answers.map(({ fingerprint }) => fingerprint));
+  return { isNew, fingerprints: [...fingerprints] };
 }
 
 function expireOld({ lost, downAtMs }: CrashState, nowMs: number): void {
--- a/routing/detect-crashes/src/detect_crashes_test.ts
+++ b/routing/detect-crashes/src/detect_crashes_test.ts
@@ -9,8 +9,14 @@
   recordLostAnswer(state, { target: "a", fingerprint: "g", nowMs: 2 });
   recordLostAnswer(state, { target: "b", fingerprint: "h", nowMs: 2 });
   const down = { target: "a", nowMs: 100 };
-  assert.deepEqual(recordTargetDown(state, down), ["f", "g"]);
-  assert.deepEqual(recordTargetDown(state, down), []);
+  assert.deepEqual(recordTargetDown(state, down), {
+    isNew: true,
+    fingerprints: ["f", "g"],
+  });
+  assert.deepEqual(recordTargetDown(state, down), {
+    isNew: false,
+    fingerprints: [],
+  });
 });
 
 test("Returns a request whose answer is lost after its target went down", () => {
@@ -24,7 +30,8 @@
 test("Ignores an answer that was lost long before its target went down", () => {
   const state = createCrashState();
   recordLostAnswer(state, { target: "a", fingerprint: "f", nowMs: 0 });
-  assert.deepEqual(recordTargetDown(state, { target: "a", nowMs: 5_000 }), []);
+  const down = recordTargetDown(state, { target: "a", nowMs: 5_000 });
+  assert.deepEqual(down.fingerprints, []);
 });
 
 test("Limits the lost answers stored per target", () => {
@@ -32,7 +39,7 @@
   for (let index = 0; index < 1_000; index++) {
     recordLostAnswer(state, { target: "a", fingerprint: `${index}`, nowMs: 0 });
   }
-  const crashed = recordTargetDown(state, { target: "a", nowMs: 1 });
-  assert.equal(crashed.length, 64);
-  assert.equal(crashed.at(-1), "999");
+  const { fingerprints } = recordTargetDown(state, { target: "a", nowMs: 1 });
+  assert.equal(fingerprints.length, 64);
+  assert.equal(fingerprints.at(-1), "999");
 });
--- a/routing/detect-crashes/src/mod.ts
+++ b/routing/detect-crashes/src/mod.ts
@@ -5,4 +5,4 @@
   recordLostAnswer,
   recordTargetDown,
 } from "./detect_crashes.ts";
-export type { CrashState } from "./detect_crashes.ts";
+export type { CrashedTarget, CrashState } from "./detect_crashes.ts";
