--- a/testing/standin-site/src/mod.ts
+++ b/testing/standin-site/src/mod.ts
@@ -3,6 +3,8 @@
  * The platform of `dandelionbankd` is simulated by `standin-platform`.
  */
 
+export { CrashingEngines } from "./crashing_engines.ts";
+export type { Arrival, CrashingEnginesOptions } from "./crashing_engines.ts";
 export { HeldLink } from "./held_link.ts";
 export {
   refuseAsNotRun,
