Refuse prompt parts that crash targets, and no others

Cause: a request that crashes targets was recognised by a digest of the whole of it, so requests of which no two are alike had one loss each. Behind that, two faults of attribution: answers that a group loses when it stalls were ascribed to the rank that crashed next, within five seconds; and runs of one target were told apart by its id alone.

Change: quarantine-prompts compares the parts of interrupted requests with those of answered ones, over all entries, and refuses a part that is lost in three crashes and never answered while others are. detect-crashes narrows what a crash interrupted; entries tell each other which targets refuse connections; runs are named by id and start. Requests that wait when a part is found end at once. Why it works: sound requests share the other parts, so those are answered again and again, and only the crashing part is not.

--- a/daemon/exchange-status/src/parse_status.ts
+++ b/daemon/exchange-status/src/parse_status.ts
@@ -1,6 +1,7 @@
 /** Validates status datagrams, since other programs may send to the port too. */
 
 import type { EntryStatus } from "@dandelionbank/track-entries";
+import { EMPTY_PROMPT_REPORT } from "@dandelionbank/quarantine-prompts";
 import { parseAddress } from "@dandelionbank/platform-adapter";
 import * as v from "valibot";
 
@@ -9,6 +10,22 @@
   v.check((text) => parseAddress(text) !== undefined),
 );
 const NON_NEGATIVE = v.pipe(v.number(), v.finite(), v.minValue(0));
+const PROMPTS = v.object({
+  crashes: v.array(v.object({
+    target: v.string(),
+    ageMs: NON_NEGATIVE,
+    parts: v.array(v.object({
+      part: v.string(),
+      requests: NON_NEGATIVE,
+      depth: NON_NEGATIVE,
+    })),
+  })),
+  survived: v.array(v.object({ part: v.string(), ageMs: NON_NEGATIVE })),
+  survivedPrompts: NON_NEGATIVE,
+  quarantined: v.array(
+    v.object({ part: v.string(), remainingMs: NON_NEGATIVE }),
+  ),
+});
 const STATUS = v.pipe(
   v.string(),
   v.parseJson(),
@@ -28,7 +45,9 @@
       })),
       quarantined: v.array(v.string()),
     }),
-    // Entries of earlier versions do not send these two.
+    // Entries of earlier versions do not send the following.
+    prompts: v.optional(PROMPTS, EMPTY_PROMPT_REPORT),
+    downTargets: v.optional(v.array(v.string()), []),
     targetLimits: v.optional(
       v.array(v.object({
         target: v.string(),
--- a/daemon/exchange-status/src/parse_status_test.ts
+++ b/daemon/exchange-status/src/parse_status_test.ts
@@ -14,6 +14,17 @@
     losses: [{ fingerprint: "f", target: "t", alone: false }],
     quarantined: ["g"],
   },
+  prompts: {
+    crashes: [{
+      target: "t@5",
+      ageMs: 30,
+      parts: [{ part: "a1", requests: 2, depth: 1 }],
+    }],
+    survived: [{ part: "b2", ageMs: 40 }],
+    survivedPrompts: 12,
+    quarantined: [{ part: "c3", remainingMs: 5_000 }],
+  },
+  downTargets: ["t@5"],
   targetLimits: [
     { target: "t", perSecond: 1.5, ageMs: 20 },
     { target: "u", perSecond: null, ageMs: 0 },
@@ -37,6 +48,9 @@
     { ...STATUS, activeByService: null },
     { ...STATUS, suspects: { losses: [{}], quarantined: [] } },
     { ...STATUS, suspects: { losses: [], quarantined: [1] } },
+    { ...STATUS, prompts: { ...STATUS.prompts, crashes: [{}] } },
+    { ...STATUS, prompts: { ...STATUS.prompts, survivedPrompts: "12" } },
+    { ...STATUS, downTargets: "t" },
   ];
   for (const value of invalid) {
     assert.equal(parseStatus(JSON.stringify(value)), undefined);
--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -42,6 +42,8 @@
 export interface AttemptFailure {
   readonly outcome: AttemptOutcome;
   readonly reason: string;
+  /** Code of the connection's error, if it failed. */
+  readonly errorCode: string | undefined;
   readonly load: TargetLoad | undefined;
   /** The target that caused the failure, if it is another one. */
   readonly targetAtFault: string | undefined;
@@ -128,7 +130,11 @@
         onData: (chunk) => this.#handleData(chunk),
         onEnd: () => this.#handleEnd(),
         onError: (error, wasSent) =>
-          this.#fail(wasSent ? "broken" : "notSent", describe(error)),
+          this.#fail(
+            wasSent ? "broken" : "notSent",
+            describe(error),
+            (error as NodeJS.ErrnoException).code,
+          ),
       },
     );
   }
@@ -194,13 +200,14 @@
     this.#fail(isOwnAnswer ? "failed" : "broken", `status ${head.status}`);
   }
 
-  #fail(outcome: AttemptOutcome, reason: string): void {
+  #fail(outcome: AttemptOutcome, reason: string, errorCode?: string): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     const head = this.#head;
     this.#listener.onFailed({
       outcome,
       reason,
+      errorCode,
       load: head?.load,
       targetAtFault: head?.targetAtFault,
       isMisdirected: head?.status === STATUS_MISDIRECTED,
--- a/daemon/forward-requests/src/crash_guard.ts
+++ b/daemon/forward-requests/src/crash_guard.ts
@@ -1,17 +1,37 @@
 /**
  * Reports the attempts of one request to the crash monitor, and checks whether
- * the request is quarantined because it has crashed targets.
+ * the request is quarantined because it, or a part of its prompt, has crashed
+ * targets.
  */
 
 import { digestRequest } from "@dandelionbank/digest-bodies";
-import type { AttemptOutcome } from "@dandelionbank/decide-retries";
-import type { CrashMonitor } from "@dandelionbank/watch-suspects";
+import type { CrashMonitor, TargetRun } from "@dandelionbank/watch-suspects";
+import type { AttemptFailure } from "./attempt.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
+/**
+ * Events of an answer, and the time over which they came, after which its target
+ * has not crashed when it began to write.
+ */
+const SURVIVED_EVENTS = 6;
+const SURVIVED_MS = 300;
+const CONNECTION_REFUSED = "ECONNREFUSED";
+
+/** Why and for how long a request is refused. */
+export type Quarantine =
+  & { readonly retryAfterMs: number }
+  & (
+    | { readonly kind: "request"; readonly fingerprint: string }
+    | { readonly kind: "promptPart"; readonly part: string }
+  );
+
 export class CrashGuard {
   readonly #monitor: CrashMonitor;
   readonly #request: RoutedRequest;
   #digest: string | undefined;
+  #eventCount = 0;
+  #firstEventAtMs = 0;
+  #lastEventAtMs = 0;
 
   private constructor(monitor: CrashMonitor, request: RoutedRequest) {
     this.#monitor = monitor;
@@ -22,31 +42,81 @@
     return new CrashGuard(monitor, request);
   }
 
-  /** A digest that is the same whenever the caller repeats the request. */
-  get fingerprint(): string {
-    const { method, path, body, organisation = "" } = this.#request;
-    return this.#digest ??= digestRequest({ organisation, method, path, body });
+  /** The quarantine of the request; undefined if it may be sent. */
+  findQuarantine(): Quarantine | undefined {
+    const quarantined = this.#monitor.findQuarantinedPart(this.#promptParts);
+    if (quarantined !== undefined) {
+      const { part, remainingMs } = quarantined;
+      return { kind: "promptPart", part, retryAfterMs: remainingMs };
+    }
+    if (!this.#monitor.hasSuspects) return undefined;
+    const fingerprint = this.#fingerprint;
+    const verdict = this.#monitor.evaluate(fingerprint);
+    if (verdict.kind !== "quarantined") return undefined;
+    return {
+      kind: "request",
+      fingerprint,
+      retryAfterMs: verdict.retryAfterMs,
+    };
   }
 
-  /** Remaining quarantine of the request; undefined if it may be sent. */
-  get quarantineMs(): number | undefined {
-    if (!this.#monitor.hasSuspects) return undefined;
-    const verdict = this.#monitor.evaluate(this.fingerprint);
-    return verdict.kind === "quarantined" ? verdict.retryAfterMs : undefined;
+  /** Records that another attempt begins. */
+  recordAttempt(): void {
+    this.#eventCount = 0;
+  }
+
+  /** Records that an event of the attempt's answer has arrived. */
+  recordEvent(): void {
+    this.#lastEventAtMs = performance.now();
+    if (this.#eventCount === 0) this.#firstEventAtMs = this.#lastEventAtMs;
+    this.#eventCount += 1;
+  }
+
+  recordTargetAlive(target: TargetRun): void {
+    this.#monitor.recordTargetAlive(target);
   }
 
   /** Reports that a target answered, so the request did not crash it. */
   recordAnswer(): void {
-    if (this.#monitor.hasSuspects) this.#monitor.recordAnswer(this.fingerprint);
+    this.#monitor.recordSurvival(this.#promptParts);
+    if (this.#monitor.hasSuspects) {
+      this.#monitor.recordAnswer(this.#fingerprint);
+    }
   }
 
   /** Reports a failed attempt that may mean its target crashed. */
-  recordFailure(target: string, outcome: AttemptOutcome): void {
+  recordFailure(
+    target: TargetRun,
+    { outcome, errorCode }: Pick<AttemptFailure, "outcome" | "errorCode">,
+  ): void {
     if (outcome === "notSent") {
-      this.#monitor.recordTargetDown(target, "connection failed");
-    }
-    if (outcome === "broken" || outcome === "silent") {
-      this.#monitor.recordLostAnswer(target, this.fingerprint);
+      const isRefused = errorCode === CONNECTION_REFUSED;
+      this.#monitor.recordTargetDown(
+        target,
+        isRefused ? "connection refused" : "connection failed",
+      );
     }
+    if (outcome !== "broken" && outcome !== "silent") return;
+    if (this.#hasSurvived) this.#monitor.recordSurvival(this.#promptParts);
+    this.#monitor.recordLostAnswer(target, {
+      fingerprint: this.#fingerprint,
+      promptParts: this.#hasSurvived ? [] : this.#promptParts,
+    });
+  }
+
+  /** True if the target has written for longer than until a crash. */
+  get #hasSurvived(): boolean {
+    return this.#eventCount >= SURVIVED_EVENTS &&
+      this.#lastEventAtMs - this.#firstEventAtMs >= SURVIVED_MS;
+  }
+
+  get #promptParts(): readonly string[] {
+    return this.#request.head.sharedPromptParts;
+  }
+
+  /** A digest that is the same whenever the caller repeats the request. */
+  get #fingerprint(): string {
+    const { method, path, body, organisation = "" } = this.#request;
+    return this.#digest ??= digestRequest({ organisation, method, path, body });
   }
 }
--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -45,6 +45,11 @@
     for (const task of [...this.#tasks]) task.cutForResume();
   }
 
+  /** Ends the requests that have been quarantined since they began. */
+  endQuarantined(): void {
+    for (const task of [...this.#tasks]) task.endIfQuarantined();
+  }
+
   /** Reads the request's body, and then answers or starts the request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = performance.now();
--- a/daemon/forward-requests/src/request_log.ts
+++ b/daemon/forward-requests/src/request_log.ts
@@ -6,6 +6,7 @@
 import type { NextAction } from "@dandelionbank/decide-retries";
 import type { RegisteredTarget } from "@dandelionbank/types";
 import type { AttemptFailure } from "./attempt.ts";
+import type { Quarantine } from "./crash_guard.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import type { AdmissionDecision } from "./stream_admission.ts";
 
@@ -73,16 +74,20 @@
     logger.log("streamRefused", { requestId, predictedWaitMs, ...load });
   }
 
-  logQuarantined(
-    { fingerprint, retryAfterMs }: {
-      readonly fingerprint: string;
-      readonly retryAfterMs: number;
-    },
-  ): void {
-    this.#context.logger.log("requestRefusedCrashing", {
-      requestId: this.#options.requestId,
+  logQuarantined(quarantine: Quarantine): void {
+    const { logger } = this.#context;
+    const { requestId } = this.#options;
+    const retryAfterMs = Math.round(quarantine.retryAfterMs);
+    if (quarantine.kind === "promptPart") {
+      const { part } = quarantine;
+      logger.log("requestRefusedPromptPart", { requestId, part, retryAfterMs });
+      return;
+    }
+    const { fingerprint } = quarantine;
+    logger.log("requestRefusedCrashing", {
+      requestId,
       fingerprint,
-      retryAfterMs: Math.round(retryAfterMs),
+      retryAfterMs,
     });
   }
 
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -28,7 +28,7 @@
   type FailureResponse,
 } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
-import { CrashGuard } from "./crash_guard.ts";
+import { CrashGuard, type Quarantine } from "./crash_guard.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { RequestLog } from "./request_log.ts";
 import { computeTimeoutMs, type RoutedRequest } from "./routed_request.ts";
@@ -145,6 +145,19 @@
     this.#finish("handedOver", this.#relay.status);
   }
 
+  /**
+   * Ends the request if it is quarantined by now, unless its target has already
+   * begun the answer.
+   */
+  endIfQuarantined(): void {
+    if (this.#hasEnded || this.#hasAnswerBegun) return;
+    const quarantine = this.#crashGuard.findQuarantine();
+    if (quarantine === undefined) return;
+    if (this.#targets.current !== undefined) this.#mayHaveRun = true;
+    this.#stopAttempt();
+    this.#refuseCrashing(quarantine);
+  }
+
   get #isStream(): boolean {
     return this.#request.route.kind === "stream";
   }
@@ -157,6 +170,8 @@
       () => this.#handleTimeout(),
       Math.max(0, this.#deadlineAtMs - nowMs),
     );
+    const quarantine = this.#crashGuard.findQuarantine();
+    if (quarantine !== undefined) return this.#refuseCrashing(quarantine);
     const profile = this.#profile;
     if (profile === undefined || !this.#isStream) return this.#sendNext();
     this.#requestAdmission(profile);
@@ -191,8 +206,8 @@
 
   /** Sends the request to a target that was not tried before. */
   #sendNext(): void {
-    const { quarantineMs } = this.#crashGuard;
-    if (quarantineMs !== undefined) return this.#refuseCrashing(quarantineMs);
+    const quarantine = this.#crashGuard.findQuarantine();
+    if (quarantine !== undefined) return this.#refuseCrashing(quarantine);
     const target = this.#targets.selectNext();
     if (target === undefined) {
       return this.#performFinalAction(
@@ -205,6 +220,7 @@
     this.#attemptCount += 1;
     this.#sentTargetCount += 1;
     this.#hasAnswerBegun = false;
+    this.#crashGuard.recordAttempt();
     this.#log.logAttemptSent(target, {
       attempt: this.#attemptCount,
       remainingMs,
@@ -214,12 +230,11 @@
   }
 
   /** Refuses a request that is quarantined for crashing targets. */
-  #refuseCrashing(retryAfterMs: number): void {
-    const { fingerprint } = this.#crashGuard;
-    this.#log.logQuarantined({ fingerprint, retryAfterMs });
+  #refuseCrashing(quarantine: Quarantine): void {
+    this.#log.logQuarantined(quarantine);
     const action = decideFinalAction(this.#progress, "refused");
     if (action.type !== "refuse") return this.#performFinalAction(action);
-    this.#refuse("refusedCrashing", retryAfterMs);
+    this.#refuse("refusedCrashing", quarantine.retryAfterMs);
   }
 
   #send(target: RegisteredTarget, remainingMs: number): Attempt {
@@ -236,8 +251,10 @@
     return Attempt.send(this.#context.pools.getPool(target), {
       request: { attemptId: head.attemptId, method, path, headers, body },
       listener: {
-        onHead: ({ notices }) =>
-          this.#targets.reportNotices({ notices, sentAtMs: this.#sentAtMs }),
+        onHead: ({ notices }) => {
+          this.#crashGuard.recordTargetAlive(target);
+          this.#targets.reportNotices({ notices, sentAtMs: this.#sentAtMs });
+        },
         onSuccess: (answerHead, answerFields) => {
           this.#hasAnswerBegun = true;
           this.#recordProgress();
@@ -253,7 +270,9 @@
             this.#attempt?.abort("broken", overflow);
             return;
           }
-          if (this.#isStream && hasProgress) this.#recordProgress();
+          if (!this.#isStream || !hasProgress) return;
+          this.#crashGuard.recordEvent();
+          this.#recordProgress();
         },
         findDefect: () => this.#relay.findDefect(),
         onComplete: () => this.#handleComplete(),
@@ -279,9 +298,10 @@
   /** Ends or retries the request after a failed attempt. */
   #handleFailure(failure: AttemptFailure): void {
     const { outcome, load, failureResponse } = failure;
-    const target = this.#targets.current?.id;
+    const { current } = this.#targets;
+    const target = current?.id;
     this.#stopTimers();
-    this.#reportTarget(failure, target);
+    if (current !== undefined) this.#reportTarget(failure, current);
     if (isTargetLost(outcome)) this.#targets.releaseAsLost();
     else this.#targets.release(load);
     const next = this.#decideNext(outcome);
@@ -304,15 +324,14 @@
 
   /** Reports what the failed attempt shows about its target. */
   #reportTarget(
-    { outcome, isMisdirected }: AttemptFailure,
-    target: string | undefined,
+    failure: AttemptFailure,
+    target: RegisteredTarget,
   ): void {
-    if (target === undefined) return;
     const { pools, reportMisdirected } = this.#context;
-    this.#crashGuard.recordFailure(target, outcome);
+    this.#crashGuard.recordFailure(target, failure);
     // The target's other connections may be dead as well.
-    if (outcome === "silent") pools.drainPool(target);
-    if (isMisdirected) reportMisdirected(target);
+    if (failure.outcome === "silent") pools.drainPool(target.id);
+    if (failure.isMisdirected) reportMisdirected(target.id);
   }
 
   #decideNext(outcome: AttemptOutcome): NextAction {
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -139,8 +139,11 @@
     const progress = createProgressTracker();
     this.#crashMonitor = CrashMonitor.create({
       logger,
+      entry: settings.name,
       metrics: CrashMetrics.create(registry),
       readNowMs: () => performance.now(),
+      onCulprit: () => undefined,
+      onPartQuarantined: () => this.#forwarder.endQuarantined(),
     });
     this.#targets = TargetView.create({
       reregistrationMs: bounds.targetReregistrationMs,
@@ -149,8 +152,11 @@
       pools,
       progress,
       logger,
-      onTargetLost: (id) =>
-        this.#crashMonitor.recordTargetDown(id, "removed from the store"),
+      onTargetLost: (target, reason) =>
+        this.#crashMonitor.recordTargetDown(
+          target,
+          reason === "removed" ? "removed from the store" : "started anew",
+        ),
     });
     this.#admission = StreamAdmission.create({
       readLoad: (service, runMs) => this.#readLoad(service, runMs),
@@ -340,7 +346,9 @@
   }
 
   /** Applies what another entry has observed of its targets. */
-  #applyStatus({ targetLimits, leavingTargets }: EntryStatus): void {
+  #applyStatus(status: EntryStatus): void {
+    const { name, targetLimits, leavingTargets } = status;
+    this.#crashMonitor.applyReport(name, status);
     const changes = this.#notices.applyReports(
       { limits: targetLimits, leaving: leavingTargets },
       performance.now(),
@@ -352,9 +360,6 @@
     this.#otherEntries = otherEntries;
     const names = otherEntries.map(({ name }) => name);
     this.#notices.setOtherEntries(names, performance.now());
-    for (const { suspects } of otherEntries) {
-      this.#crashMonitor.applyReport(suspects);
-    }
     this.#crashMonitor.tick();
   }
 
@@ -369,7 +374,7 @@
       takesCallers: this.#isReady,
       mayUseKeys: this.#mayUseKeys,
       activeByService: this.#admission.countActive(),
-      suspects: this.#crashMonitor.pendingReport,
+      ...this.#crashMonitor.pendingReport,
       targetLimits: limits,
       leavingTargets: leaving,
     };
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -37,8 +37,11 @@
   readonly pools: TargetPools;
   readonly progress: ProgressTracker;
   readonly logger: Logger;
-  /** Called when a target disappears that was not draining. */
-  readonly onTargetLost: (id: string) => void;
+  /** Called when a target disappears, or starts anew, that was not draining. */
+  readonly onTargetLost: (
+    target: RegisteredTarget,
+    reason: "removed" | "startedAnew",
+  ) => void;
 }
 
 export class TargetView {
@@ -128,11 +131,7 @@
     const before = [...this.#tracker.targets.values()];
     const hasChanged = updateTargets(this.#tracker, event, performance.now());
     if (!hasChanged) return;
-    for (const { id, isDraining } of before) {
-      if (!isDraining && this.findTarget(id) === undefined) {
-        this.#options.onTargetLost(id);
-      }
-    }
+    for (const target of before) this.#reportIfLost(target);
     const targets = [...this.#tracker.targets.values()];
     stepPlacement(this.#options.placement, {
       type: "targetsChanged",
@@ -149,6 +148,16 @@
     this.#logChange(targets, event);
   }
 
+  #reportIfLost(before: RegisteredTarget): void {
+    if (before.isDraining) return;
+    const after = this.findTarget(before.id);
+    if (after === undefined) {
+      this.#options.onTargetLost(before, "removed");
+    } else if (after.startedAtMs !== before.startedAtMs) {
+      this.#options.onTargetLost(before, "startedAnew");
+    }
+  }
+
   #logChange(targets: readonly RegisteredTarget[], event: TargetsEvent): void {
     const services = new Set(targets.map(({ service }) => service));
     const changed = event.type === "put" ? event.target.service : undefined;
--- a/daemon/watch-suspects/src/crash_monitor.ts
+++ b/daemon/watch-suspects/src/crash_monitor.ts
@@ -1,19 +1,30 @@
 /**
  * Detects requests that crash their targets, on a platform that does not report
  * crashes: correlates lost answers with targets that went down, quarantines the
- * requests responsible, and shares both with the other entries.
+ * requests and the prompt parts responsible, and shares what it finds with the
+ * other entries.
  */
 
 import {
+  type Crash,
   createCrashState,
+  type LostRequest,
   recordLostAnswer,
+  recordTargetAlive,
   recordTargetDown,
 } from "@dandelionbank/detect-crashes";
 import type { Logger } from "@dandelionbank/log-events";
+import {
+  type LostPart,
+  PromptQuarantine,
+  type QuarantinedPart,
+} from "@dandelionbank/quarantine-prompts";
 import type {
   SuspectReport,
   Verdict,
 } from "@dandelionbank/quarantine-requests";
+import type { CrashStatus } from "@dandelionbank/track-entries";
+import type { RegisteredTarget } from "@dandelionbank/types";
 import type { CrashMetrics } from "./crash_metrics.ts";
 import { QUARANTINE_MS, SuspectTask } from "./suspect_task.ts";
 
@@ -22,29 +33,63 @@
 /** Limits each list of a report, so that the status fits into a datagram. */
 const MAX_ITEMS_PER_LIST = 16;
 
+const PROMPT_QUARANTINE_OPTIONS = {
+  quarantineMs: QUARANTINE_MS,
+  // Two rounds of the status, so that one lost datagram is made up for.
+  settleMs: 600,
+  retentionMs: QUARANTINE_MS,
+  maxSurvivals: 10_000,
+  maxCrashes: 256,
+} as const;
+
 /** What showed that a target is down. */
-export type DownSign = "connection failed" | "removed from the store";
+export type DownSign =
+  | "connection refused"
+  | "connection failed"
+  | "removed from the store"
+  | "started anew"
+  | "another entry";
+
+/** One run of a target's process. */
+export type TargetRun = Pick<RegisteredTarget, "id" | "startedAtMs">;
 
 export interface CrashMonitorOptions {
+  /** Name of this entry. */
+  readonly entry: string;
   readonly logger: Logger;
   readonly metrics: CrashMetrics;
   readonly readNowMs: () => number;
+  /** Called with each prompt part that this entry has found to crash targets. */
+  readonly onCulprit: (part: string) => void;
+  /** Called when requests with a further prompt part are refused. */
+  readonly onPartQuarantined: () => void;
 }
 
 interface ExpiringReport extends SuspectReport {
   readonly untilMs: number;
 }
 
+interface DownReport {
+  readonly target: string;
+  readonly atMs: number;
+}
+
 export class CrashMonitor {
   readonly #options: CrashMonitorOptions;
   readonly #readNowMs: () => number;
   readonly #crashState = createCrashState();
   readonly #suspects: SuspectTask;
+  readonly #prompts: PromptQuarantine;
   #pendingReports: ExpiringReport[] = [];
+  #downReports: readonly DownReport[] = [];
 
   private constructor(options: CrashMonitorOptions) {
     this.#options = options;
     this.#readNowMs = options.readNowMs;
+    this.#prompts = PromptQuarantine.create({
+      ...PROMPT_QUARANTINE_OPTIONS,
+      entry: options.entry,
+    });
     this.#suspects = SuspectTask.create({
       ...options,
       broadcastLosses: (losses) =>
@@ -57,6 +102,9 @@
           QUARANTINE_MS,
         ),
     });
+    options.metrics.watchQuarantinedParts(() =>
+      this.#prompts.listQuarantined(this.#readNowMs()).length
+    );
   }
 
   static create(options: CrashMonitorOptions): CrashMonitor {
@@ -68,18 +116,23 @@
    * many targets may go down at once, and a message for each loss would then
    * overload the links.
    */
-  get pendingReport(): SuspectReport {
+  get pendingReport(): CrashStatus {
     const nowMs = this.#readNowMs();
-    this.#pendingReports = this.#pendingReports.filter(({ untilMs }) =>
-      nowMs < untilMs
+    const isRecent = ({ untilMs }: ExpiringReport) => nowMs < untilMs;
+    this.#pendingReports = this.#pendingReports.filter(isRecent);
+    this.#downReports = this.#downReports.filter(({ atMs }) =>
+      nowMs - atMs < LOSS_REPORT_DURATION_MS
     );
+    const reports = this.#pendingReports;
     return {
-      losses: this.#pendingReports.flatMap(({ losses }) => losses).slice(
-        -MAX_ITEMS_PER_LIST,
-      ),
-      quarantined: this.#pendingReports.flatMap(({ quarantined }) =>
-        quarantined
-      )
+      suspects: {
+        losses: reports.flatMap(({ losses }) => losses)
+          .slice(-MAX_ITEMS_PER_LIST),
+        quarantined: reports.flatMap(({ quarantined }) => quarantined)
+          .slice(-MAX_ITEMS_PER_LIST),
+      },
+      prompts: this.#prompts.createReport(nowMs),
+      downTargets: this.#downReports.map(({ target }) => target)
         .slice(-MAX_ITEMS_PER_LIST),
     };
   }
@@ -93,78 +146,143 @@
     return this.#suspects.evaluate(fingerprint);
   }
 
+  /** Returns the first of a prompt's parts for which its request is refused. */
+  findQuarantinedPart(parts: readonly string[]): QuarantinedPart | undefined {
+    return this.#prompts.findQuarantined(parts, this.#readNowMs());
+  }
+
   /** Records that a target has answered the request. */
   recordAnswer(fingerprint: string): void {
     this.#suspects.recordAnswer(fingerprint);
   }
 
+  /** Records that a target has written an answer to the prompt, or most of it. */
+  recordSurvival(promptParts: readonly string[]): void {
+    if (promptParts.length === 0) return;
+    this.#prompts.recordSurvival(promptParts, this.#readNowMs());
+  }
+
   /** Records an answer lost after the target may have begun the request. */
-  recordLostAnswer(target: string, fingerprint: string): void {
+  recordLostAnswer(run: TargetRun, request: LostRequest): void {
     const nowMs = this.#readNowMs();
-    const fingerprints = recordLostAnswer(this.#crashState, {
+    const target = formatRun(run);
+    const crash = recordLostAnswer(this.#crashState, {
       target,
-      fingerprint,
+      request,
       nowMs,
     });
-    if (fingerprints.length === 0) return;
-    this.#logTargetDown(target, { sign: "lost answer", fingerprints });
-    this.#reportLosses(target, fingerprints);
+    if (crash !== undefined) this.#reportCrash(crash, "lost answer");
   }
 
   /** Records that the target accepts no connection, or has ended. */
-  recordTargetDown(target: string, sign: DownSign): void {
-    const nowMs = this.#readNowMs();
-    const { isNew, fingerprints } = recordTargetDown(this.#crashState, {
-      target,
-      nowMs,
-    });
-    if (isNew) this.#options.metrics.countTargetDown();
-    if (isNew || fingerprints.length > 0) {
-      this.#logTargetDown(target, { sign, fingerprints });
+  recordTargetDown(run: TargetRun, sign: DownSign): void {
+    const target = formatRun(run);
+    if (sign === "connection refused") {
+      this.#downReports = [
+        ...this.#downReports.filter((report) => report.target !== target),
+        { target, atMs: this.#readNowMs() },
+      ];
     }
-    this.#reportLosses(target, fingerprints);
+    this.#recordDown(target, sign);
+  }
+
+  /** Records that the target has sent an answer. */
+  recordTargetAlive(run: TargetRun): void {
+    recordTargetAlive(this.#crashState, {
+      target: formatRun(run),
+      nowMs: this.#readNowMs(),
+    });
   }
 
   /** Applies the report of another entry. */
-  applyReport({ losses, quarantined }: SuspectReport): void {
+  applyReport(
+    entry: string,
+    { suspects, prompts, downTargets }: CrashStatus,
+  ): void {
+    for (const target of downTargets) {
+      this.#recordDown(target, "another entry");
+    }
+    const { losses, quarantined } = suspects;
     if (losses.length > 0) this.#suspects.applyRemoteLosses(losses);
     for (const fingerprint of quarantined) {
       // A repeated report must not extend the quarantine.
       if (this.evaluate(fingerprint).kind === "quarantined") continue;
       this.#suspects.applyRemoteQuarantine(fingerprint);
     }
+    const nowMs = this.#readNowMs();
+    const adopted = this.#prompts.applyReport(prompts, { entry, nowMs });
+    this.#reportAdopted(adopted, entry);
+  }
+
+  /** Refuses prompt parts that entries have found before this one started. */
+  adoptQuarantinedParts(
+    quarantined: readonly QuarantinedPart[],
+    source: string,
+  ): void {
+    const nowMs = this.#readNowMs();
+    const adopted = quarantined.filter((part) =>
+      this.#prompts.adopt(part, nowMs)
+    );
+    this.#reportAdopted(adopted, source);
   }
 
   tick(): void {
     this.#suspects.tick();
+    const culprits = this.#prompts.tick(this.#readNowMs());
+    for (const { part, targets, requests } of culprits) {
+      this.#options.logger.log("promptPartQuarantined", {
+        part,
+        quarantineMs: PROMPT_QUARANTINE_OPTIONS.quarantineMs,
+        requests,
+        targets: targets.join(", "),
+      });
+      this.#options.onCulprit(part);
+    }
+    if (culprits.length > 0) this.#options.onPartQuarantined();
   }
 
-  #logTargetDown(
-    target: string,
-    { sign, fingerprints }: {
-      readonly sign: DownSign | "lost answer";
-      readonly fingerprints: readonly string[];
-    },
-  ): void {
-    const { logger, metrics } = this.#options;
-    metrics.countLostRequests(fingerprints.length);
-    logger.log("targetDown", {
-      target,
-      sign,
-      lostRequests: fingerprints.length,
-    });
+  #recordDown(target: string, sign: DownSign): void {
+    const nowMs = this.#readNowMs();
+    const crash = recordTargetDown(this.#crashState, { target, nowMs });
+    if (crash.isNew) this.#options.metrics.countTargetDown();
+    if (crash.isNew || crash.added.length > 0) this.#reportCrash(crash, sign);
   }
 
-  #reportLosses(target: string, fingerprints: readonly string[]): void {
-    if (fingerprints.length === 0) return;
+  #reportCrash(
+    { target, atMs, lost, added }: Crash,
+    sign: DownSign | "lost answer",
+  ): void {
+    const { logger, metrics } = this.#options;
+    metrics.countLostRequests(added.length);
+    const lostRequests = added.length;
+    logger.log("targetDown", { target, sign, lostRequests });
+    if (lostRequests === 0) return;
     this.#suspects.reportLosses(
-      fingerprints.map((fingerprint) => ({
-        fingerprint,
-        target,
-        // More losses at this target may follow, also from other entries.
-        alone: false,
-      })),
+      [...new Set(added.map(({ fingerprint }) => fingerprint))].map(
+        (fingerprint) => ({
+          fingerprint,
+          target,
+          // More losses at this target may follow, also from other entries.
+          alone: false,
+        }),
+      ),
     );
+    const nowMs = this.#readNowMs();
+    this.#prompts.recordCrash(
+      { target, ageMs: nowMs - atMs, parts: countParts(lost) },
+      nowMs,
+    );
+  }
+
+  #reportAdopted(adopted: readonly QuarantinedPart[], source: string): void {
+    for (const { part, remainingMs } of adopted) {
+      this.#options.logger.log("promptPartQuarantineAdopted", {
+        part,
+        source,
+        remainingMs: Math.round(remainingMs),
+      });
+    }
+    if (adopted.length > 0) this.#options.onPartQuarantined();
   }
 
   #addToReport(report: SuspectReport, durationMs: number): void {
@@ -172,3 +290,24 @@
     this.#pendingReports.push({ ...report, untilMs });
   }
 }
+
+/** Counts the requests in which each prompt part occurs. */
+function countParts(requests: readonly LostRequest[]): readonly LostPart[] {
+  const byPart = new Map<string, LostPart>();
+  for (const { promptParts } of requests) {
+    promptParts.forEach((part, position) => {
+      const known = byPart.get(part);
+      byPart.set(part, {
+        part,
+        requests: (known?.requests ?? 0) + 1,
+        depth: Math.max(known?.depth ?? 0, position),
+      });
+    });
+  }
+  return [...byPart.values()];
+}
+
+/** Distinguishes the runs of a target that starts again under its id. */
+function formatRun({ id, startedAtMs }: TargetRun): string {
+  return startedAtMs === undefined ? id : `${id}@${startedAtMs}`;
+}
--- a/daemon/watch-suspects/src/crash_monitor_test.ts
+++ b/daemon/watch-suspects/src/crash_monitor_test.ts
@@ -1,18 +1,19 @@
+import type { LostRequest } from "@dandelionbank/detect-crashes";
 import type { Logger } from "@dandelionbank/log-events";
 import { Registry } from "@dandelionbank/metrics";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { CrashMetrics, CrashMonitor } from "./mod.ts";
+import { CrashMetrics, CrashMonitor, type TargetRun } from "./mod.ts";
 
 const SETTLED_MS = 1_100;
 
 test("Entries combine their losses to find a request that crashes targets", () => {
   const cluster = new Cluster();
   const [first, second] = cluster.monitors;
-  first.recordLostAnswer("a", "crashing");
-  first.recordTargetDown("a", "connection failed");
-  second.recordLostAnswer("b", "crashing");
-  second.recordTargetDown("b", "connection failed");
+  first.recordLostAnswer(run("a"), lost("crashing"));
+  first.recordTargetDown(run("a"), "connection failed");
+  second.recordLostAnswer(run("b"), lost("crashing"));
+  second.recordTargetDown(run("b"), "connection failed");
   cluster.exchangeReports();
   for (const monitor of cluster.monitors) {
     assert.equal(monitor.evaluate("crashing").kind, "quarantined");
@@ -28,8 +29,8 @@
   const cluster = new Cluster();
   const [first, second] = cluster.monitors;
   for (const target of ["a", "b"]) {
-    first.recordLostAnswer(target, "crashing");
-    first.recordTargetDown(target, "connection failed");
+    first.recordLostAnswer(run(target), lost("crashing"));
+    first.recordTargetDown(run(target), "connection failed");
   }
   cluster.advance(SETTLED_MS);
   cluster.advance(300_000);
@@ -46,8 +47,8 @@
   const cluster = new Cluster();
   const [first, second] = cluster.monitors;
   for (const target of ["a", "b", "c"]) {
-    first.recordLostAnswer(target, "popular");
-    first.recordTargetDown(target, "connection failed");
+    first.recordLostAnswer(run(target), lost("popular"));
+    first.recordTargetDown(run(target), "connection failed");
     for (const monitor of cluster.monitors) monitor.recordAnswer("popular");
     cluster.exchangeReports();
     second.recordAnswer("popular");
@@ -61,32 +62,36 @@
 test("A target that goes down without lost answers makes no request suspect", () => {
   const cluster = new Cluster();
   const [first] = cluster.monitors;
-  first.recordTargetDown("a", "connection failed");
+  first.recordTargetDown(run("a"), "connection failed");
   assert.ok(!first.hasSuspects);
-  assert.deepEqual(first.pendingReport, { losses: [], quarantined: [] });
+  const { suspects, prompts } = first.pendingReport;
+  assert.deepEqual(suspects, { losses: [], quarantined: [] });
+  assert.deepEqual(prompts.crashes, []);
 });
 
 test("Losses are reported for a limited time and in a limited number", () => {
   const cluster = new Cluster();
   const [first] = cluster.monitors;
   for (let index = 0; index < 200; index++) {
-    first.recordLostAnswer(`t${index}`, `f${index}`);
-    first.recordTargetDown(`t${index}`, "connection failed");
+    first.recordLostAnswer(run(`t${index}`), lost(`f${index}`));
+    first.recordTargetDown(run(`t${index}`), "connection failed");
   }
-  assert.equal(first.pendingReport.losses.length, 16);
+  assert.equal(first.pendingReport.suspects.losses.length, 16);
   cluster.advance(2_000);
-  assert.equal(first.pendingReport.losses.length, 0);
+  assert.equal(first.pendingReport.suspects.losses.length, 0);
 });
 
 class Cluster {
   #nowMs = 0;
-  readonly monitors = [this.#create(), this.#create()] as const;
+  readonly monitors = [this.#create(0), this.#create(1)] as const;
 
   exchangeReports(): void {
     const reports = this.monitors.map((monitor) => monitor.pendingReport);
-    for (const monitor of this.monitors) {
-      reports.forEach((report) => monitor.applyReport(report));
-    }
+    this.monitors.forEach((monitor, index) => {
+      reports.forEach((report, source) => {
+        if (source !== index) monitor.applyReport(`entry-${source}`, report);
+      });
+    });
   }
 
   advance(durationMs: number): void {
@@ -94,12 +99,23 @@
     for (const monitor of this.monitors) monitor.tick();
   }
 
-  #create(): CrashMonitor {
+  #create(index: number): CrashMonitor {
     const logger: Logger = { log: () => undefined };
     return CrashMonitor.create({
+      entry: `entry-${index}`,
       logger,
       metrics: CrashMetrics.create(new Registry()),
       readNowMs: () => this.#nowMs,
+      onCulprit: () => undefined,
+      onPartQuarantined: () => undefined,
     });
   }
 }
+
+function run(id: string): TargetRun {
+  return { id, startedAtMs: undefined };
+}
+
+function lost(fingerprint: string): LostRequest {
+  return { fingerprint, promptParts: [] };
+}
--- a/daemon/watch-suspects/src/mod.ts
+++ b/daemon/watch-suspects/src/mod.ts
@@ -2,6 +2,10 @@
 
 export { CrashMetrics } from "./crash_metrics.ts";
 export { CrashMonitor } from "./crash_monitor.ts";
-export type { CrashMonitorOptions } from "./crash_monitor.ts";
+export type {
+  CrashMonitorOptions,
+  DownSign,
+  TargetRun,
+} from "./crash_monitor.ts";
 export { SuspectTask } from "./suspect_task.ts";
 export type { SuspectTaskOptions } from "./suspect_task.ts";
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -178,7 +178,29 @@
     level: "warn",
     text:
       "Target {target} is down ({sign}); answers to {lostRequests} requests of this entry were lost with it",
-    help: "Check the target's own logs; if several follow, look for event 7003",
+    help:
+      "Check the target's own logs; if several follow, look for events 7003 and 10036",
+  },
+  promptPartQuarantined: {
+    id: 10036,
+    level: "warn",
+    text:
+      "Requests with prompt part {part} are refused for {quarantineMs} ms: each of the targets {targets} crashed while running some of {requests} such requests",
+    help: "Check what callers send in that part; see docs/OPERATIONS.md",
+  },
+  promptPartQuarantineAdopted: {
+    id: 10037,
+    level: "warn",
+    text:
+      "Requests with prompt part {part} are refused for {remainingMs} ms, as found by {source}",
+    help: "See event 10036 of the entry that found it",
+  },
+  requestRefusedPromptPart: {
+    id: 10038,
+    level: "info",
+    text:
+      "Request {requestId} with prompt part {part} is refused for {retryAfterMs} ms: targets crashed while running such requests",
+    help: "Check what callers send in that part",
   },
   linesDropped: {
     id: 10030,
--- a/foundation/types/src/registered_target.ts
+++ b/foundation/types/src/registered_target.ts
@@ -11,4 +11,9 @@
   readonly dataCentre: string;
   readonly slots: number;
   readonly isDraining: boolean;
+  /**
+   * Start of the target's process in Unix milliseconds, which distinguishes the
+   * runs that share an id; undefined if it states none.
+   */
+  readonly startedAtMs: number | undefined;
 }
--- a/routing/detect-crashes/src/detect_crashes.ts
+++ b/routing/detect-crashes/src/detect_crashes.ts
@@ -11,53 +11,84 @@
  * three missed heartbeats, which are about one second apart.
  */
 const CRASH_WINDOW_MS = 5_000;
+/**
+ * A crash breaks all connections of its target at once, so an answer that was lost
+ * earlier than this before the last one was not lost in the crash.
+ */
+const CRASH_SPREAD_MS = 1_000;
+/**
+ * An answer that was sent before a crash may be read shortly after the break of
+ * another connection.
+ */
+const ALIVE_DELAY_MS = 250;
 /** More than a target runs concurrently; older lost answers are dropped. */
 const MAX_LOST_PER_TARGET = 64;
 
-/** A target that is down, and what it was running. */
-export interface CrashedTarget {
+/** A request whose answer was lost. */
+export interface LostRequest {
+  readonly fingerprint: string;
+  /** Parts of its prompt that may be the cause if its target has crashed. */
+  readonly promptParts: readonly string[];
+}
+
+/** A target that is down, and the requests that its crash interrupted. */
+export interface Crash {
+  readonly target: string;
   /** False if the target was already known to be down. */
   readonly isNew: boolean;
-  /** Distinct fingerprints of the requests whose answers were lost. */
-  readonly fingerprints: readonly string[];
+  /** When the first answer was lost; the time of detection if none was. */
+  readonly atMs: number;
+  /** All requests that are known to have been interrupted. */
+  readonly lost: readonly LostRequest[];
+  /** Those of them that were not returned before. */
+  readonly added: readonly LostRequest[];
 }
 
 interface LostAnswer {
-  readonly fingerprint: string;
+  readonly request: LostRequest;
   readonly atMs: number;
 }
 
+interface DownTarget {
+  /** Time of the latest detection. */
+  detectedAtMs: number;
+  readonly answers: LostAnswer[];
+}
+
 /** Opaque; mutated in place. */
 export interface CrashState {
-  /** Lost answers by target. */
+  /** Lost answers by target, of targets that are not known to be down. */
   readonly lost: Map<string, LostAnswer[]>;
-  /** Time of the latest detection that each target is down. */
-  readonly downAtMs: Map<string, number>;
+  readonly down: Map<string, DownTarget>;
 }
 
 export function createCrashState(): CrashState {
-  return { lost: new Map(), downAtMs: new Map() };
+  return { lost: new Map(), down: new Map() };
 }
 
 /**
  * Records that the answer to a request that the target may have started was lost.
- * Returns the request's fingerprint if the target is already known to be down.
+ * Returns the crash if the target is already known to be down.
  */
 export function recordLostAnswer(
   state: CrashState,
-  { target, fingerprint, nowMs }: {
+  { target, request, nowMs }: {
     readonly target: string;
-    readonly fingerprint: string;
+    readonly request: LostRequest;
     readonly nowMs: number;
   },
-): readonly string[] {
+): Crash | undefined {
   expireOld(state, nowMs);
-  if (state.downAtMs.has(target)) return [fingerprint];
+  const answer: LostAnswer = { request, atMs: nowMs };
+  const down = state.down.get(target);
+  if (down !== undefined) {
+    addAnswer(down.answers, answer);
+    return createCrash({ target, down, added: [answer], isNew: false });
+  }
   const answers = state.lost.get(target) ?? [];
-  answers.push({ fingerprint, atMs: nowMs });
-  if (answers.length > MAX_LOST_PER_TARGET) answers.shift();
+  addAnswer(answers, answer);
   state.lost.set(target, answers);
-  return [];
+  return undefined;
 }
 
 /**
@@ -67,19 +98,65 @@
 export function recordTargetDown(
   state: CrashState,
   { target, nowMs }: { readonly target: string; readonly nowMs: number },
-): CrashedTarget {
+): Crash {
   expireOld(state, nowMs);
-  const isNew = !state.downAtMs.has(target);
-  state.downAtMs.set(target, nowMs);
-  const answers = state.lost.get(target) ?? [];
+  const known = state.down.get(target);
+  if (known !== undefined) {
+    known.detectedAtMs = nowMs;
+    return createCrash({ target, down: known, added: [], isNew: false });
+  }
+  const answers = selectInterrupted(state.lost.get(target) ?? []);
   state.lost.delete(target);
-  const fingerprints = new Set(answers.map(({ fingerprint }) => fingerprint));
-  return { isNew, fingerprints: [...fingerprints] };
+  const down: DownTarget = { detectedAtMs: nowMs, answers };
+  state.down.set(target, down);
+  return createCrash({ target, down, added: answers, isNew: true });
+}
+
+/** Records that a target has answered, so it has not crashed until then. */
+export function recordTargetAlive(
+  { lost, down }: CrashState,
+  { target, nowMs }: { readonly target: string; readonly nowMs: number },
+): void {
+  const answers = lost.get(target) ?? [];
+  const recent = answers.filter(({ atMs }) => nowMs - atMs < ALIVE_DELAY_MS);
+  if (recent.length > 0) lost.set(target, recent);
+  else lost.delete(target);
+  const detectedAtMs = down.get(target)?.detectedAtMs ?? nowMs;
+  if (nowMs - detectedAtMs >= ALIVE_DELAY_MS) down.delete(target);
+}
+
+function addAnswer(answers: LostAnswer[], answer: LostAnswer): void {
+  answers.push(answer);
+  if (answers.length > MAX_LOST_PER_TARGET) answers.shift();
+}
+
+function selectInterrupted(answers: readonly LostAnswer[]): LostAnswer[] {
+  const lastMs = answers.at(-1)?.atMs ?? 0;
+  return answers.filter(({ atMs }) => lastMs - atMs < CRASH_SPREAD_MS);
+}
+
+function createCrash(
+  { target, down, added, isNew }: {
+    readonly target: string;
+    readonly down: DownTarget;
+    readonly added: readonly LostAnswer[];
+    readonly isNew: boolean;
+  },
+): Crash {
+  const { answers, detectedAtMs } = down;
+  const timesMs = answers.map(({ atMs }) => atMs);
+  return {
+    target,
+    isNew,
+    atMs: Math.min(detectedAtMs, ...timesMs),
+    lost: answers.map(({ request }) => request),
+    added: added.map(({ request }) => request),
+  };
 }
 
-function expireOld({ lost, downAtMs }: CrashState, nowMs: number): void {
-  for (const [target, atMs] of downAtMs) {
-    if (nowMs - atMs >= CRASH_WINDOW_MS) downAtMs.delete(target);
+function expireOld({ lost, down }: CrashState, nowMs: number): void {
+  for (const [target, { detectedAtMs }] of down) {
+    if (nowMs - detectedAtMs >= CRASH_WINDOW_MS) down.delete(target);
   }
   for (const [target, answers] of lost) {
     const fresh = answers.filter(({ atMs }) => nowMs - atMs < CRASH_WINDOW_MS);
--- a/routing/detect-crashes/src/mod.ts
+++ b/routing/detect-crashes/src/mod.ts
@@ -3,6 +3,7 @@
 export {
   createCrashState,
   recordLostAnswer,
+  recordTargetAlive,
   recordTargetDown,
 } from "./detect_crashes.ts";
-export type { CrashedTarget, CrashState } from "./detect_crashes.ts";
+export type { Crash, CrashState, LostRequest } from "./detect_crashes.ts";
--- a/routing/track-entries/src/entry_tracker.ts
+++ b/routing/track-entries/src/entry_tracker.ts
@@ -5,14 +5,23 @@
  * of a group.
  */
 
+import type { PromptReport } from "@dandelionbank/quarantine-prompts";
 import type { SuspectReport } from "@dandelionbank/quarantine-requests";
 import type { LimitReport } from "@dandelionbank/share-target-limits";
 
 /** Fewer entries than this in a data centre leave no alternative for failover. */
 const MIN_NEAR_ENTRIES = 2;
 
+/** What an entry publishes about targets that crashed and the requests on them. */
+export interface CrashStatus {
+  readonly suspects: SuspectReport;
+  readonly prompts: PromptReport;
+  /** Runs of targets that refuse connections. */
+  readonly downTargets: readonly string[];
+}
+
 /** Status that an entry publishes about itself. */
-export interface EntryStatus {
+export interface EntryStatus extends CrashStatus {
   readonly name: string;
   /** Address for callers, `IP:PORT`. */
   readonly callersAddress: string;
@@ -25,7 +34,6 @@
   readonly mayUseKeys: boolean;
   /** Requests in flight at targets, by service. */
   readonly activeByService: Readonly<Record<string, number>>;
-  readonly suspects: SuspectReport;
   /** Limits that targets have named in answers to this entry. */
   readonly targetLimits: readonly LimitReport[];
   /** Targets that said in answers to this entry that they leave. */
--- a/routing/track-entries/src/entry_tracker_test.ts
+++ b/routing/track-entries/src/entry_tracker_test.ts
@@ -1,3 +1,4 @@
+import { EMPTY_PROMPT_REPORT } from "@dandelionbank/quarantine-prompts";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
@@ -64,6 +65,8 @@
     mayUseKeys: true,
     activeByService: {},
     suspects: { losses: [], quarantined: [] },
+    prompts: EMPTY_PROMPT_REPORT,
+    downTargets: [],
     targetLimits: [],
     leavingTargets: [],
     ...fields,
--- a/routing/track-entries/src/mod.ts
+++ b/routing/track-entries/src/mod.ts
@@ -7,4 +7,8 @@
   recordEntryStatus,
   sumActiveRequests,
 } from "./entry_tracker.ts";
-export type { EntryStatus, EntryTracker } from "./entry_tracker.ts";
+export type {
+  CrashStatus,
+  EntryStatus,
+  EntryTracker,
+} from "./entry_tracker.ts";
--- a/routing/track-targets/src/target_tracker_test.ts
+++ b/routing/track-targets/src/target_tracker_test.ts
@@ -140,5 +140,6 @@
     dataCentre: "d",
     slots: 8,
     isDraining: false,
+    startedAtMs: undefined,
   };
 }
--- a/testing/soak/src/registry.ts
+++ b/testing/soak/src/registry.ts
@@ -5,6 +5,7 @@
 import { LIMITS_SOAK } from "./limits/limits_soak.ts";
 import { LEASES_SOAK } from "./leases/leases_soak.ts";
 import { MAP_SOAK } from "./map/map_soak.ts";
+import { PROMPTS_SOAK } from "./prompts/prompts_soak.ts";
 import { REQUESTS_SOAK } from "./requests/requests_soak.ts";
 
 export const SOAKS: readonly Soak[] = [
@@ -13,4 +14,5 @@
   REQUESTS_SOAK,
   LIMITS_SOAK,
   CONFIG_SOAK,
+  PROMPTS_SOAK,
 ];
--- a/testing/soak/src/soak_test.ts
+++ b/testing/soak/src/soak_test.ts
@@ -48,6 +48,10 @@
     "loansWithinLimits",
     "limitUsableAfterFaults",
   ],
+  prompts: [
+    "crashingPromptsRefused",
+    "soundPromptsServed",
+  ],
 };
 
 for (const soak of SOAKS) {
