Keep the prompt parts that crash targets over a loss of all entries

Callers would see targets crash again after all entries were killed at once: what they had found was in their memory only, and status reaches an entry that starts anew only from one that runs. Change: an entry writes each part that it finds to the store and lists the stored ones at its start; expired ones are removed then. retryCall is shared with the registration of entries. The stand-in of crashing engines starts no engine after it was closed, which kept a failed test from ending.

--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -52,6 +52,7 @@
 import type { RequestListener } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { ConfigurationView } from "./configuration_view.ts";
+import { QuarantinedPartsStore } from "./quarantined_parts_store.ts";
 import { registerEntry } from "./register_entry.ts";
 import { TargetView } from "./target_view.ts";
 
@@ -99,6 +100,7 @@
   readonly #notices: TrackedNotices;
   readonly #exchange: StatusExchange;
   readonly #crashMonitor: CrashMonitor;
+  readonly #quarantinedParts: QuarantinedPartsStore;
   readonly #callerServer: HttpListener;
   readonly #servers: HttpListener[] = [];
   readonly #watchers: KindWatcher[] = [];
@@ -137,12 +139,16 @@
     });
     const pools = TargetPools.create();
     const progress = createProgressTracker();
+    this.#quarantinedParts = QuarantinedPartsStore.create({
+      client: this.#client,
+      isStopped: () => this.#isStopped,
+    });
     this.#crashMonitor = CrashMonitor.create({
       logger,
       entry: settings.name,
       metrics: CrashMetrics.create(registry),
       readNowMs: () => performance.now(),
-      onCulprit: () => undefined,
+      onCulprit: (part) => void this.#quarantinedParts.save(part),
       onPartQuarantined: () => this.#forwarder.endQuarantined(),
     });
     this.#targets = TargetView.create({
@@ -238,6 +244,7 @@
       this.#admission.updateLoads();
     }, REFRESH_INTERVAL_MS);
     void this.#register();
+    void this.#adoptStoredQuarantines();
   }
 
   /**
@@ -295,8 +302,7 @@
       active: this.#configuration,
       logger,
       onApplied: (applied) => this.#applyLimits(applied),
-      // The copy may lack the registration of this entry, or of others.
-      onRestored: () => void this.#register(),
+      onRestored: () => void this.#restoreOwnObjects(),
     });
     const shared = { client: this.#client, waitMs, logger };
     this.#watchers.push(
@@ -326,6 +332,19 @@
     logger.log("entryRegistered", { entry: settings.name, others });
   }
 
+  /** Writes again what a store that was restored from a copy may lack. */
+  async #restoreOwnObjects(): Promise<void> {
+    await this.#register();
+    for (const part of this.#crashMonitor.listQuarantinedParts()) {
+      await this.#quarantinedParts.save(part);
+    }
+  }
+
+  async #adoptStoredQuarantines(): Promise<void> {
+    const quarantined = await this.#quarantinedParts.load();
+    this.#crashMonitor.adoptQuarantinedParts(quarantined, "the store");
+  }
+
   #applyLimits({ limits }: IngressConfiguration): void {
     this.#callerServer.setKeepAliveTimeout(
       limits.idleTimeoutMs * IDLE_TIMEOUT_FACTOR,
--- /dev/null
+++ b/daemon/serve-ingress/src/quarantined_parts_store.ts
@@ -0,0 +1,102 @@
+/**
+ * Keeps the prompt parts that crash targets in the store, for entries that all
+ * start anew at the same time. Entries that run tell each other in their status.
+ *
+ * The time of a quarantine is stored by the wall clock. Clocks of VMs differ by
+ * seconds, which is little against the duration of a quarantine.
+ */
+
+import {
+  KINDS,
+  type StoreClient,
+  type StoredItem,
+} from "@dandelionbank/platform-adapter";
+import { QUARANTINE_MS } from "@dandelionbank/watch-suspects";
+import { retryCall } from "./retry_call.ts";
+
+/** A stored time that differs less is not written again. */
+const MIN_CHANGE_MS = 60_000;
+
+export interface QuarantinedPartsStoreOptions {
+  readonly client: StoreClient;
+  readonly isStopped: () => boolean;
+}
+
+interface StoredQuarantine {
+  /** Unix milliseconds. */
+  readonly endsAtMs: number;
+}
+
+/** A prompt part whose requests are refused. */
+interface PartQuarantine {
+  readonly part: string;
+  readonly remainingMs: number;
+}
+
+export class QuarantinedPartsStore {
+  readonly #options: QuarantinedPartsStoreOptions;
+
+  private constructor(options: QuarantinedPartsStoreOptions) {
+    this.#options = options;
+  }
+
+  static create(options: QuarantinedPartsStoreOptions): QuarantinedPartsStore {
+    return new QuarantinedPartsStore(options);
+  }
+
+  /** Reads the parts that are refused now, and removes those that no longer are. */
+  async load(): Promise<readonly PartQuarantine[]> {
+    const { client, isStopped } = this.#options;
+    const items = await retryCall(async () => {
+      const result = await client.list(KINDS.quarantinedParts);
+      return result.kind === "ok" ? result.value.items : undefined;
+    }, isStopped);
+    const nowMs = Date.now();
+    const stored = (items ?? []).map((item) => ({
+      item,
+      remainingMs: (readEnd(item) ?? 0) - nowMs,
+    }));
+    for (const { item, remainingMs } of stored) {
+      // A part that stays because this is lost is removed at a later start.
+      if (remainingMs <= 0) await client.remove(KINDS.quarantinedParts, item);
+    }
+    return stored
+      .filter(({ remainingMs }) => remainingMs > 0)
+      .map(({ item, remainingMs }) => ({
+        part: item.name,
+        remainingMs: Math.min(remainingMs, QUARANTINE_MS),
+      }));
+  }
+
+  /** Stores the part, retrying until the store holds it. */
+  async save({ part, remainingMs }: PartQuarantine): Promise<void> {
+    const spec: StoredQuarantine = { endsAtMs: Date.now() + remainingMs };
+    await retryCall(
+      async () => await this.#write({ name: part, spec }) ? true : undefined,
+      this.#options.isStopped,
+    );
+  }
+
+  /** Returns true if the store holds the part. */
+  async #write(
+    { name, spec }: { readonly name: string; readonly spec: StoredQuarantine },
+  ): Promise<boolean> {
+    const { client } = this.#options;
+    const kind = KINDS.quarantinedParts;
+    const created = await client.create(kind, { name, spec });
+    if (created.kind === "ok") return true;
+    // Other entries find the same part at the same time.
+    if (created.kind !== "conflict" || !created.current) return false;
+    const { current } = created;
+    const difference = Math.abs((readEnd(current) ?? 0) - spec.endsAtMs);
+    if (difference < MIN_CHANGE_MS) return true;
+    const { revision } = current;
+    const replaced = await client.replace(kind, { name, revision, spec });
+    return replaced.kind === "ok";
+  }
+}
+
+function readEnd({ spec }: StoredItem): number | undefined {
+  const endsAtMs = (spec as Partial<StoredQuarantine> | null)?.endsAtMs;
+  return typeof endsAtMs === "number" ? endsAtMs : undefined;
+}
--- a/daemon/serve-ingress/src/register_entry.ts
+++ b/daemon/serve-ingress/src/register_entry.ts
@@ -3,16 +3,12 @@
  * all registered entries. An entry keeps its name across restarts.
  */
 
-import { computeBackoffMs } from "@dandelionbank/back-off";
 import {
   KINDS,
   type StoreClient,
   type StoredItem,
 } from "@dandelionbank/platform-adapter";
-import { setTimeout as delay } from "node:timers/promises";
-
-const FIRST_BACKOFF_MS = 200;
-const LONGEST_BACKOFF_MS = 3_000;
+import { retryCall } from "./retry_call.ts";
 
 export interface RegisteredEntry {
   readonly peerAddress: string;
@@ -30,19 +26,15 @@
     readonly isStopped: () => boolean;
   },
 ): Promise<readonly string[]> {
-  for (let failures = 1; !isStopped(); failures++) {
-    const spec: RegisteredEntry = { peerAddress };
-    if (await writeEntry(client, { name, spec })) {
-      const result = await client.list(KINDS.entries);
-      if (result.kind === "ok") return result.value.items.flatMap(readAddress);
-    }
-    await delay(computeBackoffMs(failures, {
-      firstMs: FIRST_BACKOFF_MS,
-      longestMs: LONGEST_BACKOFF_MS,
-      random: Math.random(),
-    }));
-  }
-  return [];
+  const spec: RegisteredEntry = { peerAddress };
+  const addresses = await retryCall(async () => {
+    if (!await writeEntry(client, { name, spec })) return undefined;
+    const result = await client.list(KINDS.entries);
+    return result.kind === "ok"
+      ? result.value.items.flatMap(readAddress)
+      : undefined;
+  }, isStopped);
+  return addresses ?? [];
 }
 
 /** Writes the entry; returns true if the store holds it. */
--- a/daemon/watch-suspects/src/crash_monitor.ts
+++ b/daemon/watch-suspects/src/crash_monitor.ts
@@ -60,7 +60,7 @@
   readonly metrics: CrashMetrics;
   readonly readNowMs: () => number;
   /** Called with each prompt part that this entry has found to crash targets. */
-  readonly onCulprit: (part: string) => void;
+  readonly onCulprit: (part: QuarantinedPart) => void;
   /** Called when requests with a further prompt part are refused. */
   readonly onPartQuarantined: () => void;
 }
@@ -103,7 +103,7 @@
         ),
     });
     options.metrics.watchQuarantinedParts(() =>
-      this.#prompts.listQuarantined(this.#readNowMs()).length
+      this.listQuarantinedParts().length
     );
   }
 
@@ -226,17 +226,23 @@
     this.#reportAdopted(adopted, source);
   }
 
+  /** Lists the prompt parts whose requests are refused now. */
+  listQuarantinedParts(): readonly QuarantinedPart[] {
+    return this.#prompts.listQuarantined(this.#readNowMs());
+  }
+
   tick(): void {
     this.#suspects.tick();
+    const { quarantineMs } = PROMPT_QUARANTINE_OPTIONS;
     const culprits = this.#prompts.tick(this.#readNowMs());
     for (const { part, targets, requests } of culprits) {
       this.#options.logger.log("promptPartQuarantined", {
         part,
-        quarantineMs: PROMPT_QUARANTINE_OPTIONS.quarantineMs,
+        quarantineMs,
         requests,
         targets: targets.join(", "),
       });
-      this.#options.onCulprit(part);
+      this.#options.onCulprit({ part, remainingMs: quarantineMs });
     }
     if (culprits.length > 0) this.#options.onPartQuarantined();
   }
--- a/daemon/watch-suspects/src/mod.ts
+++ b/daemon/watch-suspects/src/mod.ts
@@ -7,5 +7,5 @@
   DownSign,
   TargetRun,
 } from "./crash_monitor.ts";
-export { SuspectTask } from "./suspect_task.ts";
+export { QUARANTINE_MS, SuspectTask } from "./suspect_task.ts";
 export type { SuspectTaskOptions } from "./suspect_task.ts";
--- a/testing/ingress-tests/src/crashing_prompts_test.ts
+++ b/testing/ingress-tests/src/crashing_prompts_test.ts
@@ -4,6 +4,7 @@
   call,
   createConfiguration,
   EntryProgram,
+  waitFor,
 } from "@dandelionbank/run-entry";
 import {
   CrashingEngines,
@@ -28,6 +29,8 @@
 /** Enough for five crashes, each of which stops the group for some 600 ms. */
 const CRASHES_MS = 6_000;
 const MEASURED_MS = 2_500;
+/** Time for which requests with the part are sent to restarted entries. */
+const RESTARTED_MS = 2_000;
 
 for (const keepsIds of [false, true]) {
   const restart = keepsIds ? "under their ids" : "under other ids";
@@ -56,6 +59,26 @@
   });
 }
 
+test("Entries that are all killed and restarted still refuse a prompt part that crashes engines", async (t) => {
+  const site = await startCrashingSite(t, { keepsIds: false });
+  const { engines, entries } = site;
+  await delay(BASELINE_MS);
+  site.sendsCrashing = true;
+  const hasFound = (entry: EntryProgram) =>
+    entry.hasLogged("promptPartQuarantined") ||
+    entry.hasLogged("promptPartQuarantineAdopted");
+  await waitFor(() => entries.every(hasFound), { timeoutMs: CRASHES_MS });
+  site.sendsCrashing = false;
+  await Promise.all(entries.map((entry) => entry.stop("SIGKILL")));
+  await Promise.all(entries.map((entry) => entry.start()));
+  const crashCount = engines.crashesMs.length;
+  const arrivalCount = countCrashingArrivals(engines);
+  site.sendsCrashing = true;
+  await delay(RESTARTED_MS);
+  assert.equal(countCrashingArrivals(engines), arrivalCount);
+  assert.equal(engines.crashesMs.length, crashCount);
+});
+
 interface SoundResult {
   readonly sentAtMs: number;
   readonly hasBegun: boolean;
@@ -63,7 +86,7 @@
 
 class CrashingSite {
   readonly engines: CrashingEngines;
-  readonly #entries: readonly EntryProgram[];
+  readonly entries: readonly EntryProgram[];
   readonly #random = Random.create(33);
   /** The sound calls that have ended. */
   readonly results: SoundResult[] = [];
@@ -75,7 +98,7 @@
     entries: readonly EntryProgram[],
   ) {
     this.engines = engines;
-    this.#entries = entries;
+    this.entries = entries;
   }
 
   static create(
@@ -97,7 +120,7 @@
       `0${number}`,
     ];
     const isSound = middleParts.length === 0;
-    void call(this.#random.pick(this.#entries), {
+    void call(this.#random.pick(this.entries), {
       path: "/stream/a",
       body: `prompt ${number}`,
       headers: {
@@ -144,6 +167,10 @@
   return site;
 }
 
+function countCrashingArrivals({ arrivals }: CrashingEngines): number {
+  return arrivals.filter(({ call }) => isCrashing(call)).length;
+}
+
 function isCrashing({ headers }: EngineCall): boolean {
   const parts = String(headers[HEADERS.promptPrefixHashes] ?? "");
   return parts.includes(CRASHING_PART);
--- a/testing/standin-site/src/crashing_engines.ts
+++ b/testing/standin-site/src/crashing_engines.ts
@@ -47,6 +47,7 @@
   readonly crashesMs: number[] = [];
   #lastNumber = 0;
   #downCount = 0;
+  #isClosed = false;
   /** Resolves when the group no longer stalls. */
   #stall: Promise<unknown> = Promise.resolve();
 
@@ -66,6 +67,7 @@
   }
 
   async close(): Promise<void> {
+    this.#isClosed = true;
     await Promise.all([...this.#engines].map((engine) => engine.close()));
   }
 
@@ -137,6 +139,7 @@
     await this.#stall;
     for (const breakOff of [...this.#breakOffs]) breakOff();
     await delay(RESTART_MS - STALL_MS);
+    if (this.#isClosed) return;
     this.#lastNumber += 1;
     await this.#start(keepsIds ? engine.id : `rank-${this.#lastNumber}`);
     this.#downCount -= 1;
