Test the quarantine of prompt parts at each of its steps

Cause: the decision, the guard of a request and the exchange between entries were covered together by crashing_prompts_test only, and three functions counted the parts of lost requests.

--- a/daemon/forward-requests/src/crash_guard.ts
+++ b/daemon/forward-requests/src/crash_guard.ts
@@ -10,10 +10,10 @@
 import type { RoutedRequest } from "./routed_request.ts";
 
 /**
- * Events of an answer, and the time over which they came, after which its target
+ * Pieces of an answer, and the time over which they came, after which its target
  * has not crashed when it began to write.
  */
-const SURVIVED_EVENTS = 6;
+const SURVIVED_PIECES = 6;
 const SURVIVED_MS = 300;
 const CONNECTION_REFUSED = "ECONNREFUSED";
 
@@ -29,9 +29,9 @@
   readonly #monitor: CrashMonitor;
   readonly #request: RoutedRequest;
   #digest: string | undefined;
-  #eventCount = 0;
-  #firstEventAtMs = 0;
-  #lastEventAtMs = 0;
+  #pieceCount = 0;
+  #firstPieceAtMs = 0;
+  #lastPieceAtMs = 0;
 
   private constructor(monitor: CrashMonitor, request: RoutedRequest) {
     this.#monitor = monitor;
@@ -62,14 +62,14 @@
 
   /** Records that another attempt begins. */
   recordAttempt(): void {
-    this.#eventCount = 0;
+    this.#pieceCount = 0;
   }
 
-  /** Records that an event of the attempt's answer has arrived. */
-  recordEvent(): void {
-    this.#lastEventAtMs = performance.now();
-    if (this.#eventCount === 0) this.#firstEventAtMs = this.#lastEventAtMs;
-    this.#eventCount += 1;
+  /** Records that one or more events of the attempt's answer have arrived. */
+  recordPiece(): void {
+    this.#lastPieceAtMs = performance.now();
+    if (this.#pieceCount === 0) this.#firstPieceAtMs = this.#lastPieceAtMs;
+    this.#pieceCount += 1;
   }
 
   recordTargetAlive(target: TargetRun): void {
@@ -106,8 +106,8 @@
 
   /** True if the target has written for longer than until a crash. */
   get #hasSurvived(): boolean {
-    return this.#eventCount >= SURVIVED_EVENTS &&
-      this.#lastEventAtMs - this.#firstEventAtMs >= SURVIVED_MS;
+    return this.#pieceCount >= SURVIVED_PIECES &&
+      this.#lastPieceAtMs - this.#firstPieceAtMs >= SURVIVED_MS;
   }
 
   get #promptParts(): readonly string[] {
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -271,7 +271,7 @@
             return;
           }
           if (!this.#isStream || !hasProgress) return;
-          this.#crashGuard.recordEvent();
+          this.#crashGuard.recordPiece();
           this.#recordProgress();
         },
         findDefect: () => this.#relay.findDefect(),
--- a/daemon/serve-ingress/src/quarantined_parts_store.ts
+++ b/daemon/serve-ingress/src/quarantined_parts_store.ts
@@ -11,6 +11,7 @@
   type StoreClient,
   type StoredItem,
 } from "@dandelionbank/platform-adapter";
+import type { QuarantinedPart } from "@dandelionbank/quarantine-prompts";
 import { QUARANTINE_MS } from "@dandelionbank/watch-suspects";
 import { retryCall } from "./retry_call.ts";
 
@@ -27,12 +28,6 @@
   readonly endsAtMs: number;
 }
 
-/** A prompt part whose requests are refused. */
-interface PartQuarantine {
-  readonly part: string;
-  readonly remainingMs: number;
-}
-
 export class QuarantinedPartsStore {
   readonly #options: QuarantinedPartsStoreOptions;
 
@@ -45,7 +40,7 @@
   }
 
   /** Reads the parts that are refused now, and removes those that no longer are. */
-  async load(): Promise<readonly PartQuarantine[]> {
+  async load(): Promise<readonly QuarantinedPart[]> {
     const { client, isStopped } = this.#options;
     const items = await retryCall(async () => {
       const result = await client.list(KINDS.quarantinedParts);
@@ -69,7 +64,7 @@
   }
 
   /** Stores the part, retrying until the store holds it. */
-  async save({ part, remainingMs }: PartQuarantine): Promise<void> {
+  async save({ part, remainingMs }: QuarantinedPart): Promise<void> {
     const spec: StoredQuarantine = { endsAtMs: Date.now() + remainingMs };
     await retryCall(
       async () => await this.#write({ name: part, spec }) ? true : undefined,
--- a/daemon/watch-suspects/src/crash_monitor.ts
+++ b/daemon/watch-suspects/src/crash_monitor.ts
@@ -15,7 +15,7 @@
 } from "@dandelionbank/detect-crashes";
 import type { Logger } from "@dandelionbank/log-events";
 import {
-  type LostPart,
+  countLostParts,
   PromptQuarantine,
   type QuarantinedPart,
 } from "@dandelionbank/quarantine-prompts";
@@ -263,21 +263,16 @@
     const lostRequests = added.length;
     logger.log("targetDown", { target, sign, lostRequests });
     if (lostRequests === 0) return;
-    this.#suspects.reportLosses(
-      [...new Set(added.map(({ fingerprint }) => fingerprint))].map(
-        (fingerprint) => ({
-          fingerprint,
-          target,
-          // More losses at this target may follow, also from other entries.
-          alone: false,
-        }),
-      ),
+    const fingerprints = new Set(
+      added.map(({ fingerprint }) => fingerprint),
     );
+    const losses = [...fingerprints]
+      // More losses at this target may follow, also from other entries.
+      .map((fingerprint) => ({ fingerprint, target, alone: false }));
+    if (losses.length > 0) this.#suspects.reportLosses(losses);
     const nowMs = this.#readNowMs();
-    this.#prompts.recordCrash(
-      { target, ageMs: nowMs - atMs, parts: countParts(lost) },
-      nowMs,
-    );
+    const parts = countLostParts(lost.map(({ promptParts }) => promptParts));
+    this.#prompts.recordCrash({ target, ageMs: nowMs - atMs, parts }, nowMs);
   }
 
   #reportAdopted(adopted: readonly QuarantinedPart[], source: string): void {
@@ -297,22 +292,6 @@
   }
 }
 
-/** Counts the requests in which each prompt part occurs. */
-function countParts(requests: readonly LostRequest[]): readonly LostPart[] {
-  const byPart = new Map<string, LostPart>();
-  for (const { promptParts } of requests) {
-    promptParts.forEach((part, position) => {
-      const known = byPart.get(part);
-      byPart.set(part, {
-        part,
-        requests: (known?.requests ?? 0) + 1,
-        depth: Math.max(known?.depth ?? 0, position),
-      });
-    });
-  }
-  return [...byPart.values()];
-}
-
 /** Distinguishes the runs of a target that starts again under its id. */
 function formatRun({ id, startedAtMs }: TargetRun): string {
   return startedAtMs === undefined ? id : `${id}@${startedAtMs}`;
--- a/daemon/watch-suspects/src/crash_monitor_test.ts
+++ b/daemon/watch-suspects/src/crash_monitor_test.ts
@@ -59,6 +59,52 @@
   }
 });
 
+test("Entries combine their losses to find a prompt part that crashes targets", () => {
+  const cluster = new Cluster();
+  const [first, second] = cluster.monitors;
+  for (let index = 0; index < 30; index++) first.recordSurvival(["shared"]);
+  cluster.exchangeReports();
+  [first, second, first].forEach((monitor, index) => {
+    crashOnPart(monitor, run(`t${index}`), index);
+    cluster.exchangeReports();
+    cluster.advance(SETTLED_MS);
+  });
+  cluster.exchangeReports();
+  for (const monitor of cluster.monitors) {
+    assert.equal(monitor.findQuarantinedPart(["shared", "bad"])?.part, "bad");
+    assert.equal(monitor.findQuarantinedPart(["shared"]), undefined);
+  }
+});
+
+test("Crashes of a target that starts again under its id count each", () => {
+  const cluster = new Cluster();
+  const [first] = cluster.monitors;
+  for (let index = 0; index < 30; index++) first.recordSurvival(["shared"]);
+  for (let start = 0; start < 3; start++) {
+    crashOnPart(first, { id: "t", startedAtMs: start }, start);
+    cluster.advance(SETTLED_MS);
+  }
+  assert.equal(first.findQuarantinedPart(["bad"])?.part, "bad");
+});
+
+test("An entry learns from another one that a target refuses connections", () => {
+  const cluster = new Cluster();
+  const [first, second] = cluster.monitors;
+  first.recordLostAnswer(run("t"), { fingerprint: "f", promptParts: ["bad"] });
+  second.recordTargetDown(run("t"), "connection refused");
+  cluster.exchangeReports();
+  const [crash] = first.pendingReport.prompts.crashes;
+  assert.equal(crash?.target, "t");
+  assert.deepEqual(crash?.parts, [{ part: "bad", requests: 1, depth: 0 }]);
+});
+
+test("A connection that fails for another reason is not reported to other entries", () => {
+  const cluster = new Cluster();
+  const [first] = cluster.monitors;
+  first.recordTargetDown(run("t"), "connection failed");
+  assert.deepEqual(first.pendingReport.downTargets, []);
+});
+
 test("A target that goes down without lost answers makes no request suspect", () => {
   const cluster = new Cluster();
   const [first] = cluster.monitors;
@@ -112,6 +158,16 @@
   }
 }
 
+function crashOnPart(
+  monitor: CrashMonitor,
+  target: TargetRun,
+  number: number,
+): void {
+  const promptParts = ["shared", "bad"];
+  monitor.recordLostAnswer(target, { fingerprint: `f${number}`, promptParts });
+  monitor.recordTargetDown(target, "connection refused");
+}
+
 function run(id: string): TargetRun {
   return { id, startedAtMs: undefined };
 }
--- a/routing/quarantine-prompts/src/prompt_quarantine_test.ts
+++ b/routing/quarantine-prompts/src/prompt_quarantine_test.ts
@@ -1,12 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { PromptQuarantine } from "./mod.ts";
-import {
-  answerPrompts,
-  countParts,
-  createQuarantine,
-  OPTIONS,
-} from "./test_fixtures.ts";
+import { countLostParts, type PromptQuarantine } from "./mod.ts";
+import { answerPrompts, createQuarantine, OPTIONS } from "./test_fixtures.ts";
 
 const SETTLED_MS = OPTIONS.settleMs;
 
@@ -34,6 +29,17 @@
   assert.deepEqual(quarantine.tick(60_000), []);
 });
 
+test("A part that is answered between crashes is never refused", () => {
+  const quarantine = createQuarantine();
+  for (let index = 0; index < 12; index++) {
+    const nowMs = index * 4_000;
+    crash(quarantine, { target: `t${index}`, prompts: [["first"]], nowMs });
+    answerPrompts(quarantine, { parts: ["other"], count: 60, nowMs });
+    assert.deepEqual(quarantine.tick(nowMs + SETTLED_MS), []);
+    quarantine.recordSurvival(["first"], nowMs + SETTLED_MS);
+  }
+});
+
 test("Targets that fail at the same time make no part a culprit", () => {
   const quarantine = createQuarantine();
   answerPrompts(quarantine, { parts: ["first"], count: 30, nowMs: 0 });
@@ -64,10 +70,26 @@
   assert.deepEqual(quarantine.tick(20_000).map(({ part }) => part), ["turned"]);
 });
 
+test("A part that used to be answered is not refused for half of the crashes", () => {
+  const quarantine = createQuarantine();
+  answerPrompts(quarantine, { parts: ["first"], count: 30, nowMs: 0 });
+  answerPrompts(quarantine, { parts: ["other"], count: 60, nowMs: 0 });
+  for (let index = 0; index < 12; index++) {
+    const prompts = [[index % 2 === 0 ? "first" : `subject-${index}`]];
+    const nowMs = 1_000 + index * 4_000;
+    crash(quarantine, { target: `t${index}`, prompts, nowMs });
+    assert.deepEqual(quarantine.tick(nowMs + SETTLED_MS), []);
+  }
+});
+
 test("Of parts that explain the same crashes, the one in fewer requests is refused, then the deepest", () => {
   const quarantine = createQuarantine();
   answerPrompts(quarantine, { parts: ["other"], count: 30, nowMs: 0 });
-  crashThreeTargets(quarantine, [["first", "bad"], ["first"]]);
+  crashThreeTargets(quarantine, [
+    ["first", "bad"],
+    ["first", "subject", "deep"],
+    ["first", "subject", "deep"],
+  ]);
   assert.deepEqual(quarantine.tick(20_000).map(({ part }) => part), ["bad"]);
 
   const tied = createQuarantine();
@@ -149,7 +171,7 @@
     readonly nowMs: number;
   },
 ): void {
-  const report = { target, ageMs: 0, parts: countParts(prompts) };
+  const report = { target, ageMs: 0, parts: countLostParts(prompts) };
   quarantine.recordCrash(report, nowMs);
 }
 
--- a/routing/quarantine-prompts/src/test_fixtures.ts
+++ b/routing/quarantine-prompts/src/test_fixtures.ts
@@ -1,10 +1,6 @@
 /** Fixtures of the tests: entries that exchange their reports. */
 
-import {
-  type LostPart,
-  PromptQuarantine,
-  type PromptQuarantineOptions,
-} from "./mod.ts";
+import { PromptQuarantine, type PromptQuarantineOptions } from "./mod.ts";
 
 export const OPTIONS: Omit<PromptQuarantineOptions, "entry"> = {
   quarantineMs: 60_000,
@@ -18,20 +14,6 @@
   return PromptQuarantine.create({ ...OPTIONS, entry });
 }
 
-/** Lost parts of requests whose prompts have these parts. */
-export function countParts(
-  prompts: readonly (readonly string[])[],
-): readonly LostPart[] {
-  const parts = new Map<string, LostPart>();
-  for (const prompt of prompts) {
-    prompt.forEach((part, depth) => {
-      const requests = (parts.get(part)?.requests ?? 0) + 1;
-      parts.set(part, { part, requests, depth });
-    });
-  }
-  return [...parts.values()];
-}
-
 /** Records that prompts with these parts were answered. */
 export function answerPrompts(
   quarantine: PromptQuarantine,
--- a/testing/soak/src/prompts/prompts_world.ts
+++ b/testing/soak/src/prompts/prompts_world.ts
@@ -6,7 +6,7 @@
 
 import type { Random } from "@dandelionbank/message-queue";
 import {
-  type LostPart,
+  countLostParts,
   PromptQuarantine,
 } from "@dandelionbank/quarantine-prompts";
 
@@ -207,7 +207,7 @@
     }
     const suspects = lost.filter((request) => !hasSurvived(request));
     this.#schedule(this.#random.int(0, MAX_DETECTION_MS), () => {
-      const parts = countParts(suspects);
+      const parts = countLostParts(suspects.map((request) => request.parts));
       const ageMs = this.#nowMs - failedAtMs;
       entry.recordCrash({ target: run, ageMs, parts }, this.#nowMs);
     });
@@ -233,14 +233,3 @@
     });
   }
 }
-
-function countParts(requests: readonly Running[]): readonly LostPart[] {
-  const byPart = new Map<string, LostPart>();
-  for (const { parts } of requests) {
-    parts.forEach((part, depth) => {
-      const count = (byPart.get(part)?.requests ?? 0) + 1;
-      byPart.set(part, { part, requests: count, depth });
-    });
-  }
-  return [...byPart.values()];
-}
