Count one failure of several targets once against a request

Callers of a sound request could be refused for ten minutes: in a trial in which three engines of one service failed at the same moment, a stream that was sent on from one of them to another was lost twice within milliseconds, and all entries quarantined it. Cause: two losses of one failure were taken for two failures. Change: a loss within 250 ms of the one before, of the same request at an entry, does not count against the request as a whole.

--- a/daemon/forward-requests/src/crash_guard.ts
+++ b/daemon/forward-requests/src/crash_guard.ts
@@ -15,6 +15,11 @@
  */
 const SURVIVED_PIECES = 6;
 const SURVIVED_MS = 300;
+/**
+ * Targets that fail together, as those of one rack do, interrupt a request twice
+ * that was sent on from one to the other.
+ */
+const SAME_FAILURE_MS = 250;
 const CONNECTION_REFUSED = "ECONNREFUSED";
 
 /** Why and for how long a request is refused. */
@@ -32,6 +37,7 @@
   #pieceCount = 0;
   #firstPieceAtMs = 0;
   #lastPieceAtMs = 0;
+  #lostAtMs = Number.NEGATIVE_INFINITY;
 
   private constructor(monitor: CrashMonitor, request: RoutedRequest) {
     this.#monitor = monitor;
@@ -98,8 +104,11 @@
     }
     if (outcome !== "broken" && outcome !== "silent") return;
     if (this.#hasSurvived) this.#monitor.recordSurvival(this.#promptParts);
+    const nowMs = performance.now();
+    const isSameFailure = nowMs - this.#lostAtMs < SAME_FAILURE_MS;
+    this.#lostAtMs = nowMs;
     this.#monitor.recordLostAnswer(target, {
-      fingerprint: this.#fingerprint,
+      fingerprint: isSameFailure ? undefined : this.#fingerprint,
       promptParts: this.#hasSurvived ? [] : this.#promptParts,
     });
   }
--- a/daemon/forward-requests/src/crash_guard_test.ts
+++ b/daemon/forward-requests/src/crash_guard_test.ts
@@ -39,6 +39,20 @@
   assert.deepEqual(fixture.lostParts, ["a1", "b2"]);
 });
 
+test("A request that is sent on between targets that fail together is lost once", (t) => {
+  const fixture = GuardFixture.create(t);
+  const targets = ["a", "b", "c"].map((id) => ({ id, startedAtMs: 1 }));
+  const [first, second, third] = targets;
+  fixture.crashTarget(first);
+  fixture.advance(100);
+  fixture.crashTarget(second);
+  const { suspects } = fixture.monitor.pendingReport;
+  assert.deepEqual(suspects.losses.map(({ target }) => target), ["a@1"]);
+  fixture.advance(300);
+  fixture.crashTarget(third);
+  assert.equal(fixture.monitor.pendingReport.suspects.losses.length, 2);
+});
+
 /** A guard of a request, with a clock that the test moves. */
 class GuardFixture {
   #nowMs = 0;
--- a/daemon/watch-suspects/src/crash_monitor.ts
+++ b/daemon/watch-suspects/src/crash_monitor.ts
@@ -264,7 +264,7 @@
     logger.log("targetDown", { target, sign, lostRequests });
     if (lostRequests === 0) return;
     const fingerprints = new Set(
-      added.map(({ fingerprint }) => fingerprint),
+      added.flatMap(({ fingerprint }) => fingerprint ?? []),
     );
     const losses = [...fingerprints]
       // More losses at this target may follow, also from other entries.
--- a/routing/detect-crashes/src/detect_crashes.ts
+++ b/routing/detect-crashes/src/detect_crashes.ts
@@ -26,7 +26,8 @@
 
 /** A request whose answer was lost. */
 export interface LostRequest {
-  readonly fingerprint: string;
+  /** Undefined if the loss says nothing about the request as a whole. */
+  readonly fingerprint: string | undefined;
   /** Parts of its prompt that may be the cause if its target has crashed. */
   readonly promptParts: readonly string[];
 }
--- a/routing/detect-crashes/src/detect_crashes_test.ts
+++ b/routing/detect-crashes/src/detect_crashes_test.ts
@@ -83,5 +83,5 @@
 }
 
 function listAdded(crash: Crash | undefined): readonly string[] {
-  return crash?.added.map(({ fingerprint }) => fingerprint) ?? [];
+  return crash?.added.flatMap(({ fingerprint }) => fingerprint ?? []) ?? [];
 }
