Read a stored prompt part after a conflict, and remove expired ones later

Callers saw nothing yet; entries that find the same part at the same time would have called the store again and again, every three seconds at last, and a start beside a store that does not answer a removal would have learned the stored parts seconds late. Cause: an answer to a create of an object that exists need not hold the object, and removals were awaited before the parts were adopted. Change: a conflict is followed by a read, as in register_entry; removals run beside. The stand-in store answers DELETE and counts calls by kind.

--- a/daemon/serve-ingress/src/quarantined_parts_store.ts
+++ b/daemon/serve-ingress/src/quarantined_parts_store.ts
@@ -47,22 +47,24 @@
       return result.kind === "ok" ? result.value.items : undefined;
     }, isStopped);
     const nowMs = Date.now();
-    const stored = (items ?? []).map((item) => ({
-      item,
-      remainingMs: (readEnd(item) ?? 0) - nowMs,
-    }));
-    for (const { item, remainingMs } of stored) {
-      // A part that stays because this is lost is removed at a later start.
-      if (remainingMs <= 0) await client.remove(KINDS.quarantinedParts, item);
-    }
-    return stored
-      .filter(({ remainingMs }) => remainingMs > 0)
-      .map(({ item, remainingMs }) => ({
+    const isExpired = (item: StoredItem) => (readEnd(item) ?? 0) <= nowMs;
+    void this.#removeAll((items ?? []).filter(isExpired));
+    return (items ?? [])
+      .filter((item) => !isExpired(item))
+      .map((item) => ({
         part: item.name,
-        remainingMs: Math.min(remainingMs, QUARANTINE_MS),
+        remainingMs: Math.min(readEnd(item)! - nowMs, QUARANTINE_MS),
       }));
   }
 
+  /** Removes objects; one that stays is removed at a later start. */
+  async #removeAll(items: readonly StoredItem[]): Promise<void> {
+    const { client } = this.#options;
+    for (const item of items) {
+      await client.remove(KINDS.quarantinedParts, item);
+    }
+  }
+
   /** Stores the part, retrying until the store holds it. */
   async save({ part, remainingMs }: QuarantinedPart): Promise<void> {
     const spec: StoredQuarantine = { endsAtMs: Date.now() + remainingMs };
@@ -80,12 +82,13 @@
     const kind = KINDS.quarantinedParts;
     const created = await client.create(kind, { name, spec });
     if (created.kind === "ok") return true;
+    if (created.kind !== "conflict") return false;
     // Other entries find the same part at the same time.
-    if (created.kind !== "conflict" || !created.current) return false;
-    const { current } = created;
-    const difference = Math.abs((readEnd(current) ?? 0) - spec.endsAtMs);
+    const stored = await client.read(kind, name);
+    if (stored.kind !== "ok") return false;
+    const difference = Math.abs((readEnd(stored.value) ?? 0) - spec.endsAtMs);
     if (difference < MIN_CHANGE_MS) return true;
-    const { revision } = current;
+    const { revision } = stored.value;
     const replaced = await client.replace(kind, { name, revision, spec });
     return replaced.kind === "ok";
   }
--- a/testing/standin-site/src/site_store.ts
+++ b/testing/standin-site/src/site_store.ts
@@ -51,8 +51,10 @@
   #era = 1;
   #watchers: Watcher[] = [];
   availability: StoreAvailability = "available";
+  answersRemovals = true;
   /** Number of calls received, answered or not. */
   callCount = 0;
+  readonly #callsByKind = new Map<string, number>();
 
   private constructor() {
     this.#server = createServer((request, response) =>
@@ -79,6 +81,11 @@
     return this.#objects.get(`${kind}/${name}`)?.spec;
   }
 
+  /** Number of calls about objects of a kind while the store was available. */
+  countCalls(kind: string): number {
+    return this.#callsByKind.get(kind) ?? 0;
+  }
+
   put(kind: string, name: string, spec: unknown): void {
     this.#write({ kind, name, spec, isDeleted: false });
   }
@@ -155,12 +162,20 @@
     if (this.availability === "unavailable") return reply(response, 503, {});
     const url = new URL(request.url ?? "/", "http://store");
     const [kind = "", name] = url.pathname.slice(PREFIX.length).split("/");
+    this.#callsByKind.set(kind, this.countCalls(kind) + 1);
     const body = await readBody(request);
     switch (request.method) {
       case "POST":
         return this.#create(response, { kind, body });
       case "PUT":
         return this.#replace(response, { kind, name: name ?? "", body });
+      case "DELETE":
+        if (!this.answersRemovals) return;
+        return this.#delete(response, {
+          kind,
+          name: name ?? "",
+          revision: url.searchParams.get("revision"),
+        });
       case "GET":
         break;
       default:
@@ -264,6 +279,23 @@
     const written = this.#write({ kind, name, spec, isDeleted: false });
     reply(response, 200, render(written));
   }
+
+  #delete(
+    response: ServerResponse,
+    { kind, name, revision }: {
+      readonly kind: string;
+      readonly name: string;
+      readonly revision: string | null;
+    },
+  ): void {
+    const current = this.#objects.get(`${kind}/${name}`);
+    if (current === undefined) return reply(response, 404, {});
+    if (revision !== null && Number(revision) !== current.revision) {
+      return reply(response, 409, render(current));
+    }
+    this.remove(kind, name);
+    reply(response, 200, {});
+  }
 }
 
 interface ObjectBody {
