Report the prompt parts that were never answered first

Callers with long prompts would have seen targets crash for longer: a report holds 32 parts of a crash, in the order in which they were lost, so the part at fault may be left out. Cause: the bound of the list did not look at what the parts are worth as evidence. Change: parts that no target has answered come first.

--- a/routing/quarantine-prompts/src/prompt_quarantine.ts
+++ b/routing/quarantine-prompts/src/prompt_quarantine.ts
@@ -17,6 +17,7 @@
 import type {
   CrashReport,
   Culprit,
+  LostPart,
   PromptQuarantineOptions,
   PromptReport,
   QuarantinedPart,
@@ -147,7 +148,7 @@
       .map(({ report, atMs }) => ({
         ...report,
         ageMs: nowMs - atMs,
-        parts: report.parts.slice(0, MAX_REPORTED_PARTS),
+        parts: this.#selectReported(report.parts),
       }));
     return {
       crashes,
@@ -157,6 +158,16 @@
     };
   }
 
+  /** Selects the parts that matter most: those that were never answered. */
+  #selectReported(parts: readonly LostPart[]): readonly LostPart[] {
+    const hasSurvived = ({ part }: LostPart) =>
+      this.#survivals.find(part) !== undefined;
+    return [
+      ...parts.filter((part) => !hasSurvived(part)),
+      ...parts.filter(hasSurvived),
+    ].slice(0, MAX_REPORTED_PARTS);
+  }
+
   #addCrash(
     crash: CrashReport,
     source: { readonly entry: string; readonly nowMs: number },
--- a/routing/quarantine-prompts/src/prompt_quarantine_test.ts
+++ b/routing/quarantine-prompts/src/prompt_quarantine_test.ts
@@ -151,6 +151,16 @@
   assert.deepEqual(quarantine.tick(nowMs + SETTLED_MS), []);
 });
 
+test("A report names the parts that were never answered first", () => {
+  const quarantine = createQuarantine();
+  const answered = Array.from({ length: 60 }, (_, index) => `p${index}`);
+  quarantine.recordSurvival(answered, 0);
+  const prompts = [[...answered, "bad"]];
+  crash(quarantine, { target: "a", prompts, nowMs: 1_000 });
+  const [report] = quarantine.createReport(1_000).crashes;
+  assert.equal(report?.parts[0]?.part, "bad");
+});
+
 test("Reports are limited in number and time", () => {
   const quarantine = createQuarantine();
   const prompts = Array.from({ length: 200 }, (_, index) => [`p${index}`]);
