Name targets by their runs, so that a start under the same id begins anew

Cause: an entry kept everything it knew of a target by its id, and nothing read the start that targets state. Change: the adapter decodes the run of a target, its id and start; placement, notices, limits, pools, progress, crashes and the status between entries use it as the name of a target. Event targetStartedAnew.

--- a/daemon/forward-requests/src/crash_guard.ts
+++ b/daemon/forward-requests/src/crash_guard.ts
@@ -5,7 +5,7 @@
  */
 
 import { digestRequest } from "@dandelionbank/digest-bodies";
-import type { CrashMonitor, TargetRun } from "@dandelionbank/watch-suspects";
+import type { CrashMonitor } from "@dandelionbank/watch-suspects";
 import type { AttemptFailure } from "./attempt.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
@@ -80,8 +80,8 @@
     this.#pieceCount += 1;
   }
 
-  recordTargetAlive(target: TargetRun): void {
-    this.#monitor.recordTargetAlive(target);
+  recordTargetAlive(run: string): void {
+    this.#monitor.recordTargetAlive(run);
   }
 
   /** Reports that a target answered, so the request did not crash it. */
@@ -94,13 +94,13 @@
 
   /** Reports a failed attempt that may mean its target crashed. */
   recordFailure(
-    target: TargetRun,
+    run: string,
     { outcome, errorCode }: Pick<AttemptFailure, "outcome" | "errorCode">,
   ): void {
     if (outcome === "notSent") {
       const isRefused = errorCode === CONNECTION_REFUSED;
       this.#monitor.recordTargetDown(
-        target,
+        run,
         isRefused ? "connection refused" : "connection failed",
       );
     }
@@ -109,7 +109,7 @@
     const nowMs = performance.now();
     const isSameFailure = nowMs - this.#lostAtMs < SAME_FAILURE_MS;
     this.#lostAtMs = nowMs;
-    this.#monitor.recordLostAnswer(target, {
+    this.#monitor.recordLostAnswer(run, {
       fingerprint: isSameFailure ? undefined : this.#fingerprint,
       promptParts: this.#hasSurvived ? [] : this.#promptParts,
     });
--- a/daemon/forward-requests/src/crash_guard_test.ts
+++ b/daemon/forward-requests/src/crash_guard_test.ts
@@ -1,17 +1,13 @@
 import { Registry } from "@dandelionbank/metrics";
 import { decodeCallerHead, HEADERS } from "@dandelionbank/platform-adapter";
 import type { Route } from "@dandelionbank/types";
-import {
-  CrashMetrics,
-  CrashMonitor,
-  type TargetRun,
-} from "@dandelionbank/watch-suspects";
+import { CrashMetrics, CrashMonitor } from "@dandelionbank/watch-suspects";
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { CrashGuard } from "./crash_guard.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
-const TARGET: TargetRun = { id: "t", startedAtMs: 1 };
+const TARGET = "t@1";
 const BROKEN = { outcome: "broken", errorCode: "ECONNRESET" } as const;
 const REFUSED = { outcome: "notSent", errorCode: "ECONNREFUSED" } as const;
 
@@ -41,15 +37,13 @@
 
 test("A request that is sent on between targets that fail together is lost once", (t) => {
   const fixture = GuardFixture.create(t);
-  const targets = ["a", "b", "c"].map((id) => ({ id, startedAtMs: 1 }));
-  const [first, second, third] = targets;
-  fixture.crashTarget(first);
+  fixture.crashTarget("a@1");
   fixture.advance(100);
-  fixture.crashTarget(second);
+  fixture.crashTarget("b@1");
   const { suspects } = fixture.monitor.pendingReport;
   assert.deepEqual(suspects.losses.map(({ target }) => target), ["a@1"]);
   fixture.advance(300);
-  fixture.crashTarget(third);
+  fixture.crashTarget("c@1");
   assert.equal(fixture.monitor.pendingReport.suspects.losses.length, 2);
 });
 
@@ -88,7 +82,7 @@
     this.#nowMs += durationMs;
   }
 
-  crashTarget(target: TargetRun = TARGET): void {
+  crashTarget(target = TARGET): void {
     this.guard.recordFailure(target, BROKEN);
     this.guard.recordFailure(target, REFUSED);
   }
--- a/daemon/forward-requests/src/forward_context.ts
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -25,9 +25,9 @@
   readonly crashMonitor: CrashMonitor;
   /** How long a group stalls when it loses a rank. */
   readonly stallMs: number;
-  readonly findTarget: (id: string) => RegisteredTarget | undefined;
+  readonly findTarget: (run: string) => RegisteredTarget | undefined;
   /** Reports that a different target answers at the target's address. */
-  readonly reportMisdirected: (id: string) => void;
+  readonly reportMisdirected: (run: string) => void;
   /** Number of live entries, this one included. */
   readonly countEntries: () => number;
   readonly isStopping: () => boolean;
--- a/daemon/forward-requests/src/inactivity_timer.ts
+++ b/daemon/forward-requests/src/inactivity_timer.ts
@@ -60,7 +60,7 @@
 
   /** Records that the current target made progress. */
   recordProgress(): void {
-    const target = this.#options.targets.current?.id;
+    const target = this.#options.targets.current?.run;
     if (target === undefined) return;
     const { service } = this.#options;
     const nowMs = performance.now();
@@ -89,7 +89,7 @@
     const { service, targets, isGroup } = this.#options;
     return isGroup && !hasProgressElsewhere(this.#context.progress, {
       service,
-      target: targets.current?.id ?? "",
+      target: targets.current?.run ?? "",
       sinceMs: performance.now() - timeoutMs / 2,
     });
   }
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -252,7 +252,7 @@
       request: { attemptId: head.attemptId, method, path, headers, body },
       listener: {
         onHead: ({ notices }) => {
-          this.#crashGuard.recordTargetAlive(target);
+          this.#crashGuard.recordTargetAlive(target.run);
           this.#targets.reportNotices({ notices, sentAtMs: this.#sentAtMs });
         },
         onSuccess: (answerHead, answerFields) => {
@@ -328,10 +328,10 @@
     target: RegisteredTarget,
   ): void {
     const { pools, reportMisdirected } = this.#context;
-    this.#crashGuard.recordFailure(target, failure);
+    this.#crashGuard.recordFailure(target.run, failure);
     // The target's other connections may be dead as well.
-    if (failure.outcome === "silent") pools.drainPool(target.id);
-    if (failure.isMisdirected) reportMisdirected(target.id);
+    if (failure.outcome === "silent") pools.drainPool(target.run);
+    if (failure.isMisdirected) reportMisdirected(target.run);
   }
 
   #decideNext(outcome: AttemptOutcome): NextAction {
--- a/daemon/forward-requests/src/target_pools.ts
+++ b/daemon/forward-requests/src/target_pools.ts
@@ -30,8 +30,8 @@
    * Returns the pool of a target, replacing it if the target's address
    * changed.
    */
-  getPool({ id, address }: RegisteredTarget): HttpPool {
-    const prior = this.#pools.get(id);
+  getPool({ run, address }: RegisteredTarget): HttpPool {
+    const prior = this.#pools.get(run);
     if (prior !== undefined && prior.address === address) return prior.pool;
     if (prior !== undefined) drain(prior.pool);
     const pool = HttpPool.create({
@@ -40,7 +40,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       keepAliveMs: KEEP_ALIVE_MS,
     });
-    this.#pools.set(id, { address, pool });
+    this.#pools.set(run, { address, pool });
     return pool;
   }
 
@@ -48,17 +48,17 @@
    * Drains the target's pool; requests in progress finish, new ones get a new
    * pool.
    */
-  drainPool(id: string): void {
-    const prior = this.#pools.get(id);
+  drainPool(run: string): void {
+    const prior = this.#pools.get(run);
     if (prior === undefined) return;
-    this.#pools.delete(id);
+    this.#pools.delete(run);
     drain(prior.pool);
   }
 
   /** Drains the pools of all other targets. */
-  retainPools(ids: ReadonlySet<string>): void {
-    for (const id of [...this.#pools.keys()]) {
-      if (!ids.has(id)) this.drainPool(id);
+  retainPools(runs: ReadonlySet<string>): void {
+    for (const run of [...this.#pools.keys()]) {
+      if (!runs.has(run)) this.drainPool(run);
     }
   }
 }
--- a/daemon/forward-requests/src/target_selector.ts
+++ b/daemon/forward-requests/src/target_selector.ts
@@ -27,8 +27,10 @@
 export class TargetSelector {
   readonly #context: ForwardContext;
   readonly #options: TargetSelectorOptions;
+  /** Runs of the targets that were selected. */
   readonly #tried: string[] = [];
   #current: RegisteredTarget | undefined;
+  #lastTargetId: string | undefined;
   #busyForMs: number | undefined;
 
   private constructor(context: ForwardContext, options: TargetSelectorOptions) {
@@ -50,7 +52,7 @@
 
   /** The id of the target selected last. */
   get lastTargetId(): string | undefined {
-    return this.#tried.at(-1);
+    return this.#lastTargetId;
   }
 
   /** True if a target that has not been tried takes a request now. */
@@ -78,6 +80,7 @@
     if (effect?.type !== "picked") return undefined;
     this.#tried.push(effect.target);
     this.#current = this.#context.findTarget(effect.target);
+    this.#lastTargetId = this.#current?.id;
     if (this.#current === undefined) {
       this.#dispatch({ type: "targetLost", attemptId: this.#attemptId });
     }
@@ -105,7 +108,7 @@
   ): void {
     if (this.#current === undefined) return;
     const { notices: tracked, logger, pools } = this.#context;
-    const target = this.#current.id;
+    const target = this.#current.run;
     const changes = tracked.recordAnswer(
       { target, notices, sentAtMs },
       performance.now(),
@@ -116,7 +119,7 @@
 
   reportLoad(load: TargetLoad): void {
     if (this.#current === undefined) return;
-    const target = this.#current.id;
+    const target = this.#current.run;
     this.#dispatch({ type: "loadReported", target, load });
   }
 
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -158,9 +158,9 @@
       pools,
       progress,
       logger,
-      onTargetLost: (target, reason) =>
+      onTargetLost: (run, reason) =>
         this.#crashMonitor.recordTargetDown(
-          target,
+          run,
           reason === "removed" ? "removed from the store" : "started anew",
         ),
     });
@@ -186,8 +186,8 @@
       progress,
       crashMonitor: this.#crashMonitor,
       stallMs: bounds.stallMs,
-      findTarget: (id) => this.#targets.findTarget(id),
-      reportMisdirected: (id) => this.#targets.markMisdirected(id),
+      findTarget: (run) => this.#targets.findTarget(run),
+      reportMisdirected: (run) => this.#targets.markMisdirected(run),
       countEntries: () => this.#otherEntries.length + 1,
       isStopping: () => this.#isStopping,
     };
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -37,9 +37,9 @@
   readonly pools: TargetPools;
   readonly progress: ProgressTracker;
   readonly logger: Logger;
-  /** Called when a target disappears, or starts anew, that was not draining. */
+  /** Called when the run of a target ends that was not draining. */
   readonly onTargetLost: (
-    target: RegisteredTarget,
+    run: string,
     reason: "removed" | "startedAnew",
   ) => void;
 }
@@ -47,6 +47,8 @@
 export class TargetView {
   readonly #options: TargetViewOptions;
   readonly #tracker: TargetTracker;
+  /** The tracked targets by their runs. */
+  #byRun: ReadonlyMap<string, RegisteredTarget> = new Map();
 
   private constructor(options: TargetViewOptions) {
     this.#options = options;
@@ -57,8 +59,9 @@
     return new TargetView(options);
   }
 
-  findTarget(id: string): RegisteredTarget | undefined {
-    return this.#tracker.targets.get(id);
+  /** Finds a target that still runs as the given run. */
+  findTarget(run: string): RegisteredTarget | undefined {
+    return this.#byRun.get(run);
   }
 
   /** Reads what a service's targets take together. */
@@ -67,11 +70,11 @@
     const nowMs = performance.now();
     const members = [...this.#tracker.targets.values()]
       .filter((target) => target.service === service);
-    const open = members.filter(({ id, isDraining }) =>
-      !isDraining && !notices.isLeaving(id)
+    const open = members.filter(({ run, isDraining }) =>
+      !isDraining && !notices.isLeaving(run)
     );
     const usableSlots = open.reduce(
-      (sum, { id: target, slots }) =>
+      (sum, { run: target, slots }) =>
         sum + notices.countUsableSlots({ target, slots, runMs }, nowMs),
       0,
     );
@@ -80,7 +83,7 @@
     }
     // A service without targets may get some at any time.
     if (members.length === 0) return { slots: 0, opensInMs: 0 };
-    const delaysMs = open.map(({ id }) => notices.readDelayMs(id, nowMs));
+    const delaysMs = open.map(({ run }) => notices.readDelayMs(run, nowMs));
     return { slots: 0, opensInMs: Math.min(...delaysMs) };
   }
 
@@ -115,8 +118,10 @@
   }
 
   /** Records that a different target answers at the target's address. */
-  markMisdirected(id: string): void {
-    this.#dispatch({ type: "misdirected", id });
+  markMisdirected(run: string): void {
+    const target = this.findTarget(run);
+    if (target === undefined) return;
+    this.#dispatch({ type: "misdirected", id: target.id });
   }
 
   /**
@@ -131,31 +136,37 @@
     const before = [...this.#tracker.targets.values()];
     const hasChanged = updateTargets(this.#tracker, event, performance.now());
     if (!hasChanged) return;
-    for (const target of before) this.#reportIfLost(target);
     const targets = [...this.#tracker.targets.values()];
+    this.#byRun = new Map(targets.map((target) => [target.run, target]));
+    for (const target of before) this.#reportIfLost(target);
     stepPlacement(this.#options.placement, {
       type: "targetsChanged",
-      targets: targets.map(({ id, service, isDraining }) => ({
-        name: id,
+      targets: targets.map(({ run, service, isDraining }) => ({
+        name: run,
         pool: service,
         state: isDraining ? "closed" : "open",
       })),
     }, performance.now());
-    const ids = new Set(targets.map(({ id }) => id));
-    this.#options.pools.retainPools(ids);
-    this.#options.notices.retainTargets(ids);
-    retainTargets(this.#options.progress, ids);
+    const runs = new Set(targets.map(({ run }) => run));
+    this.#options.pools.retainPools(runs);
+    this.#options.notices.retainTargets(runs);
+    retainTargets(this.#options.progress, runs);
     this.#logChange(targets, event);
   }
 
-  #reportIfLost(before: RegisteredTarget): void {
-    if (before.isDraining) return;
-    const after = this.findTarget(before.id);
-    if (after === undefined) {
-      this.#options.onTargetLost(before, "removed");
-    } else if (after.startedAtMs !== before.startedAtMs) {
-      this.#options.onTargetLost(before, "startedAnew");
+  #reportIfLost({ id, run, isDraining }: RegisteredTarget): void {
+    if (this.findTarget(run) !== undefined) return;
+    const successor = this.#tracker.targets.get(id);
+    if (successor !== undefined) {
+      this.#options.logger.log("targetStartedAnew", {
+        target: id,
+        run: successor.run,
+        previousRun: run,
+      });
     }
+    if (isDraining) return;
+    const reason = successor === undefined ? "removed" : "startedAnew";
+    this.#options.onTargetLost(run, reason);
   }
 
   #logChange(targets: readonly RegisteredTarget[], event: TargetsEvent): void {
--- a/daemon/watch-suspects/src/crash_monitor.ts
+++ b/daemon/watch-suspects/src/crash_monitor.ts
@@ -24,7 +24,6 @@
   Verdict,
 } from "@dandelionbank/quarantine-requests";
 import type { CrashStatus } from "@dandelionbank/track-entries";
-import type { RegisteredTarget } from "@dandelionbank/types";
 import type { CrashMetrics } from "./crash_metrics.ts";
 import { QUARANTINE_MS, SuspectTask } from "./suspect_task.ts";
 
@@ -50,9 +49,6 @@
   | "started anew"
   | "another entry";
 
-/** One run of a target's process. */
-export type TargetRun = Pick<RegisteredTarget, "id" | "startedAtMs">;
-
 export interface CrashMonitorOptions {
   /** Name of this entry. */
   readonly entry: string;
@@ -168,11 +164,10 @@
   }
 
   /** Records an answer lost after the target may have begun the request. */
-  recordLostAnswer(run: TargetRun, request: LostRequest): void {
+  recordLostAnswer(run: string, request: LostRequest): void {
     const nowMs = this.#readNowMs();
-    const target = formatRun(run);
     const crash = recordLostAnswer(this.#crashState, {
-      target,
+      target: run,
       request,
       nowMs,
     });
@@ -180,21 +175,20 @@
   }
 
   /** Records that the target accepts no connection, or has ended. */
-  recordTargetDown(run: TargetRun, sign: DownSign): void {
-    const target = formatRun(run);
+  recordTargetDown(run: string, sign: DownSign): void {
     if (sign === "connection refused") {
       this.#downReports = [
-        ...this.#downReports.filter((report) => report.target !== target),
-        { target, atMs: this.#readNowMs() },
+        ...this.#downReports.filter((report) => report.target !== run),
+        { target: run, atMs: this.#readNowMs() },
       ];
     }
-    this.#recordDown(target, sign);
+    this.#recordDown(run, sign);
   }
 
   /** Records that the target has sent an answer. */
-  recordTargetAlive(run: TargetRun): void {
+  recordTargetAlive(run: string): void {
     recordTargetAlive(this.#crashState, {
-      target: formatRun(run),
+      target: run,
       nowMs: this.#readNowMs(),
     });
   }
@@ -302,8 +296,3 @@
     this.#pendingReports.push({ ...report, untilMs });
   }
 }
-
-/** Distinguishes the runs of a target that starts again under its id. */
-function formatRun({ id, startedAtMs }: TargetRun): string {
-  return startedAtMs === undefined ? id : `${id}@${startedAtMs}`;
-}
--- a/daemon/watch-suspects/src/crash_monitor_test.ts
+++ b/daemon/watch-suspects/src/crash_monitor_test.ts
@@ -3,17 +3,17 @@
 import { Registry } from "@dandelionbank/metrics";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { CrashMetrics, CrashMonitor, type TargetRun } from "./mod.ts";
+import { CrashMetrics, CrashMonitor } from "./mod.ts";
 
 const SETTLED_MS = 1_100;
 
 test("Entries combine their losses to find a request that crashes targets", () => {
   const cluster = new Cluster();
   const [first, second] = cluster.monitors;
-  first.recordLostAnswer(run("a"), lost("crashing"));
-  first.recordTargetDown(run("a"), "connection failed");
-  second.recordLostAnswer(run("b"), lost("crashing"));
-  second.recordTargetDown(run("b"), "connection failed");
+  first.recordLostAnswer("a", lost("crashing"));
+  first.recordTargetDown("a", "connection failed");
+  second.recordLostAnswer("b", lost("crashing"));
+  second.recordTargetDown("b", "connection failed");
   cluster.exchangeReports();
   for (const monitor of cluster.monitors) {
     assert.equal(monitor.evaluate("crashing").kind, "quarantined");
@@ -29,8 +29,8 @@
   const cluster = new Cluster();
   const [first, second] = cluster.monitors;
   for (const target of ["a", "b"]) {
-    first.recordLostAnswer(run(target), lost("crashing"));
-    first.recordTargetDown(run(target), "connection failed");
+    first.recordLostAnswer(target, lost("crashing"));
+    first.recordTargetDown(target, "connection failed");
   }
   cluster.advance(SETTLED_MS);
   cluster.advance(300_000);
@@ -47,8 +47,8 @@
   const cluster = new Cluster();
   const [first, second] = cluster.monitors;
   for (const target of ["a", "b", "c"]) {
-    first.recordLostAnswer(run(target), lost("popular"));
-    first.recordTargetDown(run(target), "connection failed");
+    first.recordLostAnswer(target, lost("popular"));
+    first.recordTargetDown(target, "connection failed");
     for (const monitor of cluster.monitors) monitor.recordAnswer("popular");
     cluster.exchangeReports();
     second.recordAnswer("popular");
@@ -65,7 +65,7 @@
   for (let index = 0; index < 200; index++) first.recordSurvival(["shared"]);
   cluster.exchangeReports();
   [first, second, first].forEach((monitor, index) => {
-    crashOnPart(monitor, run(`t${index}`), index);
+    crashOnPart(monitor, `t${index}`, index);
     cluster.exchangeReports();
     cluster.advance(SETTLED_MS);
   });
@@ -81,7 +81,7 @@
   const [first] = cluster.monitors;
   for (let index = 0; index < 200; index++) first.recordSurvival(["shared"]);
   for (let start = 0; start < 3; start++) {
-    crashOnPart(first, { id: "t", startedAtMs: start }, start);
+    crashOnPart(first, `t@${start}`, start);
     cluster.advance(SETTLED_MS);
   }
   assert.equal(first.findQuarantinedPart(["bad"])?.part, "bad");
@@ -90,8 +90,8 @@
 test("An entry learns from another one that a target refuses connections", () => {
   const cluster = new Cluster();
   const [first, second] = cluster.monitors;
-  first.recordLostAnswer(run("t"), { fingerprint: "f", promptParts: ["bad"] });
-  second.recordTargetDown(run("t"), "connection refused");
+  first.recordLostAnswer("t", { fingerprint: "f", promptParts: ["bad"] });
+  second.recordTargetDown("t", "connection refused");
   cluster.exchangeReports();
   const [crash] = first.pendingReport.prompts.crashes;
   assert.equal(crash?.target, "t");
@@ -101,14 +101,14 @@
 test("A connection that fails for another reason is not reported to other entries", () => {
   const cluster = new Cluster();
   const [first] = cluster.monitors;
-  first.recordTargetDown(run("t"), "connection failed");
+  first.recordTargetDown("t", "connection failed");
   assert.deepEqual(first.pendingReport.downTargets, []);
 });
 
 test("A target that goes down without lost answers makes no request suspect", () => {
   const cluster = new Cluster();
   const [first] = cluster.monitors;
-  first.recordTargetDown(run("a"), "connection failed");
+  first.recordTargetDown("a", "connection failed");
   assert.ok(!first.hasSuspects);
   const { suspects, prompts } = first.pendingReport;
   assert.deepEqual(suspects, { losses: [], quarantined: [] });
@@ -119,8 +119,8 @@
   const cluster = new Cluster();
   const [first] = cluster.monitors;
   for (let index = 0; index < 200; index++) {
-    first.recordLostAnswer(run(`t${index}`), lost(`f${index}`));
-    first.recordTargetDown(run(`t${index}`), "connection failed");
+    first.recordLostAnswer(`t${index}`, lost(`f${index}`));
+    first.recordTargetDown(`t${index}`, "connection failed");
   }
   assert.equal(first.pendingReport.suspects.losses.length, 16);
   cluster.advance(2_000);
@@ -160,7 +160,7 @@
 
 function crashOnPart(
   monitor: CrashMonitor,
-  target: TargetRun,
+  target: string,
   number: number,
 ): void {
   const promptParts = ["shared", "bad"];
@@ -168,10 +168,6 @@
   monitor.recordTargetDown(target, "connection refused");
 }
 
-function run(id: string): TargetRun {
-  return { id, startedAtMs: undefined };
-}
-
 function lost(fingerprint: string): LostRequest {
   return { fingerprint, promptParts: [] };
 }
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -181,6 +181,13 @@
     help:
       "Check the target's own logs; if several follow, look for events 7003 and 10036",
   },
+  targetStartedAnew: {
+    id: 10039,
+    level: "info",
+    text:
+      "Target {target} has started again under its id: {run} after {previousRun}; nothing known of the earlier run counts",
+    help: "Check the target's own logs if it was not stopped on purpose",
+  },
   promptPartQuarantined: {
     id: 10036,
     level: "warn",
--- a/foundation/types/src/registered_target.ts
+++ b/foundation/types/src/registered_target.ts
@@ -1,7 +1,7 @@
 /** A target as it is registered in the platform's store. */
 
 export interface RegisteredTarget {
-  /** Identifies one run of the target, or a place that it keeps across restarts. */
+  /** Names the target; it may start again under the same id. */
   readonly id: string;
   /** The store's revision at which the registration last changed. */
   readonly revision: number;
@@ -12,8 +12,8 @@
   readonly slots: number;
   readonly isDraining: boolean;
   /**
-   * Start of the target's process in Unix milliseconds, which distinguishes the
-   * runs that share an id; undefined if it states none.
+   * Identifies one run of the target's process: its id and, if it states it, its
+   * start. What is known of one run does not count for another.
    */
-  readonly startedAtMs: number | undefined;
+  readonly run: string;
 }
--- a/routing/track-targets/src/target_tracker.ts
+++ b/routing/track-targets/src/target_tracker.ts
@@ -12,8 +12,8 @@
  * registrations of silent targets. Targets that this process has not known before
  * take effect at once: they may have registered while the store was away from it.
  *
- * A restarted target registers under a new id at the same address, while its old
- * registration remains for some time. Among registrations with the same address,
+ * A restarted target may register under a new id at the same address, while its
+ * old registration remains for some time. Among registrations with the same address,
  * the one written last takes effect. A registration whose address answers as
  * another target is ignored until it is written again.
  */
--- a/routing/track-targets/src/target_tracker_test.ts
+++ b/routing/track-targets/src/target_tracker_test.ts
@@ -140,6 +140,6 @@
     dataCentre: "d",
     slots: 8,
     isDraining: false,
-    startedAtMs: undefined,
+    run: id,
   };
 }
--- a/testing/ingress-tests/src/target_notices_test.ts
+++ b/testing/ingress-tests/src/target_notices_test.ts
@@ -200,3 +200,59 @@
     assert.ok(site.lines.some(({ name }) => name === "targetNoticeRejected"));
   });
 }
+
+/** Of two targets, each gets about half of the calls. */
+const MIN_SHARE = 0.3;
+const ANNOUNCEMENTS: readonly {
+  readonly name: string;
+  readonly script: EngineScript;
+}[] = [
+  {
+    name: "that it leaves",
+    script: announceLeaving(streamEvents({ last: 2 })),
+  },
+  { name: "a time to return", script: refuseFor(60) },
+  {
+    name: "a limit",
+    script: ({ response, answerHeaders }) =>
+      response.writeHead(200, { ...answerHeaders, "server-limit": "0.1" })
+        .end("limited"),
+  },
+];
+
+for (const { name, script } of ANNOUNCEMENTS) {
+  test(`A target that starts again under its id is not bound by the announcement of ${name}`, async (t) => {
+    const site = await startSite(t);
+    const [first, other] = site.engines;
+    const startedAtMs = Date.now() - 60_000;
+    register(site, first!, startedAtMs);
+    first!.script = script;
+    while (first!.calls.length === 0) await call(site, { path: "/safe/a" });
+    await first!.close();
+    const again = await SiteEngine.create(first!.id);
+    t.after(() => again.close());
+    register(site, again, startedAtMs + 50_000);
+    const run = `${again.id}@${startedAtMs + 50_000}`;
+    await waitFor(() =>
+      site.lines.some(({ name, fields }) =>
+        name === "targetStartedAnew" && fields["run"] === run
+      )
+    );
+    const otherBefore = other!.calls.length;
+    const statuses = await callTimes(site, { path: "/safe/a", count: 60 });
+    assert.ok(statuses.every((status) => status === 200));
+    const counts = [again.calls.length, other!.calls.length - otherBefore];
+    assert.ok(counts[0]! >= MIN_SHARE * statuses.length, counts.join(" and "));
+  });
+}
+
+function register(
+  { store }: Site,
+  engine: SiteEngine,
+  startedAtMs: number,
+): void {
+  store.put("servers", engine.id, {
+    ...engine.createServerSpec({ service: "s" }),
+    born: startedAtMs,
+  });
+}
