Log each order to release a pass that an agent passes on

The logs did not tell whose order ended the hold: that of the earlier coordinator, read by an agent that had been frozen; an earlier one that the engine carried out late; or one of the successor. Agents logged failed orders only.

Change: releaseForwarded (11011) names coordinator, term, step and epoch when an agent sends the order to its engine. One line a switch, at the rank that holds the pass.

--- a/daemon/serve-rank/src/rank_agent.ts
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -124,10 +124,14 @@
   async order(request: OrderRequest): Promise<OrderReply> {
     const rejection = this.#rejectCall(request);
     if (rejection !== undefined) return rejection;
-    const { order, epoch, term } = request;
+    const { order, epoch, term, coordinator } = request;
     const { engine, logger } = this.#options;
     this.#orderedByRank = request.rank;
     const isArm = order.kind === "arm";
+    if (order.kind === "release") {
+      const { step } = order;
+      logger.log("releaseForwarded", { coordinator, term, step, epoch });
+    }
     if (isArm) this.#armsInFlight += 1;
     const result = await engine.sendOrder(order, epoch);
     if (isArm) this.#armsInFlight -= 1;
--- a/foundation/log-events/src/rank_events.ts
+++ b/foundation/log-events/src/rank_events.ts
@@ -73,4 +73,11 @@
       "{asked} agents of group {group} do not respond; {found} ranks were read directly, held: {held} ({reason})",
     help: "Check the agents; the map does not change until all of them respond",
   },
+  releaseForwarded: {
+    id: 11011,
+    level: "info",
+    text:
+      "Order of term {term} from {coordinator} to release step {step} in epoch {epoch} is sent to the engine",
+    help: "None needed",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
