Revert a switch of maps that an earlier coordinator left unfinished

Cause: a successor cannot tell a switch that was about to arm from one that was cancelled, and orders of both kinds may still be carried out. It guessed, and took an agent that did not answer for one with an order to arm on its way.

Change: a successor arms nobody for a pass that it did not hold. If all ranks are armed it releases the pass; otherwise it prepares the map in force under a new version on every rank, after which engines refuse the earlier one, takes back ranks that are armed once some rank can no longer be, and then releases. Related: a pass is held only once one has begun since all agents follow the coordinator, so that a late release of a predecessor cannot hit it; arming ends when the pass has begun; a late hold of an earlier pass is released also while releasing.

Why it works: the pass is released only with all ranks armed or with none that can be armed, whatever is on its way.

--- a/agreement/switch-group/src/earlier_switch.ts
+++ b/agreement/switch-group/src/earlier_switch.ts
@@ -1,78 +1,116 @@
 /**
- * Completes a switch that an earlier coordinator left unfinished: a pass that is
- * held, or ranks that are armed.
+ * Ends a switch that an earlier coordinator left unfinished: a pass that is held,
+ * or ranks that are armed.
+ *
+ * A successor cannot know whether the earlier coordinator was arming ranks or had
+ * cancelled the hold, and orders of either kind may still be carried out. Arming
+ * further ranks would race with a late order to release the pass, and releasing
+ * the pass would race with a late order to arm. So, unless every rank is armed,
+ * the switch is reverted: first every rank is given a new version of the map in
+ * force, after which no order can arm it for the earlier switch, and only then is
+ * the pass released. A pass is therefore released either with all ranks armed or
+ * with none that can be, in whatever order the orders of several coordinators are
+ * carried out.
  */
 
 import type { RankReport } from "@dandelionbank/types";
 import {
+  chooseVersion,
+  endSwitch,
   enterPhase,
   isGroupComplete,
   listRanks,
   releaseHolds,
-  sendRelease,
+  sendOrder,
   type SwitchContext,
 } from "./switch_state.ts";
+import type { PhaseOf } from "./types.ts";
 
-/** Returns true if there is no unfinished switch to complete first. */
-export function completeEarlierSwitch(
+/** Returns true if there is no unfinished switch to end first. */
+export function endEarlierSwitch(
   context: SwitchContext,
   epoch: number,
 ): boolean {
-  const { reports } = context.state;
+  const { state } = context;
+  const { reports, ownVersion } = state;
   if (!isGroupComplete(reports)) {
     releaseHoldOfMissingRank(context, epoch);
     return false;
   }
-  const armed = reports.find(({ armedVersion }) => armedVersion !== 0);
-  const held = reports.find(({ heldStep }) => heldStep !== undefined);
-  if (held !== undefined) {
-    completeOrReleaseHold(context, { held, armed, epoch });
+  if (!isUnfinished(reports)) return true;
+  if (completeArmedSwitch(context, epoch)) return false;
+  const hasBegun = reports.some(({ armedVersion }) =>
+    armedVersion !== 0 &&
+    reports.some(({ mapVersion }) => mapVersion === armedVersion)
+  );
+  // Some reports are from before the pass and some from after it.
+  if (hasBegun) return false;
+  const isReverted = reports.every((report) =>
+    isSupersededBy(report, ownVersion)
+  );
+  if (isReverted) {
+    releaseHolds(context, { epoch });
     return false;
   }
-  if (armed === undefined) return true;
-  const version = armed.armedVersion;
-  enterPhase(context, { name: "settling", version, epoch, step: undefined });
+  const version = chooseVersion(state);
+  enterPhase(context, { name: "reverting", version, epoch, map: undefined });
   return false;
 }
 
-/**
- * Handles a hold that does not belong to a switch of this coordinator. If a
- * prepared version may have been armed for the held pass, even by an order that
- * is still in flight, the switch is completed; otherwise the pass is released.
- * An earlier coordinator may have cancelled the hold, and its order to release
- * may still arrive, so no rank is armed for a pass for which none can be yet.
- */
-function completeOrReleaseHold(
+/** Reverts the switch of an earlier coordinator. */
+export function revertSwitch(
   context: SwitchContext,
-  { held, armed, epoch }: {
-    readonly held: RankReport;
-    readonly armed: RankReport | undefined;
-    readonly epoch: number;
-  },
+  { version, epoch, map }: PhaseOf<"reverting">,
 ): void {
-  const step = held.heldStep as number;
-  const version = armed?.armedVersion ?? held.preparedVersion;
-  const { reports, agentOrders } = context.state;
-  const isPrepared = reports.every((report) =>
-    report.preparedVersion === version || report.armedVersion === version
-  );
-  const mayArmLate = reports.some(({ rank }) =>
-    agentOrders.get(rank)?.mayArmLate ?? true
+  const { reports } = context.state;
+  if (!isGroupComplete(reports)) return;
+  if (!isUnfinished(reports)) return endSwitch(context, "abandoned");
+  if (completeArmedSwitch(context, epoch)) return;
+  if (map === undefined) return;
+  const superseded = reports.filter((report) =>
+    isSupersededBy(report, version)
   );
-  const mayBeArmed = version > held.mapVersion && isPrepared &&
-    (armed !== undefined || mayArmLate);
-  if (!mayBeArmed) {
-    sendRelease(context, { rank: held.rank, step, epoch });
-    return;
+  for (const report of reports) {
+    const { rank, armedVersion } = report;
+    const common = { rank, epoch, mayBypassAgent: true };
+    if (armedVersion === 0) {
+      if (superseded.includes(report)) continue;
+      const order = { kind: "supersede", version, map } as const;
+      sendOrder(context, { ...common, order });
+    } else if (superseded.length > 0) {
+      // While every rank can be armed, the earlier coordinator may release the
+      // pass, relying on this rank.
+      const order = { kind: "disarm", version: armedVersion } as const;
+      sendOrder(context, { ...common, order });
+    }
   }
-  enterPhase(context, {
-    name: "arming",
-    version,
-    epoch,
-    step,
-    holder: held.rank,
-    armed: new Set(),
-  });
+  if (superseded.length === reports.length) releaseHolds(context, { epoch });
+}
+
+/** Releases the pass if every rank is armed; returns whether that is so. */
+function completeArmedSwitch(context: SwitchContext, epoch: number): boolean {
+  const { reports } = context.state;
+  const version = reports[0]?.armedVersion ?? 0;
+  const isArmed = version !== 0 &&
+    reports.every(({ armedVersion }) => armedVersion === version);
+  if (!isArmed) return false;
+  enterPhase(context, { name: "settling", version, epoch, step: undefined });
+  return true;
+}
+
+function isUnfinished(reports: readonly RankReport[]): boolean {
+  return reports.some(({ heldStep, armedVersion }) =>
+    heldStep !== undefined || armedVersion !== 0
+  );
+}
+
+/** Whether the rank can't be armed with any version before this one. */
+function isSupersededBy(
+  { mapVersion, preparedVersion, armedVersion }: RankReport,
+  version: number,
+): boolean {
+  return armedVersion === 0 &&
+    Math.max(mapVersion, preparedVersion) === version;
 }
 
 /**
--- a/agreement/switch-group/src/mod.ts
+++ b/agreement/switch-group/src/mod.ts
@@ -3,6 +3,7 @@
 export {
   canStartSwitch,
   requiresAllReports,
+  requiresCurrentMap,
   stepSwitch,
 } from "./switch_group.ts";
 export { createSwitchState } from "./switch_state.ts";
--- a/agreement/switch-group/src/order_result.ts
+++ b/agreement/switch-group/src/order_result.ts
@@ -3,6 +3,7 @@
 import {
   allowImmediateResend,
   beginConfirming,
+  chooseVersion,
   endSwitch,
   enterPhase,
   type SwitchContext,
@@ -45,5 +46,13 @@
       enterPhase(context, { name: "settling", version, epoch, step });
       return;
     }
+    case "supersede":
+      if (phase.name !== "reverting" || phase.version !== order.version) return;
+      if (isDone) return;
+      // The rank has had a higher version that it didn't report, or is armed.
+      return enterPhase(context, { ...phase, version: chooseVersion(state) });
+    case "disarm":
+      // The next reports show the effect.
+      return;
   }
 }
--- a/agreement/switch-group/src/switch_group.ts
+++ b/agreement/switch-group/src/switch_group.ts
@@ -16,14 +16,16 @@
  * abandoning the switch could leave a rank armed. A group that restarts with a
  * new epoch has dropped all orders, so every order carries the epoch it is for.
  *
- * The state contains nothing that a successor needs: a new coordinator completes
- * whatever it finds prepared, held or armed.
+ * The state contains nothing that a successor needs: a new coordinator releases
+ * a pass for which all ranks are armed, and reverts any other unfinished switch
+ * (see `earlier_switch.ts`).
  */
 
 import type { RankReport, Step } from "@dandelionbank/types";
 import { advancePhase } from "./switch_phases.ts";
 import {
   endSwitch,
+  findLatestStep,
   isGroupComplete,
   type SwitchContext,
   type SwitchState,
@@ -57,6 +59,12 @@
   return isHeld || (phase.name !== "idle" && phase.name !== "preparing");
 }
 
+/** Whether the map in force is needed to revert an earlier switch. */
+export function requiresCurrentMap({ phase, reports }: SwitchState): boolean {
+  return phase.name === "reverting" && phase.map === undefined &&
+    isGroupComplete(reports);
+}
+
 function applyEvent(context: SwitchContext, event: SwitchEvent): void {
   const { state } = context;
   switch (event.type) {
@@ -66,19 +74,31 @@
       state.isFollowedByAll = event.isFollowedByAll;
       state.agentOrders = event.agentOrders;
       state.groupSize = event.reports[0]?.groupSize ?? state.groupSize;
-      return;
+      return recordFollowed(state);
     case "planned":
       if (state.phase.name === "idle") state.plan = event.map;
       return;
+    case "currentMapRead":
+      if (state.phase.name !== "reverting") return;
+      state.phase = { ...state.phase, map: event.map };
+      return;
     case "orderEnded":
       return applyOrderResult(context, event);
   }
 }
 
+function recordFollowed(state: SwitchState): void {
+  const { reports, isFollowedByAll, followedSince } = state;
+  if (!isFollowedByAll || !isGroupComplete(reports)) return;
+  const epoch = findLatestEpoch(reports);
+  if (followedSince?.epoch === epoch) return;
+  state.followedSince = { epoch, step: findLatestStep(reports) };
+}
+
 /** Runs phases until the phase no longer changes. */
 function advanceUntilStable(context: SwitchContext): void {
   const { state } = context;
-  const epoch = Math.max(0, ...state.reports.map((report) => report.epoch));
+  const epoch = findLatestEpoch(state.reports);
   const { phase } = state;
   if (phase.name !== "idle" && phase.epoch < epoch) {
     endSwitch(context, "abandoned");
@@ -89,3 +109,7 @@
     if (state.phase === before) return;
   }
 }
+
+function findLatestEpoch(reports: readonly RankReport[]): number {
+  return Math.max(0, ...reports.map(({ epoch }) => epoch));
+}
--- a/agreement/switch-group/src/switch_phases.ts
+++ b/agreement/switch-group/src/switch_phases.ts
@@ -3,10 +3,10 @@
  * is the number of a pass; a rank that is armed switches when that pass begins.
  */
 
-import type { RankReport } from "@dandelionbank/types";
-import { completeEarlierSwitch } from "./earlier_switch.ts";
+import { endEarlierSwitch, revertSwitch } from "./earlier_switch.ts";
 import {
   beginConfirming,
+  chooseVersion,
   endSwitch,
   enterPhase,
   findLatestStep,
@@ -54,19 +54,20 @@
       return releasePass(context, phase);
     case "settling":
       return awaitSwitchedRanks(context, phase);
+    case "reverting":
+      return revertSwitch(context, phase);
   }
 }
 
 function startPlannedSwitch(context: SwitchContext, epoch: number): void {
   const { state, nowMs } = context;
-  if (!completeEarlierSwitch(context, epoch)) return;
-  const { plan, reports, options } = state;
+  if (!endEarlierSwitch(context, epoch)) return;
+  const { plan } = state;
   if (plan === undefined || !state.isFollowedByAll) return;
   state.plan = undefined;
-  const highest = Math.max(...reports.map(findHighestVersion));
   enterPhase(context, {
     name: "preparing",
-    version: Math.max(options.firstVersion, highest + 1),
+    version: chooseVersion(state),
     epoch,
     map: plan,
     sinceMs: nowMs,
@@ -93,7 +94,13 @@
   }
   // A pass is held only while every agent answers, so that the hold is short.
   if (missing.length > 0 || !state.isFollowedByAll) return;
-  const step = findLatestStep(state.reports) + HOLD_LEAD_STEPS;
+  const latestStep = findLatestStep(state.reports);
+  // In an idle group, an earlier coordinator may have held the same pass, and
+  // its order to release it may still be carried out.
+  if (latestStep <= (state.followedSince?.step ?? latestStep)) {
+    return releaseHolds(context, { epoch });
+  }
+  const step = latestStep + HOLD_LEAD_STEPS;
   const holder = selectHolder(state);
   enterPhase(context, { name: "holding", version, epoch, step, holder });
 }
@@ -175,6 +182,9 @@
 function armRanks(context: SwitchContext, phase: PhaseOf<"arming">): void {
   const { reports, groupSize, options } = context.state;
   const { version, epoch, step, holder, armed } = phase;
+  if (findLatestStep(reports) >= step) {
+    return enterPhase(context, { name: "settling", version, epoch, step });
+  }
   const reported = reports.filter((report) => report.armedVersion === version);
   const armedRanks = new Set([...armed, ...reported.map(({ rank }) => rank)]);
   const missing = listRanks(groupSize).filter((rank) => !armedRanks.has(rank));
@@ -198,6 +208,8 @@
     return enterPhase(context, { name: "settling", version, epoch, step });
   }
   sendRelease(context, { rank: holder, step, epoch });
+  // A late hold of an earlier coordinator keeps the group from an earlier pass.
+  releaseHolds(context, { epoch, exceptStep: step });
 }
 
 /** Waits until all ranks have begun the pass. */
@@ -213,11 +225,9 @@
   if (reports.some(({ armedVersion }) => armedVersion !== 0)) return;
   const isSwitched = reports.every(({ mapVersion }) => mapVersion >= version);
   if (isSwitched) return endSwitch(context, "switched");
-  // The switch of an earlier coordinator turned out not to be armed anywhere.
-  if (step === undefined) endSwitch(context, "abandoned");
-}
-
-function findHighestVersion(report: RankReport): number {
-  const { mapVersion, preparedVersion, armedVersion } = report;
-  return Math.max(mapVersion, preparedVersion, armedVersion);
+  // The pass began before all ranks were armed, or an earlier coordinator's
+  // switch turned out not to be armed anywhere.
+  const hasBegun = step === undefined ||
+    reports.every((report) => report.step >= step);
+  if (hasBegun) endSwitch(context, "abandoned");
 }
--- a/agreement/switch-group/src/switch_state.ts
+++ b/agreement/switch-group/src/switch_state.ts
@@ -41,6 +41,14 @@
   agentOrders: ReadonlyMap<number, OrderForwardingState>;
   groupSize: number;
   plan: ExpertMap | undefined;
+  /** The newest version that this coordinator chose; 0 if none. */
+  ownVersion: number;
+  /**
+   * The latest pass, in an epoch, when all agents first followed this
+   * coordinator. Earlier coordinators held no pass later than
+   * `HOLD_LEAD_STEPS` after it.
+   */
+  followedSince: { readonly epoch: number; readonly step: number } | undefined;
   /** Ranks that have accepted the order to prepare the version. */
   readonly accepted: Set<number>;
   /** Time each order was last sent, by the key of `getOrderKey`. */
@@ -71,6 +79,8 @@
     agentOrders: new Map(),
     groupSize: 0,
     plan: undefined,
+    ownVersion: 0,
+    followedSince: undefined,
     accepted: new Set(),
     sentAtMs: new Map(),
   };
@@ -90,6 +100,14 @@
   });
 }
 
+/** Chooses a version above all that the ranks have had. */
+export function chooseVersion(state: SwitchState): number {
+  const { reports, options, ownVersion } = state;
+  const highest = Math.max(...reports.map(findHighestVersion), ownVersion);
+  state.ownVersion = Math.max(options.firstVersion, highest + 1);
+  return state.ownVersion;
+}
+
 /** Records that the pass is held, before any rank is armed for it. */
 export function beginConfirming(
   context: SwitchContext,
@@ -127,7 +145,7 @@
 ): void {
   const key = getOrderKey(sent);
   const sentAtMs = state.sentAtMs.get(key);
-  const resendMs = sent.order.kind === "prepare"
+  const resendMs = "map" in sent.order
     ? RESEND_MAP_MS
     : Math.max(RESEND_MS, state.groupSize * RESEND_PER_RANK_MS);
   if (sentAtMs !== undefined && nowMs - sentAtMs < resendMs) return;
@@ -140,7 +158,7 @@
   { sentAtMs }: SwitchState,
   sent: Pick<OutgoingOrder, "order" | "rank">,
 ): void {
-  if (sent.order.kind === "prepare") sentAtMs.delete(getOrderKey(sent));
+  if ("map" in sent.order) sentAtMs.delete(getOrderKey(sent));
 }
 
 function getOrderKey(
@@ -192,3 +210,8 @@
 export function listRanks(groupSize: number): readonly number[] {
   return Array.from({ length: groupSize }, (_, rank) => rank);
 }
+
+function findHighestVersion(report: RankReport): number {
+  const { mapVersion, preparedVersion, armedVersion } = report;
+  return Math.max(mapVersion, preparedVersion, armedVersion);
+}
--- a/agreement/switch-group/src/types.ts
+++ b/agreement/switch-group/src/types.ts
@@ -22,6 +22,8 @@
   }
   /** A new map to switch to; ignored while a switch is in progress. */
   | { readonly type: "planned"; readonly map: ExpertMap }
+  /** The map in force; see `requiresCurrentMap`. */
+  | { readonly type: "currentMapRead"; readonly map: ExpertMap }
   | {
     readonly type: "orderEnded";
     readonly rank: number;
@@ -115,6 +117,14 @@
     readonly epoch: number;
     /** Undefined if an earlier coordinator armed the ranks. */
     readonly step: number | undefined;
+  }
+  | {
+    readonly name: "reverting";
+    /** A new version of the map in force. */
+    readonly version: number;
+    readonly epoch: number;
+    /** The map in force; undefined until it has been read. */
+    readonly map: ExpertMap | undefined;
   };
 
 export type Phase = { readonly name: "idle" } | ActivePhase;
--- a/daemon/serve-rank/src/call_relay.ts
+++ b/daemon/serve-rank/src/call_relay.ts
@@ -205,6 +205,6 @@
 }
 
 function decodeOrder(order: EncodedOrder): GroupOrder {
-  if (order.kind !== "prepare") return order;
+  if (!("map" in order)) return order;
   return { ...order, map: decodeMap(order.map) };
 }
--- a/daemon/serve-rank/src/coordinator.ts
+++ b/daemon/serve-rank/src/coordinator.ts
@@ -30,6 +30,7 @@
   canStartSwitch,
   createSwitchState,
   requiresAllReports,
+  requiresCurrentMap,
   stepSwitch,
   type SwitchEffect,
   type SwitchEvent,
@@ -181,14 +182,18 @@
     }
     const directReports = await this.#readUnresponsive(round);
     const wasIdle = this.#switch.phase.name === "idle";
+    const allReports = [...reports, ...directReports];
     this.#dispatch({
       type: "reported",
-      reports: [...reports, ...directReports],
+      reports: allReports,
       polledAtMs: nowMs,
       isFollowedByAll: directReports.length === 0,
       agentOrders,
     });
     if (reports.length > 0) this.#repliedAt = readInstant();
+    if (requiresCurrentMap(this.#switch)) {
+      await this.#readCurrentMap(allReports);
+    }
     // Once a switch is done, the next one may be planned at once.
     const mayPlan = withChoices || !wasIdle;
     if (mayPlan && canStartSwitch(this.#switch)) await this.#planNext(reports);
@@ -220,6 +225,13 @@
     return directReports;
   }
 
+  async #readCurrentMap(reports: readonly RankReport[]): Promise<void> {
+    const profile = this.#options.readProfile();
+    if (profile === undefined) return;
+    const map = await this.#map.read(reports, profile);
+    if (map !== undefined) this.#dispatch({ type: "currentMapRead", map });
+  }
+
   #stepDown(term: number): void {
     const { leadershipState, logger, group } = this.#options;
     if (!this.#isLeading) return;
--- a/daemon/serve-rank/src/rank_agent.ts
+++ b/daemon/serve-rank/src/rank_agent.ts
@@ -64,7 +64,7 @@
   #isEngineLost = false;
   /** The last map that the engine accepted in a prepare order. */
   #prepared: PreparedMap | undefined;
-  /** Rank of the coordinator that sent the last order. */
+  /** See `OrderForwardingState`. */
   #orderedByRank: number | undefined;
   /**
    * When an arm order last got no answer. Initially the agent's own start, since
@@ -126,7 +126,8 @@
     if (rejection !== undefined) return rejection;
     const { order, epoch, term, coordinator } = request;
     const { engine, logger } = this.#options;
-    this.#orderedByRank = request.rank;
+    const isReverting = order.kind === "supersede" || order.kind === "disarm";
+    this.#orderedByRank = isReverting ? undefined : request.rank;
     const isArm = order.kind === "arm";
     if (order.kind === "release") {
       const { step } = order;
--- a/daemon/serve-rank/src/rank_link.ts
+++ b/daemon/serve-rank/src/rank_link.ts
@@ -241,13 +241,14 @@
     this.#baseMap = undefined;
   }
 
+  /** Reads the experts that the rank holds, even if its agent does not answer. */
   async readExperts(): Promise<HeldExperts | undefined> {
     try {
       return await (this.#options.localAgent?.readExperts() ??
         this.#client!.calls.readExperts.query());
     } catch (error) {
       this.#lastFailure = String(error);
-      return undefined;
+      return await this.#openEngine().readExperts();
     }
   }
 
@@ -294,7 +295,7 @@
 }
 
 export function encodeOrder(order: GroupOrder): EncodedOrder {
-  if (order.kind !== "prepare") return order;
+  if (!("map" in order)) return order;
   return { ...order, map: encodeMap(order.map) };
 }
 
--- a/foundation/types/src/group.ts
+++ b/foundation/types/src/group.ts
@@ -64,7 +64,21 @@
   /** Keeps the whole group from starting the pass. */
   | { readonly kind: "hold"; readonly step: number }
   /** Ends the hold on the pass. */
-  | { readonly kind: "release"; readonly step: number };
+  | { readonly kind: "release"; readonly step: number }
+  /**
+   * Prepares the map in force under a new version, after which the rank can no
+   * longer be armed with an earlier one.
+   */
+  | {
+    readonly kind: "supersede";
+    readonly version: number;
+    readonly map: ExpertMap;
+  }
+  /** Takes back an armed version, which stays prepared. */
+  | { readonly kind: "disarm"; readonly version: number };
+
+/** An order that carries a map. */
+export type MapOrder = Extract<GroupOrder, { readonly map: ExpertMap }>;
 
 export type GroupOrderResult =
   | "done"
@@ -81,6 +95,9 @@
    * unnoticed.
    */
   readonly mayArmLate: boolean;
-  /** Rank of the coordinator whose order the agent forwarded last. */
+  /**
+   * Rank of the coordinator whose order the agent forwarded last; undefined if
+   * that order reverts a switch of another coordinator.
+   */
   readonly orderedByRank: number | undefined;
 }
--- a/peers/rank-api/src/rank_router.ts
+++ b/peers/rank-api/src/rank_router.ts
@@ -11,6 +11,7 @@
   GroupOrder,
   GroupOrderResult,
   HeldExperts,
+  MapOrder,
   OrderForwardingState,
   RankReport,
 } from "@dandelionbank/types";
@@ -85,9 +86,9 @@
 
 /** An order in its form on the wire. */
 export type EncodedOrder =
-  | Exclude<GroupOrder, { readonly kind: "prepare" }>
+  | Exclude<GroupOrder, MapOrder>
   | {
-    readonly kind: "prepare";
+    readonly kind: MapOrder["kind"];
     readonly version: number;
     /** Encoded by `encodeMap`. */
     readonly map: string;
@@ -157,18 +158,22 @@
   sinceSnapshot: COUNT,
   withChoices: v.boolean(),
 });
-const STEP_ORDER_SCHEMAS = [
+const MAPLESS_ORDER_SCHEMAS = [
   v.object({ kind: v.literal("arm"), version: COUNT, step: COUNT }),
   v.object({ kind: v.literal("hold"), step: COUNT }),
   v.object({ kind: v.literal("release"), step: COUNT }),
+  v.object({ kind: v.literal("disarm"), version: COUNT }),
 ] as const;
-const PREPARE_ORDER = { kind: v.literal("prepare"), version: COUNT };
+const MAP_ORDER = {
+  kind: v.picklist(["prepare", "supersede"]),
+  version: COUNT,
+};
 const ORDER_SCHEMA = v.object({
   ...LEADERSHIP_FIELDS,
   epoch: COUNT,
   order: v.variant("kind", [
-    v.object({ ...PREPARE_ORDER, map: ENCODED_MAP }),
-    ...STEP_ORDER_SCHEMAS,
+    v.object({ ...MAP_ORDER, map: ENCODED_MAP }),
+    ...MAPLESS_ORDER_SCHEMAS,
   ]),
 });
 const MAP_CHANGE = {
@@ -192,8 +197,8 @@
       kind: v.literal("order"),
       epoch: COUNT,
       order: v.variant("kind", [
-        v.object({ ...PREPARE_ORDER, map: v.string() }),
-        ...STEP_ORDER_SCHEMAS,
+        v.object({ ...MAP_ORDER, map: v.string() }),
+        ...MAPLESS_ORDER_SCHEMAS,
       ]),
     }),
     v.object({ kind: v.literal("prepareChange"), ...MAP_CHANGE }),
--- a/testing/group-model/src/group_model.ts
+++ b/testing/group-model/src/group_model.ts
@@ -133,6 +133,7 @@
     const rank = this.#ranks[index]!;
     switch (order.kind) {
       case "prepare":
+      case "supersede":
         if (order.version === rank.preparedVersion) return "done";
         if (order.version <= rank.highestVersion) return "conflict";
         if (rank.armed !== undefined) return "conflict";
@@ -156,6 +157,10 @@
       case "release":
         if (rank.heldStep === order.step) rank.heldStep = undefined;
         return "done";
+      case "disarm":
+        if (rank.mapVersion === order.version) return "conflict";
+        if (rank.armed?.version === order.version) rank.armed = undefined;
+        return "done";
     }
   }
 }
--- a/testing/standin-site/src/site_group.ts
+++ b/testing/standin-site/src/site_group.ts
@@ -176,6 +176,8 @@
       return { kind: "hold", step };
     case "go":
       return { kind: "release", step };
+    case "disarm":
+      return { kind: "disarm", version };
     default:
       return undefined;
   }
