--- a/testing/fuzz/src/registry.ts
+++ b/testing/fuzz/src/registry.ts
@@ -23,6 +23,7 @@
   decodeTarget,
   HEADERS,
 } from "@dandelionbank/platform-adapter";
+import { HttpPool } from "@dandelionbank/open-http";
 import { decodeCounts, decodeMap, encodeMap } from "@dandelionbank/rank-api";
 import { EventSplitter } from "@dandelionbank/read-events";
 import {
@@ -31,6 +32,7 @@
   ROUTE_HOST,
 } from "@dandelionbank/run-entry";
 import fc from "fast-check";
+import { validateHeaderValue } from "node:http";
 import { createFuzzTarget, type FuzzTarget } from "./fuzz_target.ts";
 import { createHeadersArbitrary, mutateJson, mutateText } from "./malformed.ts";
 
@@ -49,6 +51,14 @@
   slots: 8,
   state: "ready",
 };
+/** Text that looks like an address, within the ranges of its numbers or not. */
+const ADDRESS = fc.oneof(
+  mutateText(TARGET.address),
+  fc.tuple(
+    fc.array(fc.nat(400), { minLength: 4, maxLength: 4 }),
+    fc.nat(99_999),
+  ).map(([octets, port]) => `${octets.join(".")}:${port}`),
+);
 const REPORT = {
   group: { name: "g", epoch: 1, rank: 0, size: 4, state: "open" },
   step: 9,
@@ -133,8 +143,22 @@
   }),
   createFuzzTarget({
     name: "target",
-    input: mutateJson(TARGET),
-    decode: (spec) => decodeTarget({ name: "t", revision: 1, spec }),
+    input: fc.record({
+      name: fc.oneof(fc.constant("t"), fc.string({ unit: "binary" })),
+      spec: mutateJson(TARGET),
+      address: fc.oneof(fc.constant(undefined), ADDRESS),
+    }),
+    decode: ({ name, spec, address }) => {
+      const changed = address === undefined || typeof spec !== "object"
+        ? spec
+        : { ...spec, address };
+      const target = decodeTarget({ name, revision: 1, spec: changed });
+      if (target === undefined) return undefined;
+      // What is decoded has to be usable for a connection and as a header.
+      void HttpPool.create({ origin: `http://${target.address}` }).close();
+      validateHeaderValue("target", target.id);
+      return target;
+    },
   }),
   createFuzzTarget({
     name: "answer-head",
--- a/testing/ingress-tests/src/group_test.ts
+++ b/testing/ingress-tests/src/group_test.ts
@@ -44,6 +44,20 @@
   await waitFor(() => !group.model.hasAnyHold);
 });
 
+// Guards against agents that end, one coordinator after another, when a
+// registration by another writer has an address that cannot be used.
+test("A registration with an unusable address ends no agent", async (t) => {
+  const { group, store } = await startGroup(t);
+  store.put("servers", "other", {
+    service: "s",
+    address: "127.300.0.7:8000",
+    zone: "a",
+    slots: 8,
+    state: "ready",
+  });
+  await waitFor(() => group.model.mapVersion > 0);
+});
+
 test("When the coordinator stops, another agent becomes coordinator", async (t) => {
   const { group, agents, lines } = await startGroup(t);
   await waitFor(() => group.model.mapVersion > 0);
--- a/testing/ingress-tests/src/views_test.ts
+++ b/testing/ingress-tests/src/views_test.ts
@@ -15,6 +15,15 @@
   waitFor,
 } from "@dandelionbank/run-entry";
 
+const UNUSABLE_ADDRESSES = [
+  "127.300.0.7:8000",
+  "127.0.0.08:8000",
+  "127.0.0.1:08000",
+  "127.0.0.1:80000",
+  "999.999.999.999:1",
+  "127.0.0.1:8000/x",
+];
+
 test("An unknown route or key is denied while the configuration is current", async (t) => {
   const site = await startSite(t, { engines: 1 });
   assert.equal((await call(site, { path: "/none/a" })).status, 404);
@@ -69,6 +78,28 @@
   assert.equal((await call(site, { path: "/safe/a" })).status, 404);
 });
 
+// Guards against an entry process that ends when a request picks a registration
+// that another writer made, whose address or id cannot be used.
+test("A registration that names no usable target ends no request", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const sound = site.engines[0]!.createServerSpec({ service: "s" });
+  for (const address of UNUSABLE_ADDRESSES) {
+    site.store.put("servers", `at-${address}`, { ...sound, address });
+  }
+  const address = "127.0.0.1:9";
+  for (const id of ["a\nb", "\u{1f600}", "a b"]) {
+    site.store.put("servers", id, { ...sound, address });
+  }
+  const last = { ...sound, address: "127.0.0.1:10", state: "draining" };
+  site.store.put("servers", "last", last);
+  await waitFor(() =>
+    site.lines.some(({ fields }) => fields["change"] === "last is draining")
+  );
+  for (let count = 0; count < 40; count++) {
+    assert.equal((await call(site, { path: "/once/a" })).status, 200);
+  }
+});
+
 function hasLogged(site: Site, event: string): boolean {
   return site.lines.some(({ name }) => name === event);
 }
