Accept no request that a planned stop would cut

Cause: the time in which requests are accepted, the longest time that one may run and the time of the cut were chosen apart, and nothing compared them. Ruled out: targets that broke off and timeouts; the cuts fall together with the end of the process.

Change: the times of a stop are derived in one place. From SIGTERM on, a request is accepted only if its timeout, or twice the time that a full group takes for the tokens of the stream, ends before the cut. Others are refused at once with 503; they have not run, and may return at once if there is another entry. The estimate of a full group's step is shared with the admission of streams.

Why it works: what is accepted can end; plain requests and short streams are accepted for as long as before.

Test: "A stopping entry cuts no stream that it accepts" failed before ("2 of 85 were cut").

--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -10,17 +10,22 @@
 import { CallerAnswer } from "./caller_answer.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { RequestTask } from "./request_task.ts";
-import { routeRequest } from "./route_request.ts";
+import type { RoutedRequest } from "./routed_request.ts";
+import { estimateLongestRunMs } from "./estimate_run.ts";
+import { type RouteDecision, routeRequest } from "./route_request.ts";
 
 /** `retry-after` of a request that this entry cannot route yet. */
 const UNAVAILABLE_RETRY_MS = 200;
+/** `retry-after` of a request that another entry takes at once. */
+const STOPPING_RETRY_MS = 0;
 const STATUS_TOO_LARGE = 413;
 
 export class Forwarder {
   readonly #context: ForwardContext;
   readonly #tasks = new Set<RequestTask>();
   #lastId = 0;
-  #refusesNew = false;
+  /** When accepted requests have to end; undefined unless the entry stops. */
+  #endAtMs: number | undefined;
 
   private constructor(context: ForwardContext) {
     this.#context = context;
@@ -35,9 +40,14 @@
     return this.#tasks.size;
   }
 
+  /** Refuses, as not run, every further request that may not end by then. */
+  refuseLongRequests(endAtMs: number): void {
+    this.#endAtMs = endAtMs;
+  }
+
   /** Refuses every further request as not run. */
   refuseNewRequests(): void {
-    this.#refusesNew = true;
+    this.#endAtMs = Number.NEGATIVE_INFINITY;
   }
 
   /** Cuts the streams that their callers can resume at another entry. */
@@ -96,9 +106,10 @@
     const path = message.url ?? "/";
     const head = decodeCallerHead(fields);
     const now = readInstant();
-    const decision = this.#refusesNew
-      ? { kind: "unavailable" as const, reason: "stopping" }
-      : routeRequest(context.configuration, { head, target: path, now });
+    const decision = this.#checkStop(
+      routeRequest(context.configuration, { head, target: path, now }),
+      { head, arrivedAtMs },
+    );
     if (decision.kind !== "routed") {
       const status = decision.kind === "denied" ? decision.status : 503;
       context.logger.log("requestDenied", {
@@ -109,7 +120,7 @@
         proofAgeMs: Math.round(computeProofAgeMs(context.configuration, now)),
       });
       if (decision.kind === "denied") answer.sendFinal({ status });
-      else answer.refuse(UNAVAILABLE_RETRY_MS);
+      else answer.refuse(this.#unavailableRetryMs);
       return;
     }
     this.#lastId += 1;
@@ -133,4 +144,33 @@
     this.#tasks.add(task);
     response.on("close", () => task.handleCallerDisconnect());
   }
+
+  /** Refuses a routed request that may still run when the entry ends. */
+  #checkStop(
+    decision: RouteDecision,
+    { head, arrivedAtMs }: Pick<RoutedRequest, "head" | "arrivedAtMs">,
+  ): RouteDecision {
+    if (this.#endAtMs === undefined || decision.kind !== "routed") {
+      return decision;
+    }
+    const { route } = decision;
+    const services = this.#context.configuration.table?.configuration.services;
+    const profiles = route.shares.map(({ service }) =>
+      services?.get(service)?.engine
+    );
+    const longestMs = Math.round(
+      estimateLongestRunMs({ head, route }, profiles),
+    );
+    const leftMs = Math.round(this.#endAtMs - arrivedAtMs);
+    if (longestMs <= leftMs) return decision;
+    const reason =
+      `stopping: may run for ${longestMs} ms, ${leftMs} ms are left`;
+    return { kind: "unavailable", reason };
+  }
+
+  get #unavailableRetryMs(): number {
+    const isTakenByOther = this.#endAtMs !== undefined &&
+      this.#context.countEntries() > 1;
+    return isTakenByOther ? STOPPING_RETRY_MS : UNAVAILABLE_RETRY_MS;
+  }
 }
--- a/daemon/forward-requests/src/routed_request.ts
+++ b/daemon/forward-requests/src/routed_request.ts
@@ -22,7 +22,9 @@
 }
 
 /** Returns the route's timeout, or the caller's deadline if that is sooner. */
-export function computeTimeoutMs({ route, head }: RoutedRequest): number {
+export function computeTimeoutMs(
+  { route, head }: Pick<RoutedRequest, "route" | "head">,
+): number {
   const { deadlineMs = Number.POSITIVE_INFINITY } = head;
   return Math.min(route.timeoutMs, deadlineMs - DEADLINE_MARGIN_MS);
 }
--- a/daemon/forward-requests/src/stream_admission.ts
+++ b/daemon/forward-requests/src/stream_admission.ts
@@ -12,6 +12,7 @@
   stepAdmission,
 } from "@dandelionbank/admit-streams";
 import type { EngineProfile } from "@dandelionbank/types";
+import { estimateFullStepMs, estimatePrefillMs } from "./estimate_run.ts";
 
 /** Capacity of a service's group for streams, and its use by other entries. */
 export interface GroupLoad {
@@ -167,9 +168,8 @@
  * on a full, balanced group.
  */
 function estimateDurations(profile: EngineProfile) {
-  const { stepMs, stepPerRequestMs, maxBatch, prefillTokensPerS } = profile;
-  const fullStepMs = stepMs + stepPerRequestMs * maxBatch;
-  const prefillMs = profile.meanPromptTokens / prefillTokensPerS * 1_000;
+  const fullStepMs = estimateFullStepMs(profile);
+  const prefillMs = estimatePrefillMs(profile, profile.meanPromptTokens);
   return {
     expectedRunMs: prefillMs + profile.meanAnswerTokens * fullStepMs,
     expectedFirstEventMs: prefillMs + fullStepMs * profile.stepsPerPass,
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -54,6 +54,7 @@
 import { ConfigurationView } from "./configuration_view.ts";
 import { QuarantinedPartsStore } from "./quarantined_parts_store.ts";
 import { registerEntry } from "./register_entry.ts";
+import { createStopSchedule } from "./stop_schedule.ts";
 import { TargetView } from "./target_view.ts";
 
 /** Duration of one watch call, as a fraction of the bound on key revocation. */
@@ -62,19 +63,12 @@
 const REFRESH_INTERVAL_MS = 50;
 /** How long callers may cache the directory's answer. */
 const DIRECTORY_TTL_MS = 2_000;
-/** Callers may cache an answer for up to three times its TTL. */
-const DIRECTORY_CACHE_FACTOR = 3;
 /** Idle connections are kept longer than the limit that callers assume. */
 const IDLE_TIMEOUT_FACTOR = 2;
-/**
- * Part of the grace period reserved for cutting the remaining requests in
- * order.
- */
-const STOP_MARGIN_MS = 600;
 /** Interval of checks whether all requests have ended. */
 const STOP_POLL_MS = 50;
-/** Fraction of the grace period in which new requests are still served. */
-const STOP_SERVE_FRACTION = 0.5;
+/** Time for servers to close once nothing runs any more. */
+const CLOSE_TIMEOUT_MS = 300;
 
 export interface IngressOptions {
   readonly settings: BootSettings;
@@ -249,7 +243,8 @@
 
   /**
    * Stops the process: leaves the directory at once, and serves new requests
-   * while callers may still use cached directory answers.
+   * while callers may still use cached directory answers, as far as there is
+   * time for them.
    */
   stop(): Promise<void> {
     this.#stopPromise ??= this.#stop();
@@ -259,15 +254,17 @@
   async #stop(): Promise<void> {
     const { graceMs } = this.#options.settings.bounds;
     const startedMs = performance.now();
-    const elapsedMs = () => performance.now() - startedMs;
+    const schedule = createStopSchedule({
+      graceMs,
+      directoryTtlMs: DIRECTORY_TTL_MS,
+    });
+    const cutAtMs = startedMs + schedule.cutMs;
     this.#isStopping = true;
+    this.#forwarder.refuseLongRequests(startedMs + schedule.endMs);
     this.#exchange.broadcast();
-    const cachedMs = DIRECTORY_TTL_MS * DIRECTORY_CACHE_FACTOR;
-    const serveMs = Math.min(cachedMs, graceMs * STOP_SERVE_FRACTION);
-    await delay(serveMs);
+    await delay(schedule.acceptMs);
     this.#forwarder.refuseNewRequests();
-    const limitMs = graceMs - STOP_MARGIN_MS;
-    while (this.#forwarder.activeCount > 0 && elapsedMs() < limitMs) {
+    while (this.#forwarder.activeCount > 0 && performance.now() < cutAtMs) {
       await delay(STOP_POLL_MS);
     }
     this.#forwarder.cutResumableStreams();
@@ -276,7 +273,7 @@
     for (const watcher of this.#watchers) watcher.stop();
     this.#exchange.stop();
     const closed = Promise.all(this.#servers.map((server) => server.close()));
-    await Promise.race([closed, delay(STOP_MARGIN_MS / 2)]);
+    await Promise.race([closed, delay(CLOSE_TIMEOUT_MS)]);
   }
 
   #createServer(address: SocketAddress, listener: RequestListener) {
--- a/testing/ingress-tests/src/processes_test.ts
+++ b/testing/ingress-tests/src/processes_test.ts
@@ -3,6 +3,7 @@
 import { writeFile } from "node:fs/promises";
 import { Agent } from "node:http";
 import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import {
   call,
   createConfiguration,
@@ -14,6 +15,8 @@
 
 /** Callers cache an answer of the directory for two seconds. */
 const DIRECTORY_TTL_MS = 2_000;
+/** Shorter than the timeout of the route. */
+const STREAM_MS = 1_800;
 
 test("SIGHUP interrupts no request, whether the new settings are valid or not", async (t) => {
   const { store, engine } = await startStore(t);
@@ -68,6 +71,42 @@
   assert.equal(answer.headers.connection, "close");
 });
 
+// Guards against a planned stop that cuts streams which the entry accepted when
+// there was no longer enough time for them.
+test("A stopping entry cuts no stream that it accepts", async (t) => {
+  const { store, engine } = await startStore(t);
+  const entry = await EntryProgram.start(t, { store, number: 1, graceS: 4 });
+  engine.script = ({ response, answerHeaders }) => {
+    response.writeHead(200, {
+      ...answerHeaders,
+      "content-type": "text/event-stream",
+    });
+    response.write("id: 1\ndata: first\n\n");
+    const timer = setTimeout(
+      () => response.end("id: 2\ndata: last\n\n"),
+      STREAM_MS,
+    );
+    response.on("close", () => clearTimeout(timer));
+  };
+  entry.signal("SIGTERM");
+  const answers = [];
+  while (entry.isRunning) {
+    const answer = call(entry, { path: "/live/a" }).catch(() => undefined);
+    answers.push(answer);
+    await delay(40);
+  }
+  const received = (await Promise.all(answers)).flatMap((answer) =>
+    answer ?? []
+  );
+  const cut = received.filter(({ isComplete }) => !isComplete);
+  assert.equal(cut.length, 0, `${cut.length} of ${received.length} were cut`);
+  const accepted = received.filter(({ status }) => status === 200);
+  const refused = received.filter(({ status }) => status === 503);
+  assert.ok(accepted.length > 0 && refused.length > 0);
+  assert.equal(accepted.length + refused.length, received.length);
+  assert.equal(engine.calls.length, accepted.length);
+});
+
 test("A killed entry leaves the directory of the others within its TTL", async (t) => {
   const { store } = await startStore(t);
   const [killed, remaining] = await Promise.all(
