Wait for reports after a rank has refused to be superseded

Cause: while a switch is reverted, a late order to arm can reach a rank before the order that supersedes its version. The rank then refuses, and the coordinator chose another version and sent it at once, again and again until the next reports showed the rank armed.

Change: after a refusal, the coordinator waits for the next reports.

Test: "A rank that refuses an order to revert gets no other before its next report" (its group answers at once, so that the code before never returned).

--- a/agreement/switch-group/src/earlier_switch.ts
+++ b/agreement/switch-group/src/earlier_switch.ts
@@ -52,21 +52,37 @@
     releaseHolds(context, { epoch });
     return false;
   }
-  const version = chooseVersion(state);
-  enterPhase(context, { name: "reverting", version, epoch, map: undefined });
+  beginReverting(context, { epoch, map: undefined });
   return false;
 }
 
+/** Chooses another version if a rank has refused the one before. */
+export function replaceRefusedVersion(context: SwitchContext): void {
+  const { phase } = context.state;
+  if (phase.name !== "reverting" || !phase.isRefused) return;
+  beginReverting(context, phase);
+}
+
+function beginReverting(
+  context: SwitchContext,
+  { epoch, map }: Pick<PhaseOf<"reverting">, "epoch" | "map">,
+): void {
+  const version = chooseVersion(context.state);
+  const name = "reverting";
+  enterPhase(context, { name, version, epoch, map, isRefused: false });
+}
+
 /** Reverts the switch of an earlier coordinator. */
 export function revertSwitch(
   context: SwitchContext,
-  { version, epoch, map }: PhaseOf<"reverting">,
+  { version, epoch, map, isRefused }: PhaseOf<"reverting">,
 ): void {
   const { reports } = context.state;
   if (!isGroupComplete(reports)) return;
   if (!isUnfinished(reports)) return endSwitch(context, "abandoned");
   if (completeArmedSwitch(context, epoch)) return;
-  if (map === undefined) return;
+  // The next reports show whether a rank that refused is armed.
+  if (map === undefined || isRefused) return;
   const superseded = reports.filter((report) =>
     isSupersededBy(report, version)
   );
--- a/agreement/switch-group/src/order_result.ts
+++ b/agreement/switch-group/src/order_result.ts
@@ -3,7 +3,6 @@
 import {
   allowImmediateResend,
   beginConfirming,
-  chooseVersion,
   endSwitch,
   enterPhase,
   type SwitchContext,
@@ -48,9 +47,8 @@
     }
     case "supersede":
       if (phase.name !== "reverting" || phase.version !== order.version) return;
-      if (isDone) return;
-      // The rank has had a higher version that it didn't report, or is armed.
-      return enterPhase(context, { ...phase, version: chooseVersion(state) });
+      if (!isDone) state.phase = { ...phase, isRefused: true };
+      return;
     case "disarm":
       // The next reports show the effect.
       return;
--- a/agreement/switch-group/src/switch_group.ts
+++ b/agreement/switch-group/src/switch_group.ts
@@ -22,6 +22,7 @@
  */
 
 import type { RankReport, Step } from "@dandelionbank/types";
+import { replaceRefusedVersion } from "./earlier_switch.ts";
 import { advancePhase } from "./switch_phases.ts";
 import {
   endSwitch,
@@ -74,7 +75,8 @@
       state.isFollowedByAll = event.isFollowedByAll;
       state.agentOrders = event.agentOrders;
       state.groupSize = event.reports[0]?.groupSize ?? state.groupSize;
-      return recordFollowed(state);
+      recordFollowed(state);
+      return replaceRefusedVersion(context);
     case "planned":
       if (state.phase.name === "idle") state.plan = event.map;
       return;
--- a/agreement/switch-group/src/switch_group_test.ts
+++ b/agreement/switch-group/src/switch_group_test.ts
@@ -125,6 +125,34 @@
   }
 });
 
+// Guards against a coordinator that sends orders without a pause to a rank that
+// was armed by a late order and so refuses them.
+test("A rank that refuses an order to revert gets no other before its next report", () => {
+  const world = createWorldWithHeldPass();
+  world.replaceCoordinator();
+  world.chooseDelivery = () => "answered";
+  const sent: GroupOrder[] = [];
+  world.onOrder = (rank, order) => {
+    if (rank !== 1 || order.kind !== "supersede") return;
+    sent.push(order);
+    if (sent.length > 1) return;
+    const { preparedVersion: version } = world.group.listReports()[rank]!;
+    const lateArm: GroupOrder = {
+      kind: "arm",
+      version,
+      step: world.group.step + 1,
+    };
+    world.group.send({ rank, order: lateArm, epoch: 1 }, {
+      delivery: "answered",
+      delayMs: 0,
+      nowMs: 0,
+    });
+  };
+  world.run(1_000);
+  assert.ok(!world.group.hasAnyHold);
+  assert.ok(sent.length >= 2 && sent.length <= 4, `${sent.length} orders`);
+});
+
 test("A held pass is released despite a silent agent, and no new one is held", () => {
   const world = createWorldWithHeldPass();
   world.replaceCoordinator();
--- a/agreement/switch-group/src/types.ts
+++ b/agreement/switch-group/src/types.ts
@@ -125,6 +125,8 @@
     readonly epoch: number;
     /** The map in force; undefined until it has been read. */
     readonly map: ExpertMap | undefined;
+    /** Whether a rank has refused the version since the last reports. */
+    readonly isRefused: boolean;
   };
 
 export type Phase = { readonly name: "idle" } | ActivePhase;
