Explore the switch of a group with the agents' acceptance of orders

Change: check-switch explores switch-group on a model of ranks, agents and two coordinators that may stop at any point and go on later.

--- a/testing/check-switch/src/mod.ts
+++ b/testing/check-switch/src/mod.ts
@@ -11,5 +11,6 @@
 
 export type { Exploration, ViolationTrace } from "./explore.ts";
 export type { RankCore } from "./rank_node.ts";
+export { checkGroupSwitch } from "./explore_group.ts";
 export { checkSwitch, PRODUCT_CORE } from "./scenarios.ts";
 export type { CheckOptions, ScenarioName } from "./scenarios.ts";
