Confine an unexpected error to the request, event or round it arises in

GET // at the directory of an entry ended it, and at the peers' address of an agent that one (new URL throws in the listener; the review saw the first).

Change: the platform's listeners, watches, the entry's refresh timer, its handling of a request and an agent's coordination have one boundary each, which logs unexpectedError (1004) and ends only what threw: a request gets 500, or its answer is cut if it has begun; other events go on. serveCall answers 400 to a target that is no URL. No handler for the whole process was added; it would hide such faults.

Tests that failed before: "A request target that is no URL ends only its own request" and "... ends no agent".

--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -19,6 +19,7 @@
 /** `retry-after` of a request that another entry takes at once. */
 const STOPPING_RETRY_MS = 0;
 const STATUS_TOO_LARGE = 413;
+const STATUS_INTERNAL_ERROR = 500;
 
 export class Forwarder {
   readonly #context: ForwardContext;
@@ -76,7 +77,11 @@
     request.on("end", () => {
       if (answer.hasBegun) return;
       const body = Buffer.concat(chunks);
-      this.#serve(request, { response, answer, body, arrivedAtMs });
+      try {
+        this.#serve(request, { response, answer, body, arrivedAtMs });
+      } catch (error) {
+        this.#endFailed(request, { answer, error });
+      }
     });
   }
 
@@ -92,6 +97,22 @@
     });
   }
 
+  /** Ends a request whose handling has thrown an error. */
+  #endFailed(
+    { method, url }: IncomingMessage,
+    { answer, error }: {
+      readonly answer: CallerAnswer;
+      readonly error: unknown;
+    },
+  ): void {
+    this.#context.logger.log("unexpectedError", {
+      operation: `request ${method} ${url}`,
+      detail: String(error),
+    });
+    if (answer.hasBegun) answer.cut();
+    else answer.sendFinal({ status: STATUS_INTERNAL_ERROR });
+  }
+
   #serve(
     message: IncomingMessage,
     { response, answer, body, arrivedAtMs }: {
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -233,10 +233,10 @@
       address: formatAddress(callers),
       readiness: formatAddress(readiness),
     });
-    this.#refreshTimer = setInterval(() => {
-      this.#targets.expireTargets();
-      this.#admission.updateLoads();
-    }, REFRESH_INTERVAL_MS);
+    this.#refreshTimer = setInterval(
+      () => this.#refresh(),
+      REFRESH_INTERVAL_MS,
+    );
     void this.#register();
     void this.#adoptStoredQuarantines();
   }
@@ -277,11 +277,30 @@
   }
 
   #createServer(address: SocketAddress, listener: RequestListener) {
-    const server = HttpListener.create({ ...address, listener });
+    const server = HttpListener.create({
+      ...address,
+      listener,
+      onError: (error, { method, url }) =>
+        this.#logError(`request ${method} ${url}`, error),
+    });
     this.#servers.push(server);
     return server;
   }
 
+  #refresh(): void {
+    try {
+      this.#targets.expireTargets();
+      this.#admission.updateLoads();
+    } catch (error) {
+      this.#logError("refresh of targets and admission", error);
+    }
+  }
+
+  #logError(operation: string, error: unknown): void {
+    const detail = String(error);
+    this.#options.logger.log("unexpectedError", { operation, detail });
+  }
+
   get #isReady(): boolean {
     return this.#configuration.table !== undefined && !this.#isStopping;
   }
--- a/daemon/serve-rank/src/rank_process.ts
+++ b/daemon/serve-rank/src/rank_process.ts
@@ -80,6 +80,8 @@
         const pathPrefix = `${RANK_PATH}/`;
         void serveCall(request, response, { router, pathPrefix });
       },
+      onError: (error, { method, url }) =>
+        this.#logError(`request ${method} ${url}`, error),
     });
   }
 
@@ -151,19 +153,29 @@
     }
   }
 
+  #logError(operation: string, error: unknown): void {
+    const detail = String(error);
+    this.#options.logger.log("unexpectedError", { operation, detail });
+  }
+
   async #coordinate(group: string): Promise<void> {
     const { logger } = this.#options;
     const { term } = this.#leadershipState.latest;
     const reason = "no call from a coordinator";
     logger.log("coordinatorStarted", { group, term, reason });
     this.#view.startWatching();
-    await Coordinator.create({
-      group,
-      leadershipState: this.#leadershipState,
-      logger,
-      listLinks: () => this.#listLinks(),
-      readProfile: () => this.#view.profile,
-    }).run();
+    try {
+      await Coordinator.create({
+        group,
+        leadershipState: this.#leadershipState,
+        logger,
+        listLinks: () => this.#listLinks(),
+        readProfile: () => this.#view.profile,
+      }).run();
+    } catch (error) {
+      this.#logError(`coordination of group ${group}`, error);
+      this.#leadershipState.isLeading = false;
+    }
     this.#view.stopWatching();
     for (const link of this.#links.values()) link.close();
     this.#links.clear();
--- a/daemon/watch-kind/src/kind_watcher.ts
+++ b/daemon/watch-kind/src/kind_watcher.ts
@@ -93,7 +93,7 @@
   }
 
   async #list(): Promise<boolean> {
-    const { client, kind, logger, onEvent } = this.#options;
+    const { client, kind, logger } = this.#options;
     const sentAt = readInstant();
     const result = await client.list(kind);
     if (this.#isStopped) return true;
@@ -105,13 +105,13 @@
     if (isRestored) logger.log("storeRestored", { kind, era, previousEra });
     this.#revision = revision;
     this.#era = era;
-    onEvent({ type: "listed", items, revision, isRestored });
-    onEvent({ type: "proven", sentAt });
+    this.#report({ type: "listed", items, revision, isRestored });
+    this.#report({ type: "proven", sentAt });
     return true;
   }
 
   async #watch(fromRevision: number): Promise<boolean> {
-    const { client, kind, waitMs, onEvent } = this.#options;
+    const { client, kind, waitMs } = this.#options;
     const sentAt = readInstant();
     const result = await client.watch(kind, { fromRevision, waitMs });
     if (this.#isStopped) return true;
@@ -129,8 +129,8 @@
       });
     }
     this.#revision = revision;
-    for (const change of changes) onEvent({ type: "changed", change });
-    onEvent({ type: "proven", sentAt });
+    for (const change of changes) this.#report({ type: "changed", change });
+    this.#report({ type: "proven", sentAt });
     return true;
   }
 
@@ -141,25 +141,39 @@
       readonly status?: number;
     },
   ): false {
-    const { kind, logger, onEvent } = this.#options;
+    const { kind, logger } = this.#options;
     this.#revision = undefined;
     this.#failures += 1;
     if (this.#outageStartedAtMs !== undefined) return false;
     this.#outageStartedAtMs = performance.now();
     const reason = result.reason ?? `${result.kind} ${result.status ?? ""}`;
     logger.log("storeLost", { kind, reason });
-    onEvent({ type: "lost" });
+    this.#report({ type: "lost" });
     return false;
   }
 
   #handleSuccess(): void {
     this.#failures = 0;
     if (this.#outageStartedAtMs === undefined) return;
-    const { kind, logger, onEvent } = this.#options;
+    const { kind, logger } = this.#options;
     const lostMs = Math.round(performance.now() - this.#outageStartedAtMs);
     this.#outageStartedAtMs = undefined;
     logger.log("storeRegained", { kind, lostMs });
-    onEvent({ type: "regained" });
+    this.#report({ type: "regained" });
+  }
+
+  /** Confines an error to the event whose handling throws it. */
+  #report(event: KindEvent): void {
+    const { kind, logger, onEvent } = this.#options;
+    try {
+      onEvent(event);
+    } catch (error) {
+      const name = event.type === "changed" ? event.change.item.name : "";
+      logger.log("unexpectedError", {
+        operation: `${event.type} ${kind} ${name}`.trimEnd(),
+        detail: String(error),
+      });
+    }
   }
 
   async #backOff(): Promise<void> {
--- a/foundation/log-events/src/process_events.ts
+++ b/foundation/log-events/src/process_events.ts
@@ -28,4 +28,10 @@
     help:
       "Report it with the surrounding log lines; the operation concerned was refused",
   },
+  unexpectedError: {
+    id: 1004,
+    level: "error",
+    text: "Error in {operation}, which was ended: {detail}",
+    help: "Report it with the surrounding log lines; other work goes on",
+  },
 } as const satisfies Record<string, LogEventDefinition>;
--- a/peers/listen-http/src/http_listener.ts
+++ b/peers/listen-http/src/http_listener.ts
@@ -7,7 +7,12 @@
 import { createError } from "@dandelionbank/error";
 import type { TlsMaterial } from "@dandelionbank/load-tls";
 import { once } from "node:events";
-import { createServer, type RequestListener, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+} from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 
@@ -20,6 +25,12 @@
   readonly tls?: TlsMaterial;
   /** Time after which an idle connection is closed. */
   readonly keepAliveTimeoutMs?: number;
+  /**
+   * Called with what the listener throws; the request concerned is answered
+   * 500, or its connection is closed if the answer has begun. If absent, the
+   * listener must not throw.
+   */
+  readonly onError?: (error: unknown, request: IncomingMessage) => void;
 }
 
 export class HttpListener {
@@ -70,9 +81,26 @@
 }
 
 function createHttpServer(options: HttpListenerOptions): Server {
-  const { listener, tls } = options;
+  const { tls } = options;
+  const listener = guardListener(options);
   if (tls === undefined) return createServer(listener);
   const server = createTlsServer(tls.createServerOptions(), listener);
   tls.attachServer(server);
   return server;
 }
+
+/** Confines an error to the request whose listener throws it. */
+function guardListener(
+  { listener, onError }: HttpListenerOptions,
+): RequestListener {
+  return (request, response) => {
+    try {
+      listener(request, response);
+    } catch (error) {
+      if (onError === undefined) throw error;
+      onError(error, request);
+      if (response.headersSent) response.destroy();
+      else response.writeHead(500, { connection: "close" }).end();
+    }
+  };
+}
--- a/peers/trpc-over-http/src/serve_call.ts
+++ b/peers/trpc-over-http/src/serve_call.ts
@@ -55,10 +55,11 @@
   options: ServeCallOptions,
 ): Promise<PeerReply> {
   const { router, pathPrefix } = options;
-  const url = new URL(request.url ?? "/", "http://peer");
-  const path = url.pathname.slice(pathPrefix.length);
   const type = request.method === "POST" ? "mutation" : "query";
+  let path = "";
   try {
+    const url = parseTarget(request.url ?? "/");
+    path = url.pathname.slice(pathPrefix.length);
     const text = type === "query"
       ? url.searchParams.get("input") ?? ""
       : await readBody(request);
@@ -72,6 +73,14 @@
   }
 }
 
+function parseTarget(target: string): URL {
+  try {
+    return new URL(target, "http://peer");
+  } catch (cause) {
+    throw new TRPCError({ code: "BAD_REQUEST", cause });
+  }
+}
+
 function callProcedure(router: AnyRouter, call: PeerCall): Promise<unknown> {
   return callTRPCProcedure({
     router,
--- a/testing/ingress-tests/src/garbage_test.ts
+++ b/testing/ingress-tests/src/garbage_test.ts
@@ -56,6 +56,21 @@
   assert.ok(entry.isRunning);
 });
 
+// Guards against processes that end by an error thrown in the listener of one
+// request, here by a request target that is no URL.
+test("A request target that is no URL ends only its own request", async (t) => {
+  const { entry } = await startEntry(t);
+  const { readiness, directory } = entry.settings;
+  for (const target of ["//", "//:", "http://[", "/%ff", "*", "/\\\\a:b"]) {
+    for (const address of [readiness!, directory!]) {
+      await sendGarbage(address, `GET ${target} HTTP/1.1\r\nhost: a\r\n\r\n`);
+    }
+    assert.ok(entry.isRunning, entry.loggedLines.slice(-4).join("\n"));
+    assert.equal((await call(entry, { path: "/safe/a" })).status, 200);
+  }
+  assert.ok(entry.isRunning);
+});
+
 test("No garbage of a target is taken for an answer", async (t) => {
   const { entry, random, engines } = await startEntry(t);
   engines[0]!.script = ({ response }) => {
--- a/testing/ingress-tests/src/group_test.ts
+++ b/testing/ingress-tests/src/group_test.ts
@@ -6,7 +6,8 @@
   SiteStore,
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
-import { createServer, type Socket } from "node:net";
+import { once } from "node:events";
+import { connect, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import {
@@ -58,6 +59,16 @@
   await waitFor(() => group.model.mapVersion > 0);
 });
 
+// Guards against agents that end by a request target that is no URL.
+test("A request target that is no URL ends no agent", async (t) => {
+  const { group, peerPort } = await startGroup(t);
+  const socket = connect(peerPort, group.host(0));
+  socket.end("GET // HTTP/1.1\r\nhost: a\r\n\r\n");
+  const [head] = await once(socket, "data");
+  assert.match(String(head), /^HTTP\/1\.1 [45]\d\d /);
+  await waitFor(() => group.model.mapVersion > 0);
+});
+
 test("When the coordinator stops, another agent becomes coordinator", async (t) => {
   const { group, agents, lines } = await startGroup(t);
   await waitFor(() => group.model.mapVersion > 0);
