Prove nothing by a list or a watch that could not be applied

Cause: since the watches confine errors, an event of the configuration that throws would have been skipped, and the view would have counted as current although it lacks that change: a withdrawn key could have stayed in use.

Change: after such an event nothing is proven, and the objects are listed again after a back-off. The log of a request that a stop refuses gives the time that is left as 0 once no more are accepted, and not as minus infinity.

--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -10,8 +10,8 @@
 import { CallerAnswer } from "./caller_answer.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { RequestTask } from "./request_task.ts";
-import type { RoutedRequest } from "./routed_request.ts";
 import { estimateLongestRunMs } from "./estimate_run.ts";
+import type { RoutedRequest } from "./routed_request.ts";
 import { type RouteDecision, routeRequest } from "./route_request.ts";
 
 /** `retry-after` of a request that this entry cannot route yet. */
@@ -48,7 +48,7 @@
 
   /** Refuses every further request as not run. */
   refuseNewRequests(): void {
-    this.#endAtMs = Number.NEGATIVE_INFINITY;
+    this.#endAtMs = performance.now();
   }
 
   /** Cuts the streams that their callers can resume at another entry. */
@@ -182,7 +182,7 @@
     const longestMs = Math.round(
       estimateLongestRunMs({ head, route }, profiles),
     );
-    const leftMs = Math.round(this.#endAtMs - arrivedAtMs);
+    const leftMs = Math.max(0, Math.round(this.#endAtMs - arrivedAtMs));
     if (longestMs <= leftMs) return decision;
     const reason =
       `stopping: may run for ${longestMs} ms, ${leftMs} ms are left`;
--- a/daemon/watch-kind/src/kind_watcher.ts
+++ b/daemon/watch-kind/src/kind_watcher.ts
@@ -105,9 +105,10 @@
     if (isRestored) logger.log("storeRestored", { kind, era, previousEra });
     this.#revision = revision;
     this.#era = era;
-    this.#report({ type: "listed", items, revision, isRestored });
-    this.#report({ type: "proven", sentAt });
-    return true;
+    if (!this.#apply({ type: "listed", items, revision, isRestored })) {
+      return false;
+    }
+    return this.#apply({ type: "proven", sentAt });
   }
 
   async #watch(fromRevision: number): Promise<boolean> {
@@ -129,9 +130,10 @@
       });
     }
     this.#revision = revision;
-    for (const change of changes) this.#report({ type: "changed", change });
-    this.#report({ type: "proven", sentAt });
-    return true;
+    for (const change of changes) {
+      if (!this.#apply({ type: "changed", change })) return false;
+    }
+    return this.#apply({ type: "proven", sentAt });
   }
 
   #handleFailure(
@@ -148,7 +150,7 @@
     this.#outageStartedAtMs = performance.now();
     const reason = result.reason ?? `${result.kind} ${result.status ?? ""}`;
     logger.log("storeLost", { kind, reason });
-    this.#report({ type: "lost" });
+    this.#apply({ type: "lost" });
     return false;
   }
 
@@ -159,20 +161,27 @@
     const lostMs = Math.round(performance.now() - this.#outageStartedAtMs);
     this.#outageStartedAtMs = undefined;
     logger.log("storeRegained", { kind, lostMs });
-    this.#report({ type: "regained" });
+    this.#apply({ type: "regained" });
   }
 
-  /** Confines an error to the event whose handling throws it. */
-  #report(event: KindEvent): void {
+  /**
+   * Applies an event; returns false if that throws. Nothing is proven then, and
+   * the objects are listed again.
+   */
+  #apply(event: KindEvent): boolean {
     const { kind, logger, onEvent } = this.#options;
     try {
       onEvent(event);
+      return true;
     } catch (error) {
       const name = event.type === "changed" ? event.change.item.name : "";
       logger.log("unexpectedError", {
         operation: `${event.type} ${kind} ${name}`.trimEnd(),
         detail: String(error),
       });
+      this.#revision = undefined;
+      this.#failures += 1;
+      return false;
     }
   }
 
