Split the model of a group by what it describes

Change: group_rank.ts has a rank and the orders that it carries out, group_world.ts the states, group_switch_model.ts the transitions.

--- a/testing/check-switch/src/explore_group.ts
+++ b/testing/check-switch/src/explore_group.ts
@@ -4,11 +4,10 @@
  */
 
 import {
-  createGroupKey,
   type GroupModelOptions,
   GroupSwitchModel,
-  type GroupWorld,
-} from "./group_world.ts";
+} from "./group_switch_model.ts";
+import { createGroupKey, type GroupWorld } from "./group_world.ts";
 import type { Exploration } from "./explore.ts";
 
 export interface GroupCheckOptions extends GroupModelOptions {
--- a/testing/check-switch/src/explore_group_mutants_test.ts
+++ b/testing/check-switch/src/explore_group_mutants_test.ts
@@ -6,7 +6,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { checkGroupSwitch } from "./explore_group.ts";
-import type { GroupMutation } from "./group_world.ts";
+import type { GroupMutation } from "./group_switch_model.ts";
 
 const OPTIONS = {
   ranks: 2,
