--- a/agreement/switch-group/src/switch_group_test.ts
+++ b/agreement/switch-group/src/switch_group_test.ts
@@ -84,9 +84,7 @@
   world.run(200);
   assert.ok(!world.group.hasAnyHold);
   assert.equal(world.group.mapVersion, 0);
-  world.plan();
-  world.run(1_000);
-  assert.ok(world.group.mapVersion > 0);
+  assertNextSwitchSucceeds(world);
 });
 
 test("A successor releases a pass for which all ranks are armed", () => {
@@ -119,9 +117,7 @@
     world.run(1_500);
     assert.ok(!world.group.hasAnyHold);
     assert.equal(world.group.mapVersion, 0);
-    world.plan();
-    world.run(1_000);
-    assert.ok(world.group.mapVersion > 0);
+    assertNextSwitchSucceeds(world);
   }
 });
 
@@ -197,9 +193,7 @@
     world.onOrder = () => undefined;
     world.frozenRank = undefined;
     world.isFollowedByAll = true;
-    world.plan();
-    world.run(1_000);
-    assert.ok(world.group.mapVersion > 0);
+    assertNextSwitchSucceeds(world);
   }
 });
 
@@ -266,9 +260,7 @@
   world.isFollowedByAll = true;
   world.silentRank = undefined;
   world.chooseDeliveryOf = undefined;
-  world.plan();
-  world.run(1_000);
-  assert.ok(world.group.mapVersion > 0);
+  assertNextSwitchSucceeds(world);
 });
 
 test("A pass held by a coordinator that froze with its rank is released", () => {
@@ -452,6 +444,13 @@
   );
 });
 
+function assertNextSwitchSucceeds(world: World): void {
+  const before = world.group.mapVersion;
+  world.plan();
+  world.run(1_000);
+  assert.ok(world.group.mapVersion > before);
+}
+
 /** Creates a group with a held pass, where every order to arm is lost. */
 function createWorldWithHeldPass(): World {
   const world = new World();
