Measure the pieces of targets' answers and memory outside the heap

The hypotheses of docs/incidents/endless_bytes.md differ in what grows beside what arrives, and neither was measured: bytes received from targets, bytes and pieces of answers' bodies are counted where the pool hands them on, and the external memory of the process is a gauge. No decision reads them. Test: the meter of a body in chunks of one byte counts as many pieces as bytes.

--- a/daemon/forward-requests/src/forward_metrics.ts
+++ b/daemon/forward-requests/src/forward_metrics.ts
@@ -1,5 +1,6 @@
 /** Counters and histograms of requests and attempts, and gauges of targets. */
 
+import type { TransferMeter } from "@dandelionbank/open-http";
 import {
   Counter,
   Gauge,
@@ -26,6 +27,8 @@
   readonly registry: Registry;
   /** Counts the targets with a notice in force, by its kind. */
   readonly countNotices: () => Readonly<Record<string, number>>;
+  /** Counts what all targets send. */
+  readonly meter: TransferMeter;
 }
 
 export class ForwardMetrics {
@@ -34,7 +37,9 @@
   readonly #firstByte: Histogram<"service">;
   readonly #duration: Histogram<"service">;
 
-  private constructor({ registry, countNotices }: ForwardMetricsOptions) {
+  private constructor(
+    { registry, countNotices, meter }: ForwardMetricsOptions,
+  ) {
     const registers = [registry];
     this.#requests = new Counter({
       name: "dandelionbank_requests_total",
@@ -73,6 +78,7 @@
         }
       },
     });
+    registerTransferMetrics(registry, meter);
   }
 
   static create(options: ForwardMetricsOptions): ForwardMetrics {
@@ -97,3 +103,37 @@
     this.#firstByte.observe({ service }, firstMs / MS_PER_S);
   }
 }
+
+function registerTransferMetrics(
+  registry: Registry,
+  meter: TransferMeter,
+): void {
+  const registers = [registry];
+  new Counter({
+    name: "dandelionbank_target_received_bytes_total",
+    help: "Bytes received from targets, with heads and framing",
+    registers,
+    collect() {
+      this.reset();
+      this.inc(meter.receivedBytes);
+    },
+  });
+  new Counter({
+    name: "dandelionbank_answer_bytes_total",
+    help: "Bytes of the bodies of targets' answers",
+    registers,
+    collect() {
+      this.reset();
+      this.inc(meter.bodyBytes);
+    },
+  });
+  new Counter({
+    name: "dandelionbank_answer_pieces_total",
+    help: "Pieces in which the bodies of targets' answers arrived",
+    registers,
+    collect() {
+      this.reset();
+      this.inc(meter.bodyPieces);
+    },
+  });
+}
--- a/daemon/forward-requests/src/target_pools.ts
+++ b/daemon/forward-requests/src/target_pools.ts
@@ -1,6 +1,6 @@
 /** HTTP connection pools, one per target. */
 
-import { HttpPool } from "@dandelionbank/open-http";
+import { HttpPool, TransferMeter } from "@dandelionbank/open-http";
 import type { RegisteredTarget } from "@dandelionbank/types";
 
 /** A running target accepts a connection within a few round trips. */
@@ -18,6 +18,8 @@
 }
 
 export class TargetPools {
+  /** Counts what all targets send. */
+  readonly meter = TransferMeter.create();
   readonly #pools = new Map<string, OpenPool>();
 
   private constructor() {}
@@ -39,6 +41,7 @@
       connections: MAX_CONNECTIONS,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       keepAliveMs: KEEP_ALIVE_MS,
+      meter: this.meter,
     });
     this.#pools.set(run, { address, pool });
     return pool;
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -166,6 +166,7 @@
       metrics: ForwardMetrics.create({
         registry,
         countNotices: () => this.#notices.countByKind(performance.now()),
+        meter: pools.meter,
       }),
       configuration: this.#configuration,
       placement,
--- a/foundation/metrics/src/process_metrics.ts
+++ b/foundation/metrics/src/process_metrics.ts
@@ -63,6 +63,14 @@
       this.set(process.memoryUsage().heapUsed);
     },
   });
+  new Gauge({
+    name: "nodejs_external_memory_bytes",
+    help: "Memory outside the heap that objects hold, such as buffers",
+    registers: [registry],
+    collect() {
+      this.set(process.memoryUsage().external);
+    },
+  });
 }
 
 function registerCpu(registry: Registry): void {
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -8,6 +8,8 @@
 import createConnector from "undici/lib/core/connect.js";
 import Pool from "undici/lib/dispatcher/pool.js";
 import { ConnectionResets } from "./connection_resets.ts";
+import { meterConnector } from "./meter_connector.ts";
+import { TransferMeter } from "./transfer_meter.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
@@ -28,6 +30,8 @@
   /** Longest idle time of a connection, unless the peer announces a shorter one. */
   readonly keepAliveMs?: number;
   readonly connector?: HttpConnector;
+  /** Counts what this pool receives; several pools may share one. */
+  readonly meter?: TransferMeter;
 }
 
 export interface HttpRequest {
@@ -74,9 +78,14 @@
   readonly origin: string;
   readonly #pool: Pool;
   readonly #resets = ConnectionResets.create();
+  readonly #meter: TransferMeter;
 
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
+    this.#meter = options.meter ?? TransferMeter.create();
+    const connector = options.connector ?? createConnector({
+      timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+    });
     this.#pool = new Pool(options.origin, {
       connections: options.connections ?? null,
       pipelining: 1,
@@ -84,9 +93,7 @@
       bodyTimeout: 0,
       keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
       connect: this.#resets.wrapConnector(
-        options.connector ?? createConnector({
-          timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-        }),
+        meterConnector(connector, this.#meter),
       ),
     });
   }
@@ -97,7 +104,10 @@
 
   /** Sends a request. Exactly one of `onEnd` and `onError` is called for it. */
   send(request: HttpRequest, handler: HttpHandler): RequestHandle {
-    const dispatch = new RequestDispatch(handler, this.#resets);
+    const dispatch = new RequestDispatch(handler, {
+      resets: this.#resets,
+      meter: this.#meter,
+    });
     this.#pool.dispatch(
       {
         origin: this.origin,
@@ -125,14 +135,22 @@
 class RequestDispatch implements Dispatcher.DispatchHandler, RequestHandle {
   readonly #handler: HttpHandler;
   readonly #resets: ConnectionResets;
+  readonly #meter: TransferMeter;
   #controller: Dispatcher.DispatchController | undefined;
   #interimHeadBytes = 0;
   #isCancelled = false;
   #isEnded = false;
 
-  constructor(handler: HttpHandler, resets: ConnectionResets) {
+  constructor(
+    handler: HttpHandler,
+    { resets, meter }: {
+      readonly resets: ConnectionResets;
+      readonly meter: TransferMeter;
+    },
+  ) {
     this.#handler = handler;
     this.#resets = resets;
+    this.#meter = meter;
   }
 
   cancel(): void {
@@ -169,6 +187,7 @@
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#meter.recordBodyPiece(chunk.length);
     this.#handler.onData(chunk);
   }
 
--- a/foundation/open-http/src/http_pool_test.ts
+++ b/foundation/open-http/src/http_pool_test.ts
@@ -8,7 +8,12 @@
   type Socket,
 } from "node:net";
 import { test, type TestContext } from "node:test";
-import { fetchAnswer, type HttpConnector, HttpPool } from "./mod.ts";
+import {
+  fetchAnswer,
+  type HttpConnector,
+  HttpPool,
+  TransferMeter,
+} from "./mod.ts";
 
 interface Failure {
   readonly code: string | undefined;
@@ -75,6 +80,28 @@
   assert.equal(await readEnd(socket), "ECONNRESET");
 });
 
+test("The meter tells a body in small pieces from one in large pieces", async (t) => {
+  const server = createNetServer((socket) => {
+    const pieces = "1\r\nx\r\n".repeat(100);
+    socket.on("data", () =>
+      socket.end(
+        `HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${pieces}0\r\n\r\n`,
+      ));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => server.close());
+  const meter = TransferMeter.create();
+  const pool = HttpPool.create({ origin: urlOf(server), meter });
+  const request = { method: "GET", path: "/", headers: {} };
+  const { body } = await fetchAnswer(pool, request, { timeoutMs: 5_000 });
+  assert.equal(body.length, 100);
+  assert.equal(meter.bodyBytes, 100);
+  assert.equal(meter.bodyPieces, 100);
+  assert.ok(meter.receivedBytes > 600, `${meter.receivedBytes}`);
+  await pool.close();
+});
+
 test("A buffered answer without end is given up before it fills the memory", async (t) => {
   const chunk = Buffer.alloc(1_048_576);
   const server = await listen((_, response) => {
@@ -157,6 +184,6 @@
   );
 }
 
-function urlOf(server: Server): string {
+function urlOf(server: NetServer): string {
   return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
--- a/foundation/open-http/src/mod.ts
+++ b/foundation/open-http/src/mod.ts
@@ -15,3 +15,4 @@
 } from "./http_pool.ts";
 export { callJson, fetchAnswer } from "./fetch_answer.ts";
 export type { BufferedAnswer, JsonAnswer } from "./fetch_answer.ts";
+export { TransferMeter } from "./transfer_meter.ts";
