Add failing tests for targets that send without end and fill the memory

An entry process runs with the heap limit of the deploy file; ten targets send one form of bytes without end, 48 calls of four types reach them, calm calls run beside. The process must live, serve each calm call and stay under the 350 MB of its VM.

The forms stand in standin-site, and the program of the bench that sends them moves there with the form as an argument.

--- a/testing/bench/src/endless/endless_bench.ts
+++ b/testing/bench/src/endless/endless_bench.ts
@@ -25,7 +25,7 @@
 
 export const ENDLESS_BENCH: Bench = { name: "endless", run };
 
-const SCRIPT = "testing/bench/dist/endless/endless_engines.js";
+const SCRIPT = "testing/standin-site/dist/run_endless_engines.js";
 const ENDLESS_SERVICE = "endless";
 const CALM_ENGINE_COUNT = 2;
 /** Two for each engine that sends without end. */
@@ -86,7 +86,7 @@
   }
   const program = ChildProgram.start("endless engines", {
     script: SCRIPT,
-    args: [ENDLESS_SERVICE],
+    args: [ENDLESS_SERVICE, "an event"],
   });
   after(() => program.stop("SIGKILL"));
   const { engines } = await program.waitForLine((line) => "engines" in line);
--- a/testing/run-entry/src/entry_program.ts
+++ b/testing/run-entry/src/entry_program.ts
@@ -27,18 +27,28 @@
   readonly number: number;
   /** Time from SIGTERM to SIGKILL, within which a stopping entry has to finish. */
   readonly graceS?: number;
+  /** Arguments of Node.js, such as those of the deploy file. */
+  readonly nodeArgs?: readonly string[];
 }
 
 /** An entry process. A restart uses the same settings and ports. */
 export class EntryProgram {
   readonly settings: BootSettings;
   readonly settingsFile: string;
+  readonly #nodeArgs: readonly string[];
   #program: ChildProgram | undefined;
   readonly #earlierLines: string[] = [];
 
-  private constructor(settings: BootSettings, settingsFile: string) {
+  private constructor(
+    settings: BootSettings,
+    { settingsFile, nodeArgs }: {
+      readonly settingsFile: string;
+      readonly nodeArgs: readonly string[];
+    },
+  ) {
     this.settings = settings;
     this.settingsFile = settingsFile;
+    this.#nodeArgs = nodeArgs;
   }
 
   /** Starts an entry and resolves when it is ready; it is killed after the test. */
@@ -50,7 +60,10 @@
     const directory = await mkdtemp(join(tmpdir(), "dandelionbank-"));
     const file = join(directory, "boot.conf");
     await writeFile(file, renderBootSettings(fields));
-    const entry = new EntryProgram(createBootSettings(fields), file);
+    const entry = new EntryProgram(createBootSettings(fields), {
+      settingsFile: file,
+      nodeArgs: options.nodeArgs ?? [],
+    });
     t.after(async () => {
       await entry.stop("SIGKILL");
       await rm(directory, { recursive: true });
@@ -63,6 +76,7 @@
     const program = ChildProgram.start(this.settings.name, {
       script: SCRIPT,
       args: ["entry"],
+      nodeArgs: this.#nodeArgs,
       environment: { DANDELIONBANK_CONFIG: this.settingsFile },
     });
     this.#earlierLines.push(...this.#program?.lines ?? []);
--- a/testing/standin-site/src/mod.ts
+++ b/testing/standin-site/src/mod.ts
@@ -5,6 +5,8 @@
 
 export { CrashingEngines } from "./crashing_engines.ts";
 export type { Arrival, CrashingEnginesOptions } from "./crashing_engines.ts";
+export { ENDLESS_FORMS } from "./endless_forms.ts";
+export type { EndlessForm, EndlessFormName } from "./endless_forms.ts";
 export { HeldLink } from "./held_link.ts";
 export {
   refuseAsNotRun,
