Close connections whose bytes reach no handler

Callers got 504 after 2 s where another target could have answered; the sender had the entry's core all that time. Cause: undici's parser passes over such bytes and calls no handler, and every bound stands in a handler.

A pool now counts, at its sockets, the bytes read since a handler was last called, and closes the connection beyond 64 KiB. That covers every form, listed or not. A silent target, or a slow one, is not touched by it: time plays no part.

--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -8,7 +8,7 @@
 import createConnector from "undici/lib/core/connect.js";
 import Pool from "undici/lib/dispatcher/pool.js";
 import { ConnectionResets } from "./connection_resets.ts";
-import { meterConnector } from "./meter_connector.ts";
+import { ReadMonitor } from "./read_monitor.ts";
 import { TransferMeter } from "./transfer_meter.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -79,10 +79,12 @@
   readonly #pool: Pool;
   readonly #resets = ConnectionResets.create();
   readonly #meter: TransferMeter;
+  readonly #reads: ReadMonitor;
 
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
     this.#meter = options.meter ?? TransferMeter.create();
+    this.#reads = ReadMonitor.create(this.#meter);
     const connector = options.connector ?? createConnector({
       timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
     });
@@ -93,7 +95,7 @@
       bodyTimeout: 0,
       keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
       connect: this.#resets.wrapConnector(
-        meterConnector(connector, this.#meter),
+        this.#reads.wrapConnector(connector),
       ),
     });
   }
@@ -107,6 +109,7 @@
     const dispatch = new RequestDispatch(handler, {
       resets: this.#resets,
       meter: this.#meter,
+      reads: this.#reads,
     });
     this.#pool.dispatch(
       {
@@ -136,6 +139,7 @@
   readonly #handler: HttpHandler;
   readonly #resets: ConnectionResets;
   readonly #meter: TransferMeter;
+  readonly #reads: ReadMonitor;
   #controller: Dispatcher.DispatchController | undefined;
   #interimHeadBytes = 0;
   #isCancelled = false;
@@ -143,14 +147,16 @@
 
   constructor(
     handler: HttpHandler,
-    { resets, meter }: {
+    { resets, meter, reads }: {
       readonly resets: ConnectionResets;
       readonly meter: TransferMeter;
+      readonly reads: ReadMonitor;
     },
   ) {
     this.#handler = handler;
     this.#resets = resets;
     this.#meter = meter;
+    this.#reads = reads;
   }
 
   cancel(): void {
@@ -176,6 +182,7 @@
     status: number,
     headers: HttpAnswerHead["headers"],
   ): void {
+    this.#reads.recordHandled();
     if (status >= 200) return this.#handler.onHead({ status, headers });
     this.#interimHeadBytes += HEAD_OVERHEAD_BYTES + countHeaderBytes(headers);
     if (this.#interimHeadBytes <= MAX_INTERIM_HEAD_BYTES) return;
@@ -187,6 +194,7 @@
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#reads.recordHandled();
     this.#meter.recordBodyPiece(chunk.length);
     this.#handler.onData(chunk);
   }
@@ -194,6 +202,7 @@
   onResponseEnd(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    this.#reads.recordHandled();
     if (this.#resets.isPeerResetting) {
       this.#handler.onError(new Error("Connection was reset"), true);
       return;
--- a/testing/ingress-tests/src/endless_answers_test.ts
+++ b/testing/ingress-tests/src/endless_answers_test.ts
@@ -6,7 +6,7 @@
 
 import { call, startSite, waitFor } from "@dandelionbank/run-entry";
 import {
-  type EngineCall,
+  ENDLESS_FORMS,
   type EngineScript,
   renderAnswerHead,
   sendWithoutEnd,
@@ -19,48 +19,12 @@
 /** Far below the timeout of the routes, which is 2 s. */
 const MAX_ELAPSED_MS = 1_500;
 
-interface EndlessCase {
-  readonly name: string;
-  /** Sent once, before the bytes without end. */
-  readonly renderStart: (call: EngineCall) => string;
-  readonly repeated: Buffer;
-}
-
-const CASES: readonly EndlessCase[] = [
-  {
-    name: "an event without end",
-    renderStart: (call) => `${renderAnswerHead(call)}data: `,
-    repeated: CHUNK,
-  },
-  {
-    name: "interim heads without end",
-    renderStart: () => "",
-    repeated: Buffer.from(
-      "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(200),
-    ),
-  },
-  {
-    name: "a head without end",
-    renderStart: () => "HTTP/1.1 200 OK\r\n",
-    repeated: Buffer.from("x-filler: 0123456789\r\n".repeat(200)),
-  },
-  {
-    name: "an error without end",
-    renderStart: (call) => renderAnswerHead(call, { status: 500 }),
-    repeated: CHUNK,
-  },
-  {
-    name: "bytes without end after its answer",
-    renderStart: (call) => {
-      const fields = { "content-length": 2 };
-      return `${renderAnswerHead(call, { status: 500, fields })}no`;
-    },
-    repeated: CHUNK,
-  },
-];
+/** Comments are part of a sound stream, however small their chunks are. */
+const SOUND_FORM = "comments in chunks of one byte";
 
-for (const { name, renderStart, repeated } of CASES) {
-  test(`A target that sends ${name} is cut off`, async (t) => {
+for (const [name, { renderStart, repeated }] of Object.entries(ENDLESS_FORMS)) {
+  if (name === SOUND_FORM) continue;
+  test(`A target that sends ${name} without end is cut off`, async (t) => {
     const site = await startSite(t, { engines: 1 });
     const sockets: Socket[] = [];
     site.engines[0]!.script = (engineCall) => {
