--- a/testing/bench/src/endless/endless_bench.ts
+++ b/testing/bench/src/endless/endless_bench.ts
@@ -1,7 +1,7 @@
 /**
  * Latency of calm calls and memory of an entry before, beside and after streams
- * of ten engines that send without end. The entry and those engines have a
- * process each.
+ * of ten engines that send without end, in several forms and numbers of streams.
+ * The entry and the engines of each form have a process each.
  */
 
 import {
@@ -12,7 +12,11 @@
   waitFor,
 } from "@dandelionbank/run-entry";
 import { ChildProgram } from "@dandelionbank/run-site";
-import { SiteEngine, SiteStore } from "@dandelionbank/standin-site";
+import {
+  type EndlessFormName,
+  SiteEngine,
+  SiteStore,
+} from "@dandelionbank/standin-site";
 import { build } from "hdr-histogram-js";
 import {
   atMost,
@@ -26,27 +30,63 @@
 export const ENDLESS_BENCH: Bench = { name: "endless", run };
 
 const SCRIPT = "testing/standin-site/dist/run_endless_engines.js";
-const ENDLESS_SERVICE = "endless";
 const CALM_ENGINE_COUNT = 2;
-/** Two for each engine that sends without end. */
-const STREAM_COUNT = 20;
 const PHASE_MS = 5_000;
 const MICROSECONDS_PER_MS = 1_000;
 const BYTES_PER_MB = 1_000_000;
 const CALM_CALL = { path: "/calm/a" };
-const PHASES = ["before", "beside", "after"] as const;
+const MEDIAN_PERCENTILE = 50;
+const TAIL_PERCENTILE = 99;
+/** Memory of the VM of an entry, and the heap limit of the deploy file. */
+const MEMORY_LIMIT_MB = 350;
+const NODE_ARGS = ["--max-old-space-size=160"];
+
+interface Phase {
+  readonly name: string;
+  readonly form?: EndlessFormName;
+  /** Number of endless streams that run at a time. */
+  readonly streamCount: number;
+}
+
+const TINY_EVENT = "an event in chunks of one byte";
+const TINY_COMMENTS = "comments in chunks of one byte";
+const PHASES: readonly Phase[] = [
+  { name: "before", streamCount: 0 },
+  { name: "besideEvents", form: "an event", streamCount: 20 },
+  { name: "beside1TinyEvent", form: TINY_EVENT, streamCount: 1 },
+  { name: "beside10TinyEvents", form: TINY_EVENT, streamCount: 10 },
+  { name: "beside40TinyEvents", form: TINY_EVENT, streamCount: 40 },
+  { name: "beside1TinyComments", form: TINY_COMMENTS, streamCount: 1 },
+  { name: "beside10TinyComments", form: TINY_COMMENTS, streamCount: 10 },
+  { name: "beside40TinyComments", form: TINY_COMMENTS, streamCount: 40 },
+  { name: "after", streamCount: 0 },
+];
+const FORMS = [
+  ...new Set(PHASES.flatMap(({ form }) => form === undefined ? [] : [form])),
+];
+
+const CALM_ROUTE = {
+  ...ROUTE,
+  name: "calm",
+  "path_prefix": "/calm/",
+  type: "idempotent",
+};
 
-const ROUTES = [
-  { ...ROUTE, name: "calm", "path_prefix": "/calm/", type: "idempotent" },
-  {
+function createEndlessRoute(form: EndlessFormName) {
+  const service = nameService(form);
+  return {
     ...ROUTE,
-    name: "endless",
-    "path_prefix": "/endless/",
+    name: service,
+    "path_prefix": `/${service}/`,
     type: "streaming",
-    service: ENDLESS_SERVICE,
+    service,
     "target_gap_ms": 120,
-  },
-];
+  };
+}
+
+function nameService(form: EndlessFormName): string {
+  return `endless-${FORMS.indexOf(form)}`;
+}
 
 async function run(): Promise<BenchReport> {
   const cleanups: (() => unknown)[] = [];
@@ -74,9 +114,15 @@
 ): Promise<EntryProgram> {
   const store = await SiteStore.create();
   after(() => store.close());
-  const configuration = createConfiguration({ routes: ROUTES });
+  const configuration = createConfiguration({
+    routes: [CALM_ROUTE, ...FORMS.map(createEndlessRoute)],
+  });
   const [service] = configuration.services;
-  const services = [service, { ...service, name: ENDLESS_SERVICE }];
+  const endlessServices = FORMS.map((form) => ({
+    ...service,
+    name: nameService(form),
+  }));
+  const services = [service, ...endlessServices];
   store.put("config", "main", { ...configuration, services });
   for (let index = 0; index < CALM_ENGINE_COUNT; index++) {
     const engine = await SiteEngine.create(`calm-${index}`);
@@ -84,29 +130,45 @@
     const spec = engine.createServerSpec({ service: ROUTE.service });
     store.put("servers", engine.id, spec);
   }
+  for (const form of FORMS) await startEngines(after, { store, form });
+  const entry = await EntryProgram.start({ after }, {
+    store,
+    number: 1,
+    nodeArgs: NODE_ARGS,
+  });
+  await waitFor(async () => (await call(entry, CALM_CALL)).status === 200);
+  return entry;
+}
+
+async function startEngines(
+  after: (cleanup: () => unknown) => void,
+  { store, form }: {
+    readonly store: SiteStore;
+    readonly form: EndlessFormName;
+  },
+): Promise<void> {
   const program = ChildProgram.start("endless engines", {
     script: SCRIPT,
-    args: [ENDLESS_SERVICE, "an event"],
+    args: [nameService(form), form],
   });
   after(() => program.stop("SIGKILL"));
   const { engines } = await program.waitForLine((line) => "engines" in line);
   for (const { id, spec } of engines as readonly Registration[]) {
     store.put("servers", id, spec);
   }
-  const entry = await EntryProgram.start({ after }, { store, number: 1 });
-  await waitFor(async () => (await call(entry, CALM_CALL)).status === 200);
-  return entry;
 }
 
 /** Calls the calm route for the phase, one call after another. */
 async function measurePhase(
   entry: EntryProgram,
-  phase: typeof PHASES[number],
+  phase: Phase,
 ): Promise<readonly Figure[]> {
+  const { name } = phase;
   const histogram = build();
   const endsAtMs = performance.now() + PHASE_MS;
   const isRunning = () => performance.now() < endsAtMs;
-  const streams = phase === "beside" ? runStreams(entry, isRunning) : [];
+  const streams = runStreams(entry, { phase, isRunning });
+  const cpuBeforeS = readProcessUsage(entry.pid).cpuSeconds;
   let failed = 0;
   let residentBytes = 0;
   while (isRunning()) {
@@ -118,37 +180,55 @@
       readProcessUsage(entry.pid).residentBytes,
     );
   }
+  const cpuS = readProcessUsage(entry.pid).cpuSeconds - cpuBeforeS;
   const streamCounts = await Promise.all(streams);
-  const p99Ms = histogram.getValueAtPercentile(99) / MICROSECONDS_PER_MS;
   const sum = streamCounts.reduce((total, count) => total + count, 0);
-  const boundMs = ROUTE["latency_goal_ms"];
+  const readMs = (percentile: number) =>
+    histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
   return [
-    atMost({ name: `${phase}P99Ms`, value: p99Ms, unit: "ms" }, boundMs),
-    atMost({ name: `${phase}Failed`, value: failed, unit: "calls" }, 0),
     unbounded({
-      name: `${phase}Calls`,
-      value: histogram.totalCount,
-      unit: "calls",
+      name: `${name}P50Ms`,
+      value: readMs(MEDIAN_PERCENTILE),
+      unit: "ms",
     }),
-    unbounded({ name: `${phase}Streams`, value: sum, unit: "streams" }),
+    atMost(
+      { name: `${name}P99Ms`, value: readMs(TAIL_PERCENTILE), unit: "ms" },
+      ROUTE["latency_goal_ms"],
+    ),
+    atMost({ name: `${name}Failed`, value: failed, unit: "calls" }, 0),
     unbounded({
-      name: `${phase}ResidentMb`,
-      value: residentBytes / BYTES_PER_MB,
-      unit: "MB",
+      name: `${name}Calls`,
+      value: histogram.totalCount,
+      unit: "calls",
     }),
+    unbounded({ name: `${name}Streams`, value: sum, unit: "streams" }),
+    unbounded({ name: `${name}CpuS`, value: cpuS, unit: "s" }),
+    atMost(
+      {
+        name: `${name}ResidentMb`,
+        value: residentBytes / BYTES_PER_MB,
+        unit: "MB",
+      },
+      MEMORY_LIMIT_MB,
+    ),
   ];
 }
 
 /** Starts callers of the engines without end; each counts its calls. */
 function runStreams(
   entry: EntryProgram,
-  isRunning: () => boolean,
+  { phase: { form, streamCount }, isRunning }: {
+    readonly phase: Phase;
+    readonly isRunning: () => boolean;
+  },
 ): readonly Promise<number>[] {
-  return Array.from({ length: STREAM_COUNT }, async () => {
+  if (form === undefined) return [];
+  const path = `/${nameService(form)}/a`;
+  return Array.from({ length: streamCount }, async () => {
     let count = 0;
     for (; isRunning(); count++) {
       // The entry cuts the answer, before or after its head.
-      await call(entry, { path: "/endless/a" }).catch(() => undefined);
+      await call(entry, { path }).catch(() => undefined);
     }
     return count;
   });
--- a/testing/standin-site/src/run_endless_engines.ts
+++ b/testing/standin-site/src/run_endless_engines.ts
@@ -20,7 +20,7 @@
 const engines = await Promise.all(
   Array.from(
     { length: ENGINE_COUNT },
-    (_, index) => SiteEngine.create(`endless-${index}`),
+    (_, index) => SiteEngine.create(`${service}-${index}`),
   ),
 );
 for (const engine of engines) {
