Share the processor time that small pieces of answers take

Cause: one read of 64 KiB holds ten thousand such chunks, each of which calls the handler, and all of a connection's reads are parsed in one turn.

Each response may receive 256 small pieces at once and one a millisecond, more than the fastest stream; beyond that, responses take turns within 2,048 pieces every 10 ms for all targets, paused meanwhile, so that their senders' windows close. Nothing that is sound is cut. An event or an error in over 4,096 pieces is no answer and ends its attempt. A connection is parsed 16 KiB at a time, since what is left of a read is copied at each pause (64 KiB: 326 MB resident beside 10 streams, 16 KiB: 163 MB).

--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -19,6 +19,8 @@
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** A longer event of a stream is no answer; events hold a few tokens. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Pieces of an event beyond which it is no answer. */
+const MAX_EVENT_PIECES = 4_096;
 
 export interface AnswerRelayOptions {
   readonly answer: CallerAnswer;
@@ -101,9 +103,14 @@
 
   /** Returns why no more bytes are taken from the target, if none are. */
   findOverflow(): string | undefined {
-    return this.unfinishedBytes > MAX_EVENT_BYTES
-      ? `event of ${this.unfinishedBytes} bytes without an end; the limit is ${MAX_EVENT_BYTES}`
-      : undefined;
+    const { pendingBytes, pendingPieces } = this.#splitter;
+    if (pendingBytes > MAX_EVENT_BYTES) {
+      return `event of ${pendingBytes} bytes without an end; the limit is ${MAX_EVENT_BYTES}`;
+    }
+    if (pendingPieces > MAX_EVENT_PIECES) {
+      return `event in ${pendingPieces} pieces without an end; the limit is ${MAX_EVENT_PIECES}`;
+    }
+    return undefined;
   }
 
   /**
--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -68,6 +68,8 @@
 const STATUS_MISDIRECTED = 421;
 /** Error responses are short texts; a longer one is treated as broken. */
 const MAX_ERROR_BYTES = 1_048_576;
+/** Pieces of an error response beyond which it is no answer. */
+const MAX_ERROR_PIECES = 4_096;
 
 export class Attempt {
   readonly #request: AttemptRequest;
@@ -76,6 +78,7 @@
   #head: AnswerHead | undefined;
   #fields: HeaderFields = {};
   readonly #errorBody = ByteCollector.create();
+  #errorPieces = 0;
   #isSuccess = false;
   #hasEnded = false;
 
@@ -170,8 +173,13 @@
       return;
     }
     this.#errorBody.add(chunk);
-    if (this.#errorBody.lengthBytes > MAX_ERROR_BYTES) {
-      this.abort("broken", "error response too long");
+    this.#errorPieces += 1;
+    const { lengthBytes } = this.#errorBody;
+    if (lengthBytes > MAX_ERROR_BYTES || this.#errorPieces > MAX_ERROR_PIECES) {
+      this.abort(
+        "broken",
+        `error response of ${lengthBytes} bytes in ${this.#errorPieces} pieces without an end`,
+      );
     }
   }
 
--- a/daemon/forward-requests/src/target_pools.ts
+++ b/daemon/forward-requests/src/target_pools.ts
@@ -1,6 +1,10 @@
 /** HTTP connection pools, one per target. */
 
-import { HttpPool, TransferMeter } from "@dandelionbank/open-http";
+import {
+  HttpPool,
+  PieceThrottle,
+  TransferMeter,
+} from "@dandelionbank/open-http";
 import type { RegisteredTarget } from "@dandelionbank/types";
 
 /** A running target accepts a connection within a few round trips. */
@@ -20,6 +24,7 @@
 export class TargetPools {
   /** Counts what all targets send. */
   readonly meter = TransferMeter.create();
+  readonly #throttle = PieceThrottle.create();
   readonly #pools = new Map<string, OpenPool>();
 
   private constructor() {}
@@ -42,6 +47,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       keepAliveMs: KEEP_ALIVE_MS,
       meter: this.meter,
+      throttle: this.#throttle,
     });
     this.#pools.set(run, { address, pool });
     return pool;
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -8,6 +8,11 @@
 import createConnector from "undici/lib/core/connect.js";
 import Pool from "undici/lib/dispatcher/pool.js";
 import { ConnectionResets } from "./connection_resets.ts";
+import {
+  type PieceAllowance,
+  PieceThrottle,
+  type ThrottledResponse,
+} from "./piece_throttle.ts";
 import { ReadMonitor } from "./read_monitor.ts";
 import { TransferMeter } from "./transfer_meter.ts";
 
@@ -32,6 +37,8 @@
   readonly connector?: HttpConnector;
   /** Counts what this pool receives; several pools may share one. */
   readonly meter?: TransferMeter;
+  /** Limits small pieces; pools that share a processor may share one. */
+  readonly throttle?: PieceThrottle;
 }
 
 export interface HttpRequest {
@@ -80,11 +87,13 @@
   readonly #resets = ConnectionResets.create();
   readonly #meter: TransferMeter;
   readonly #reads: ReadMonitor;
+  readonly #throttle: PieceThrottle;
 
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
     this.#meter = options.meter ?? TransferMeter.create();
     this.#reads = ReadMonitor.create(this.#meter);
+    this.#throttle = options.throttle ?? PieceThrottle.create();
     const connector = options.connector ?? createConnector({
       timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
     });
@@ -110,6 +119,7 @@
       resets: this.#resets,
       meter: this.#meter,
       reads: this.#reads,
+      throttle: this.#throttle,
     });
     this.#pool.dispatch(
       {
@@ -135,28 +145,35 @@
   }
 }
 
-class RequestDispatch implements Dispatcher.DispatchHandler, RequestHandle {
+class RequestDispatch
+  implements Dispatcher.DispatchHandler, RequestHandle, ThrottledResponse {
   readonly #handler: HttpHandler;
   readonly #resets: ConnectionResets;
   readonly #meter: TransferMeter;
   readonly #reads: ReadMonitor;
+  readonly #allowance: PieceAllowance;
   #controller: Dispatcher.DispatchController | undefined;
   #interimHeadBytes = 0;
   #isCancelled = false;
   #isEnded = false;
+  /** Whether the handler, or the throttle, wants no further pieces now. */
+  #isPaused = false;
+  #isHeld = false;
 
   constructor(
     handler: HttpHandler,
-    { resets, meter, reads }: {
+    { resets, meter, reads, throttle }: {
       readonly resets: ConnectionResets;
       readonly meter: TransferMeter;
       readonly reads: ReadMonitor;
+      readonly throttle: PieceThrottle;
     },
   ) {
     this.#handler = handler;
     this.#resets = resets;
     this.#meter = meter;
     this.#reads = reads;
+    this.#allowance = throttle.createAllowance(this);
   }
 
   cancel(): void {
@@ -165,11 +182,23 @@
   }
 
   pause(): void {
+    this.#isPaused = true;
     this.#controller?.pause();
   }
 
   resume(): void {
-    this.#controller?.resume();
+    this.#isPaused = false;
+    if (!this.#isHeld) this.#controller?.resume();
+  }
+
+  hold(): void {
+    this.#isHeld = true;
+    this.#controller?.pause();
+  }
+
+  release(): void {
+    this.#isHeld = false;
+    if (!this.#isPaused) this.#controller?.resume();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -197,11 +226,13 @@
     this.#reads.recordHandled();
     this.#meter.recordBodyPiece(chunk.length);
     this.#handler.onData(chunk);
+    if (!this.#isEnded) this.#allowance.recordPiece(chunk.length);
   }
 
   onResponseEnd(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    this.#allowance.end();
     this.#reads.recordHandled();
     if (this.#resets.isPeerResetting) {
       this.#handler.onError(new Error("Connection was reset"), true);
@@ -213,6 +244,7 @@
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
+    this.#allowance.end();
     this.#handler.onError(error, wasSent(error));
   }
 
--- a/foundation/open-http/src/mod.ts
+++ b/foundation/open-http/src/mod.ts
@@ -16,3 +16,4 @@
 export { callJson, fetchAnswer } from "./fetch_answer.ts";
 export type { BufferedAnswer, JsonAnswer } from "./fetch_answer.ts";
 export { TransferMeter } from "./transfer_meter.ts";
+export { PieceThrottle } from "./piece_throttle.ts";
--- a/foundation/open-http/src/read_monitor.ts
+++ b/foundation/open-http/src/read_monitor.ts
@@ -12,6 +12,12 @@
 /** Several times the largest head that the parser accepts, which is 16 KiB. */
 const MAX_UNHANDLED_BYTES = 65_536;
 
+/**
+ * Bytes that are parsed at a time. When a response is paused, the rest of them is
+ * copied each time that it is resumed.
+ */
+const MAX_READ_BYTES = 16_384;
+
 interface Connection {
   /** Bytes that were read since a handler was last called. */
   unhandledBytes: number;
@@ -51,12 +57,14 @@
   #monitorSocket(socket: Socket): void {
     const connection: Connection = { unhandledBytes: 0 };
     const read = socket.read.bind(socket);
-    socket.read = (...size) => {
+    socket.read = () => {
       if (connection.unhandledBytes > MAX_UNHANDLED_BYTES) {
         socket.destroy(describeOverflow(connection));
         return null;
       }
-      const bytes = read(...size) as Buffer | null;
+      const size = Math.min(socket.readableLength, MAX_READ_BYTES);
+      // Without any bytes, `read` notices the end of the connection.
+      const bytes = (size === 0 ? read() : read(size)) as Buffer | null;
       if (bytes === null) return null;
       this.#meter.recordReceived(bytes.length);
       this.#parsed = connection;
