Keep a process running when a paused answer loses its connection

What callers saw: all requests at an entry ended without an answer, since its process ended by itself. It takes one answer that is paused, because its caller reads slowly, from a target that sends no length or `Connection: close`, and whose connection then ends or is reset.

Cause: undici pauses a response by stopping its parser, and calls `finish` on the parser when such a connection ends. `finish` asserts that the parser isn't stopped; the assertion error is thrown in the listener of the socket, where nothing catches it.

Fix: the socket returns no bytes while its answer is paused, and the parser is never stopped. What had been read is still delivered; the end of the connection waits in the socket behind the rest. A reset may come before it, and the parser is then in the state that undici expects.

--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -6,7 +6,9 @@
 
 import type { buildConnector, Dispatcher } from "undici";
 import createConnector from "undici/lib/core/connect.js";
+import type { Socket } from "node:net";
 import Pool from "undici/lib/dispatcher/pool.js";
+import { ConnectionReads } from "./connection_reads.ts";
 import { ConnectionResets } from "./connection_resets.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -66,6 +68,7 @@
 export interface RequestHandle {
   /** Resets the connection, so that bytes still in flight are not delivered. */
   cancel(): void;
+  /** Reads no more from the connection; bytes already read are still delivered. */
   pause(): void;
   resume(): void;
 }
@@ -74,6 +77,7 @@
   readonly origin: string;
   readonly #pool: Pool;
   readonly #resets = ConnectionResets.create();
+  readonly #reads = ConnectionReads.create();
 
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
@@ -83,10 +87,12 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
-      connect: this.#resets.wrapConnector(
-        options.connector ?? createConnector({
-          timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-        }),
+      connect: this.#reads.wrapConnector(
+        this.#resets.wrapConnector(
+          options.connector ?? createConnector({
+            timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+          }),
+        ),
       ),
     });
   }
@@ -97,7 +103,10 @@
 
   /** Sends a request. Exactly one of `onEnd` and `onError` is called for it. */
   send(request: HttpRequest, handler: HttpHandler): RequestHandle {
-    const dispatch = new RequestDispatch(handler, this.#resets);
+    const dispatch = new RequestDispatch(handler, {
+      resets: this.#resets,
+      reads: this.#reads,
+    });
     this.#pool.dispatch(
       {
         origin: this.origin,
@@ -125,14 +134,24 @@
 class RequestDispatch implements Dispatcher.DispatchHandler, RequestHandle {
   readonly #handler: HttpHandler;
   readonly #resets: ConnectionResets;
+  readonly #reads: ConnectionReads;
   #controller: Dispatcher.DispatchController | undefined;
+  /** The connection from which the response is read. */
+  #socket: Socket | undefined;
   #interimHeadBytes = 0;
   #isCancelled = false;
   #isEnded = false;
 
-  constructor(handler: HttpHandler, resets: ConnectionResets) {
+  constructor(
+    handler: HttpHandler,
+    { resets, reads }: {
+      readonly resets: ConnectionResets;
+      readonly reads: ConnectionReads;
+    },
+  ) {
     this.#handler = handler;
     this.#resets = resets;
+    this.#reads = reads;
   }
 
   cancel(): void {
@@ -141,11 +160,11 @@
   }
 
   pause(): void {
-    this.#controller?.pause();
+    if (this.#socket !== undefined) this.#reads.pause(this.#socket);
   }
 
   resume(): void {
-    this.#controller?.resume();
+    if (this.#socket !== undefined) this.#reads.resume(this.#socket);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -158,6 +177,7 @@
     status: number,
     headers: HttpAnswerHead["headers"],
   ): void {
+    this.#socket = this.#reads.latest;
     if (status >= 200) return this.#handler.onHead({ status, headers });
     this.#interimHeadBytes += HEAD_OVERHEAD_BYTES + countHeaderBytes(headers);
     if (this.#interimHeadBytes <= MAX_INTERIM_HEAD_BYTES) return;
@@ -173,6 +193,7 @@
   }
 
   onResponseEnd(): void {
+    this.#releaseSocket();
     if (this.#isEnded) return;
     this.#isEnded = true;
     if (this.#resets.isPeerResetting) {
@@ -183,11 +204,18 @@
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    this.#releaseSocket();
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#handler.onError(error, wasSent(error));
   }
 
+  /** The connection may serve the next request from now on. */
+  #releaseSocket(): void {
+    this.resume();
+    this.#socket = undefined;
+  }
+
   /** Resets the connection; `onResponseError` is called with the reason. */
   #abort(reason: Error): void {
     this.#resets.resetWhile(() => this.#controller?.abort(reason));
--- a/foundation/open-http/src/http_pool_test.ts
+++ b/foundation/open-http/src/http_pool_test.ts
@@ -10,6 +10,9 @@
 import { test, type TestContext } from "node:test";
 import { fetchAnswer, type HttpConnector, HttpPool } from "./mod.ts";
 
+/** More than what one read takes from a connection. */
+const PAUSED_BYTES = 300_000;
+
 interface Failure {
   readonly code: string | undefined;
   readonly wasSent: boolean;
@@ -94,6 +97,82 @@
   await pool.close();
 });
 
+interface PausedEnd {
+  readonly name: string;
+  readonly fields: string;
+  readonly end: "closed" | "reset";
+  readonly isComplete: boolean;
+}
+
+const CLOSE = "connection: close\r\n";
+const WHOLE_LENGTH = `${CLOSE}content-length: ${PAUSED_BYTES}\r\n`;
+const LONGER_LENGTH = `${CLOSE}content-length: ${PAUSED_BYTES + 1}\r\n`;
+const CHUNKED = `${CLOSE}transfer-encoding: chunked\r\n`;
+/** Ends of answers whose connection is not to be kept. */
+const PAUSED_ENDS: readonly PausedEnd[] = [
+  { name: "no length", fields: "", end: "closed", isComplete: true },
+  { name: "no length", fields: "", end: "reset", isComplete: false },
+  { name: "length", fields: WHOLE_LENGTH, end: "closed", isComplete: true },
+  { name: "length", fields: LONGER_LENGTH, end: "closed", isComplete: false },
+  { name: "length", fields: LONGER_LENGTH, end: "reset", isComplete: false },
+  { name: "last chunk", fields: CHUNKED, end: "closed", isComplete: false },
+  { name: "last chunk", fields: CHUNKED, end: "reset", isComplete: false },
+];
+
+for (const { name, fields, end, isComplete } of PAUSED_ENDS) {
+  const result = isComplete ? "complete" : "incomplete";
+  test(`A connection that is ${end} while its answer is paused ends only that answer: ${name}, ${result}`, async (t) => {
+    const peer = await acceptConnections(t);
+    const pool = HttpPool.create({ origin: peer.origin });
+    t.after(() => pool.close());
+    peer.server.on("connection", (socket: Socket) =>
+      socket.once("data", () => {
+        socket.write(`HTTP/1.1 200 OK\r\n${fields}\r\n`);
+        if (fields === CHUNKED) socket.write("ffffff\r\n");
+        socket.write("x".repeat(PAUSED_BYTES));
+        if (end === "closed") socket.end();
+        else setTimeout(() => socket.resetAndDestroy(), 60);
+      }));
+    const read = await readSlowly(pool);
+    assert.equal(read.isComplete, isComplete);
+    if (end === "closed") assert.equal(read.bytes, PAUSED_BYTES);
+  });
+}
+
+test("A connection is read again after an answer that ended while it was paused", async (t) => {
+  let connections = 0;
+  const server = await listen((_, response) => response.end("whole"));
+  server.on("connection", () => connections += 1);
+  t.after(() => server.close());
+  const pool = HttpPool.create({ origin: urlOf(server), connections: 1 });
+  t.after(() => pool.close());
+  for (let index = 0; index < 3; index++) {
+    const read = await readSlowly(pool, { isResumed: false });
+    assert.deepEqual(read, { bytes: 5, isComplete: true });
+  }
+  assert.equal(connections, 1);
+});
+
+/** Reads an answer and pauses for some milliseconds after each of its pieces. */
+function readSlowly(
+  pool: HttpPool,
+  { isResumed = true }: { readonly isResumed?: boolean } = {},
+): Promise<{ readonly bytes: number; readonly isComplete: boolean }> {
+  return new Promise((resolve) => {
+    let bytes = 0;
+    const handle = pool.send({ method: "GET", path: "/", headers: {} }, {
+      onHead: () => {},
+      onData: (chunk) => {
+        bytes += chunk.length;
+        handle.pause();
+        if (isResumed) setTimeout(() => handle.resume(), 20);
+      },
+      onEnd: () => resolve({ bytes, isComplete: true }),
+      onError: () => resolve({ bytes, isComplete: false }),
+    });
+  });
+}
+
 async function sendAndFail(pool: HttpPool): Promise<Failure> {
   const failure = await new Promise<Failure>((resolve) =>
     pool.send({ method: "POST", path: "/", headers: {}, body: "x" }, {
