Take no answer for a call's own that doesn't name it

What callers saw: a success, or a failure, of another call: its status, seal and body, where a target's late second answer bears no attempt id and comes when its connection serves the next call.

Cause: an answer was rejected for another call's attempt id, not for none.

Fix: an answer has to name the attempt, as targets' answers do. The case of a success without a seal in answers_test.ts had no attempt id either; it names it now, so that the seal is what is checked, and a case without the id stands beside it.

--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -145,8 +145,14 @@
     this.#head = head;
     this.#fields = fields;
     const { attemptId } = this.#request;
-    if (head.attemptId !== undefined && head.attemptId !== attemptId) {
-      this.abort("broken", "answer belongs to another attempt id");
+    const isUnnamed = head.attemptId === undefined;
+    if (head.attemptId !== attemptId && !(isUnnamed && head.isNotRun)) {
+      this.abort(
+        "broken",
+        isUnnamed
+          ? "answer without an attempt id"
+          : "answer belongs to another attempt id",
+      );
       return;
     }
     if (status !== STATUS_MISDIRECTED) this.#listener.onHead(head);
--- a/testing/ingress-tests/src/answers_test.ts
+++ b/testing/ingress-tests/src/answers_test.ts
@@ -74,8 +74,19 @@
   },
   {
     name: "without a seal",
-    script: (engineCall) =>
-      sendCompleteAnswer({ ...engineCall, answerHeaders: {} }),
+    script: (engineCall) => {
+      const attemptId = engineCall.answerHeaders[HEADERS.attemptId]!;
+      const answerHeaders = { [HEADERS.attemptId]: attemptId };
+      sendCompleteAnswer({ ...engineCall, answerHeaders });
+    },
+  },
+  {
+    name: "without an attempt id",
+    script: (engineCall) => {
+      const seal = engineCall.answerHeaders[HEADERS.answerSeal]!;
+      const answerHeaders = { [HEADERS.answerSeal]: seal };
+      sendCompleteAnswer({ ...engineCall, answerHeaders });
+    },
   },
   {
     name: "with an encoded body",
--- a/testing/run-entry/src/run_entry.ts
+++ b/testing/run-entry/src/run_entry.ts
@@ -208,6 +208,7 @@
 
 export interface CallOptions {
   readonly path: string;
+  readonly method?: string;
   readonly body?: string;
   readonly key?: string | undefined;
   readonly headers?: Readonly<Record<string, string>>;
@@ -232,8 +233,8 @@
   { settings }: Pick<Site, "settings">,
   options: CallOptions,
 ): Promise<CallAnswer> {
-  const { path, body = "x", key = CALLER_KEY, headers, agent, signal } =
-    options;
+  const { path, method = "POST", body = "x", key = CALLER_KEY } = options;
+  const { headers, agent, signal } = options;
   const startedMs = performance.now();
   lastAttemptNumber += 1;
   return new Promise((resolve, reject) => {
@@ -241,7 +242,7 @@
       host: settings.callers!.host,
       port: settings.callers!.port,
       path,
-      method: "POST",
+      method,
       agent: agent ?? false,
       ...(signal === undefined ? {} : { signal }),
       headers: {
--- a/testing/standin-site/src/mod.ts
+++ b/testing/standin-site/src/mod.ts
@@ -6,6 +6,13 @@
 export { CrashingEngines } from "./crashing_engines.ts";
 export type { Arrival, CrashingEnginesOptions } from "./crashing_engines.ts";
 export { HeldLink } from "./held_link.ts";
+export {
+  RawEngine,
+  renderRawAnswer,
+  renderRawBody,
+  sendRawAnswer,
+} from "./raw_engine.ts";
+export type { RawCall, RawScript } from "./raw_engine.ts";
 export {
   refuseAsNotRun,
   refuseFor,
