Take no refusal for a call's own that doesn't name it

What callers saw: 503, which says that a call has not run, for calls that had run, also on routes that mustn't be repeated; and calls that ran at a second target meanwhile. A target's late second refusal, without an attempt id, came when its connection served the next call.

Cause: an answer that says "not run" was believed without an attempt id.

One that doesn't may be another call's, so the call may have run. The stand-ins' refusals named no attempt; they do now.

--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -145,11 +145,10 @@
     this.#head = head;
     this.#fields = fields;
     const { attemptId } = this.#request;
-    const isUnnamed = head.attemptId === undefined;
-    if (head.attemptId !== attemptId && !(isUnnamed && head.isNotRun)) {
+    if (head.attemptId !== attemptId) {
       this.abort(
         "broken",
-        isUnnamed
+        head.attemptId === undefined
           ? "answer without an attempt id"
           : "answer belongs to another attempt id",
       );
--- a/testing/ingress-tests/src/second_answers_test.ts
+++ b/testing/ingress-tests/src/second_answers_test.ts
@@ -101,6 +101,15 @@
     renderSecond: (call) =>
       renderRawAnswer(call, { status: 500, headers: withoutId(call) }),
   },
+  {
+    name: "without an attempt id, a refusal",
+    renderSecond: (call) =>
+      renderRawAnswer(call, {
+        status: 503,
+        headers: { [NOT_RUN]: "1" },
+        ...NO_BODY,
+      }),
+  },
   {
     name: "a refusal",
     renderSecond: (call) =>
--- a/testing/standin-site/src/site_engine.ts
+++ b/testing/standin-site/src/site_engine.ts
@@ -91,7 +91,7 @@
     const attemptId = String(request.headers[HEADERS.attemptId] ?? "");
     const expected = request.headers[HEADERS.expectedTarget];
     if (expected !== undefined && expected !== this.id) {
-      response.writeHead(421).end();
+      response.writeHead(421, { [HEADERS.attemptId]: attemptId }).end();
       return;
     }
     response.on("close", () => {
@@ -138,14 +138,19 @@
 }
 
 /** Answers 503 with the header that proves that the request did not run. */
-export function refuseAsNotRun({ response }: EngineCall): void {
-  response.writeHead(503, { [HEADERS.notRun]: "1", "content-length": 0 }).end();
+export function refuseAsNotRun({ response, answerHeaders }: EngineCall): void {
+  response.writeHead(503, {
+    [HEADERS.attemptId]: answerHeaders[HEADERS.attemptId],
+    [HEADERS.notRun]: "1",
+    "content-length": 0,
+  }).end();
 }
 
 /** Creates a script that refuses as not run, with the seconds in which nothing more is wanted. */
 export function refuseFor(retryAfterS: number | string): EngineScript {
-  return ({ response }) => {
+  return ({ response, answerHeaders }) => {
     response.writeHead(503, {
+      [HEADERS.attemptId]: answerHeaders[HEADERS.attemptId],
       [HEADERS.notRun]: "1",
       [HEADERS.retryAfter]: String(retryAfterS),
       "content-length": 0,
