Take no head that two answers share

What callers saw: a success where the target had answered its call with a failure, under the right attempt id and seal, and the reverse. A late second answer that breaks off in its first line or in a field came when its connection served the next call: the status is then the late one's, and the next status line becomes the end of the reason phrase or of the field's value.

Fix: a head with a status line inside its reason phrase or a field's value is no answer, for all users of the pool. Where the part ends elsewhere, in a name, at a line's end or behind the head, the parser or the attempt id rejects it.

--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -15,6 +15,8 @@
 const KEEP_ALIVE_MS = 30_000;
 /** A peer that sends more interim heads (1xx) than this sends no answer. */
 const MAX_INTERIM_HEAD_BYTES = 65_536;
+/** A status line, where it isn't the first line of its head. */
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?: |$)/;
 /** Status line and line ends of a head, about. */
 const HEAD_OVERHEAD_BYTES = 32;
 
@@ -176,8 +178,13 @@
     _controller: Dispatcher.DispatchController,
     status: number,
     headers: HttpAnswerHead["headers"],
+    statusText = "",
   ): void {
     this.#socket = this.#reads.latest;
+    if (isMerged(headers, statusText)) {
+      this.#abort(new Error("Head of an answer that was cut by another one"));
+      return;
+    }
     if (status >= 200) return this.#handler.onHead({ status, headers });
     this.#interimHeadBytes += HEAD_OVERHEAD_BYTES + countHeaderBytes(headers);
     if (this.#interimHeadBytes <= MAX_INTERIM_HEAD_BYTES) return;
@@ -222,6 +229,19 @@
   }
 }
 
+/**
+ * Whether a head begins with a part of another one, such as of a late second
+ * answer that breaks off in its first line or in a field. The status may then be
+ * the other answer's, while the fields are those of the request's own.
+ */
+function isMerged(
+  headers: HttpAnswerHead["headers"],
+  statusText: string,
+): boolean {
+  return [statusText, ...Object.values(headers).flat()]
+    .some((text) => text !== undefined && STATUS_LINE.test(text));
+}
+
 function countHeaderBytes(headers: HttpAnswerHead["headers"]): number {
   return Object.entries(headers).flat(2).join("").length;
 }
--- a/foundation/open-http/src/http_pool_test.ts
+++ b/foundation/open-http/src/http_pool_test.ts
@@ -97,6 +97,34 @@
   await pool.close();
 });
 
+const OWN_HEAD = "HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n";
+
+for (const part of ["HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\ndate: Thu, 01"]) {
+  test(`A head that begins with a part of another answer's is none: ${JSON.stringify(part)}`, async (t) => {
+    const peer = await acceptConnections(t);
+    peer.server.on(
+      "connection",
+      (socket: Socket) =>
+        socket.once("data", () => socket.write(part + OWN_HEAD)),
+    );
+    const failure = await sendAndFail(HttpPool.create({ origin: peer.origin }));
+    assert.deepEqual(failure, { code: undefined, wasSent: true });
+  });
+}
+
+test("A field that names a protocol is no part of another answer", async (t) => {
+  const fields = { via: "HTTP/1.1 127.0.0.1", date: "Thu, 01" };
+  const server = await listen((_, response) => {
+    response.writeHead(200, fields).end();
+  });
+  t.after(() => server.close());
+  const pool = HttpPool.create({ origin: urlOf(server) });
+  t.after(() => pool.close());
+  const request = { method: "GET", path: "/", headers: {} };
+  const { status } = await fetchAnswer(pool, request, { timeoutMs: 1_000 });
+  assert.equal(status, 200);
+});
+
 interface PausedEnd {
   readonly name: string;
   readonly fields: string;
--- a/testing/ingress-tests/src/second_answers_test.ts
+++ b/testing/ingress-tests/src/second_answers_test.ts
@@ -52,6 +52,10 @@
   return { [SEAL]: call.answerHeaders[SEAL]! };
 }
 
+function cutAnywhere(text: string, random: Random): string {
+  return text.slice(0, random.int(1, text.length - 1));
+}
+
 function renderBodiless(call: RawCall, status: number): string {
   const lines = Object.entries(call.answerHeaders).map((line) =>
     `${line.join(": ")}\r\n`
@@ -59,6 +63,13 @@
   return `HTTP/1.1 ${status} Status\r\n${lines.join("")}\r\n`;
 }
 
+function renderChunked(call: RawCall, fields = ""): string {
+  const text = renderRawBody(call);
+  const head = renderBodiless(call, 200).slice(0, -2);
+  const size = text.length.toString(16);
+  return `${head}transfer-encoding: chunked\r\n${fields}\r\n${size}\r\n${text}\r\n0\r\n\r\n`;
+}
+
 const SECOND_ANSWERS: readonly SecondAnswer[] = [
   {
     name: "whole, behind an answer with status 204",
@@ -133,6 +144,34 @@
     renderSecond: () =>
       "HTTP/1.1 101 Switching\r\nupgrade: a\r\nconnection: upgrade\r\n\r\n",
   },
+  {
+    name: "cut anywhere",
+    renderSecond: (call, random) => cutAnywhere(renderRawAnswer(call), random),
+  },
+  {
+    name: "cut anywhere in the first line",
+    renderSecond: (call, random) =>
+      cutAnywhere(renderRawAnswer(call).split("\r\n")[0]!, random),
+  },
+  {
+    name: "cut anywhere, without an attempt id",
+    renderSecond: (call, random) =>
+      cutAnywhere(renderRawAnswer(call, { headers: withoutId(call) }), random),
+  },
+  {
+    name: "cut anywhere, with other fields first",
+    renderSecond: (_, random) =>
+      cutAnywhere(
+        `HTTP/1.1 200 OK\r\ndate: ${
+          new Date(0).toUTCString()
+        }\r\nserver: a\r\n`,
+        random,
+      ),
+  },
+  {
+    name: "chunked, cut anywhere",
+    renderSecond: (call, random) => cutAnywhere(renderChunked(call), random),
+  },
 ];
 
 test("A late second answer reaches no caller", async (t) => {
