--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -148,8 +148,13 @@
     this.#head = head;
     this.#fields = fields;
     const { attemptId } = this.#request;
-    if (head.attemptId !== undefined && head.attemptId !== attemptId) {
-      this.abort("broken", "answer belongs to another attempt id");
+    if (head.attemptId !== attemptId) {
+      this.abort(
+        "broken",
+        head.attemptId === undefined
+          ? "answer without an attempt id"
+          : "answer belongs to another attempt id",
+      );
       return;
     }
     if (status !== STATUS_MISDIRECTED) this.#listener.onHead(head);
--- a/foundation/open-http/src/piece_throttle.ts
+++ b/foundation/open-http/src/piece_throttle.ts
@@ -29,17 +29,21 @@
   readonly #response: ThrottledResponse;
   #pieces = BURST_PIECES;
   #refilledAtMs = performance.now();
+  #isHeld = false;
 
   constructor(throttle: PieceThrottle, response: ThrottledResponse) {
     this.#throttle = throttle;
     this.#response = response;
   }
 
-  /** Records a piece, and holds the response if no further one is allowed. */
+  /**
+   * Records a piece, and holds the response if no further one is allowed. Pieces
+   * that were read before may still arrive; the response waits longer for them.
+   */
   recordPiece(sizeBytes: number): void {
     if (sizeBytes >= SMALL_PIECE_BYTES) return;
     this.#pieces -= 1;
-    if (this.#pieces > 0) return;
+    if (this.#pieces > 0 || this.#isHeld) return;
     this.#refill();
     if (this.#pieces > 0) return;
     if (this.#throttle.takeTurn()) this.#pieces += BURST_PIECES;
@@ -60,12 +64,16 @@
   }
 
   #hold(): void {
+    this.#isHeld = true;
     this.#response.hold();
     this.#throttle.awaitTurn(this.#continue);
   }
 
   readonly #continue = () => {
     this.#pieces += BURST_PIECES;
+    this.#refill();
+    if (this.#pieces <= 0) return this.#throttle.awaitTurn(this.#continue);
+    this.#isHeld = false;
     this.#response.release();
   };
 }
--- a/testing/standin-site/src/mod.ts
+++ b/testing/standin-site/src/mod.ts
@@ -8,6 +8,13 @@
 export { ENDLESS_FORMS } from "./endless_forms.ts";
 export type { EndlessForm, EndlessFormName } from "./endless_forms.ts";
 export { HeldLink } from "./held_link.ts";
+export {
+  RawEngine,
+  renderRawAnswer,
+  renderRawBody,
+  sendRawAnswer,
+} from "./raw_engine.ts";
+export type { RawCall, RawScript } from "./raw_engine.ts";
 export {
   refuseAsNotRun,
   refuseFor,
