Count the time that is left for a request from when it is sent

What callers saw: in a planned stop of an entry, streams whose body ended late were passed on and then cut without an answer when the process ended.

Cause: the stop compared how long a stream runs with the time that was left when its head arrived, though the run begins when its body has ended. And the end of accepting was told to the forwarder as an earlier end of the time for requests, so a stream whose head came before and whose body ended after it was still accepted.

Change: the run is counted from now, the timeout from the arrival as before; after the end of accepting nothing is accepted, whenever its head arrived. A request that was uploaded slowly and ends by its timeout is accepted as before.

--- a/daemon/forward-requests/src/estimate_run.ts
+++ b/daemon/forward-requests/src/estimate_run.ts
@@ -9,20 +9,25 @@
 const MS_PER_S = 1_000;
 
 /**
- * Returns the longest time that a request is expected to run: its timeout, or for
- * a stream whose size is known, the time that a slow group takes for it.
+ * Returns the longest time that a request is expected to run if it is sent now:
+ * until its timeout, which began on its arrival, or for a stream whose size is
+ * known, the time that a slow group takes for it.
  */
 export function estimateLongestRunMs(
-  request: Pick<RoutedRequest, "head" | "route">,
-  profiles: readonly (EngineProfile | undefined)[],
+  request: Pick<RoutedRequest, "head" | "route" | "arrivedAtMs">,
+  { profiles, nowMs }: {
+    readonly profiles: readonly (EngineProfile | undefined)[];
+    readonly nowMs: number;
+  },
 ): number {
-  const timeoutMs = computeTimeoutMs(request);
+  const { head, arrivedAtMs } = request;
+  const remainingMs = arrivedAtMs + computeTimeoutMs(request) - nowMs;
   const runsMs = profiles.map((profile) =>
-    profile === undefined || request.head.maxAnswerTokens === 0
-      ? timeoutMs
-      : estimateLongestStreamMs(profile, request.head)
+    profile === undefined || head.maxAnswerTokens === 0
+      ? remainingMs
+      : estimateLongestStreamMs(profile, head)
   );
-  return Math.min(timeoutMs, Math.max(...runsMs));
+  return Math.min(remainingMs, Math.max(...runsMs));
 }
 
 /** Returns the duration of one token step of a full, balanced group. */
--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -27,6 +27,7 @@
   #lastId = 0;
   /** When accepted requests have to end; undefined unless the entry stops. */
   #endAtMs: number | undefined;
+  #isAccepting = true;
 
   private constructor(context: ForwardContext) {
     this.#context = context;
@@ -48,7 +49,7 @@
 
   /** Refuses every further request as not run. */
   refuseNewRequests(): void {
-    this.#endAtMs = performance.now();
+    this.#isAccepting = false;
   }
 
   /** Cuts the streams that their callers can resume at another entry. */
@@ -171,22 +172,30 @@
     decision: RouteDecision,
     { head, arrivedAtMs }: Pick<RoutedRequest, "head" | "arrivedAtMs">,
   ): RouteDecision {
-    if (this.#endAtMs === undefined || decision.kind !== "routed") {
-      return decision;
-    }
+    if (decision.kind !== "routed") return decision;
     const { route } = decision;
+    const reason = this.#findStopReason({ head, route, arrivedAtMs });
+    return reason === undefined ? decision : { kind: "unavailable", reason };
+  }
+
+  /** Returns why a request may not begin to run; undefined if it may. */
+  #findStopReason(
+    request: Pick<RoutedRequest, "head" | "route" | "arrivedAtMs">,
+  ): string | undefined {
+    if (!this.#isAccepting) return "stopping: no further request is accepted";
+    if (this.#endAtMs === undefined) return undefined;
     const services = this.#context.configuration.table?.configuration.services;
-    const profiles = route.shares.map(({ service }) =>
+    const profiles = request.route.shares.map(({ service }) =>
       services?.get(service)?.engine
     );
+    const nowMs = performance.now();
     const longestMs = Math.round(
-      estimateLongestRunMs({ head, route }, profiles),
+      estimateLongestRunMs(request, { profiles, nowMs }),
     );
-    const leftMs = Math.max(0, Math.round(this.#endAtMs - arrivedAtMs));
-    if (longestMs <= leftMs) return decision;
-    const reason =
-      `stopping: may run for ${longestMs} ms, ${leftMs} ms are left`;
-    return { kind: "unavailable", reason };
+    const leftMs = Math.max(0, Math.round(this.#endAtMs - nowMs));
+    return longestMs <= leftMs
+      ? undefined
+      : `stopping: may run for ${longestMs} ms, ${leftMs} ms are left`;
   }
 
   get #unavailableRetryMs(): number {
--- /dev/null
+++ b/testing/ingress-tests/src/planned_stop_test.ts
@@ -0,0 +1,142 @@
+/** What callers see of a planned stop of an entry, without other disruptions. */
+
+import { HEADERS } from "@dandelionbank/platform-adapter";
+import {
+  CALLER_KEY,
+  createConfiguration,
+  EntryProgram,
+  ROUTE,
+  ROUTE_HOST,
+} from "@dandelionbank/run-entry";
+import {
+  type EngineScript,
+  SiteEngine,
+  SiteStore,
+} from "@dandelionbank/standin-site";
+import assert from "node:assert/strict";
+import { type ClientRequest, request } from "node:http";
+import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+
+/**
+ * With this grace period, a stopping entry accepts requests for 2 s, and cuts
+ * what still runs after 3.4 s.
+ */
+const GRACE_S = 4;
+const ACCEPT_MS = 2_000;
+/** Longer than the grace period. */
+const TIMEOUT_MS = 6_000;
+/** A full, balanced group takes 10 ms a token. */
+const PROFILE = { slots: 8, "step_ms": 2, "per_seq_ms": 1 };
+const STREAM_TOKENS = 90;
+/** The longest that a stream is expected to run. */
+const LONGEST_STREAM_MS = 1_800;
+
+// Guards against a stop that counts the time for a stream from its head, and so
+// accepts and then cuts one whose body ends late.
+test("A stopping entry cuts no stream that was uploaded slowly", async (t) => {
+  const { entry, engine } = await startEntry(t);
+  engine.script = answerAfter(LONGEST_STREAM_MS);
+  entry.signal("SIGTERM");
+  const uploadTimesMs = [0, 600, 1_700, ACCEPT_MS - 50, ACCEPT_MS + 100];
+  const answers = await Promise.all(
+    uploadTimesMs.map((uploadMs) => send(entry, { path: "/live/a", uploadMs })),
+  );
+  assert.deepEqual(answers.map(describe), [200, 200, 503, 503, 503]);
+  assert.equal(engine.calls.length, 2);
+});
+
+interface SentRequest {
+  readonly path: string;
+  /** Time between the request's head and the end of its body. */
+  readonly uploadMs?: number;
+}
+
+interface Received {
+  /** Undefined if the connection ended before the answer's head. */
+  readonly status: number | undefined;
+  readonly isComplete: boolean;
+}
+
+function describe({ status, isComplete }: Received): number | "cut" {
+  return isComplete && status !== undefined ? status : "cut";
+}
+
+/** Sends a request; resolves also if its connection ends without an answer. */
+function send(
+  { settings }: EntryProgram,
+  { path, uploadMs = 0 }: SentRequest,
+): Promise<Received> {
+  return new Promise((resolve) => {
+    const outgoing: ClientRequest = request({
+      ...settings.callers,
+      path,
+      method: "POST",
+      agent: false,
+      headers: {
+        host: ROUTE_HOST,
+        [HEADERS.attemptId]: `attempt-${Math.random()}`,
+        [HEADERS.credential]: CALLER_KEY,
+        [HEADERS.tokenCounts]: `0,${STREAM_TOKENS}`,
+      },
+    }, (response) => {
+      response.resume();
+      const settle = () =>
+        resolve({
+          status: response.statusCode,
+          isComplete: response.complete,
+        });
+      response.on("end", settle);
+      response.on("error", settle);
+    });
+    outgoing.on(
+      "error",
+      () => resolve({ status: undefined, isComplete: false }),
+    );
+    outgoing.write("a");
+    setTimeout(() => outgoing.end("b"), uploadMs);
+  });
+}
+
+/** Sends the whole answer at once, some time after the request. */
+function answerAfter(delayMs: number): EngineScript {
+  return ({ response, answerHeaders }) => {
+    const timer = setTimeout(
+      () => response.writeHead(200, answerHeaders).end("id: 1\ndata: last\n\n"),
+      delayMs,
+    );
+    response.on("close", () => clearTimeout(timer));
+  };
+}
+
+async function startEntry(t: TestContext) {
+  const [store, engine] = await Promise.all([
+    SiteStore.create(),
+    SiteEngine.create("e0"),
+  ]);
+  const service = { name: "s", "health_path": "/healthz", "max_conns": 40 };
+  const route = { ...ROUTE, "timeout_ms": TIMEOUT_MS };
+  store.put("config", "main", {
+    ...createConfiguration({
+      routes: [
+        {
+          ...route,
+          name: "live",
+          "path_prefix": "/live/",
+          type: "streaming",
+          "target_gap_ms": 120,
+        },
+      ],
+    }),
+    services: [{ ...service, "engine_profile": PROFILE }],
+  });
+  store.put("servers", engine.id, engine.createServerSpec({ service: "s" }));
+  t.after(async () => {
+    await engine.close();
+    await store.close();
+  });
+  const options = { store, number: 1, graceS: GRACE_S };
+  const entry = await EntryProgram.start(t, options);
+  await delay(200);
+  return { store, engine, entry };
+}
