Refuse a request that has waited too long to end before its entry

What callers saw: in a planned stop of an entry, streams were cut without an answer that had waited at the entry, for admission or for the second try after a target had refused them, and were passed on later.

Cause: whether a request can end in time was asked once, when it was accepted. It begins to run when it is sent, which may be seconds later.

A stream that waits for a group of one place: cut; a stream whose group refuses it while it re-forms, and that is sent again a second later: cut. Both are answered 503 now, and reach no further target.

Change: the times of a stop stand in StopCheck, which is asked on arrival and before each send. A request that no target may have run is refused as not run; one that may have run goes on as before. A stream waits no longer than until the latest time at which it can be sent, so that admission refuses it at once where it can tell.

--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -10,27 +10,27 @@
 import { CallerAnswer } from "./caller_answer.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { RequestTask } from "./request_task.ts";
-import { estimateLongestRunMs } from "./estimate_run.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { type RouteDecision, routeRequest } from "./route_request.ts";
+import { StopCheck } from "./stop_check.ts";
 
-/** `retry-after` of a request that this entry cannot route yet. */
-const UNAVAILABLE_RETRY_MS = 200;
-/** `retry-after` of a request that another entry takes at once. */
-const STOPPING_RETRY_MS = 0;
 const STATUS_TOO_LARGE = 413;
 const STATUS_INTERNAL_ERROR = 500;
 
 export class Forwarder {
   readonly #context: ForwardContext;
   readonly #tasks = new Set<RequestTask>();
+  readonly #stopCheck: StopCheck;
   #lastId = 0;
-  /** When accepted requests have to end; undefined unless the entry stops. */
-  #endAtMs: number | undefined;
-  #isAccepting = true;
 
   private constructor(context: ForwardContext) {
+    const { configuration, countEntries } = context;
     this.#context = context;
+    this.#stopCheck = StopCheck.create({
+      countEntries,
+      findProfile: (service) =>
+        configuration.table?.configuration.services.get(service)?.engine,
+    });
   }
 
   static create(context: ForwardContext): Forwarder {
@@ -42,14 +42,14 @@
     return this.#tasks.size;
   }
 
-  /** Refuses, as not run, every further request that may not end by then. */
+  /** Refuses, as not run, every request that may not end by then. */
   refuseLongRequests(endAtMs: number): void {
-    this.#endAtMs = endAtMs;
+    this.#stopCheck.begin(endAtMs);
   }
 
   /** Refuses every further request as not run. */
   refuseNewRequests(): void {
-    this.#isAccepting = false;
+    this.#stopCheck.endAccepting();
   }
 
   /** Cuts the streams that their callers can resume at another entry. */
@@ -142,13 +142,14 @@
         proofAgeMs: Math.round(computeProofAgeMs(context.configuration, now)),
       });
       if (decision.kind === "denied") answer.sendFinal({ status });
-      else answer.refuse(this.#unavailableRetryMs);
+      else answer.refuse(this.#stopCheck.retryAfterMs);
       return;
     }
     this.#lastId += 1;
     const task = RequestTask.start(context, {
       id: String(this.#lastId),
       answer,
+      stopCheck: this.#stopCheck,
       onEnd: (ended) => this.#tasks.delete(ended),
       request: {
         head,
@@ -174,33 +175,7 @@
   ): RouteDecision {
     if (decision.kind !== "routed") return decision;
     const { route } = decision;
-    const reason = this.#findStopReason({ head, route, arrivedAtMs });
+    const reason = this.#stopCheck.findRefusal({ head, route, arrivedAtMs });
     return reason === undefined ? decision : { kind: "unavailable", reason };
   }
-
-  /** Returns why a request may not begin to run; undefined if it may. */
-  #findStopReason(
-    request: Pick<RoutedRequest, "head" | "route" | "arrivedAtMs">,
-  ): string | undefined {
-    if (!this.#isAccepting) return "stopping: no further request is accepted";
-    if (this.#endAtMs === undefined) return undefined;
-    const services = this.#context.configuration.table?.configuration.services;
-    const profiles = request.route.shares.map(({ service }) =>
-      services?.get(service)?.engine
-    );
-    const nowMs = performance.now();
-    const longestMs = Math.round(
-      estimateLongestRunMs(request, { profiles, nowMs }),
-    );
-    const leftMs = Math.max(0, Math.round(this.#endAtMs - nowMs));
-    return longestMs <= leftMs
-      ? undefined
-      : `stopping: may run for ${longestMs} ms, ${leftMs} ms are left`;
-  }
-
-  get #unavailableRetryMs(): number {
-    const isTakenByOther = this.#endAtMs !== undefined &&
-      this.#context.countEntries() > 1;
-    return isTakenByOther ? STOPPING_RETRY_MS : UNAVAILABLE_RETRY_MS;
-  }
 }
--- a/daemon/forward-requests/src/request_log.ts
+++ b/daemon/forward-requests/src/request_log.ts
@@ -10,6 +10,8 @@
 import type { ForwardContext } from "./forward_context.ts";
 import type { AdmissionDecision } from "./stream_admission.ts";
 
+const STATUS_UNAVAILABLE = 503;
+
 export interface RequestLogOptions {
   readonly requestId: string;
   readonly service: string;
@@ -57,6 +59,18 @@
     });
   }
 
+  /** Logs why a routed request is refused after all. */
+  logDenied(reason: string): void {
+    const { configuration, logger } = this.#context;
+    logger.log("requestDenied", {
+      requestId: this.#options.requestId,
+      status: STATUS_UNAVAILABLE,
+      reason,
+      version: configuration.table?.configuration.version,
+      proofAgeMs: Math.round(computeProofAgeMs(configuration, readInstant())),
+    });
+  }
+
   logAdmission(decision: AdmissionDecision): void {
     const { logger, admission } = this.#context;
     const { requestId, service } = this.#options;
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -33,12 +33,14 @@
 import { RequestLog } from "./request_log.ts";
 import { computeTimeoutMs, type RoutedRequest } from "./routed_request.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
+import type { StopCheck } from "./stop_check.ts";
 import type { AdmissionDecision } from "./stream_admission.ts";
 import { TargetSelector } from "./target_selector.ts";
 
 export interface RequestTaskOptions {
   readonly request: RoutedRequest;
   readonly answer: CallerAnswer;
+  readonly stopCheck: StopCheck;
   /** Unique at this entry. */
   readonly id: string;
   /** Called once, when the request has ended. */
@@ -179,6 +181,9 @@
 
   #requestAdmission(profile: EngineProfile): void {
     const { route, arrivedAtMs, priority } = this.#request;
+    const latestStartMs = this.#options.stopCheck.computeLatestStartMs(
+      this.#request,
+    );
     this.#admission = "waiting";
     this.#context.admission.enqueue({
       id: this.#options.id,
@@ -189,6 +194,7 @@
       patienceMs: Math.min(
         this.#deadlineAtMs - arrivedAtMs,
         computeCallerPatienceMs(route),
+        latestStartMs - arrivedAtMs,
       ),
       priority,
     }, (decision) => this.#handleAdmission(decision));
@@ -208,6 +214,10 @@
   #sendNext(): void {
     const quarantine = this.#crashGuard.findQuarantine();
     if (quarantine !== undefined) return this.#refuseCrashing(quarantine);
+    if (!this.#mayHaveRun && !this.#answer.hasBegun) {
+      const lateness = this.#options.stopCheck.findLateness(this.#request);
+      if (lateness !== undefined) return this.#refuseStopping(lateness);
+    }
     const target = this.#targets.selectNext();
     if (target === undefined) {
       return this.#performFinalAction(
@@ -229,6 +239,12 @@
     this.#restartInactivityTimer();
   }
 
+  /** Refuses a request that may not end before this entry does. */
+  #refuseStopping(reason: string): void {
+    this.#log.logDenied(reason);
+    this.#refuse("refusedStopping", this.#options.stopCheck.retryAfterMs);
+  }
+
   /** Refuses a request that is quarantined for crashing targets. */
   #refuseCrashing(quarantine: Quarantine): void {
     this.#log.logQuarantined(quarantine);
--- a/testing/ingress-tests/src/planned_stop_test.ts
+++ b/testing/ingress-tests/src/planned_stop_test.ts
@@ -7,6 +7,7 @@
   EntryProgram,
   ROUTE,
   ROUTE_HOST,
+  waitFor,
 } from "@dandelionbank/run-entry";
 import {
   type EngineScript,
@@ -46,6 +47,43 @@
   assert.equal(engine.calls.length, 2);
 });
 
+// Guards against a stop that lets a stream begin at a target when there is no
+// longer enough time for it, since there was when it arrived.
+test("A stopping entry cuts no stream that waited for admission", async (t) => {
+  const { entry, engine } = await startEntry(t, { slots: 1 });
+  engine.script = answerAfter(LONGEST_STREAM_MS);
+  entry.signal("SIGTERM");
+  await delay(400);
+  const running = send(entry, { path: "/live/a" });
+  await delay(600);
+  const waiting = [1, 2, 3].map(() => send(entry, { path: "/live/a" }));
+  assert.equal(describe(await running), 200);
+  const answers = await Promise.all(waiting);
+  assert.deepEqual(answers.map(describe), [503, 503, 503]);
+  assert.equal(engine.calls.length, 1);
+});
+
+test("A stopping entry cuts no stream that is sent again while its group re-forms", async (t) => {
+  const { entry, engines } = await startEntry(t, { engines: 2 });
+  let refusedCount = 0;
+  for (const engine of engines) {
+    engine.script = (call) => {
+      if (refusedCount > 0) return answerAfter(LONGEST_STREAM_MS)(call);
+      refusedCount += 1;
+      const headers = {
+        [HEADERS.notRun]: "1",
+        [HEADERS.targetAtFault]: "another",
+      };
+      setTimeout(() => call.response.writeHead(503, headers).end(), 600);
+    };
+  }
+  entry.signal("SIGTERM");
+  await delay(1_200);
+  assert.equal(describe(await send(entry, { path: "/live/a" })), 503);
+  assert.equal(refusedCount, 1);
+  assert.equal(engines.flatMap(({ calls }) => calls).length, 1);
+});
+
 interface SentRequest {
   readonly path: string;
   /** Time between the request's head and the end of its body. */
@@ -109,11 +147,17 @@
   };
 }
 
-async function startEntry(t: TestContext) {
-  const [store, engine] = await Promise.all([
-    SiteStore.create(),
-    SiteEngine.create("e0"),
-  ]);
+async function startEntry(
+  t: TestContext,
+  { engines: count = 1, slots = 8 }: {
+    readonly engines?: number;
+    readonly slots?: number;
+  } = {},
+) {
+  const store = await SiteStore.create();
+  const engines = await Promise.all(
+    Array.from({ length: count }, (_, index) => SiteEngine.create(`e${index}`)),
+  );
   const service = { name: "s", "health_path": "/healthz", "max_conns": 40 };
   const route = { ...ROUTE, "timeout_ms": TIMEOUT_MS };
   store.put("config", "main", {
@@ -130,13 +174,16 @@
     }),
     services: [{ ...service, "engine_profile": PROFILE }],
   });
-  store.put("servers", engine.id, engine.createServerSpec({ service: "s" }));
+  for (const engine of engines) {
+    const spec = engine.createServerSpec({ service: "s" });
+    store.put("servers", engine.id, { ...spec, slots });
+  }
   t.after(async () => {
-    await engine.close();
+    for (const engine of engines) await engine.close();
     await store.close();
   });
   const options = { store, number: 1, graceS: GRACE_S };
   const entry = await EntryProgram.start(t, options);
-  await delay(200);
-  return { store, engine, entry };
+  await waitFor(() => entry.hasLogged("targetsChanged"));
+  return { store, engine: engines[0]!, engines, entry };
 }
