Answer the requests that still run when a stopping entry ends

What callers saw: in a planned stop of an entry, requests were passed on, and at the end of the grace period their connections ended without an answer; among them requests that may not be repeated.

Cause: a request whose tokens are known is accepted by an estimate of its run, twice that of a full, balanced group. Its target may be slower, since its route's timeout is longer than the time that is left. At the end only streams that can be resumed were ended; the other requests lost their connection when the process exited.

Before: three connections that ended without a byte. Now: 504 three times.

Change: at the end every request that still runs is ended as by its timeout: 504 if a target may have run it, 503 if none has, and a cut only where the answer has begun. What remains: the caller gets no result, and a stream that has begun is cut; the estimate itself is the next change.

--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -52,9 +52,9 @@
     this.#stopCheck.endAccepting();
   }
 
-  /** Cuts the streams that their callers can resume at another entry. */
-  cutResumableStreams(): void {
-    for (const task of [...this.#tasks]) task.cutForResume();
+  /** Ends all requests, with an answer where none has begun. */
+  endRequests(): void {
+    for (const task of [...this.#tasks]) task.endForStop();
   }
 
   /** Ends the requests that have been quarantined since they began. */
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -137,14 +137,14 @@
   }
 
   /**
-   * Cuts a resumable stream, so that its caller resumes it at another entry.
+   * Ends the request before its entry ends. A stream that has begun is cut; the
+   * caller of a resumable one resumes it at another entry.
    */
-  cutForResume(): void {
-    const { route } = this.#request;
-    if (this.#hasEnded || !route.isResumable || !this.#answer.hasBegun) return;
-    this.#stopAttempt();
-    this.#answer.cut();
-    this.#finish("handedOver", this.#relay.status);
+  endForStop(): void {
+    if (this.#hasEnded) return;
+    const isHandedOver = this.#answer.hasBegun &&
+      this.#request.route.isResumable;
+    this.#endUnfinished(isHandedOver ? "handedOver" : "stopped");
   }
 
   /**
@@ -398,17 +398,21 @@
 
   /** Ends the request at the route's timeout or the caller's deadline. */
   #handleTimeout(): void {
-    if (this.#hasEnded) return;
+    if (!this.#hasEnded) this.#endUnfinished("timedOut");
+  }
+
+  /** Ends the request although its target has not answered it completely. */
+  #endUnfinished(outcome: string): void {
     const isAtTarget = this.#targets.current !== undefined;
     this.#stopAttempt();
     if (this.#answer.hasBegun) {
       this.#answer.cut();
-      this.#finish("timedOut", this.#relay.status);
+      this.#finish(outcome, this.#relay.status);
     } else if (this.#mayHaveRun || isAtTarget) {
       this.#answer.sendFinal({ status: 504 });
-      this.#finish("timedOut", 504);
+      this.#finish(outcome, 504);
     } else {
-      this.#refuse("timedOutWaiting", REFUSED_RETRY_MS);
+      this.#refuse(`${outcome}Waiting`, REFUSED_RETRY_MS);
     }
   }
 
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -267,7 +267,7 @@
     while (this.#forwarder.activeCount > 0 && performance.now() < cutAtMs) {
       await delay(STOP_POLL_MS);
     }
-    this.#forwarder.cutResumableStreams();
+    this.#forwarder.endRequests();
     this.#isStopped = true;
     clearInterval(this.#refreshTimer);
     for (const watcher of this.#watchers) watcher.stop();
--- a/testing/ingress-tests/src/planned_stop_test.ts
+++ b/testing/ingress-tests/src/planned_stop_test.ts
@@ -84,6 +84,19 @@
   assert.equal(engines.flatMap(({ calls }) => calls).length, 1);
 });
 
+// Guards against requests that end with their connection because a target is slower
+// than any target was expected to be.
+test("A stopping entry answers what its targets have not answered by its end", async (t) => {
+  const { entry, engine } = await startEntry(t);
+  engine.script = answerAfter(2 * LONGEST_STREAM_MS);
+  entry.signal("SIGTERM");
+  await delay(200);
+  const paths = ["/live/a", "/safe/a", "/once/a"];
+  const answers = await Promise.all(paths.map((path) => send(entry, { path })));
+  assert.deepEqual(answers.map(describe), [504, 504, 504]);
+  assert.equal(engine.calls.length, paths.length);
+});
+
 interface SentRequest {
   readonly path: string;
   /** Time between the request's head and the end of its body. */
@@ -170,6 +183,13 @@
           type: "streaming",
           "target_gap_ms": 120,
         },
+        { ...route, name: "safe", "path_prefix": "/safe/", type: "idempotent" },
+        {
+          ...route,
+          name: "once",
+          "path_prefix": "/once/",
+          type: "non_idempotent",
+        },
       ],
     }),
     services: [{ ...service, "engine_profile": PROFILE }],
