Estimate runs of a stopping entry by how slow its targets are

What callers saw: in a planned stop of an entry, streams were passed on to a group that was already slower than twice its full, balanced time, and ended without a result when the entry did.

Cause: the estimate of a run knows the profile alone. A group whose work is spread unevenly takes several times as long, and the entry sees that in every run.

Change: the entry keeps, by service, the largest ratio of the time that a request took, or has taken so far, to the expected one, for 5 to 10 s; a run is estimated at 1.5 times that ratio, and at twice the expected time at least. Requests of less than half the average size are left out: their time is mostly delay. What remains: a group that turns slow after the last request was accepted.

--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -12,6 +12,7 @@
 import { RequestTask } from "./request_task.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { type RouteDecision, routeRequest } from "./route_request.ts";
+import { SlowdownTracker } from "./slowdown_tracker.ts";
 import { StopCheck } from "./stop_check.ts";
 
 const STATUS_TOO_LARGE = 413;
@@ -21,6 +22,7 @@
   readonly #context: ForwardContext;
   readonly #tasks = new Set<RequestTask>();
   readonly #stopCheck: StopCheck;
+  readonly #slowdowns = SlowdownTracker.create();
   #lastId = 0;
 
   private constructor(context: ForwardContext) {
@@ -28,8 +30,11 @@
     this.#context = context;
     this.#stopCheck = StopCheck.create({
       countEntries,
-      findProfile: (service) =>
-        configuration.table?.configuration.services.get(service)?.engine,
+      readConditions: (service) => ({
+        profile: configuration.table?.configuration.services.get(service)
+          ?.engine,
+        slowdown: this.#readSlowdown(service),
+      }),
     });
   }
 
@@ -150,7 +155,7 @@
       id: String(this.#lastId),
       answer,
       stopCheck: this.#stopCheck,
-      onEnd: (ended) => this.#tasks.delete(ended),
+      onEnd: (ended) => this.#removeTask(ended),
       request: {
         head,
         method: message.method ?? "GET",
@@ -168,6 +173,21 @@
     response.on("close", () => task.handleCallerDisconnect());
   }
 
+  #removeTask(task: RequestTask): void {
+    this.#tasks.delete(task);
+    const { service, slowdown } = task;
+    this.#slowdowns.record(service, slowdown, performance.now());
+  }
+
+  /** Returns how much slower than expected a service's requests ran, or run. */
+  #readSlowdown(service: string): number {
+    const running = [...this.#tasks].filter((task) => task.service === service);
+    return Math.max(
+      this.#slowdowns.readLargest(service, performance.now()),
+      ...running.map(({ slowdown }) => slowdown),
+    );
+  }
+
   /** Refuses a routed request that may still run when the entry ends. */
   #checkStop(
     decision: RouteDecision,
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -29,6 +29,7 @@
 } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import { CrashGuard, type Quarantine } from "./crash_guard.ts";
+import { estimateExpectedRunMs, estimateMeanRunMs } from "./estimate_run.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { RequestLog } from "./request_log.ts";
 import { computeTimeoutMs, type RoutedRequest } from "./routed_request.ts";
@@ -129,6 +130,24 @@
     return this.#hasEnded;
   }
 
+  get service(): string {
+    return this.#service;
+  }
+
+  /**
+   * Time since the latest attempt was sent, as a multiple of the run that was
+   * expected; 0 if none was sent, or if the request tells nothing about others.
+   */
+  get slowdown(): number {
+    const { head } = this.#request;
+    const profile = this.#profile;
+    if (profile === undefined || this.#attemptCount === 0) return 0;
+    const expectedMs = estimateExpectedRunMs(profile, head) ?? 0;
+    // A short run consists mostly of delays that a longer one has only once.
+    const isShort = expectedMs <= estimateMeanRunMs(profile) / 2;
+    return isShort ? 0 : (performance.now() - this.#sentAtMs) / expectedMs;
+  }
+
   /** Cancels the request after its caller has closed the connection. */
   handleCallerDisconnect(): void {
     if (this.#hasEnded) return;
--- a/daemon/forward-requests/src/stop_check.ts
+++ b/daemon/forward-requests/src/stop_check.ts
@@ -4,8 +4,7 @@
  * have waited in between.
  */
 
-import type { EngineProfile } from "@dandelionbank/types";
-import { estimateLongestRunMs } from "./estimate_run.ts";
+import { estimateLongestRunMs, type RunConditions } from "./estimate_run.ts";
 import { computeTimeoutMs, type RoutedRequest } from "./routed_request.ts";
 
 /** `retry-after` if no other entry takes the request at once. */
@@ -20,7 +19,7 @@
 >;
 
 export interface StopCheckOptions {
-  readonly findProfile: (service: string) => EngineProfile | undefined;
+  readonly readConditions: (service: string) => RunConditions;
   /** Number of live entries, this one included. */
   readonly countEntries: () => number;
 }
@@ -82,10 +81,10 @@
   }
 
   #estimateRunMs(request: TimedRequest): number {
-    const profiles = request.route.shares.map(({ service }) =>
-      this.#options.findProfile(service)
+    const services = request.route.shares.map(({ service }) =>
+      this.#options.readConditions(service)
     );
     const nowMs = performance.now();
-    return estimateLongestRunMs(request, { profiles, nowMs });
+    return estimateLongestRunMs(request, { services, nowMs });
   }
 }
--- a/daemon/forward-requests/src/stop_check_test.ts
+++ b/daemon/forward-requests/src/stop_check_test.ts
@@ -55,7 +55,7 @@
 
 function createCheck(): StopCheck {
   return StopCheck.create({
-    findProfile: () => PROFILE,
+    readConditions: () => ({ profile: PROFILE, slowdown: 0 }),
     countEntries: () => 1,
   });
 }
--- a/daemon/forward-requests/src/stream_admission.ts
+++ b/daemon/forward-requests/src/stream_admission.ts
@@ -12,7 +12,11 @@
   stepAdmission,
 } from "@dandelionbank/admit-streams";
 import type { EngineProfile } from "@dandelionbank/types";
-import { estimateFullStepMs, estimatePrefillMs } from "./estimate_run.ts";
+import {
+  estimateFullStepMs,
+  estimateMeanRunMs,
+  estimatePrefillMs,
+} from "./estimate_run.ts";
 
 /** Capacity of a service's group for streams, and its use by other entries. */
 export interface GroupLoad {
@@ -171,7 +175,7 @@
   const fullStepMs = estimateFullStepMs(profile);
   const prefillMs = estimatePrefillMs(profile, profile.meanPromptTokens);
   return {
-    expectedRunMs: prefillMs + profile.meanAnswerTokens * fullStepMs,
+    expectedRunMs: estimateMeanRunMs(profile),
     expectedFirstEventMs: prefillMs + fullStepMs * profile.stepsPerPass,
   };
 }
--- a/testing/ingress-tests/src/planned_stop_test.ts
+++ b/testing/ingress-tests/src/planned_stop_test.ts
@@ -97,6 +97,19 @@
   assert.equal(engine.calls.length, paths.length);
 });
 
+// Guards against streams that are cut because the group was already slower than any
+// group was expected to be.
+test("A stopping entry takes no stream that a slow group cannot end in time", async (t) => {
+  const { entry, engine } = await startEntry(t);
+  const runMs = 1.5 * LONGEST_STREAM_MS;
+  engine.script = answerAfter(runMs);
+  assert.equal(describe(await send(entry, { path: "/live/a" })), 200);
+  entry.signal("SIGTERM");
+  await delay(1_000);
+  assert.equal(describe(await send(entry, { path: "/live/a" })), 503);
+  assert.equal(engine.calls.length, 1);
+});
+
 interface SentRequest {
   readonly path: string;
   /** Time between the request's head and the end of its body. */
