Wait at a stop until answers have been sent

What callers saw: in a planned stop, answers that were read slowly ended before their end, also those to requests that may not be repeated.

Cause: a request counted as ended when its answer had been given to the socket, and `close` of Node's HTTP server destroys the connections of such answers. An entry waited 0.3 s at most after the last request, and then exited with the rest of the answers in its memory. The entry and the agent of `dandelionbankd` close their servers in the same way.

Change: the listener stops accepting, and closes idle connections only when no answer waits for its reader, for 10 s at most. An entry of the platform waits until every request whose head was read has its answer sent, until the time of the cut. So a body that is still uploaded is waited for too, and refused when it ends.

--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -42,11 +42,6 @@
     return new Forwarder(context);
   }
 
-  /** Number of requests in progress. */
-  get activeCount(): number {
-    return this.#tasks.size;
-  }
-
   /** Refuses, as not run, every request that may not end by then. */
   refuseLongRequests(endAtMs: number): void {
     this.#stopCheck.begin(endAtMs);
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -65,7 +65,7 @@
 const DIRECTORY_TTL_MS = 2_000;
 /** Idle connections are kept longer than the limit that callers assume. */
 const IDLE_TIMEOUT_FACTOR = 2;
-/** Interval of checks whether all requests have ended. */
+/** Interval of checks whether all answers were sent. */
 const STOP_POLL_MS = 50;
 /** Time for servers to close once nothing runs any more. */
 const CLOSE_TIMEOUT_MS = 300;
@@ -264,7 +264,9 @@
     this.#exchange.broadcast();
     await delay(schedule.acceptMs);
     this.#forwarder.refuseNewRequests();
-    while (this.#forwarder.activeCount > 0 && performance.now() < cutAtMs) {
+    while (
+      this.#callerServer.openAnswerCount > 0 && performance.now() < cutAtMs
+    ) {
       await delay(STOP_POLL_MS);
     }
     this.#forwarder.endRequests();
--- a/peers/listen-http/src/http_listener.ts
+++ b/peers/listen-http/src/http_listener.ts
@@ -14,7 +14,11 @@
   type Server,
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as NetServer } from "node:net";
+import { OpenAnswers } from "./open_answers.ts";
+
+/** Time for slow readers to read the answers that have ended. */
+const SEND_TIMEOUT_MS = 10_000;
 
 export interface HttpListenerOptions {
   readonly host: string;
@@ -36,10 +40,18 @@
 export class HttpListener {
   readonly #options: HttpListenerOptions;
   readonly #server: Server;
+  readonly #answers: OpenAnswers;
+  #isClosing = false;
 
   private constructor(options: HttpListenerOptions) {
     this.#options = options;
     this.#server = createHttpServer(options);
+    this.#answers = OpenAnswers.create({
+      onClosed: () => this.#closeIdleConnections(),
+    });
+    this.#server.prependListener("request", (request, response) => {
+      this.#answers.add(request, response);
+    });
     if (options.keepAliveTimeoutMs === undefined) return;
     this.#server.keepAliveTimeout = options.keepAliveTimeoutMs;
   }
@@ -66,18 +78,40 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Number of requests whose answer has not been sent completely. */
+  get openAnswerCount(): number {
+    return this.#answers.count;
+  }
+
   /** Changes the time after which an idle connection is closed. */
   setKeepAliveTimeout(keepAliveTimeoutMs: number): void {
     this.#server.keepAliveTimeout = keepAliveTimeoutMs;
   }
 
-  /** Accepts no new connections; resolves when requests in flight have ended. */
+  /**
+   * Accepts no new connections; resolves when requests in flight have ended and
+   * their answers were sent.
+   */
   close(): Promise<void> {
+    this.#isClosing = true;
     return new Promise((resolve) => {
-      this.#server.close(() => resolve());
-      this.#server.closeIdleConnections();
+      const timer = setTimeout(
+        () => this.#server.closeIdleConnections(),
+        SEND_TIMEOUT_MS,
+      ).unref();
+      // `close` of an HTTP server cuts the answers that are not sent yet.
+      NetServer.prototype.close.call(this.#server, () => {
+        clearTimeout(timer);
+        resolve();
+      });
+      this.#closeIdleConnections();
     });
   }
+
+  #closeIdleConnections(): void {
+    if (!this.#isClosing || this.#answers.hasUnsent) return;
+    this.#server.closeIdleConnections();
+  }
 }
 
 function createHttpServer(options: HttpListenerOptions): Server {
--- a/testing/ingress-tests/src/planned_stop_test.ts
+++ b/testing/ingress-tests/src/planned_stop_test.ts
@@ -15,7 +15,9 @@
   SiteStore,
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { type ClientRequest, request } from "node:http";
+import { connect } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 
@@ -30,6 +32,7 @@
 /** A full, balanced group takes 10 ms a token. */
 const PROFILE = { slots: 8, "step_ms": 2, "per_seq_ms": 1 };
 const STREAM_TOKENS = 90;
+const LONG_ANSWER_BYTES = 1_000_000;
 /** The longest that a stream is expected to run. */
 const LONGEST_STREAM_MS = 1_800;
 
@@ -110,6 +113,33 @@
   assert.equal(engine.calls.length, 1);
 });
 
+// Guards against a stop that takes answers for sent when they were given to the
+// socket. They are pipelined, since one alone fits into the socket's buffers.
+test("A stopping entry sends the rest of answers that are read slowly", async (t) => {
+  const { entry, engine } = await startEntry(t);
+  engine.script = ({ response, answerHeaders }) =>
+    response.writeHead(200, answerHeaders).end(Buffer.alloc(LONG_ANSWER_BYTES));
+  const socket = connect(entry.settings.callers!);
+  t.after(() => socket.destroy());
+  const count = 8;
+  for (let index = 0; index < count; index++) {
+    socket.write(renderRequest("/once/a"));
+  }
+  const isAnswer = (line: string) => line.includes(`"name":"requestAnswered"`);
+  await waitFor(() => entry.loggedLines.filter(isAnswer).length === count);
+  entry.signal("SIGTERM");
+  await delay(ACCEPT_MS + 600);
+  let receivedBytes = 0;
+  socket.on("data", (chunk) => {
+    receivedBytes += chunk.length;
+  });
+  await once(socket, "close");
+  assert.ok(
+    receivedBytes >= count * LONG_ANSWER_BYTES,
+    `${receivedBytes} bytes received`,
+  );
+});
+
 interface SentRequest {
   readonly path: string;
   /** Time between the request's head and the end of its body. */
@@ -137,12 +167,7 @@
       path,
       method: "POST",
       agent: false,
-      headers: {
-        host: ROUTE_HOST,
-        [HEADERS.attemptId]: `attempt-${Math.random()}`,
-        [HEADERS.credential]: CALLER_KEY,
-        [HEADERS.tokenCounts]: `0,${STREAM_TOKENS}`,
-      },
+      headers: createHeaders(),
     }, (response) => {
       response.resume();
       const settle = () =>
@@ -162,6 +187,22 @@
   });
 }
 
+/** Renders a request without a body. */
+function renderRequest(path: string): string {
+  const lines = Object.entries(createHeaders())
+    .map((field) => field.join(": "));
+  return [`GET ${path} HTTP/1.1`, ...lines, "", ""].join("\r\n");
+}
+
+function createHeaders(): Readonly<Record<string, string>> {
+  return {
+    host: ROUTE_HOST,
+    [HEADERS.attemptId]: `attempt-${Math.random()}`,
+    [HEADERS.credential]: CALLER_KEY,
+    [HEADERS.tokenCounts]: `0,${STREAM_TOKENS}`,
+  };
+}
+
 /** Sends the whole answer at once, some time after the request. */
 function answerAfter(delayMs: number): EngineScript {
   return ({ response, answerHeaders }) => {
