Close a pipelined connection of a stopping entry behind its last answer only

What callers saw: in a planned stop of an entry, requests that were pipelined on one connection were passed on, and only the first was answered; among them requests that may not be repeated.

Cause: from SIGTERM on every answer closes its connection, whether or not requests behind it are at targets already. And a request that came behind an answer which had announced the end of its connection was passed on, though its answer could not be sent.

Three non-idempotent requests at the target before SIGTERM: one answer with `connection: close` and the end before, three answers now, the last of them with `close`. A request behind a stream that had announced `close`: the target got two requests before, one now.

Change: the forwarder knows the latest answer of each connection; only that one closes it, and nothing is passed on behind one that does.

--- a/daemon/forward-requests/src/caller_answer.ts
+++ b/daemon/forward-requests/src/caller_answer.ts
@@ -17,22 +17,22 @@
 
 export class CallerAnswer {
   readonly #response: ServerResponse;
-  readonly #isStopping: () => boolean;
+  readonly #isLast: () => boolean;
   #firstByteAtMs: number | undefined;
 
-  private constructor(response: ServerResponse, isStopping: () => boolean) {
+  private constructor(response: ServerResponse, isLast: () => boolean) {
     this.#response = response;
-    this.#isStopping = isStopping;
+    this.#isLast = isLast;
   }
 
   /**
-   * While `isStopping` holds, answers ask the caller to close its connection.
+   * If `isLast` holds when the answer begins, it closes the connection.
    */
   static create(
     response: ServerResponse,
-    isStopping: () => boolean,
+    isLast: () => boolean,
   ): CallerAnswer {
-    return new CallerAnswer(response, isStopping);
+    return new CallerAnswer(response, isLast);
   }
 
   get hasBegun(): boolean {
@@ -93,7 +93,7 @@
     status: number,
     headers: Readonly<Record<string, string | readonly string[]>>,
   ): void {
-    if (this.#isStopping()) this.#response.shouldKeepAlive = false;
+    if (this.#isLast()) this.#response.shouldKeepAlive = false;
     this.#response.writeHead(
       status,
       headers as Record<string, string | string[]>,
--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -9,6 +9,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { CallerAnswer } from "./caller_answer.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import { PipelinedAnswers } from "./pipelined_answers.ts";
 import { RequestTask } from "./request_task.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { type RouteDecision, routeRequest } from "./route_request.ts";
@@ -21,6 +22,7 @@
 export class Forwarder {
   readonly #context: ForwardContext;
   readonly #tasks = new Set<RequestTask>();
+  readonly #pipelinedAnswers = PipelinedAnswers.create();
   readonly #stopCheck: StopCheck;
   readonly #slowdowns = SlowdownTracker.create();
   #lastId = 0;
@@ -65,7 +67,12 @@
   /** Reads the request's body, and then answers or starts the request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = performance.now();
-    const answer = CallerAnswer.create(response, this.#context.isStopping);
+    if (!this.#pipelinedAnswers.add(request, response)) return;
+    const answer = CallerAnswer.create(
+      response,
+      () =>
+        this.#context.isStopping() && this.#pipelinedAnswers.isLatest(response),
+    );
     const chunks: Buffer[] = [];
     let sizeBytes = 0;
     request.on("error", () => undefined);
--- a/testing/ingress-tests/src/planned_stop_test.ts
+++ b/testing/ingress-tests/src/planned_stop_test.ts
@@ -140,6 +140,48 @@
   );
 });
 
+// Guards against answers that close their connection before the answers to the
+// requests behind theirs, which targets were given.
+test("A stopping entry answers all requests that a caller has pipelined", async (t) => {
+  const { entry, engine } = await startEntry(t);
+  engine.script = answerAfter(500);
+  const socket = connect(entry.settings.callers!);
+  t.after(() => socket.destroy());
+  for (let index = 0; index < 3; index++) {
+    socket.write(renderRequest("/once/a"));
+  }
+  await waitFor(() => engine.calls.length === 3);
+  entry.signal("SIGTERM");
+  let text = "";
+  socket.on("data", (chunk) => {
+    text += String(chunk);
+  });
+  await once(socket, "close");
+  assert.deepEqual(
+    [...text.matchAll(/^HTTP\/1.1 (\d+)|^connection: (\S+)/gim)]
+      .map(([, status, connection]) => status ?? connection),
+    ["200", "keep-alive", "200", "keep-alive", "200", "close"],
+  );
+});
+
+test("A stopping entry passes on no request behind an answer that closes the connection", async (t) => {
+  const { entry, engine } = await startEntry(t);
+  engine.script = ({ response, answerHeaders }) => {
+    response.writeHead(200, answerHeaders).write("id: 1\ndata: first\n\n");
+    setTimeout(() => response.end("id: 2\ndata: last\n\n"), 500);
+  };
+  entry.signal("SIGTERM");
+  await delay(100);
+  const socket = connect(entry.settings.callers!);
+  t.after(() => socket.destroy());
+  socket.write(renderRequest("/live/a"));
+  const [head] = await once(socket, "data");
+  assert.match(String(head), /connection: close/i);
+  socket.write(renderRequest("/once/a"));
+  await once(socket, "close");
+  assert.equal(engine.calls.length, 1);
+});
+
 interface SentRequest {
   readonly path: string;
   /** Time between the request's head and the end of its body. */
