Let requests run into the last sixth of a short grace period

What callers saw: with a grace period under 3.6 s, requests that were running at SIGTERM were cut although their targets had more than a sixth of the period left.

Cause: the time for closing was 0.6 s of any grace period, 0.2 s more were kept between the expected end of requests and that, and 0.3 s were allowed for closing.

Change: closing takes an eighth of the period at most, the margin a twentieth, and the wait for connections half of the time before the kill. From 4.8 s on nothing changes: 4, 7.2, 7.4 and 7.7 s for 8 s.

--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -67,8 +67,6 @@
 const IDLE_TIMEOUT_FACTOR = 2;
 /** Interval of checks whether all answers were sent. */
 const STOP_POLL_MS = 50;
-/** Time for servers to close once nothing runs any more. */
-const CLOSE_TIMEOUT_MS = 300;
 
 export interface IngressOptions {
   readonly settings: BootSettings;
@@ -275,7 +273,7 @@
     for (const watcher of this.#watchers) watcher.stop();
     this.#exchange.stop();
     const closed = Promise.all(this.#servers.map((server) => server.close()));
-    await Promise.race([closed, delay(CLOSE_TIMEOUT_MS)]);
+    await Promise.race([closed, delay(schedule.closeMs)]);
   }
 
   #createServer(address: SocketAddress, listener: RequestListener) {
--- a/daemon/serve-ingress/src/stop_schedule.ts
+++ b/daemon/serve-ingress/src/stop_schedule.ts
@@ -12,8 +12,17 @@
 const ACCEPT_FRACTION = 0.5;
 /** Time before the kill in which connections are closed in order. */
 const CLOSE_MS = 600;
+/**
+ * Largest fraction of a short grace period for it. Requests are promised five
+ * sixths of the period.
+ */
+const CLOSE_FRACTION = 1 / 8;
+/** Fraction of that time for which connections are waited for. */
+const CLOSE_WAIT_FRACTION = 0.5;
 /** Answers are delivered, and ends noticed, within this time. */
 const END_MARGIN_MS = 200;
+/** Largest fraction of a short grace period for that. */
+const END_MARGIN_FRACTION = 1 / 20;
 
 export interface StopSchedule {
   /** Until then, requests are accepted that can end by `endMs`. */
@@ -22,6 +31,8 @@
   readonly endMs: number;
   /** What still runs is cut, and connections are closed. */
   readonly cutMs: number;
+  /** Longest time for connections to close after the cut. */
+  readonly closeMs: number;
 }
 
 export function createStopSchedule(
@@ -31,14 +42,16 @@
     readonly directoryTtlMs: number;
   },
 ): StopSchedule {
-  const cutMs = Math.max(0, graceMs - CLOSE_MS);
+  const cutMs = graceMs - Math.min(CLOSE_MS, graceMs * CLOSE_FRACTION);
+  const endMarginMs = Math.min(END_MARGIN_MS, graceMs * END_MARGIN_FRACTION);
   return {
     acceptMs: Math.min(
       directoryTtlMs * DIRECTORY_CACHE_FACTOR,
       graceMs * ACCEPT_FRACTION,
       cutMs,
     ),
-    endMs: Math.max(0, cutMs - END_MARGIN_MS),
+    endMs: cutMs - endMarginMs,
     cutMs,
+    closeMs: (graceMs - cutMs) * CLOSE_WAIT_FRACTION,
   };
 }
--- a/testing/ingress-tests/src/planned_stop_test.ts
+++ b/testing/ingress-tests/src/planned_stop_test.ts
@@ -23,7 +23,7 @@
 
 /**
  * With this grace period, a stopping entry accepts requests for 2 s, and cuts
- * what still runs after 3.4 s.
+ * what still runs after 3.5 s.
  */
 const GRACE_S = 4;
 const ACCEPT_MS = 2_000;
@@ -182,6 +182,23 @@
   assert.equal(engine.calls.length, 1);
 });
 
+// Guards against a time for closing that takes much of a short grace period from the
+// requests that run.
+test("A stopping entry lets requests run into the last sixth of a short grace period", async (t) => {
+  const graceMs = 2_000;
+  const { entry, engine } = await startEntry(t, { graceS: graceMs / 1_000 });
+  engine.script = () => undefined;
+  const answer = send(entry, { path: "/once/a" });
+  await waitFor(() => engine.calls.length === 1);
+  const stoppedAtMs = performance.now();
+  entry.signal("SIGTERM");
+  assert.equal(describe(await answer), 504);
+  const ranMs = performance.now() - stoppedAtMs;
+  assert.ok(ranMs >= graceMs * 5 / 6 && ranMs < graceMs, `${ranMs} ms`);
+  await waitFor(() => !entry.isRunning);
+  assert.ok(performance.now() - stoppedAtMs < graceMs);
+});
+
 interface SentRequest {
   readonly path: string;
   /** Time between the request's head and the end of its body. */
@@ -258,8 +275,9 @@
 
 async function startEntry(
   t: TestContext,
-  { engines: count = 1, slots = 8 }: {
+  { engines: count = 1, slots = 8, graceS = GRACE_S }: {
     readonly engines?: number;
+    readonly graceS?: number;
     readonly slots?: number;
   } = {},
 ) {
@@ -298,7 +316,7 @@
     for (const engine of engines) await engine.close();
     await store.close();
   });
-  const options = { store, number: 1, graceS: GRACE_S };
+  const options = { store, number: 1, graceS };
   const entry = await EntryProgram.start(t, options);
   await waitFor(() => entry.hasLogged("targetsChanged"));
   return { store, engine: engines[0]!, engines, entry };
