--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -29,16 +29,19 @@
 } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import { CrashGuard, type Quarantine } from "./crash_guard.ts";
+import { estimateExpectedRunMs, estimateMeanRunMs } from "./estimate_run.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { RequestLog } from "./request_log.ts";
 import { computeTimeoutMs, type RoutedRequest } from "./routed_request.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
+import type { StopCheck } from "./stop_check.ts";
 import type { AdmissionDecision } from "./stream_admission.ts";
 import { TargetSelector } from "./target_selector.ts";
 
 export interface RequestTaskOptions {
   readonly request: RoutedRequest;
   readonly answer: CallerAnswer;
+  readonly stopCheck: StopCheck;
   /** Unique at this entry. */
   readonly id: string;
   /** Called once, when the request has ended. */
@@ -127,6 +130,24 @@
     return this.#hasEnded;
   }
 
+  get service(): string {
+    return this.#service;
+  }
+
+  /**
+   * Time since the latest attempt was sent, as a multiple of the run that was
+   * expected; 0 if none was sent, or if the request tells nothing about others.
+   */
+  get slowdown(): number {
+    const { head } = this.#request;
+    const profile = this.#profile;
+    if (profile === undefined || this.#attemptCount === 0) return 0;
+    const expectedMs = estimateExpectedRunMs(profile, head) ?? 0;
+    // A short run consists mostly of delays that a longer one has only once.
+    const isShort = expectedMs <= estimateMeanRunMs(profile) / 2;
+    return isShort ? 0 : (performance.now() - this.#sentAtMs) / expectedMs;
+  }
+
   /** Cancels the request after its caller has closed the connection. */
   handleCallerDisconnect(): void {
     if (this.#hasEnded) return;
@@ -135,14 +156,14 @@
   }
 
   /**
-   * Cuts a resumable stream, so that its caller resumes it at another entry.
+   * Ends the request before its entry ends. A stream that has begun is cut; the
+   * caller of a resumable one resumes it at another entry.
    */
-  cutForResume(): void {
-    const { route } = this.#request;
-    if (this.#hasEnded || !route.isResumable || !this.#answer.hasBegun) return;
-    this.#stopAttempt();
-    this.#answer.cut();
-    this.#finish("handedOver", this.#relay.status);
+  endForStop(): void {
+    if (this.#hasEnded) return;
+    const isHandedOver = this.#answer.hasBegun &&
+      this.#request.route.isResumable;
+    this.#endUnfinished(isHandedOver ? "handedOver" : "stopped");
   }
 
   /**
@@ -179,6 +200,9 @@
 
   #requestAdmission(profile: EngineProfile): void {
     const { route, arrivedAtMs, priority } = this.#request;
+    const latestStartMs = this.#options.stopCheck.computeLatestStartMs(
+      this.#request,
+    );
     this.#admission = "waiting";
     this.#context.admission.enqueue({
       id: this.#options.id,
@@ -189,6 +213,7 @@
       patienceMs: Math.min(
         this.#deadlineAtMs - arrivedAtMs,
         computeCallerPatienceMs(route),
+        latestStartMs - arrivedAtMs,
       ),
       priority,
     }, (decision) => this.#handleAdmission(decision));
@@ -208,6 +233,10 @@
   #sendNext(): void {
     const quarantine = this.#crashGuard.findQuarantine();
     if (quarantine !== undefined) return this.#refuseCrashing(quarantine);
+    if (!this.#mayHaveRun && !this.#answer.hasBegun) {
+      const lateness = this.#options.stopCheck.findLateness(this.#request);
+      if (lateness !== undefined) return this.#refuseStopping(lateness);
+    }
     const target = this.#targets.selectNext();
     if (target === undefined) {
       return this.#performFinalAction(
@@ -229,6 +258,12 @@
     this.#restartInactivityTimer();
   }
 
+  /** Refuses a request that may not end before this entry does. */
+  #refuseStopping(reason: string): void {
+    this.#log.logDenied(reason);
+    this.#refuse("refusedStopping", this.#options.stopCheck.retryAfterMs);
+  }
+
   /** Refuses a request that is quarantined for crashing targets. */
   #refuseCrashing(quarantine: Quarantine): void {
     this.#log.logQuarantined(quarantine);
@@ -382,17 +417,21 @@
 
   /** Ends the request at the route's timeout or the caller's deadline. */
   #handleTimeout(): void {
-    if (this.#hasEnded) return;
+    if (!this.#hasEnded) this.#endUnfinished("timedOut");
+  }
+
+  /** Ends the request although its target has not answered it completely. */
+  #endUnfinished(outcome: string): void {
     const isAtTarget = this.#targets.current !== undefined;
     this.#stopAttempt();
     if (this.#answer.hasBegun) {
       this.#answer.cut();
-      this.#finish("timedOut", this.#relay.status);
+      this.#finish(outcome, this.#relay.status);
     } else if (this.#mayHaveRun || isAtTarget) {
       this.#answer.sendFinal({ status: 504 });
-      this.#finish("timedOut", 504);
+      this.#finish(outcome, 504);
     } else {
-      this.#refuse("timedOutWaiting", REFUSED_RETRY_MS);
+      this.#refuse(`${outcome}Waiting`, REFUSED_RETRY_MS);
     }
   }
 
