Accept only URLs of peers to which a connection can be opened

Entries of dandelionbankd ended: another writer's registration of an entry had the URL http://127.0.0.1:99999. An entry that started ended with ERR_INVALID_URL as soon as it had listed the objects, again after each restart; its callers' connections were reset. In an entry that ran, the event threw inside the HTTP client, which broke the watch each time; the tasks behind the one that threw missed the change. The same URL in the registration of an agent ended an entry when it sent a request there.

Change: urlField asks the URL parser, and refuses credentials and paths.

--- a/foundation/schemas/src/fields.ts
+++ b/foundation/schemas/src/fields.ts
@@ -50,10 +50,21 @@
   );
 }
 
-/** An HTTP or HTTPS URL without path and query. */
+/** An HTTP or HTTPS URL without path and query, to which a connection can be opened. */
 export function urlField() {
   const message = "a URL such as http://127.0.0.1:8080";
-  return v.pipe(v.string(message), v.regex(URL_PATTERN, message));
+  return v.pipe(
+    v.string(message),
+    v.regex(URL_PATTERN, message),
+    v.check(isOrigin, message),
+  );
+}
+
+/** Checks by the parser that a connection pool uses, for example the port. */
+function isOrigin(text: string): boolean {
+  if (!URL.canParse(text)) return false;
+  const { pathname, username, password } = new URL(text);
+  return pathname === "/" && username === "" && password === "";
 }
 
 /** The SHA-256 digest of a key in lower-case hexadecimal. */
--- a/testing/fuzz/src/registry.ts
+++ b/testing/fuzz/src/registry.ts
@@ -68,6 +68,13 @@
   held: { step: 12 },
   pace: 1.5,
 };
+const REGISTRATION = {
+  name: "entry-1",
+  incarnation: "i1",
+  callerUrl: "http://10.0.0.1:1",
+  peerUrl: "http://10.0.0.1:2",
+  dataCentre: "a",
+};
 const STATUS = {
   name: "edge-1",
   callersAddress: "10.0.0.1:80",
@@ -160,6 +167,26 @@
       return target;
     },
   }),
+  createFuzzTarget({
+    name: "registration",
+    input: fc.record({
+      value: mutateJson(REGISTRATION),
+      peerUrl: fc.oneof(
+        fc.constant(undefined),
+        mutateText(REGISTRATION.peerUrl),
+        ADDRESS.map((address) => `http://${address}`),
+      ),
+    }),
+    decode: ({ value, peerUrl }) => {
+      const changed = peerUrl === undefined || typeof value !== "object"
+        ? value
+        : { ...value, peerUrl };
+      const parsed = parseValue("entry", changed);
+      if (parsed.kind === "invalid") return parsed;
+      void HttpPool.create({ origin: parsed.value.peerUrl }).close();
+      return parsed;
+    },
+  }),
   createFuzzTarget({
     name: "answer-head",
     input: fc.record({
