Read closings of entries by their names, and replace malformed ones

An agent of dandelionbankd that started admitted no attempt, for as long as the store held an object of kind closing whose value was null: it read the list again every 0.5 s, logged admissionWaits (3002) each time, and its target got no work. An entry that had to take over keys from an incarnation with such a closing retried for ever, with a log line every 0.5 s, and answered none of these keys.

Cause: both used the value of the object without decoding it; the view and the list of agents do decode theirs.

Change: a closing is named after the incarnation that it closes, and that the arbiter's lease looks at, so the agent reads just the names: an odd closing still closes what it names, which is the safe side. The takeover replaces a closing that doesn't parse, on the condition of its revision; it waits for the lease and asks the agents only after its own write, as before. A closing with the name of another incarnation is refused by the view.

--- a/daemon/serve-agent/src/agent_process.ts
+++ b/daemon/serve-agent/src/agent_process.ts
@@ -30,7 +30,6 @@
   AgentRegistration,
   AgentStatus,
   AgentView,
-  IncarnationClosing,
 } from "@dandelionbank/types";
 import { randomUUID } from "node:crypto";
 
@@ -188,14 +187,13 @@
     logger.log("admissionOpened", { target: settings.name, incarnation });
   }
 
+  /** Reads the incarnations that are closed, after which closings are named. */
   async #readClosings(): Promise<readonly string[]> {
     const { options, store } = this.#dependencies;
     while (!this.#isStopping) {
       try {
         const { items } = await store.list("closing");
-        return items.map(({ value }) =>
-          (value as IncarnationClosing).incarnation
-        );
+        return items.map(({ name }) => name);
       } catch (error) {
         const message = (error as Error).message;
         options.logger.log("admissionWaits", { message });
--- a/daemon/take-over-entries/src/take_over_events.ts
+++ b/daemon/take-over-entries/src/take_over_events.ts
@@ -7,6 +7,7 @@
 } from "@dandelionbank/take-over-keys";
 import type {
   AgentRegistration,
+  IncarnationClosing,
   ObjectChange,
   StoredObject,
 } from "@dandelionbank/types";
@@ -35,6 +36,15 @@
   return items.flatMap((object) => parseAgent(object) ?? []);
 }
 
+/** Parses a closing; returns `undefined` if it is malformed. */
+export function parseClosing(
+  object: StoredObject,
+): IncarnationClosing | undefined {
+  const parsed = parseValue("closing", object.value);
+  if (parsed.kind === "invalid") return undefined;
+  return parsed.value.incarnation === object.name ? parsed.value : undefined;
+}
+
 function toChangeEvents(change: ObjectChange): readonly TakeOverEvent[] {
   const { revision } = change.type === "put" ? change.object : change;
   const reached: TakeOverEvent = { type: "revisionReached", revision };
--- a/daemon/take-over-entries/src/take_over_task.ts
+++ b/daemon/take-over-entries/src/take_over_task.ts
@@ -21,10 +21,18 @@
   type TakeOverEvent,
   type TakeOverState,
 } from "@dandelionbank/take-over-keys";
-import type { IncarnationClosing, View } from "@dandelionbank/types";
+import type {
+  IncarnationClosing,
+  View,
+  WriteResult,
+} from "@dandelionbank/types";
 import type { WatchEvent } from "@dandelionbank/watch-objects";
 import { randomUUID } from "node:crypto";
-import { parseAgents, toTakeOverEvents } from "./take_over_events.ts";
+import {
+  parseAgents,
+  parseClosing,
+  toTakeOverEvents,
+} from "./take_over_events.ts";
 import { setTimeout as wait } from "node:timers/promises";
 
 const TICK_MS = 200;
@@ -34,7 +42,7 @@
   readonly incarnation: string;
   /** How long an entry may rely on a check that its incarnation is not closed. */
   readonly leaseMs: number;
-  readonly store: PlatformClient;
+  readonly store: Pick<PlatformClient, "list" | "put">;
   readonly logger: Logger;
   readonly findAgent: (
     target: string,
@@ -160,20 +168,32 @@
       incarnation,
       successor,
     };
-    const written = await this.#options.store.put(
-      { kind: "closing", name: incarnation },
-      value,
-      { expectedRevision: undefined, changeId: randomUUID() },
-    );
+    const written = await this.#putClosing(value);
     if (written.kind === "written") {
       this.#knownClosings.add(incarnation);
       this.#runner.post({ type: "closingWritten", incarnation });
       return;
     }
-    if (written.current === undefined) {
-      throw new Error("Closing was deleted while it was being written");
+    const current = written.current && parseClosing(written.current);
+    if (current === undefined) {
+      throw new Error("Closing was changed while it was being written");
     }
-    this.#recordClosing(written.current.value as IncarnationClosing);
+    this.#recordClosing(current);
+  }
+
+  /** Writes a closing if there is none, or only a malformed one. */
+  async #putClosing(value: IncarnationClosing): Promise<WriteResult> {
+    const target = { kind: "closing", name: value.incarnation } as const;
+    const put = (expectedRevision: number | undefined) =>
+      this.#options.store.put(target, value, {
+        expectedRevision,
+        changeId: randomUUID(),
+      });
+    const created = await put(undefined);
+    const current = created.kind === "conflict" ? created.current : undefined;
+    const isMalformed = current !== undefined &&
+      parseClosing(current) === undefined;
+    return isMalformed ? await put(current.revision) : created;
   }
 
   async #listAgents(incarnation: string): Promise<void> {
--- a/objects/parse-objects/src/check_name.ts
+++ b/objects/parse-objects/src/check_name.ts
@@ -12,6 +12,7 @@
 
 const EXPECTED_NAMES: ExpectedNames = {
   agent: (agent) => agent.target.name,
+  closing: (closing) => closing.incarnation,
   config: () => CONFIG_OBJECT_NAME,
   contract: (contract) => contract.organisation,
   entry: (entry) => entry.name,
--- a/objects/parse-objects/src/parse_value_test.ts
+++ b/objects/parse-objects/src/parse_value_test.ts
@@ -208,5 +208,10 @@
   assert.deepEqual(checkName("operator", { name: "ravi", value }), [
     'operator name: found "ravi", expected "asha"',
   ]);
+  const closing = { entry: "e", incarnation: "i1", successor: "i2" };
+  assert.deepEqual(checkName("closing", { name: "i1", value: closing }), []);
+  assert.deepEqual(checkName("closing", { name: "i3", value: closing }), [
+    'closing name: found "i3", expected "i1"',
+  ]);
   assert.deepEqual(checkName("group", { name: "any", value: {} }), []);
 });
--- a/testing/site-tests/src/odd_objects_test.ts
+++ b/testing/site-tests/src/odd_objects_test.ts
@@ -78,6 +78,22 @@
   },
 );
 
+// Guards against agents that admit no attempt, as one of the closings that they
+// read at their start is none.
+test(
+  "A malformed closing keeps no agent from admitting attempts",
+  TEST_OPTIONS,
+  async (context) => {
+    const site = await startSite(context, { entries: 1, ranks: 1 });
+    const values = [null, "text", [], {}, { incarnation: 7 }];
+    for (const [index, value] of values.entries()) {
+      await putValue(site, { kind: "closing", name: `odd-${index}` }, value);
+    }
+    await site.startPlainAgent("parts-1");
+    await assertFollowing(site);
+  },
+);
+
 /**
  * Checks that the entries that run, and one that starts now, serve calls of a
  * contract that is written now.
