List malformed objects beside the others in the operators' tool

Operators saw no object of a kind: `dandelionbank contract list` ended with "Cannot read properties of null (reading 'requestsPerSecond')" as soon as another writer had left one contract whose value is null, a text or incomplete.

Cause: the table read the values of stored objects without decoding them. The view of the entries refuses such objects, and the tool reads the store's list.

Change: each value is parsed as the view does; malformed objects follow in a table of their own with their problems. `get` and `--json` show what is stored.

--- a/cli/dandelionbank/src/describe_objects.ts
+++ b/cli/dandelionbank/src/describe_objects.ts
@@ -5,12 +5,9 @@
   getObjectWriter,
   type WritableKind,
 } from "@dandelionbank/operator-api";
+import { parseValue, type ValueByKind } from "@dandelionbank/parse-objects";
 import type {
-  Config,
-  Contract,
   EntryStatus,
-  Operator,
-  PlannedStop,
   StatusReport,
   StoredObject,
 } from "@dandelionbank/types";
@@ -23,42 +20,58 @@
   return `${kind} ${name}, revision ${revision}, written by ${writer}`;
 }
 
-type ToColumns = (value: unknown) => Row;
+type ToColumns<Value> = (value: Value) => Row;
 
 /** Columns of each kind in a list, in addition to name and revision. */
-const COLUMNS: Readonly<Record<WritableKind, ToColumns>> = {
-  contract: (value) => {
-    const contract = value as Contract;
-    return {
-      "requests/s": contract.requestsPerSecond,
-      concurrent: contract.concurrentRequests,
-      "tokens/min": contract.tokensPerMinute,
-      priority: contract.priority,
-      keys: contract.keyDigests.length,
-    };
-  },
-  config: (value) => {
-    const config = value as Config;
-    const pools = config.pools.map((pool) => pool.name).join(", ");
-    return { pools, placement: config.placement };
-  },
-  operator: (value) => ({ keys: (value as Operator).keyDigests.length }),
-  stop: (value) => {
-    const { requestedBy, reason } = value as PlannedStop;
-    return { "requested by": requestedBy, reason };
-  },
+const COLUMNS: {
+  readonly [Kind in WritableKind]: ToColumns<ValueByKind[Kind]>;
+} = {
+  contract: (contract) => ({
+    "requests/s": contract.requestsPerSecond,
+    concurrent: contract.concurrentRequests,
+    "tokens/min": contract.tokensPerMinute,
+    priority: contract.priority,
+    keys: contract.keyDigests.length,
+  }),
+  config: ({ pools, placement }) => ({
+    pools: pools.map((pool) => pool.name).join(", "),
+    placement,
+  }),
+  operator: ({ keyDigests }) => ({ keys: keyDigests.length }),
+  stop: ({ requestedBy, reason }) => ({ "requested by": requestedBy, reason }),
 };
 
+/** Lists malformed objects, which are not in force, in a table of their own. */
 export function renderObjectTable(
   kind: WritableKind,
   objects: readonly StoredObject[],
 ): string {
-  const rows = objects.map((object) => ({
-    name: object.name,
-    revision: object.revision,
-    ...COLUMNS[kind](object.value),
-  }));
-  return renderTable(sortRows(rows, "name"));
+  const rows = objects.map((object) => createRow(kind, object));
+  const renderRows = (isMalformed: boolean) => {
+    const shown = rows.filter((row) => row.isMalformed === isMalformed);
+    return renderTable(sortRows(shown.map(({ columns }) => columns), "name"));
+  };
+  const table = renderRows(false);
+  if (!rows.some(({ isMalformed }) => isMalformed)) return table;
+  return `${table}\n\nMalformed and not in force:\n${renderRows(true)}`;
+}
+
+interface ObjectRow {
+  readonly isMalformed: boolean;
+  readonly columns: Row;
+}
+
+function createRow<Kind extends WritableKind>(
+  kind: Kind,
+  { name, revision, value }: StoredObject,
+): ObjectRow {
+  const parsed = parseValue(kind, value);
+  if (parsed.kind === "invalid") {
+    const problems = parsed.problems.join("; ");
+    return { isMalformed: true, columns: { name, revision, problems } };
+  }
+  const columns = COLUMNS[kind](parsed.value);
+  return { isMalformed: false, columns: { name, revision, ...columns } };
 }
 
 /** Renders both sides of a write conflict, one below the other. */
--- a/cli/dandelionbank/src/run_tool_test.ts
+++ b/cli/dandelionbank/src/run_tool_test.ts
@@ -54,6 +54,28 @@
   );
 });
 
+// Guards against a tool that fails for all objects of a kind as one is malformed.
+test("Malformed objects are listed beside the others", async () => {
+  await withOperatorEntries(
+    { tool: runTool, faults: ["none"] },
+    async ({ store, run }) => {
+      for (const kind of ["contract", "stop", "config"] as const) {
+        for (const value of [null, "text", {}, { keyDigests: 7 }]) {
+          const name = `odd-${typeof value}`;
+          store.seed({ kind, name }, value);
+          const { code, output } = await run([kind, "list"]);
+          assert.equal(code, EXIT_CODES.done);
+          if (kind === "config" && name === "odd-object") continue;
+          assert.match(output, new RegExp(`Malformed[^]*\\n${name} +\\d+ `));
+        }
+      }
+      store.seed({ kind: "contract", name: "trust" }, EXAMPLE_CONTRACT);
+      const { output } = await run(["contract", "list"]);
+      assert.match(output, /^trust +\d+ +10 +4 [^]*^odd-string /m);
+    },
+  );
+});
+
 test("Configuration, stops and operators are written, shown and listed", async () => {
   await withOperatorEntries(
     { tool: runTool, faults: ["none"] },
