Drop values of stored objects that are nested too deeply

Operators saw no object of a kind: one contract of another writer with a value of 100,000 nested lists, of 200 kB, made every `list` of contracts and every `get` of it fail with "The entry failed on this call" (operatorCallFailed, 8004, RangeError: the call stack overflows in JSON.stringify).

Cause: JSON.parse reads any depth, but whatever walks the value afterwards by recursion overflows the stack.

Change: parse-answers, which all reads and watches of the object API pass, puts null in place of a value with more than 64 levels, found without recursion. The object stays, with its revision, so that it can be overwritten or deleted.

The stand-ins encode JSON without recursion, as they could not send such a value; the same encoder writes given text as it is, and numbers that are too large.

--- a/objects/parse-answers/src/parse_answers_test.ts
+++ b/objects/parse-answers/src/parse_answers_test.ts
@@ -51,6 +51,29 @@
   ],
 ];
 
+// Guards against an object that makes every list of objects fail, as functions
+// that walk its value overflow the stack.
+test("A value that is nested too deeply is dropped, and other objects stay", () => {
+  const nest = (depth: number) => `${"[".repeat(depth)}${"]".repeat(depth)}`;
+  const render = (value: string) =>
+    JSON.stringify({ ...OBJECT, value: 0 }).replace(
+      '"value":0',
+      `"value":${value}`,
+    );
+  const texts = [nest(64), nest(66), nest(100_000), `{"a":${nest(100_000)}}`];
+  const items = [JSON.stringify(OBJECT), ...texts.map(render)].join(",");
+  const list = parseObjectList(`{"items":[${items}],"revision":4}`);
+  assert.deepEqual(list.items[0], OBJECT);
+  assert.deepEqual(
+    list.items.map(({ value }) => value === null),
+    [false, false, true, true, true],
+  );
+  assert.ok(JSON.stringify(list).length > 0);
+  const line = parseWatchLine(`{"type":"put","object":${render(texts[2]!)}}`);
+  assert.ok(line.type === "change" && line.change.type === "put");
+  assert.equal(line.change.object.value, null);
+});
+
 test("Valid answers are parsed into their types", () => {
   for (const [parse, answer, expected] of VALID_ANSWERS) {
     assert.deepEqual(parse(JSON.stringify(answer)), expected, parse.name);
--- a/objects/parse-answers/src/schemas.ts
+++ b/objects/parse-answers/src/schemas.ts
@@ -1,6 +1,7 @@
 /** Schemas of the platform's answers. Unknown fields are dropped. */
 
 import * as v from "valibot";
+import { limitNesting } from "./limit_nesting.ts";
 
 const REVISION = v.pipe(
   v.number("a whole number"),
@@ -15,7 +16,7 @@
   uid: TEXT,
   revision: REVISION,
   changeId: TEXT,
-  value: v.unknown(),
+  value: v.pipe(v.unknown(), v.transform(limitNesting)),
 }, "a stored object");
 
 export const LIST_SCHEMA = v.object({
--- a/testing/site-tests/src/odd_objects_test.ts
+++ b/testing/site-tests/src/odd_objects_test.ts
@@ -34,6 +34,9 @@
   "http://127.0.0.1\\a",
 ];
 
+/** Nested so deeply that a recursive function overflows the stack. */
+const DEEP = `${"[".repeat(100_000)}${"]".repeat(100_000)}`;
+
 // Guards against entries that end at each start, and no longer apply changes
 // while they run, once an entry is registered with a URL that cannot be used.
 test(
@@ -94,6 +97,28 @@
   },
 );
 
+// Guards against operators who can list no object of a kind, and processes that end
+// or no longer follow the store, as a value is nested so deeply that functions which
+// walk it overflow the stack.
+test(
+  "A value that is nested deeply ends no process and hides no other object",
+  TEST_OPTIONS,
+  async (context) => {
+    const site = await startSite(context, { entries: 1, ranks: 1 });
+    for (const kind of ["agent", "closing", "contract", "entry", "stop"]) {
+      await putText(site, { kind, name: "odd-1" }, DEEP);
+      const text = `{"name":"odd-2","keyDigests":[${DEEP}],"more":${DEEP}}`;
+      await putText(site, { kind, name: "odd-2" }, text);
+    }
+    await site.startPlainAgent("parts-1");
+    await assertFollowing(site);
+    for (const command of [["list"], ["get", "odd-1"], ["get", "odd-2"]]) {
+      const { exitCode, lines } = await site.runTool(["contract", ...command]);
+      assert.equal(exitCode, 0, lines.join("\n"));
+    }
+  },
+);
+
 /**
  * Checks that the entries that run, and one that starts now, serve calls of a
  * contract that is written now.
@@ -145,18 +170,27 @@
   }
 }
 
+interface ObjectId {
+  readonly kind: string;
+  readonly name: string;
+}
+
+function putValue(site: Site, id: ObjectId, value: unknown): Promise<void> {
+  return putText(site, id, JSON.stringify(value));
+}
+
 /** Writes a value as another writer does, also one that nobody can use. */
-async function putValue(
+async function putText(
   site: Site,
-  { kind, name }: { readonly kind: string; readonly name: string },
-  value: unknown,
+  { kind, name }: ObjectId,
+  text: string,
 ): Promise<void> {
   const { status, body } = await callEntry(site.platformUrl, {
     key: "none",
     method: "PUT",
     path: `/v1/objects/${kind}/${name}`,
     headers: { "if-none-match": "*" },
-    body: JSON.stringify({ changeId: randomUUID(), value }),
+    body: `{"changeId":"${randomUUID()}","value":${text}}`,
   });
   assert.equal(status, 200, body);
 }
--- a/testing/standin-common/src/mod.ts
+++ b/testing/standin-common/src/mod.ts
@@ -1,5 +1,6 @@
 /** Shared by the stand-ins: HTTP server, settings, fault injection, execution counts. */
 
+export { encodeJson, JsonText } from "./encode_json.ts";
 export { ExecutionCounter } from "./executions.ts";
 export { RateLimiter } from "./rate_limiter.ts";
 export type { Call, Reply } from "./reply.ts";
--- a/testing/standin-common/src/reply.ts
+++ b/testing/standin-common/src/reply.ts
@@ -1,6 +1,7 @@
 /** A call to a stand-in and its reply, to which the current faults are applied. */
 
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import { encodeJson } from "./encode_json.ts";
 
 export interface Call {
   readonly method: string;
@@ -33,7 +34,7 @@
   sendJson(status: number, body: unknown, headers = {}): void {
     if (this.#mustStaySilent()) return;
     if (this.#faults.drop) return this.cut();
-    const text = JSON.stringify(body);
+    const text = encodeJson(body);
     const sent = this.#faults.garble ? text.slice(0, text.length / 2) : text;
     this.#response.writeHead(status, {
       "content-type": "application/json",
--- a/testing/standin-platform/src/watchers.ts
+++ b/testing/standin-platform/src/watchers.ts
@@ -1,6 +1,6 @@
 /** The open watches. Each receives changes and periodic bookmarks as JSON lines. */
 
-import type { Reply } from "@dandelionbank/standin-common";
+import { encodeJson, type Reply } from "@dandelionbank/standin-common";
 import type { ObjectChange } from "@dandelionbank/types";
 
 interface Watcher {
@@ -39,5 +39,5 @@
 function sendChange(watcher: Watcher, change: ObjectChange): void {
   const kind = change.type === "put" ? change.object.kind : change.kind;
   if (watcher.kinds.length > 0 && !watcher.kinds.includes(kind)) return;
-  watcher.reply.write(JSON.stringify(change) + "\n");
+  watcher.reply.write(encodeJson(change) + "\n");
 }
