--- a/testing/ingress-tests/src/planned_stop_test.ts
+++ b/testing/ingress-tests/src/planned_stop_test.ts
@@ -74,6 +74,7 @@
       if (refusedCount > 0) return answerAfter(LONGEST_STREAM_MS)(call);
       refusedCount += 1;
       const headers = {
+        ...call.answerHeaders,
         [HEADERS.notRun]: "1",
         [HEADERS.targetAtFault]: "another",
       };
