Never mark the end of an answer by its connection alone

What callers saw: an HTTP/1.0 caller took an answer for complete that was cut when its entry's process ended, by SIGKILL, by SIGABRT or at the end of a stop.

Cause: an answer of unknown length, a stream or one over a mebibyte, had neither a length nor chunks for such a caller, so its end was that of the connection. The kernel closes the connections of a process that ends without a word, which looks the same. cutAnswer resets them, but only while the process runs.

Fix: where only the connection could mark the end, the answer is held until it is complete and sent with its length; one over 4 MiB is cut before its head. It serves both kinds of entry. A stream reaches an HTTP/1.0 caller late this way, but whole or not at all.

--- a/daemon/forward-requests/src/caller_answer.ts
+++ b/daemon/forward-requests/src/caller_answer.ts
@@ -1,11 +1,16 @@
 /**
  * Writes the answer to one request to its caller, either in one piece or as a
  * stream. A stream that is cut short closes its connection, so that the caller
- * cannot mistake it for a complete one.
+ * cannot mistake it for a complete one. Where only the end of the connection
+ * could mark the end of a stream, it is sent in one piece as well.
  */
 
-import { cutAnswer } from "@dandelionbank/cut-answer";
-import type { ServerResponse } from "node:http";
+import {
+  cutAnswer,
+  HeldAnswer,
+  isEndedByConnection,
+} from "@dandelionbank/cut-answer";
+import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
 
 export interface FinalAnswer {
   readonly status: number;
@@ -19,6 +24,7 @@
   readonly #response: ServerResponse;
   readonly #isStopping: () => boolean;
   #firstByteAtMs: number | undefined;
+  #held: HeldAnswer | undefined;
 
   private constructor(response: ServerResponse, isStopping: () => boolean) {
     this.#response = response;
@@ -36,7 +42,7 @@
   }
 
   get hasBegun(): boolean {
-    return this.#response.headersSent;
+    return this.#held !== undefined || this.#response.headersSent;
   }
 
   get firstByteAtMs(): number | undefined {
@@ -66,18 +72,35 @@
     headers: Readonly<Record<string, string | readonly string[]>>,
   ): void {
     if (this.hasBegun || this.#response.destroyed) return;
+    const hasLength = headers["content-length"] !== undefined;
+    if (!hasLength && isEndedByConnection(this.#response)) {
+      this.#held = HeldAnswer.create(this.#response, {
+        status,
+        headers: headers as OutgoingHttpHeaders,
+      });
+      return;
+    }
     this.#writeHead(status, headers);
     this.#response.flushHeaders();
   }
 
   /** Returns false while the caller reads more slowly than bytes arrive. */
   write(bytes: Buffer): boolean {
+    if (this.#held !== undefined) {
+      this.#held.write(bytes);
+      return true;
+    }
     this.#recordFirstByte();
     return this.#response.write(bytes);
   }
 
   end(): void {
-    this.#response.end();
+    if (this.#held === undefined) {
+      this.#response.end();
+      return;
+    }
+    this.#recordFirstByte();
+    this.#held.end();
   }
 
   /** Ends the answer in the middle, after the bytes written so far. */
--- a/daemon/serve-callers/src/caller_answer.ts
+++ b/daemon/serve-callers/src/caller_answer.ts
@@ -1,6 +1,10 @@
 /** Sends one caller its response: the target's answer, or the request's outcome. */
 
-import { cutAnswer } from "@dandelionbank/cut-answer";
+import {
+  cutAnswer,
+  HeldAnswer,
+  isEndedByConnection,
+} from "@dandelionbank/cut-answer";
 import { describeOutcome } from "@dandelionbank/describe-outcome";
 import type { Outcome } from "@dandelionbank/types";
 import type { OutgoingHttpHeaders, ServerResponse } from "node:http";
@@ -32,6 +36,7 @@
   readonly #response: ServerResponse;
   readonly #requestId: string;
   readonly #entry: string;
+  #held: HeldAnswer | undefined;
   #isEventStream = false;
   #hasWritten = false;
 
@@ -52,12 +57,12 @@
   }
 
   get isStarted(): boolean {
-    return this.#response.headersSent;
+    return this.#held !== undefined || this.#response.headersSent;
   }
 
   start(options: AnswerStartOptions): void {
     this.#isEventStream = options.contentType.startsWith("text/event-stream");
-    this.#response.writeHead(options.status, {
+    const headers = {
       ...this.#ownHeaders(),
       ...(options.target === ""
         ? {}
@@ -66,16 +71,27 @@
       ...(options.lengthBytes === undefined
         ? {}
         : { "content-length": String(options.lengthBytes) }),
-    });
+    };
+    const { status, lengthBytes } = options;
+    if (lengthBytes === undefined && isEndedByConnection(this.#response)) {
+      this.#held = HeldAnswer.create(this.#response, { status, headers });
+      return;
+    }
+    this.#response.writeHead(status, headers);
     if (this.#isEventStream) process.nextTick(() => this.#flushHead());
   }
 
   write(chunk: string | Buffer): boolean {
+    if (this.#held !== undefined) {
+      this.#held.write(Buffer.from(chunk));
+      return true;
+    }
     this.#hasWritten = true;
     return this.#response.write(chunk);
   }
 
   end(): void {
+    if (this.#held !== undefined) return this.#held.end();
     this.#hasWritten = true;
     this.#response.end();
   }
@@ -96,8 +112,13 @@
       return;
     }
     if (this.#isEventStream) {
+      const event = `event: error\ndata: ${body}\n\n`;
+      if (this.#held !== undefined) {
+        this.#held.write(Buffer.from(event));
+        return this.#held.end();
+      }
       this.#hasWritten = true;
-      this.#response.end(`event: error\ndata: ${body}\n\n`);
+      this.#response.end(event);
       return;
     }
     cutAnswer(this.#response);
--- a/daemon/serve-callers/src/caller_answer_test.ts
+++ b/daemon/serve-callers/src/caller_answer_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, request, type ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { type AddressInfo, connect, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { HttpCallerAnswer } from "./caller_answer.ts";
 
@@ -56,6 +57,27 @@
   assert.ok(!isComplete);
 });
 
+test("A stream to an HTTP/1.0 caller doesn't end with its connection alone", async (t) => {
+  const server = createServer((_, response) => {
+    const caller = createAnswer(response);
+    caller.start(HEAD);
+    caller.write("data: 1\n\n");
+    setTimeout(() => {
+      caller.sendOutcome({ kind: "unknown", code: "answerCut" });
+    }, 20);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  socket.write("GET / HTTP/1.0\r\n\r\n");
+  const text = String(Buffer.concat(await socket.toArray() as Buffer[]));
+  const [head = "", body = ""] = text.split("\r\n\r\n");
+  assert.match(head, new RegExp(`content-length: ${body.length}(\r|$)`));
+  assert.match(body, /^data: 1\n\nevent: error\n/);
+});
+
 function createAnswer(response: ServerResponse): HttpCallerAnswer {
   return HttpCallerAnswer.create(response, {
     requestId: "request-1",
--- a/foundation/cut-answer/src/cut_answer_test.ts
+++ b/foundation/cut-answer/src/cut_answer_test.ts
@@ -3,7 +3,7 @@
 import { createServer, type ServerResponse } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { test, type TestContext } from "node:test";
-import { cutAnswer } from "./mod.ts";
+import { cutAnswer, HeldAnswer, isEndedByConnection } from "./mod.ts";
 
 const PART = "id: 1\ndata: a\n\n";
 
@@ -51,6 +51,38 @@
   assert.ok(performance.now() - startedAtMs < 3_000);
 });
 
+test("An answer without a length is held for HTTP/1.0, and sent with one", async (t) => {
+  const { text, error } = await readRaw(t, {
+    version: "1.0",
+    respond: (response) => {
+      assert.ok(isEndedByConnection(response));
+      const headers = { "content-type": "text/event-stream" };
+      const answer = HeldAnswer.create(response, { status: 200, headers });
+      for (let index = 0; index < 1_000; index++) {
+        answer.write(Buffer.from(PART));
+      }
+      assert.ok(!response.headersSent);
+      answer.end();
+    },
+  });
+  assert.equal(error, undefined);
+  assert.ok(text.includes(`content-length: ${1_000 * PART.length}\r\n`));
+  assert.ok(text.endsWith(`\r\n\r\n${PART.repeat(1_000)}`));
+});
+
+test("A held answer that grows without end is cut before its head", async (t) => {
+  const { text, error } = await readRaw(t, {
+    version: "1.0",
+    respond: (response) => {
+      const answer = HeldAnswer.create(response, { status: 200, headers: {} });
+      const timer = setInterval(() => answer.write(Buffer.alloc(524_288)), 1);
+      response.once("close", () => clearInterval(timer));
+    },
+  });
+  assert.equal(text, "");
+  assert.equal(error, "ECONNRESET");
+});
+
 interface RawAnswer {
   readonly text: string;
   /** Code of the connection's error; `undefined` after a regular end. */
