Call an agent's target on a connection of its own

What callers saw: with a target that answers a second time, late, the answer to another call, complete and with status 200.

Cause: an agent kept its connections to the target. The target's API has nothing by which an answer names its call, so one that comes as the connection is reused is taken for the next call's.

Evidence: call_target_test.ts, "A late second answer of a target is no answer to the next call", on the code before: eight calls got the answers 0 1 0 1 2 3 2 3.

Fix: one call a connection. What comes behind its answer ends with it.

--- a/daemon/call-target/src/call_target_test.ts
+++ b/daemon/call-target/src/call_target_test.ts
@@ -1,10 +1,15 @@
 import type { TargetKind } from "@dandelionbank/types";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, type RequestListener, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
-import { test } from "node:test";
+import { type AddressInfo, createServer as createNetServer } from "node:net";
+import { test, type TestContext } from "node:test";
 import { createTargetAdapter } from "./mod.ts";
-import type { TargetFailure, TargetHead } from "./target_adapter.ts";
+import type {
+  TargetAdapter,
+  TargetFailure,
+  TargetHead,
+} from "./target_adapter.ts";
 
 interface Case {
   readonly name: string;
@@ -156,6 +161,47 @@
   }
 });
 
+test("A late second answer of a target is no answer to the next call", async (t) => {
+  for (const gapMs of [0, 1, 5]) {
+    const answers = await callStuttering(t, gapMs);
+    assert.deepEqual(answers, answers.map((_, index) => `answer ${index}`));
+  }
+});
+
+/** Calls a target that answers each call again when the next one arrives. */
+async function callStuttering(
+  t: TestContext,
+  gapMs: number,
+): Promise<readonly string[]> {
+  let count = 0;
+  const server = createNetServer((socket) => {
+    let late = "";
+    socket.on("error", () => undefined);
+    socket.on("data", () => {
+      const text = `answer ${count}`;
+      const bytes =
+        `HTTP/1.1 200 OK\r\ncontent-length: ${text.length}\r\n\r\n${text}`;
+      count += 1;
+      socket.write(late);
+      late = bytes;
+      setTimeout(() => socket.write(bytes), gapMs);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const adapter = createTargetAdapter("plain", {
+    targetUrl: `http://127.0.0.1:${port}`,
+  });
+  t.after(() => adapter.close());
+  const answers: string[] = [];
+  for (let index = 0; index < 8; index++) {
+    answers.push((await callWith(adapter)).body);
+  }
+  return answers;
+}
+
 interface CallResult {
   readonly head: TargetHead | undefined;
   readonly result: "complete" | TargetFailure;
@@ -167,7 +213,13 @@
   targetUrl: string,
 ): Promise<CallResult> {
   const adapter = createTargetAdapter(kind, { targetUrl });
-  const call = await new Promise<CallResult>((resolve) => {
+  const call = await callWith(adapter);
+  await adapter.close();
+  return call;
+}
+
+function callWith(adapter: TargetAdapter): Promise<CallResult> {
+  return new Promise<CallResult>((resolve) => {
     const chunks: Buffer[] = [];
     let head: TargetHead | undefined;
     const body = (): string => Buffer.concat(chunks).toString("utf8");
@@ -192,8 +244,6 @@
       },
     );
   });
-  await adapter.close();
-  return call;
 }
 
 function listen(answer: RequestListener): Promise<Server> {
--- a/daemon/call-target/src/send_call.ts
+++ b/daemon/call-target/src/send_call.ts
@@ -76,6 +76,8 @@
   return {
     "content-type": call.contentType,
     "priority": `u=${call.priority}`,
+    // An answer names no call, so a late second one would be taken for the next.
+    "connection": "close",
     ...(call.key === undefined ? {} : { "idempotency-key": call.key }),
   };
 }
