Take no answer whose transfer coding can't be read

What callers saw: a success whose body wasn't the target's but the bytes of its coding, such as the sizes of its chunks, with the coding's field taken away.

Cause: undici reads a body with any coding but a final `chunked` as one that the connection ends, and passes on its bytes; a coding before `chunked` is not undone either. The entry doesn't pass on `Transfer-Encoding`.

Fix: a transfer coding other than `chunked` is no answer, for all users of the pool. The tests of second answers and of killed entries share their site now.

--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -181,10 +181,8 @@
     statusText = "",
   ): void {
     this.#socket = this.#reads.latest;
-    if (isMerged(headers, statusText)) {
-      this.#abort(new Error("Head of an answer that was cut by another one"));
-      return;
-    }
+    const defect = findHeadDefect(headers, statusText);
+    if (defect !== undefined) return this.#abort(new Error(defect));
     if (status >= 200) return this.#handler.onHead({ status, headers });
     this.#interimHeadBytes += HEAD_OVERHEAD_BYTES + countHeaderBytes(headers);
     if (this.#interimHeadBytes <= MAX_INTERIM_HEAD_BYTES) return;
@@ -229,6 +227,21 @@
   }
 }
 
+/** Returns why a head is no answer's, or why its body can't be read, if so. */
+function findHeadDefect(
+  headers: HttpAnswerHead["headers"],
+  statusText: string,
+): string | undefined {
+  if (isMerged(headers, statusText)) {
+    return "Head of an answer that was cut by another one";
+  }
+  // undici takes the bytes of any other coding for those of the body.
+  const coding = headers["transfer-encoding"];
+  const isReadable = coding === undefined ||
+    String(coding).trim().toLowerCase() === "chunked";
+  return isReadable ? undefined : "Answer with an unknown transfer coding";
+}
+
 /**
  * Whether a head begins with a part of another one, such as of a late second
  * answer that breaks off in its first line or in a field. The status may then be
--- a/testing/ingress-tests/src/killed_entry_test.ts
+++ b/testing/ingress-tests/src/killed_entry_test.ts
@@ -7,25 +7,17 @@
 import { HEADERS } from "@dandelionbank/platform-adapter";
 import {
   CALLER_KEY,
-  createConfiguration,
-  EntryProgram,
+  type EntryProgram,
   ROUTE_HOST,
-  ROUTES,
-  waitFor,
 } from "@dandelionbank/run-entry";
-import {
-  type RawCall,
-  RawEngine,
-  renderRawAnswer,
-  SiteStore,
-} from "@dandelionbank/standin-site";
+import { type RawCall, renderRawAnswer } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import { connect, type Socket } from "node:net";
-import { test, type TestContext } from "node:test";
+import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { startRawEngines, startRawSite } from "./raw_site.ts";
 
 const SEED = 44;
-const ENGINE_COUNT = 4;
 /** An answer is written in pieces, for longer than the entry lives. */
 const PIECE_COUNT = 60;
 const PIECE_INTERVAL_MS = 20;
@@ -60,7 +52,12 @@
 for (const signal of ["SIGKILL", "SIGABRT", "SIGTERM"] as const) {
   test(`No answer that is cut when its entry ends by ${signal} looks complete`, async (t) => {
     const random = Random.create(SEED);
-    const entry = await startEntry(t);
+    const site = await startRawSite(t, {
+      routeTimeoutMs: ROUTE_TIMEOUT_MS,
+      graceS: 1,
+    });
+    await startRawEngines(t, site, answerInPieces);
+    const { entry } = site;
     const forms = createForms(random);
     const calls = forms.map(async (form, index) => {
       await delay(random.int(0, MAX_LIFE_MS));
@@ -185,9 +182,9 @@
 /** Answers a call piece by piece, with the framing and size of its path. */
 function answerInPieces(call: RawCall): void {
   const { socket, path } = call;
-  const [framing, size] = path.split("/").slice(2) as [
-    CallForm["framing"],
-    CallForm["size"],
+  const [framing = "length", size = "short"] = path.split("/").slice(2) as [
+    CallForm["framing"]?,
+    CallForm["size"]?,
   ];
   const piece = PIECES[size];
   const head = renderRawAnswer(call, { body: "" }).replace(
@@ -211,24 +208,3 @@
   }, PIECE_INTERVAL_MS);
   socket.on("close", () => clearInterval(timer));
 }
-
-async function startEntry(t: TestContext): Promise<EntryProgram> {
-  const store = await SiteStore.create();
-  t.after(() => store.close());
-  const routes = ROUTES.map((route) => ({
-    ...route,
-    "timeout_ms": ROUTE_TIMEOUT_MS,
-  }));
-  store.put("config", "main", createConfiguration({ routes }));
-  const engines = await Promise.all(
-    Array.from({ length: ENGINE_COUNT }, (_, i) => RawEngine.create(`e${i}`)),
-  );
-  for (const engine of engines) {
-    t.after(() => engine.close());
-    engine.script = answerInPieces;
-    store.put("servers", engine.id, engine.createServerSpec({ service: "s" }));
-  }
-  const entry = await EntryProgram.start(t, { store, number: 1, graceS: 1 });
-  await waitFor(() => entry.hasLogged("targetsChanged"));
-  return entry;
-}
--- a/testing/ingress-tests/src/second_answers_test.ts
+++ b/testing/ingress-tests/src/second_answers_test.ts
@@ -5,31 +5,28 @@
 
 import { Random } from "@dandelionbank/message-queue";
 import { HEADERS } from "@dandelionbank/platform-adapter";
-import {
-  call,
-  type CallAnswer,
-  createConfiguration,
-  EntryProgram,
-  ROUTES,
-  waitFor,
-} from "@dandelionbank/run-entry";
+import { call, type CallAnswer } from "@dandelionbank/run-entry";
 import {
   type RawCall,
-  RawEngine,
+  type RawEngine,
   renderRawAnswer,
   renderRawBody,
-  SiteStore,
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import { Agent } from "node:http";
 import type { Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import {
+  nextId,
+  type RawSite,
+  startRawEngines,
+  startRawSite,
+} from "./raw_site.ts";
 
 const SEED = 44;
 const CALLER_COUNT = 8;
 const CALLS_PER_CALLER = 12;
-const ENGINE_COUNT = 4;
 const ROUTE_TIMEOUT_MS = 400;
 /** Second answers in each test, without which it would show nothing. */
 const MIN_LATE = 20;
@@ -175,7 +172,9 @@
 ];
 
 test("A late second answer reaches no caller", async (t) => {
-  const site = await startEntry(t);
+  const site = await startRawSite(t, {
+    routeTimeoutMs: ROUTE_TIMEOUT_MS,
+  });
   for (const form of SECOND_ANSWERS) {
     await t.test(form.name, async (t) => {
       const random = Random.create(SEED);
@@ -190,11 +189,6 @@
   }
 });
 
-interface Site {
-  readonly entry: EntryProgram;
-  readonly store: SiteStore;
-}
-
 interface Result {
   readonly attemptId: string;
   readonly path: string;
@@ -214,32 +208,21 @@
 
   static async start(
     t: TestContext,
-    { site: { store, entry }, form, random }: {
-      readonly site: Site;
+    { site, form, random }: {
+      readonly site: RawSite;
       readonly form: SecondAnswer;
       readonly random: Random;
     },
   ): Promise<Stuttering> {
-    const engines = await Promise.all(
-      Array.from({ length: ENGINE_COUNT }, () => RawEngine.create(nextId("e"))),
-    );
+    const engines: RawEngine[] = [];
     const stuttering = new Stuttering(engines);
-    for (const engine of engines) {
-      engine.script = (call) => void stuttering.#answer(call, { form, random });
-      store.put(
-        "servers",
-        engine.id,
-        engine.createServerSpec({ service: "s" }),
-      );
-    }
-    t.after(async () => {
-      for (const { id } of engines) store.remove("servers", id);
-      await Promise.all(engines.map((engine) => engine.close()));
-    });
-    await waitFor(async () => {
-      await call(entry, { path: "/open/a" });
-      return engines.some(({ calls }) => calls.length > 0);
-    });
+    engines.push(
+      ...await startRawEngines(
+        t,
+        site,
+        (call) => void stuttering.#answer(call, { form, random }),
+      ),
+    );
     return stuttering;
   }
 
@@ -304,7 +287,7 @@
 }
 
 async function callRepeatedly(
-  { entry }: Site,
+  { entry }: RawSite,
   { method = "POST" }: SecondAnswer,
 ): Promise<readonly Result[]> {
   const callers = Array.from({ length: CALLER_COUNT }, async () => {
@@ -325,22 +308,3 @@
   });
   return (await Promise.all(callers)).flat();
 }
-
-async function startEntry(t: TestContext): Promise<Site> {
-  const store = await SiteStore.create();
-  t.after(() => store.close());
-  const routes = ROUTES.map((route) => ({
-    ...route,
-    "timeout_ms": ROUTE_TIMEOUT_MS,
-  }));
-  store.put("config", "main", createConfiguration({ routes }));
-  const entry = await EntryProgram.start(t, { store, number: 1 });
-  return { store, entry };
-}
-
-let lastNumber = 0;
-
-function nextId(prefix: string): string {
-  lastNumber += 1;
-  return `${prefix}${lastNumber}`;
-}
