Test second answers behind answers that the entry ends itself

Answers cancelled by their caller, also while paused, cut for the size of an event and at the route's timeout: no later answer on their connection reached a caller, and the connection was closed. A target that answers before it has read a body of 8 MB, and goes on reading, got the rest of it and then whole requests. None of these failed, so nothing was changed.

--- a/testing/ingress-tests/src/second_answers_test.ts
+++ b/testing/ingress-tests/src/second_answers_test.ts
@@ -5,16 +5,24 @@
 
 import { Random } from "@dandelionbank/message-queue";
 import { HEADERS } from "@dandelionbank/platform-adapter";
-import { call, type CallAnswer } from "@dandelionbank/run-entry";
+import {
+  call,
+  type CallAnswer,
+  CALLER_KEY,
+  createConfiguration,
+  ROUTE_HOST,
+  waitFor,
+} from "@dandelionbank/run-entry";
 import {
   type RawCall,
-  type RawEngine,
+  RawEngine,
   renderRawAnswer,
   renderRawBody,
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { Agent } from "node:http";
-import type { Socket } from "node:net";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import {
@@ -195,6 +203,150 @@
   readonly answer: CallAnswer | undefined;
 }
 
+/** Ways in which the entry itself ends a target's answer. */
+const ENDED_EARLY: Readonly<
+  Record<string, { readonly path: string; readonly render: RenderPart }>
+> = {
+  "cancelled by its caller": {
+    path: "/live/",
+    render: (call) => `${renderHead(call, 1_000)}data: a\n\n`,
+  },
+  "cancelled by its caller while it is paused": {
+    path: "/live/",
+    render: (call) => renderHead(call, 1e9) + LONG_STREAM,
+  },
+  "cut for the size of its event": {
+    path: "/live/",
+    render: (call) => renderHead(call, 1e9) + "x".repeat(2_000_000),
+  },
+  "cut at the route's timeout": {
+    path: "/once/",
+    render: (call) => renderHead(call, 1_000),
+  },
+};
+
+type RenderPart = (call: RawCall) => string;
+
+const LONG_STREAM = `data: ${"x".repeat(1_000)}\n\n`.repeat(8_000);
+
+function renderHead(call: RawCall, lengthBytes: number): string {
+  return renderBodiless(call, 200).slice(0, -2) +
+    `content-length: ${lengthBytes}\r\n\r\n`;
+}
+
+for (const [name, { path, render }] of Object.entries(ENDED_EARLY)) {
+  test(`No answer follows on the connection of one that was ${name}`, async (t) => {
+    const site = await startRawSite(t, { routeTimeoutMs: ROUTE_TIMEOUT_MS });
+    const sockets = new Set<Socket>();
+    await startRawEngines(t, site, (engineCall) => {
+      const { socket } = engineCall;
+      if (!engineCall.path.startsWith(path)) {
+        socket.write(renderRawAnswer(engineCall));
+        return;
+      }
+      sockets.add(socket);
+      socket.write(render(engineCall));
+      // Its second answer comes once the entry has ended the first one.
+      socket.once("close", () => sockets.delete(socket));
+      setTimeout(() => socket.write(renderRawAnswer(engineCall)), 50);
+    });
+    for (let index = 0; index < CALLS_PER_CALLER; index++) {
+      const ended = callRaw(site, path + nextId("a"));
+      await delay(20);
+      if (name.startsWith("cancelled")) ended.destroy();
+      const attemptId = nextId("a");
+      const { status, body } = await call(site.entry, {
+        path: `/safe/${attemptId}`,
+        headers: { [ATTEMPT_ID]: attemptId },
+      });
+      if (status === 200) assert.equal(body, renderRawBody({ attemptId }));
+    }
+    await waitFor(() => sockets.size === 0);
+    assert.ok(site.entry.isRunning);
+  });
+}
+
+test("A target that answers before it has read a long body gets the rest of it", async (t) => {
+  const site = await startRawSite(t, { routeTimeoutMs: ROUTE_TIMEOUT_MS });
+  const heads: string[] = [];
+  const server = createServer((socket) => {
+    let bytes = "";
+    let dueBytes = 0;
+    socket.on("error", () => undefined);
+    const read = (chunk: Buffer) => {
+      bytes += chunk.toString("latin1");
+      for (;;) {
+        const skipped = Math.min(dueBytes, bytes.length);
+        assert.equal(bytes.slice(0, skipped), "b".repeat(skipped));
+        bytes = bytes.slice(skipped);
+        dueBytes -= skipped;
+        const headEnd = bytes.indexOf("\r\n\r\n");
+        if (dueBytes > 0 || headEnd < 0) return;
+        const head = bytes.slice(0, headEnd);
+        heads.push(head);
+        bytes = bytes.slice(headEnd + 4);
+        dueBytes = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
+        const attemptId = /attempt-id: (\S+)/i.exec(head)?.[1] ?? "";
+        const answerHeaders = { [ATTEMPT_ID]: attemptId, [SEAL]: "seal" };
+        socket.write(renderRawAnswer({ answerHeaders, attemptId }));
+        // The rest of the body waits on the connection.
+        socket.pause();
+        setTimeout(() => socket.resume(), 20);
+      }
+    };
+    socket.on("data", read);
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const engine = await RawEngine.create("early");
+  t.after(() => engine.close());
+  const spec = engine.createServerSpec({ service: "s" });
+  const address = `127.0.0.1:${port}`;
+  site.store.put("servers", engine.id, { ...spec, address });
+  site.store.put(
+    "config",
+    "main",
+    createConfiguration({ version: 2, maxBodyBytes: 16_000_000 }),
+  );
+  const body = "b".repeat(8_000_000);
+  await waitFor(async () =>
+    (await call(site.entry, { path: "/safe/first", body })).status === 200
+  );
+  for (let index = 0; index < 12; index++) {
+    const path = index % 2 === 0 ? "/once/" : "/safe/";
+    const attemptId = nextId("a");
+    const answer = await call(site.entry, {
+      path: path + attemptId,
+      body,
+      headers: { [ATTEMPT_ID]: attemptId },
+    });
+    if (answer.status === 200) {
+      assert.equal(answer.body, renderRawBody({ attemptId }));
+    }
+  }
+  for (const head of heads) {
+    assert.match(head, /^POST \/(?:once|safe|open)\/\S+ HTTP\/1\.1/);
+  }
+  assert.ok(heads.length >= 12);
+});
+
+/** Sends a call and reads nothing of its answer. */
+function callRaw({ entry }: RawSite, path: string): Socket {
+  const { host, port } = entry.settings.callers!;
+  const socket = connect(port, host);
+  const lines = [
+    `POST ${path} HTTP/1.1`,
+    `host: ${ROUTE_HOST}`,
+    `${ATTEMPT_ID}: ${path.split("/").pop()}`,
+    `${HEADERS.credential}: ${CALLER_KEY}`,
+    "content-length: 0",
+  ];
+  socket.on("error", () => undefined);
+  socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+  return socket;
+}
+
 /** Engines that answer each call a second time, as their connection is reused. */
 class Stuttering {
   readonly #engines: readonly RawEngine[];
--- a/testing/run-entry/src/run_entry.ts
+++ b/testing/run-entry/src/run_entry.ts
@@ -90,8 +90,9 @@
 ] as const;
 
 export function createConfiguration(
-  { version = 1, routes = ROUTES, keys = [CALLER_KEY] }: {
+  { version = 1, routes = ROUTES, keys = [CALLER_KEY], maxBodyBytes = 4_096 }: {
     readonly version?: number;
+    readonly maxBodyBytes?: number;
     readonly routes?: readonly unknown[];
     readonly keys?: readonly string[];
   } = {},
@@ -102,7 +103,7 @@
     services: [{ name: "s", "health_path": "/healthz", "max_conns": 40 }],
     limits: {
       "max_header_bytes": 16_384,
-      "max_body_bytes": 4_096,
+      "max_body_bytes": maxBodyBytes,
       "header_timeout_ms": 3_000,
       "idle_timeout_ms": 15_000,
     },
