--- a/testing/ingress-tests/src/odd_answers_test.ts
+++ b/testing/ingress-tests/src/odd_answers_test.ts
@@ -3,10 +3,17 @@
  * A caller must get the target's whole body, or see that it has not.
  */
 
-import { call, type CallAnswer } from "@dandelionbank/run-entry";
+import { Random } from "@dandelionbank/message-queue";
+import {
+  call,
+  type CallAnswer,
+  CALLER_KEY,
+  ROUTE_HOST,
+} from "@dandelionbank/run-entry";
 import { HEADERS } from "@dandelionbank/platform-adapter";
 import { renderRawAnswer, renderRawBody } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
+import { request } from "node:http";
 import { test } from "node:test";
 import {
   nextId,
@@ -15,6 +22,7 @@
   startRawSite,
 } from "./raw_site.ts";
 
+const SEED = 44;
 const ROUTE_TIMEOUT_MS = 400;
 const PATHS = ["/safe/", "/once/", "/live/", "/stream/"];
 
@@ -131,3 +139,126 @@
   const answer = await call(entry, { path: `${path}${attemptId}`, headers });
   return { attemptId, answer };
 }
+
+/** An answer that is read slowly, in pieces of `PIECE`. */
+const PIECE = `data: ${"x".repeat(16_000)}\n\n`;
+const PIECE_COUNT = 100;
+const SLOW_CALLS = 60;
+
+const SLOW_FRAMINGS = {
+  length: `content-length: ${PIECE.length * PIECE_COUNT}\r\n`,
+  "length, then close": `connection: close\r\ncontent-length: ${
+    PIECE.length * PIECE_COUNT
+  }\r\n`,
+  chunks: CHUNKED,
+  "chunks, then close": `connection: close\r\n${CHUNKED}`,
+  connection: "",
+};
+
+type SlowEnd = "whole" | "closed" | "reset" | "second answer";
+
+test("Answers that are read slowly while their connections end are whole or cut", async (t) => {
+  const site = await startRawSite(t, { routeTimeoutMs: 4_000 });
+  const random = Random.create(SEED);
+  const plans = new Map<string, { fields: string; end: SlowEnd; at: number }>();
+  await startRawEngines(t, site, (engineCall) => {
+    const { socket, path } = engineCall;
+    const plan = plans.get(path);
+    if (plan === undefined) {
+      socket.write(renderRawAnswer(engineCall));
+      return;
+    }
+    const { fields, end, at } = plan;
+    const [head = ""] = renderRawAnswer(engineCall).split("\r\n\r\n");
+    socket.write(`${head}\r\n`.replace(LENGTH_LINE, fields) + "\r\n");
+    const size = PIECE.length.toString(16);
+    const isChunked = fields.includes(CHUNKED);
+    const piece = isChunked ? `${size}\r\n${PIECE}\r\n` : PIECE;
+    const isWhole = end === "whole" || end === "second answer";
+    const isUnframed = fields === "";
+    let count = 0;
+    const timer = setInterval(() => {
+      const batch = Math.min(2, (isWhole ? PIECE_COUNT : at) - count);
+      socket.write(piece.repeat(batch));
+      count += batch;
+      if (batch > 0) return;
+      clearInterval(timer);
+      if (end === "reset") return void socket.resetAndDestroy();
+      if (end === "closed") return void socket.end();
+      if (isChunked) socket.write("0\r\n\r\n");
+      if (isUnframed) socket.end();
+      else if (end === "second answer") {
+        socket.write(renderRawAnswer(engineCall));
+      }
+    }, 1);
+    socket.once("close", () => clearInterval(timer));
+  });
+  const ends: readonly SlowEnd[] = [
+    "whole",
+    "closed",
+    "reset",
+    "second answer",
+  ];
+  const calls = Array.from({ length: SLOW_CALLS }, async () => {
+    const path = random.pick(PATHS) + nextId("a");
+    const framing = random.pick(Object.keys(SLOW_FRAMINGS));
+    const fields = SLOW_FRAMINGS[framing as keyof typeof SLOW_FRAMINGS];
+    const end = random.pick(ends);
+    plans.set(path, { fields, end, at: random.int(1, PIECE_COUNT - 1) });
+    const read = await readSlowly(site, path, random.int(1, 10));
+    return { framing, end, ...read };
+  });
+  const counts = { whole: 0, cut: 0 };
+  for (
+    const { framing, end, status, body, isComplete } of await Promise.all(calls)
+  ) {
+    const shown = JSON.stringify({ framing, end, status, bytes: body.length });
+    const isWhole = body === PIECE.repeat(PIECE_COUNT);
+    // Only a close can end a whole answer and one that breaks off alike.
+    const isAmbiguous = framing === "connection" && end === "closed";
+    if (status === 200 && isComplete && !isAmbiguous) assert.ok(isWhole, shown);
+    counts[isWhole ? "whole" : "cut"] += 1;
+  }
+  t.diagnostic(JSON.stringify(counts));
+  assert.ok(site.entry.isRunning);
+  assert.ok(counts.whole > 5 && counts.cut > 5);
+});
+
+/** Calls, and pauses for some milliseconds after each piece of the answer. */
+function readSlowly(
+  { entry }: RawSite,
+  path: string,
+  pauseMs: number,
+): Promise<Pick<CallAnswer, "status" | "body" | "isComplete">> {
+  const { host, port } = entry.settings.callers!;
+  return new Promise((resolve) => {
+    const outgoing = request({
+      host,
+      port,
+      path,
+      method: "POST",
+      agent: false,
+      headers: {
+        host: ROUTE_HOST,
+        [HEADERS.attemptId]: path.split("/").pop()!,
+        [HEADERS.credential]: CALLER_KEY,
+      },
+    }, (response) => {
+      let body = "";
+      const settle = (isComplete: boolean) =>
+        resolve({ status: response.statusCode ?? 0, body, isComplete });
+      response.on("data", (chunk) => {
+        body += String(chunk);
+        response.pause();
+        setTimeout(() => response.resume(), pauseMs);
+      });
+      response.on("end", () => settle(response.complete));
+      response.on("error", () => settle(false));
+    });
+    outgoing.on(
+      "error",
+      () => resolve({ status: 0, body: "", isComplete: false }),
+    );
+    outgoing.end();
+  });
+}
