Wait once for a slow caller, however many pieces its answer has

An answer in small pieces added one listener for each piece that its caller couldn't take at once: Node.js warned of 11 listeners in trials with slow callers, and a buffered mebibyte in pieces of one byte would have added a million. The new test counts 84 listeners for 100 pieces on the code before, and one now. The latest source is the one to resume; those before it have ended.

--- a/daemon/forward-requests/src/caller_answer.ts
+++ b/daemon/forward-requests/src/caller_answer.ts
@@ -25,6 +25,8 @@
   readonly #isStopping: () => boolean;
   #firstByteAtMs: number | undefined;
   #held: HeldAnswer | undefined;
+  /** Set while the caller reads too slowly. */
+  #drainListener: (() => void) | undefined;
 
   private constructor(response: ServerResponse, isStopping: () => boolean) {
     this.#response = response;
@@ -108,8 +110,16 @@
     cutAnswer(this.#response);
   }
 
+  /** Replaces the listener that waits, if one does. */
   onceDrained(listener: () => void): void {
-    this.#response.once("drain", listener);
+    const isWaiting = this.#drainListener !== undefined;
+    this.#drainListener = listener;
+    if (isWaiting) return;
+    this.#response.once("drain", () => {
+      const waiting = this.#drainListener;
+      this.#drainListener = undefined;
+      waiting?.();
+    });
   }
 
   #writeHead(
