Refuse a call whose body ends after its entry has begun to stop

What callers saw: of `dandelionbankd`, a call that was uploaded while the entry got SIGTERM was handled as if the entry went on. Without a key it was refused for the contract's concurrency (429), with a key it ended with an unknown outcome (502), though neither had run.

Cause: whether the entry stops was asked when the head arrived, and not after the body. By then the entry has left the platform and has no share of the contract and no lease for keys.

Change: the refusal is read again after the body.

--- a/daemon/serve-callers/src/caller_server.ts
+++ b/daemon/serve-callers/src/caller_server.ts
@@ -136,7 +136,9 @@
     }
     const refusal = handlers.readRefusal();
     if (refusal !== undefined) return refusal;
-    return await parseRequest(request, { path, contract, current });
+    const result = await parseRequest(request, { path, contract, current });
+    // The entry may have begun to stop while the body arrived.
+    return handlers.readRefusal() ?? result;
   }
 }
 
