Test a planned stop with callers that never pause

Callers on kept connections send plain requests and streams until the entry has ended, with a grace period of 1, 2 and 4 s; a tenth of it after SIGTERM come SIGHUP, a second SIGTERM, and a configuration with timeouts of a minute.

--- a/testing/ingress-tests/src/planned_stop_test.ts
+++ b/testing/ingress-tests/src/planned_stop_test.ts
@@ -16,7 +16,7 @@
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { type ClientRequest, request } from "node:http";
+import { Agent, type ClientRequest, request } from "node:http";
 import { connect } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
@@ -199,10 +199,42 @@
   assert.ok(performance.now() - stoppedAtMs < graceMs);
 });
 
+for (const graceS of [1, 2, 4]) {
+  test(`Every request that ran is answered by an entry that stops within ${graceS} s`, async (t) => {
+    const { entry, engine, store } = await startEntry(t, { graceS });
+    engine.script = (call) => answerAfter(100 * Math.random())(call);
+    const agent = new Agent({ keepAlive: true });
+    t.after(() => agent.destroy());
+    const answers: Received[] = [];
+    const callRepeatedly = async (path: string) => {
+      while (entry.isRunning) {
+        answers.push(await send(entry, { path, agent, tokens: 5 }));
+        await delay(2);
+      }
+    };
+    const paths = Array.from({ length: 8 }, () => ["/live/a", "/once/a"]);
+    const callers = paths.flat().map(callRepeatedly);
+    await delay(200);
+    entry.signal("SIGTERM");
+    await delay(graceS * 100);
+    entry.signal("SIGHUP");
+    entry.signal("SIGTERM");
+    const longer = createRoutes({ timeoutMs: 60_000 });
+    store.put("config", "main", createConfigurationOf(longer, { version: 2 }));
+    await Promise.all(callers);
+    const served = answers.filter((answer) => describe(answer) === 200);
+    assert.ok(served.length > 0);
+    assert.equal(engine.calls.length, served.length);
+  });
+}
+
 interface SentRequest {
   readonly path: string;
   /** Time between the request's head and the end of its body. */
   readonly uploadMs?: number;
+  readonly agent?: Agent;
+  /** Largest number of answer tokens. */
+  readonly tokens?: number;
 }
 
 interface Received {
@@ -218,15 +250,15 @@
 /** Sends a request; resolves also if its connection ends without an answer. */
 function send(
   { settings }: EntryProgram,
-  { path, uploadMs = 0 }: SentRequest,
+  { path, uploadMs = 0, agent, tokens }: SentRequest,
 ): Promise<Received> {
   return new Promise((resolve) => {
     const outgoing: ClientRequest = request({
       ...settings.callers,
       path,
       method: "POST",
-      agent: false,
-      headers: createHeaders(),
+      agent: agent ?? false,
+      headers: createHeaders(tokens),
     }, (response) => {
       response.resume();
       const settle = () =>
@@ -253,12 +285,14 @@
   return [`GET ${path} HTTP/1.1`, ...lines, "", ""].join("\r\n");
 }
 
-function createHeaders(): Readonly<Record<string, string>> {
+function createHeaders(
+  tokens = STREAM_TOKENS,
+): Readonly<Record<string, string>> {
   return {
     host: ROUTE_HOST,
     [HEADERS.attemptId]: `attempt-${Math.random()}`,
     [HEADERS.credential]: CALLER_KEY,
-    [HEADERS.tokenCounts]: `0,${STREAM_TOKENS}`,
+    [HEADERS.tokenCounts]: `0,${tokens}`,
   };
 }
 
@@ -285,29 +319,8 @@
   const engines = await Promise.all(
     Array.from({ length: count }, (_, index) => SiteEngine.create(`e${index}`)),
   );
-  const service = { name: "s", "health_path": "/healthz", "max_conns": 40 };
-  const route = { ...ROUTE, "timeout_ms": TIMEOUT_MS };
-  store.put("config", "main", {
-    ...createConfiguration({
-      routes: [
-        {
-          ...route,
-          name: "live",
-          "path_prefix": "/live/",
-          type: "streaming",
-          "target_gap_ms": 120,
-        },
-        { ...route, name: "safe", "path_prefix": "/safe/", type: "idempotent" },
-        {
-          ...route,
-          name: "once",
-          "path_prefix": "/once/",
-          type: "non_idempotent",
-        },
-      ],
-    }),
-    services: [{ ...service, "engine_profile": PROFILE }],
-  });
+  const routes = createRoutes({ timeoutMs: TIMEOUT_MS });
+  store.put("config", "main", createConfigurationOf(routes));
   for (const engine of engines) {
     const spec = engine.createServerSpec({ service: "s" });
     store.put("servers", engine.id, { ...spec, slots });
@@ -321,3 +334,29 @@
   await waitFor(() => entry.hasLogged("targetsChanged"));
   return { store, engine: engines[0]!, engines, entry };
 }
+
+function createRoutes({ timeoutMs }: { readonly timeoutMs: number }) {
+  const route = { ...ROUTE, "timeout_ms": timeoutMs };
+  return [
+    {
+      ...route,
+      name: "live",
+      "path_prefix": "/live/",
+      type: "streaming",
+      "target_gap_ms": 120,
+    },
+    { ...route, name: "safe", "path_prefix": "/safe/", type: "idempotent" },
+    { ...route, name: "once", "path_prefix": "/once/", type: "non_idempotent" },
+  ];
+}
+
+function createConfigurationOf(
+  routes: readonly unknown[],
+  { version = 1 }: { readonly version?: number } = {},
+) {
+  const service = { name: "s", "health_path": "/healthz", "max_conns": 40 };
+  return {
+    ...createConfiguration({ routes, version }),
+    services: [{ ...service, "engine_profile": PROFILE }],
+  };
+}
