Share one budget of memory among the bodies of all requests

Cause: the forwarder kept each body as a list of its pieces, with a bound on the bytes of one body alone. Nothing bounded the sum of all bodies, and a piece of one byte cost an object and an allocation. Each such piece also costs about 1 µs, and Node.js reads a ready socket up to 32 times before it turns to another, so calls beside took 250 to 500 ms and were refused once the configuration's proof had become too old.

A body is now copied into one buffer, and holds room in a budget of a quarter of memory_mb. Without room its socket is not read; after 500 ms without, when the caller stops sending, or at the route's timeout, the request is refused with 503 and Retry-After, which is true since nothing was sent. Bodies of a known length claim all of it before they are read on. Those in chunks grow by doubling, and the oldest can always grow to its end, so bodies that are read in part can't all wait for each other. A quarter of the budget is kept for bodies up to 64 KiB. After 4,096 pieces of under 1 KiB a connection waits for its turn, of which there is one in each turn of the event loop.

The socket is paused, not the request: a paused request is filled up to its high-water mark, in which a chunk counts by its bytes.

--- a/daemon/forward-requests/src/forward_context.ts
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -8,6 +8,7 @@
 import type { TrackedNotices } from "@dandelionbank/track-notices";
 import type { RegisteredTarget } from "@dandelionbank/types";
 import type { CrashMonitor } from "@dandelionbank/watch-suspects";
+import type { BodyIntake } from "./body_intake.ts";
 import type { ForwardMetrics } from "./forward_metrics.ts";
 import type { StreamAdmission } from "./stream_admission.ts";
 import type { TargetPools } from "./target_pools.ts";
@@ -15,6 +16,7 @@
 export interface ForwardContext {
   readonly logger: Logger;
   readonly metrics: ForwardMetrics;
+  readonly bodies: BodyIntake;
   readonly configuration: ActiveConfiguration;
   readonly placement: PlacementState;
   readonly notices: TrackedNotices;
--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -7,17 +7,23 @@
 import { decodeCallerHead } from "@dandelionbank/platform-adapter";
 import { readInstant } from "@dandelionbank/read-instant";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { BodyLimits } from "./body_reader.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import type { ForwardContext } from "./forward_context.ts";
 import { RequestTask } from "./request_task.ts";
 import { estimateLongestRunMs } from "./estimate_run.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import { computeTimeoutMs, type RoutedRequest } from "./routed_request.ts";
 import { type RouteDecision, routeRequest } from "./route_request.ts";
 
 /** `retry-after` of a request that this entry cannot route yet. */
 const UNAVAILABLE_RETRY_MS = 200;
 /** `retry-after` of a request that another entry takes at once. */
 const STOPPING_RETRY_MS = 0;
+/** For requests that come before the first configuration; all are refused. */
+const UNCONFIGURED_LIMITS: BodyLimits = {
+  maxBytes: Number.POSITIVE_INFINITY,
+  idleTimeoutMs: 15_000,
+};
 const STATUS_TOO_LARGE = 413;
 const STATUS_INTERNAL_ERROR = 500;
 
@@ -65,29 +71,52 @@
   handle(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = performance.now();
     const answer = CallerAnswer.create(response, this.#context.isStopping);
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
     request.on("error", () => undefined);
     response.on("error", () => undefined);
-    request.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > this.#maxBodyBytes) return this.#rejectTooLarge(answer);
-      chunks.push(chunk);
-    });
-    request.on("end", () => {
-      if (answer.hasBegun) return;
-      const body = Buffer.concat(chunks);
-      try {
-        this.#serve(request, { response, answer, body, arrivedAtMs });
-      } catch (error) {
-        this.#endFailed(request, { answer, error });
-      }
+    this.#context.bodies.read(request, {
+      limits: this.#bodyLimits,
+      findDeadlineAtMs: () => this.#findDeadlineAtMs(request, arrivedAtMs),
+      onTooLarge: () => this.#rejectTooLarge(answer),
+      onRefused: (retryAfterMs) => answer.refuse(retryAfterMs),
+      onBody: (body, release) => {
+        try {
+          this.#serve(request, {
+            response,
+            answer,
+            body,
+            release,
+            arrivedAtMs,
+          });
+        } catch (error) {
+          release();
+          this.#endFailed(request, { answer, error });
+        }
+      },
     });
   }
 
-  get #maxBodyBytes(): number {
+  get #bodyLimits(): BodyLimits {
     const limits = this.#context.configuration.table?.configuration.limits;
-    return limits?.maxBodyBytes ?? Number.POSITIVE_INFINITY;
+    return {
+      maxBytes: limits?.maxBodyBytes ?? UNCONFIGURED_LIMITS.maxBytes,
+      idleTimeoutMs: limits?.idleTimeoutMs ?? UNCONFIGURED_LIMITS.idleTimeoutMs,
+    };
+  }
+
+  /** Returns when the route's timeout ends a request that is still being read. */
+  #findDeadlineAtMs(
+    { headers, url }: IncomingMessage,
+    arrivedAtMs: number,
+  ): number {
+    const head = decodeCallerHead(headers);
+    const decision = routeRequest(this.#context.configuration, {
+      head,
+      target: url ?? "/",
+      now: readInstant(),
+    });
+    return decision.kind === "routed"
+      ? arrivedAtMs + computeTimeoutMs({ head, route: decision.route })
+      : Number.POSITIVE_INFINITY;
   }
 
   #rejectTooLarge(answer: CallerAnswer): void {
@@ -115,10 +144,12 @@
 
   #serve(
     message: IncomingMessage,
-    { response, answer, body, arrivedAtMs }: {
+    { response, answer, body, release, arrivedAtMs }: {
       readonly response: ServerResponse;
       readonly answer: CallerAnswer;
       readonly body: Buffer;
+      /** To be called once the body is no longer needed. */
+      readonly release: () => void;
       readonly arrivedAtMs: number;
     },
   ): void {
@@ -140,6 +171,7 @@
         version: context.configuration.table?.configuration.version,
         proofAgeMs: Math.round(computeProofAgeMs(context.configuration, now)),
       });
+      release();
       if (decision.kind === "denied") answer.sendFinal({ status });
       else answer.refuse(this.#unavailableRetryMs);
       return;
@@ -148,7 +180,10 @@
     const task = RequestTask.start(context, {
       id: String(this.#lastId),
       answer,
-      onEnd: (ended) => this.#tasks.delete(ended),
+      onEnd: (ended) => {
+        this.#tasks.delete(ended);
+        release();
+      },
       request: {
         head,
         method: message.method ?? "GET",
--- a/daemon/forward-requests/src/mod.ts
+++ b/daemon/forward-requests/src/mod.ts
@@ -4,6 +4,8 @@
  * `route-requests` instead.
  */
 
+export { BodyIntake } from "./body_intake.ts";
+export type { BodyIntakeOptions } from "./body_intake.ts";
 export type { ForwardContext } from "./forward_context.ts";
 export { ForwardMetrics } from "./forward_metrics.ts";
 export { Forwarder } from "./forwarder.ts";
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -19,6 +19,7 @@
   sumActiveRequests,
 } from "@dandelionbank/track-entries";
 import {
+  BodyIntake,
   type ForwardContext,
   Forwarder,
   ForwardMetrics,
@@ -59,7 +60,10 @@
 
 /** Duration of one watch call, as a fraction of the bound on key revocation. */
 const WATCH_WAIT_FRACTION = 0.3;
-/** Interval at which targets are expired and waiting streams reconsidered. */
+/**
+ * Interval at which targets are expired, and waiting streams and bodies
+ * reconsidered.
+ */
 const REFRESH_INTERVAL_MS = 50;
 /** How long callers may cache the directory's answer. */
 const DIRECTORY_TTL_MS = 2_000;
@@ -69,6 +73,14 @@
 const STOP_POLL_MS = 50;
 /** Time for servers to close once nothing runs any more. */
 const CLOSE_TIMEOUT_MS = 300;
+/**
+ * Part of the process's memory for the bodies of requests. Released bodies that
+ * are not collected yet may take as much again, and half remains for the runtime
+ * and its heap, which are outside this budget.
+ */
+const BODY_MEMORY_FRACTION = 0.25;
+/** Memory of a process whose settings state none. */
+const DEFAULT_MEMORY_BYTES = 256_000_000;
 
 export interface IngressOptions {
   readonly settings: BootSettings;
@@ -90,6 +102,7 @@
   readonly #client: StoreClient;
   readonly #forwarder: Forwarder;
   readonly #admission: StreamAdmission;
+  readonly #bodies: BodyIntake;
   readonly #targets: TargetView;
   readonly #notices: TrackedNotices;
   readonly #exchange: StatusExchange;
@@ -161,6 +174,12 @@
     this.#admission = StreamAdmission.create({
       readLoad: (service, runMs) => this.#readLoad(service, runMs),
     });
+    const memoryBytes = settings.memoryBytes ?? DEFAULT_MEMORY_BYTES;
+    this.#bodies = BodyIntake.create({
+      logger,
+      registry,
+      totalBytes: memoryBytes * BODY_MEMORY_FRACTION,
+    });
     const context: ForwardContext = {
       logger,
       metrics: ForwardMetrics.create({
@@ -168,6 +187,7 @@
         countNotices: () => this.#notices.countByKind(performance.now()),
         meter: pools.meter,
       }),
+      bodies: this.#bodies,
       configuration: this.#configuration,
       placement,
       notices: this.#notices,
@@ -292,8 +312,9 @@
     try {
       this.#targets.expireTargets();
       this.#admission.updateLoads();
+      this.#bodies.expire();
     } catch (error) {
-      this.#logError("refresh of targets and admission", error);
+      this.#logError("refresh of targets, admission and bodies", error);
     }
   }
 
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -90,6 +90,14 @@
     help:
       "Check the route, the API key and the time since the configuration was confirmed",
   },
+  bodyRefused: {
+    id: 10040,
+    level: "info",
+    text:
+      "Request {requestId} was refused with {receivedBytes} of {sizeBytes} bytes of its body received after {elapsedMs} ms: {reason}; bodies hold {heldBytes} of {budgetBytes} bytes, {waiting} wait; the caller may return in {retryAfterMs} ms",
+    help:
+      "full: more is uploaded than fits into memory; add entries or memory. stalled: the caller has stopped sending. late: the route's timeout has passed",
+  },
   streamAdmitted: {
     id: 10022,
     level: "debug",
--- a/testing/run-entry/src/entry_program.ts
+++ b/testing/run-entry/src/entry_program.ts
@@ -4,6 +4,7 @@
 import { ChildProgram } from "@dandelionbank/run-site";
 import type { SiteStore } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -18,6 +19,7 @@
 } from "./run_entry.ts";
 
 const SCRIPT = "daemon/platform-node/dist/main.js";
+const BYTES_PER_KIB = 1_024;
 /** Long enough for a start while the store is unavailable for some seconds. */
 const START_TIMEOUT_MS = 20_000;
 
@@ -96,6 +98,14 @@
     return this.#program?.isRunning ?? false;
   }
 
+  /** The most memory that the process has had resident so far. */
+  readPeakResidentBytes(): number {
+    const status = readFileSync(`/proc/${this.pid}/status`, "utf8");
+    const match = /^VmHWM:\s+(\d+) kB$/m.exec(status);
+    assert.ok(match, "the process status has no peak of resident memory");
+    return Number(match[1]) * BYTES_PER_KIB;
+  }
+
   /** The output of all its processes, in order. */
   get loggedLines(): readonly string[] {
     return [...this.#earlierLines, ...this.#program?.lines ?? []];
--- a/testing/run-entry/src/run_entry.ts
+++ b/testing/run-entry/src/run_entry.ts
@@ -167,6 +167,7 @@
 
 const DEFAULT_SETTINGS = {
   zone: "a",
+  "limits.memory_mb": "350",
   "bounds.grace_s": "8",
   "bounds.config_apply_ms": "1000",
   "bounds.revoke_ms": "2000",
