Collect bodies of callers and peers in one buffer instead of lists

They use ByteCollector now, which copies pieces into one buffer. node scripts/run_tests.mjs read_body: failed before (120,100,877 bytes kept, 20 million allowed), passes now. Calls and attempts of peers and the tool's input have no such test of their own; their existing tests pass.

--- a/cli/dandelionbank/src/tool_context.ts
+++ b/cli/dandelionbank/src/tool_context.ts
@@ -1,5 +1,6 @@
 /** The context of a command: settings, input and output. */
 
+import { ByteCollector } from "@dandelionbank/collect-bytes";
 import { randomUUID } from "node:crypto";
 import { OperatorClient } from "./operator_client.ts";
 import { readToolSettings, type SettingArguments } from "./tool_settings.ts";
@@ -63,10 +64,10 @@
   }
 
   async readInput(): Promise<string> {
-    const chunks: Uint8Array[] = [];
+    const collector = ByteCollector.create();
     for await (const chunk of this.#process.input) {
-      chunks.push(typeof chunk === "string" ? Buffer.from(chunk) : chunk);
+      collector.add(typeof chunk === "string" ? Buffer.from(chunk) : chunk);
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return collector.take().toString("utf8");
   }
 }
--- a/daemon/serve-callers/src/read_body.ts
+++ b/daemon/serve-callers/src/read_body.ts
@@ -1,5 +1,6 @@
 /** Reads a request body up to a size limit. */
 
+import { ByteCollector } from "@dandelionbank/collect-bytes";
 import type { IncomingMessage } from "node:http";
 
 export type BodyResult =
@@ -12,21 +13,18 @@
   limitBytes: number,
 ): Promise<BodyResult> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const collector = ByteCollector.create({ expectedBytes: limitBytes });
     let sizeBytes = 0;
     request.on("data", (chunk: Buffer) => {
       sizeBytes += chunk.length;
       if (sizeBytes > limitBytes) {
-        chunks.length = 0;
+        collector.clear();
         resolve({ kind: "tooLarge" });
         return;
       }
-      chunks.push(chunk);
+      collector.add(chunk);
     });
-    request.on(
-      "end",
-      () => resolve({ kind: "ok", body: Buffer.concat(chunks) }),
-    );
+    request.on("end", () => resolve({ kind: "ok", body: collector.take() }));
     request.on("error", () => resolve({ kind: "aborted" }));
     request.on("close", () => resolve({ kind: "aborted" }));
   });
--- a/peers/serve-peers/src/peer_server.ts
+++ b/peers/serve-peers/src/peer_server.ts
@@ -5,6 +5,7 @@
 
 import { encodeFrame, parseMessage } from "@dandelionbank/attempt-codec";
 import { isSameSecret, readBearerKey } from "@dandelionbank/check-credential";
+import { ByteCollector } from "@dandelionbank/collect-bytes";
 import { HttpListener } from "@dandelionbank/listen-http";
 import type { TlsMaterial } from "@dandelionbank/load-tls";
 import { MAX_BODY_LIMIT_BYTES } from "@dandelionbank/parse-objects";
@@ -112,15 +113,17 @@
   }
 
   #readAttempt(request: IncomingMessage, response: ServerResponse): void {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    const collector = ByteCollector.create({
+      expectedBytes: MAX_ATTEMPT_BYTES,
+    });
     request.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > MAX_ATTEMPT_BYTES) request.destroy();
-      else chunks.push(chunk);
+      const isTooLong = collector.lengthBytes + chunk.length >
+        MAX_ATTEMPT_BYTES;
+      if (isTooLong) request.destroy();
+      else collector.add(chunk);
     });
     request.on("end", () => {
-      const attempt = parseAttempt(Buffer.concat(chunks));
+      const attempt = parseAttempt(collector.take());
       if (attempt === undefined) {
         response.writeHead(400).end();
         return;
--- a/peers/trpc-over-http/src/serve_call.ts
+++ b/peers/trpc-over-http/src/serve_call.ts
@@ -5,6 +5,7 @@
  * sends one JSON value and receives one.
  */
 
+import { ByteCollector } from "@dandelionbank/collect-bytes";
 import {
   type AnyRouter,
   callTRPCProcedure,
@@ -125,14 +126,12 @@
 }
 
 async function readBody(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
+  const collector = ByteCollector.create({ expectedBytes: MAX_BODY_BYTES });
   for await (const chunk of request as AsyncIterable<Buffer>) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > MAX_BODY_BYTES) {
+    if (collector.lengthBytes + chunk.length > MAX_BODY_BYTES) {
       throw new TRPCError({ code: "PAYLOAD_TOO_LARGE" });
     }
-    chunks.push(chunk);
+    collector.add(chunk);
   }
-  return Buffer.concat(chunks).toString("utf8");
+  return collector.take().toString("utf8");
 }
