Refuse requests whose body is not whole at their deadline

A caller that stopped, or sent slowly, in the middle of a body got no answer at its route's timeout (CONFIG counts such requests): the deadline was set only for bodies over 64 KiB, and before the budget of bodies for none. It was 15 s, the idle timeout, where the timeout was 2 s.

Each body that is still read when the intake next checks, 50 ms later at most, now gets its route's deadline, and is refused with 503 at that time; it has not run. uploads_test, "A body that is not whole at the route's timeout is refused by then": 15,025 ms before, where 2,500 are allowed; passes now.

--- a/daemon/forward-requests/src/body_intake.ts
+++ b/daemon/forward-requests/src/body_intake.ts
@@ -118,7 +118,6 @@
       id,
       memory: this.#memory,
       limits,
-      smallBytes: SMALL_BYTES,
       findDeadlineAtMs,
       onBody: (body) => {
         this.#readers.delete(id);
@@ -139,8 +138,9 @@
     reader.start();
   }
 
-  /** Ends what has waited or stalled too long; to be called at intervals. */
+  /** Ends what is late, or waits or stalls too long; to be called at intervals. */
   expire(): void {
+    for (const reader of this.#readers.values()) reader.ensureDeadline();
     const { granted, refused } = this.#memory.expire(performance.now());
     for (const { id, reason } of refused) this.#readers.get(id)?.refuse(reason);
     this.#resume(granted);
--- a/daemon/forward-requests/src/body_reader.ts
+++ b/daemon/forward-requests/src/body_reader.ts
@@ -18,8 +18,6 @@
   readonly id: number;
   readonly memory: BodyMemory;
   readonly limits: BodyLimits;
-  /** Bodies up to this size are never late, as they arrive at once. */
-  readonly smallBytes: number;
   /** Returns the time by which the request has to end. */
   readonly findDeadlineAtMs: () => number;
   readonly onBody: (body: Buffer) => void;
@@ -53,6 +51,7 @@
   #isWaitingForRoom = false;
   #isYielding = false;
   #isPausePending = false;
+  #hasDeadline = false;
 
   private constructor(request: IncomingMessage, options: BodyReaderOptions) {
     this.#request = request;
@@ -118,6 +117,14 @@
     this.#resumeSocket();
   }
 
+  /** Sets the deadline, which most bodies arrive too soon to need. */
+  ensureDeadline(): void {
+    if (this.#hasDeadline) return;
+    this.#hasDeadline = true;
+    const { id, memory, findDeadlineAtMs } = this.#options;
+    memory.setDeadline(id, findDeadlineAtMs());
+  }
+
   /**
    * Ends the request without its body. The rest is read and dropped: closing a
    * connection with unread bytes resets it, and the caller might lose the answer.
@@ -159,8 +166,7 @@
   }
 
   #claim(bytes: number): void {
-    const { id, memory, smallBytes, findDeadlineAtMs } = this.#options;
-    if (bytes > smallBytes) memory.setDeadline(id, findDeadlineAtMs());
+    const { id, memory } = this.#options;
     switch (memory.claim(id, bytes, performance.now())) {
       case "granted":
         this.#roomBytes = bytes;
--- a/testing/ingress-tests/src/uploads_test.ts
+++ b/testing/ingress-tests/src/uploads_test.ts
@@ -15,6 +15,7 @@
 import { HEADERS } from "@dandelionbank/platform-adapter";
 import { SiteEngine, SiteStore } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
@@ -68,6 +69,19 @@
   assertWithinMemory(entry);
 });
 
+test("A body that is not whole at the route's timeout is refused by then", async (t) => {
+  const entry = await startEntry(t);
+  const startedMs = performance.now();
+  const status = await upload(entry, 0, async (socket) => {
+    await write(socket, "content-length: 2\r\n\r\nx");
+    await once(socket, "close");
+  }, "/safe/a");
+  assert.equal(status, 503);
+  const elapsedMs = performance.now() - startedMs;
+  // The users' pages allow half a second beyond the timeout.
+  assert.ok(elapsedMs < ROUTE["timeout_ms"] + 500, `${elapsedMs} ms`);
+});
+
 async function startEntry(t: TestContext): Promise<EntryProgram> {
   const store = await SiteStore.create();
   t.after(() => store.close());
@@ -113,6 +127,7 @@
   { settings }: EntryProgram,
   index: number,
   sendBody: (socket: Socket) => Promise<void>,
+  path = "/once/a",
 ): Promise<number> {
   const { host, port } = settings.callers!;
   const socket = connect({ host, port });
@@ -124,7 +139,7 @@
     socket.on("close", () => resolve());
   });
   const fields = [
-    "POST /once/a HTTP/1.1",
+    `POST ${path} HTTP/1.1`,
     `host: ${ROUTE_HOST}`,
     `${HEADERS.attemptId}: upload-${index}`,
     `${HEADERS.credential}: ${CALLER_KEY}`,
