Parse nothing more of a connection that has been closed

Traced by the entry's log and a profile: the event loop stood for 1.9 s, so that calls to the store timed out and the configuration was no longer confirmed. Of 2.3 s, 1.6 s went into errors of undici: beyond 16 KiB of a head it destroys the socket, and then goes on to parse what the socket still holds, with an error and its stack for each field.

Reads of a destroyed socket return nothing now, and 1 KiB is parsed at a time while no handler is called, so that few fields follow the one that is too many.

--- a/foundation/open-http/src/connection_reads.ts
+++ b/foundation/open-http/src/connection_reads.ts
@@ -20,6 +20,11 @@
 const MAX_UNHANDLED_BYTES = 65_536;
 /** Bytes that are parsed at a time: a pause takes effect after them. */
 const MAX_READ_BYTES = 16_384;
+/**
+ * The same, while no handler is called. Beyond the largest head, undici creates an
+ * error for each field that is left to be parsed.
+ */
+const MAX_UNHANDLED_READ_BYTES = 1_024;
 
 interface Connection {
   isPaused: boolean;
@@ -86,12 +91,18 @@
     socket.read = (size?: number) => {
       // Node.js itself calls `read(0)`, which returns nothing, to fill its buffer.
       if (size === 0) return read(0);
-      if (connection.isPaused) return null;
+      // undici would go on to parse what a connection that it has closed still holds.
+      if (connection.isPaused || socket.destroyed) return null;
       if (connection.unhandledBytes > MAX_UNHANDLED_BYTES) {
         socket.destroy(describeOverflow(connection));
         return null;
       }
-      const bytes = readPart(socket, read);
+      const limitBytes = connection.unhandledBytes === 0
+        ? MAX_READ_BYTES
+        : MAX_UNHANDLED_READ_BYTES;
+      const sizeBytes = Math.min(socket.readableLength, limitBytes);
+      // Without any bytes, `read` notices the end of the connection.
+      const bytes: Buffer | null = sizeBytes === 0 ? read() : read(sizeBytes);
       if (bytes === null) return null;
       this.#latest = socket;
       this.#meter.recordReceived(bytes.length);
@@ -101,12 +112,6 @@
   }
 }
 
-function readPart(socket: Socket, read: Socket["read"]): Buffer | null {
-  const sizeBytes = Math.min(socket.readableLength, MAX_READ_BYTES);
-  // Without any bytes, `read` notices the end of the connection.
-  return sizeBytes === 0 ? read() : read(sizeBytes);
-}
-
 function describeOverflow({ unhandledBytes }: Connection): Error {
   return new Error(
     `${unhandledBytes} bytes that are no part of an answer; the limit is ${MAX_UNHANDLED_BYTES}`,
