Adopt only quarantined objects whose names are ids of prompt parts

Entries ended at each start, with URIError, as long as the store held an expired object of kind quarantined-parts whose name has half of a surrogate pair. With a name of 70,000 characters that had not expired, entries lost each other: each adopted it and listed it in its status, which then exceeded a datagram (entryLost, 10009), so that the directory of each offered only itself.

Cause: the names of these objects were taken for ids of parts as they came. encodeURIComponent throws on half of a pair, outside the try of the client's call and in a task that nothing awaits.

Change: only names that a request can give a part are adopted; of the others, only those that are plain in a URL are removed. The path of an object is made of well-formed text.

--- a/daemon/serve-ingress/src/quarantined_parts_store.ts
+++ b/daemon/serve-ingress/src/quarantined_parts_store.ts
@@ -7,6 +7,7 @@
  */
 
 import {
+  isPromptPart,
   KINDS,
   type StoreClient,
   type StoredItem,
@@ -15,6 +16,8 @@
 import { QUARANTINE_MS } from "@dandelionbank/watch-suspects";
 import { retryCall } from "./retry_call.ts";
 
+/** Names of objects to remove; another writer's may mean another path in a URL. */
+const REMOVABLE_NAME = /^[\w-]{1,64}$/;
 /** A stored time that differs less is not written again. */
 const MIN_CHANGE_MS = 60_000;
 
@@ -39,7 +42,7 @@
     return new QuarantinedPartsStore(options);
   }
 
-  /** Reads the parts that are refused now, and removes those that no longer are. */
+  /** Reads the parts that are refused now, and removes other objects. */
   async load(): Promise<readonly QuarantinedPart[]> {
     const { client, isStopped } = this.#options;
     const items = await retryCall(async () => {
@@ -47,10 +50,11 @@
       return result.kind === "ok" ? result.value.items : undefined;
     }, isStopped);
     const nowMs = Date.now();
-    const isExpired = (item: StoredItem) => (readEnd(item) ?? 0) <= nowMs;
-    void this.#removeAll((items ?? []).filter(isExpired));
+    const isRefused = (item: StoredItem) =>
+      isPromptPart(item.name) && (readEnd(item) ?? 0) > nowMs;
+    void this.#removeAll((items ?? []).filter((item) => !isRefused(item)));
     return (items ?? [])
-      .filter((item) => !isExpired(item))
+      .filter(isRefused)
       .map((item) => ({
         part: item.name,
         remainingMs: Math.min(readEnd(item)! - nowMs, QUARANTINE_MS),
@@ -61,6 +65,7 @@
   async #removeAll(items: readonly StoredItem[]): Promise<void> {
     const { client } = this.#options;
     for (const item of items) {
+      if (!REMOVABLE_NAME.test(item.name)) continue;
       await client.remove(KINDS.quarantinedParts, item);
     }
   }
--- a/testing/ingress-tests/src/quarantined_parts_test.ts
+++ b/testing/ingress-tests/src/quarantined_parts_test.ts
@@ -18,6 +18,8 @@
 const WRITTEN_MS = 1_500;
 /** Less than the timeout of a call to the store. */
 const ADOPTION_MS = 1_000;
+/** Time without a status after which an entry is lost, and a margin. */
+const SILENCE_MS = 2_000;
 
 test("An entry refuses the prompt parts that the store holds, and removes those that have expired", async (t) => {
   const { store } = await startStore(t);
@@ -70,6 +72,39 @@
   });
 });
 
+// Guards against entries that end at each start, as the name of an object cannot be
+// part of a path.
+test("An expired object whose name cannot be part of a path ends no entry", async (t) => {
+  const { store } = await startStore(t);
+  put(store, "\ud800", -1);
+  put(store, PART, REMAINING_MS);
+  const entry = await EntryProgram.start(t, { store, number: 1 });
+  await delay(ADOPTION_MS);
+  assert.ok(entry.isRunning, entry.loggedLines.slice(-8).join("\n"));
+});
+
+// Guards against entries that lose each other, as a status that lists the name of
+// such an object is too long for a datagram.
+test("An object whose name is no prompt part is not adopted", async (t) => {
+  const { store } = await startStore(t);
+  const names = ["\ud800", "a".repeat(70_000), "", "Bad", "a,b", "__proto__"];
+  for (const name of names) put(store, name, REMAINING_MS);
+  put(store, PART, REMAINING_MS);
+  const entries = await Promise.all(
+    [1, 2].map((number) => EntryProgram.start(t, { store, number })),
+  );
+  for (const entry of entries) {
+    await waitFor(() => entry.hasLogged("promptPartQuarantineAdopted"));
+  }
+  await delay(SILENCE_MS);
+  for (const entry of entries) {
+    assert.ok(entry.hasLogged("entryHeard"));
+    assert.ok(!entry.hasLogged("entryLost"));
+    assert.equal((await callWithPart(entry, PART)).status, 503);
+    assert.equal((await callWithPart(entry, EXPIRED_PART)).status, 200);
+  }
+});
+
 async function startStore(t: TestContext): Promise<{ store: SiteStore }> {
   const store = await SiteStore.create();
   const engine = await SiteEngine.create("e1");
