Let the stand-in of the store send any text as a value

Another writer's entries may be nested too deeply for JSON.stringify, hold numbers that are too large, or be no JSON. Used by the tests of odd entries that follow.

--- a/testing/standin-site/src/site_store.ts
+++ b/testing/standin-site/src/site_store.ts
@@ -8,6 +8,7 @@
   type ServerResponse,
 } from "node:http";
 import { HEADERS } from "@dandelionbank/platform-adapter";
+import { encodeJson, JsonText } from "@dandelionbank/standin-common";
 import { listenOnLoopback, readLoopbackAddress } from "./listen_on_loopback.ts";
 
 interface StoredObject {
@@ -90,6 +91,11 @@
     this.#write({ kind, name, spec, isDeleted: false });
   }
 
+  /** Writes a `spec` whose JSON is sent as it is, also if it is invalid. */
+  putText(kind: string, name: string, text: string): void {
+    this.put(kind, name, new JsonText(text));
+  }
+
   remove(kind: string, name: string): void {
     this.#write({ kind, name, spec: undefined, isDeleted: true });
   }
@@ -322,7 +328,7 @@
   status: number,
   value: unknown,
 ): void {
-  const text = JSON.stringify(value);
+  const text = encodeJson(value);
   response.writeHead(status, {
     "content-type": "application/json",
     "content-length": Buffer.byteLength(text),
