--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -5,6 +5,7 @@
  * that resumes it continues after the last complete event.
  */
 
+import { ByteCollector } from "@dandelionbank/collect-bytes";
 import { type BodyFraming, readBodyFraming } from "@dandelionbank/open-http";
 import {
   type AnswerHead,
@@ -18,6 +19,8 @@
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** A longer event of a stream is no answer; events hold a few tokens. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Pieces of an event beyond which it is no answer. */
+const MAX_EVENT_PIECES = 4_096;
 
 export interface AnswerRelayOptions {
   readonly answer: CallerAnswer;
@@ -35,8 +38,7 @@
 export class AnswerRelay {
   readonly #answer: CallerAnswer;
   readonly #isStream: boolean;
-  readonly #chunks: Buffer[] = [];
-  #bufferedBytes = 0;
+  readonly #buffered = ByteCollector.create();
   #splitter = EventSplitter.create();
   #hasEvent = false;
   #lastEventId: string | undefined;
@@ -92,21 +94,23 @@
       this.#write(chunk, source);
       return true;
     }
-    this.#chunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= MAX_BUFFERED_BYTES) return true;
+    this.#buffered.add(chunk);
+    if (this.#buffered.lengthBytes <= MAX_BUFFERED_BYTES) return true;
     this.#start();
-    for (const buffered of this.#chunks.splice(0)) {
-      this.#write(buffered, source);
-    }
+    this.#write(this.#buffered.take(), source);
     return true;
   }
 
   /** Returns why no more bytes are taken from the target, if none are. */
   findOverflow(): string | undefined {
-    return this.unfinishedBytes > MAX_EVENT_BYTES
-      ? `event of ${this.unfinishedBytes} bytes without an end; the limit is ${MAX_EVENT_BYTES}`
-      : undefined;
+    const { pendingBytes, pendingPieces } = this.#splitter;
+    if (pendingBytes > MAX_EVENT_BYTES) {
+      return `event of ${pendingBytes} bytes without an end; the limit is ${MAX_EVENT_BYTES}`;
+    }
+    if (pendingPieces > MAX_EVENT_PIECES) {
+      return `event in ${pendingPieces} pieces without an end; the limit is ${MAX_EVENT_PIECES}`;
+    }
+    return undefined;
   }
 
   /**
@@ -133,7 +137,7 @@
       this.#answer.sendFinal({
         status: this.#status,
         headers: encodeAnswerHeaders(this.#fields),
-        body: Buffer.concat(this.#chunks),
+        body: this.#buffered.take(),
       });
       return;
     }
@@ -143,8 +147,7 @@
   /** Discards the part of an incomplete answer that was not yet forwarded. */
   discardIncomplete(): void {
     this.#splitter = EventSplitter.create();
-    this.#chunks.length = 0;
-    this.#bufferedBytes = 0;
+    this.#buffered.clear();
   }
 
   #handleEvents(chunk: Buffer, source: RelaySource | undefined): boolean {
--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -5,6 +5,7 @@
  * to requests that it ran carry a seal header.
  */
 
+import { ByteCollector } from "@dandelionbank/collect-bytes";
 import type { HttpPool, RequestHandle } from "@dandelionbank/open-http";
 import {
   type AnswerHead,
@@ -67,6 +68,8 @@
 const STATUS_MISDIRECTED = 421;
 /** Error responses are short texts; a longer one is treated as broken. */
 const MAX_ERROR_BYTES = 1_048_576;
+/** Pieces of an error response beyond which it is no answer. */
+const MAX_ERROR_PIECES = 4_096;
 
 export class Attempt {
   readonly #request: AttemptRequest;
@@ -74,8 +77,8 @@
   #running: RequestHandle | undefined;
   #head: AnswerHead | undefined;
   #fields: HeaderFields = {};
-  #errorChunks: Buffer[] = [];
-  #errorBytes = 0;
+  readonly #errorBody = ByteCollector.create();
+  #errorPieces = 0;
   #isSuccess = false;
   #hasEnded = false;
 
@@ -145,8 +148,13 @@
     this.#head = head;
     this.#fields = fields;
     const { attemptId } = this.#request;
-    if (head.attemptId !== undefined && head.attemptId !== attemptId) {
-      this.abort("broken", "answer belongs to another attempt id");
+    if (head.attemptId !== attemptId) {
+      this.abort(
+        "broken",
+        head.attemptId === undefined
+          ? "answer without an attempt id"
+          : "answer belongs to another attempt id",
+      );
       return;
     }
     if (status !== STATUS_MISDIRECTED) this.#listener.onHead(head);
@@ -169,12 +177,15 @@
       this.#listener.onData(chunk);
       return;
     }
-    this.#errorBytes += chunk.length;
-    if (this.#errorBytes > MAX_ERROR_BYTES) {
-      this.abort("broken", "error response too long");
-      return;
+    this.#errorBody.add(chunk);
+    this.#errorPieces += 1;
+    const { lengthBytes } = this.#errorBody;
+    if (lengthBytes > MAX_ERROR_BYTES || this.#errorPieces > MAX_ERROR_PIECES) {
+      this.abort(
+        "broken",
+        `error response of ${lengthBytes} bytes in ${this.#errorPieces} pieces without an end`,
+      );
     }
-    this.#errorChunks.push(chunk);
   }
 
   #handleEnd(): void {
@@ -215,7 +226,7 @@
         ? {
           status: head.status,
           fields: this.#fields,
-          body: Buffer.concat(this.#errorChunks),
+          body: this.#errorBody.take(),
         }
         : undefined,
     });
--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -7,53 +7,62 @@
 import { decodeCallerHead } from "@dandelionbank/platform-adapter";
 import { readInstant } from "@dandelionbank/read-instant";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { BodyLimits } from "./body_reader.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import { PipelinedAnswers } from "./pipelined_answers.ts";
 import { RequestTask } from "./request_task.ts";
-import { estimateLongestRunMs } from "./estimate_run.ts";
-import type { RoutedRequest } from "./routed_request.ts";
+import { computeTimeoutMs, type RoutedRequest } from "./routed_request.ts";
 import { type RouteDecision, routeRequest } from "./route_request.ts";
-
-/** `retry-after` of a request that this entry cannot route yet. */
-const UNAVAILABLE_RETRY_MS = 200;
-/** `retry-after` of a request that another entry takes at once. */
-const STOPPING_RETRY_MS = 0;
+import { SlowdownTracker } from "./slowdown_tracker.ts";
+import { StopCheck } from "./stop_check.ts";
+
+/** For requests that come before the first configuration; all are refused. */
+const UNCONFIGURED_LIMITS: BodyLimits = {
+  maxBytes: Number.POSITIVE_INFINITY,
+  idleTimeoutMs: 15_000,
+};
 const STATUS_TOO_LARGE = 413;
 const STATUS_INTERNAL_ERROR = 500;
 
 export class Forwarder {
   readonly #context: ForwardContext;
   readonly #tasks = new Set<RequestTask>();
+  readonly #pipelinedAnswers = PipelinedAnswers.create();
+  readonly #stopCheck: StopCheck;
+  readonly #slowdowns = SlowdownTracker.create();
   #lastId = 0;
-  /** When accepted requests have to end; undefined unless the entry stops. */
-  #endAtMs: number | undefined;
 
   private constructor(context: ForwardContext) {
+    const { configuration, countEntries } = context;
     this.#context = context;
+    this.#stopCheck = StopCheck.create({
+      countEntries,
+      readConditions: (service) => ({
+        profile: configuration.table?.configuration.services.get(service)
+          ?.engine,
+        slowdown: this.#readSlowdown(service),
+      }),
+    });
   }
 
   static create(context: ForwardContext): Forwarder {
     return new Forwarder(context);
   }
 
-  /** Number of requests in progress. */
-  get activeCount(): number {
-    return this.#tasks.size;
-  }
-
-  /** Refuses, as not run, every further request that may not end by then. */
+  /** Refuses, as not run, every request that may not end by then. */
   refuseLongRequests(endAtMs: number): void {
-    this.#endAtMs = endAtMs;
+    this.#stopCheck.begin(endAtMs);
   }
 
   /** Refuses every further request as not run. */
   refuseNewRequests(): void {
-    this.#endAtMs = performance.now();
+    this.#stopCheck.endAccepting();
   }
 
-  /** Cuts the streams that their callers can resume at another entry. */
-  cutResumableStreams(): void {
-    for (const task of [...this.#tasks]) task.cutForResume();
+  /** Ends all requests, with an answer where none has begun. */
+  endRequests(): void {
+    for (const task of [...this.#tasks]) task.endForStop();
   }
 
   /** Ends the requests that have been quarantined since they began. */
@@ -64,30 +73,58 @@
   /** Reads the request's body, and then answers or starts the request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = performance.now();
-    const answer = CallerAnswer.create(response, this.#context.isStopping);
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
+    if (!this.#pipelinedAnswers.add(request, response)) return;
+    const answer = CallerAnswer.create(
+      response,
+      () =>
+        this.#context.isStopping() && this.#pipelinedAnswers.isLatest(response),
+    );
     request.on("error", () => undefined);
     response.on("error", () => undefined);
-    request.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > this.#maxBodyBytes) return this.#rejectTooLarge(answer);
-      chunks.push(chunk);
-    });
-    request.on("end", () => {
-      if (answer.hasBegun) return;
-      const body = Buffer.concat(chunks);
-      try {
-        this.#serve(request, { response, answer, body, arrivedAtMs });
-      } catch (error) {
-        this.#endFailed(request, { answer, error });
-      }
+    this.#context.bodies.read(request, {
+      limits: this.#bodyLimits,
+      findDeadlineAtMs: () => this.#findDeadlineAtMs(request, arrivedAtMs),
+      onTooLarge: () => this.#rejectTooLarge(answer),
+      onRefused: (retryAfterMs) => answer.refuse(retryAfterMs),
+      onBody: (body, release) => {
+        try {
+          this.#serve(request, {
+            response,
+            answer,
+            body,
+            release,
+            arrivedAtMs,
+          });
+        } catch (error) {
+          release();
+          this.#endFailed(request, { answer, error });
+        }
+      },
     });
   }
 
-  get #maxBodyBytes(): number {
+  get #bodyLimits(): BodyLimits {
     const limits = this.#context.configuration.table?.configuration.limits;
-    return limits?.maxBodyBytes ?? Number.POSITIVE_INFINITY;
+    return {
+      maxBytes: limits?.maxBodyBytes ?? UNCONFIGURED_LIMITS.maxBytes,
+      idleTimeoutMs: limits?.idleTimeoutMs ?? UNCONFIGURED_LIMITS.idleTimeoutMs,
+    };
+  }
+
+  /** Returns when the route's timeout ends a request that is still being read. */
+  #findDeadlineAtMs(
+    { headers, url }: IncomingMessage,
+    arrivedAtMs: number,
+  ): number {
+    const head = decodeCallerHead(headers);
+    const decision = routeRequest(this.#context.configuration, {
+      head,
+      target: url ?? "/",
+      now: readInstant(),
+    });
+    return decision.kind === "routed"
+      ? arrivedAtMs + computeTimeoutMs({ head, route: decision.route })
+      : Number.POSITIVE_INFINITY;
   }
 
   #rejectTooLarge(answer: CallerAnswer): void {
@@ -115,10 +152,12 @@
 
   #serve(
     message: IncomingMessage,
-    { response, answer, body, arrivedAtMs }: {
+    { response, answer, body, release, arrivedAtMs }: {
       readonly response: ServerResponse;
       readonly answer: CallerAnswer;
       readonly body: Buffer;
+      /** To be called once the body is no longer needed. */
+      readonly release: () => void;
       readonly arrivedAtMs: number;
     },
   ): void {
@@ -140,15 +179,20 @@
         version: context.configuration.table?.configuration.version,
         proofAgeMs: Math.round(computeProofAgeMs(context.configuration, now)),
       });
+      release();
       if (decision.kind === "denied") answer.sendFinal({ status });
-      else answer.refuse(this.#unavailableRetryMs);
+      else answer.refuse(this.#stopCheck.retryAfterMs);
       return;
     }
     this.#lastId += 1;
     const task = RequestTask.start(context, {
       id: String(this.#lastId),
       answer,
-      onEnd: (ended) => this.#tasks.delete(ended),
+      stopCheck: this.#stopCheck,
+      onEnd: (ended) => {
+        this.#removeTask(ended);
+        release();
+      },
       request: {
         head,
         method: message.method ?? "GET",
@@ -166,32 +210,29 @@
     response.on("close", () => task.handleCallerDisconnect());
   }
 
+  #removeTask(task: RequestTask): void {
+    this.#tasks.delete(task);
+    const { service, slowdown } = task;
+    this.#slowdowns.record(service, slowdown, performance.now());
+  }
+
+  /** Returns how much slower than expected a service's requests ran, or run. */
+  #readSlowdown(service: string): number {
+    const running = [...this.#tasks].filter((task) => task.service === service);
+    return Math.max(
+      this.#slowdowns.readLargest(service, performance.now()),
+      ...running.map(({ slowdown }) => slowdown),
+    );
+  }
+
   /** Refuses a routed request that may still run when the entry ends. */
   #checkStop(
     decision: RouteDecision,
     { head, arrivedAtMs }: Pick<RoutedRequest, "head" | "arrivedAtMs">,
   ): RouteDecision {
-    if (this.#endAtMs === undefined || decision.kind !== "routed") {
-      return decision;
-    }
+    if (decision.kind !== "routed") return decision;
     const { route } = decision;
-    const services = this.#context.configuration.table?.configuration.services;
-    const profiles = route.shares.map(({ service }) =>
-      services?.get(service)?.engine
-    );
-    const longestMs = Math.round(
-      estimateLongestRunMs({ head, route }, profiles),
-    );
-    const leftMs = Math.max(0, Math.round(this.#endAtMs - arrivedAtMs));
-    if (longestMs <= leftMs) return decision;
-    const reason =
-      `stopping: may run for ${longestMs} ms, ${leftMs} ms are left`;
-    return { kind: "unavailable", reason };
-  }
-
-  get #unavailableRetryMs(): number {
-    const isTakenByOther = this.#endAtMs !== undefined &&
-      this.#context.countEntries() > 1;
-    return isTakenByOther ? STOPPING_RETRY_MS : UNAVAILABLE_RETRY_MS;
+    const reason = this.#stopCheck.findRefusal({ head, route, arrivedAtMs });
+    return reason === undefined ? decision : { kind: "unavailable", reason };
   }
 }
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -19,6 +19,7 @@
   sumActiveRequests,
 } from "@dandelionbank/track-entries";
 import {
+  BodyIntake,
   type ForwardContext,
   Forwarder,
   ForwardMetrics,
@@ -59,16 +60,25 @@
 
 /** Duration of one watch call, as a fraction of the bound on key revocation. */
 const WATCH_WAIT_FRACTION = 0.3;
-/** Interval at which targets are expired and waiting streams reconsidered. */
+/**
+ * Interval at which targets are expired, and waiting streams and bodies
+ * reconsidered.
+ */
 const REFRESH_INTERVAL_MS = 50;
 /** How long callers may cache the directory's answer. */
 const DIRECTORY_TTL_MS = 2_000;
 /** Idle connections are kept longer than the limit that callers assume. */
 const IDLE_TIMEOUT_FACTOR = 2;
-/** Interval of checks whether all requests have ended. */
+/** Interval of checks whether all answers were sent. */
 const STOP_POLL_MS = 50;
-/** Time for servers to close once nothing runs any more. */
-const CLOSE_TIMEOUT_MS = 300;
+/**
+ * Part of the process's memory for the bodies of requests. Released bodies that
+ * are not collected yet may take as much again, and half remains for the runtime
+ * and its heap, which are outside this budget.
+ */
+const BODY_MEMORY_FRACTION = 0.25;
+/** Memory of a process whose settings state none. */
+const DEFAULT_MEMORY_BYTES = 256_000_000;
 
 export interface IngressOptions {
   readonly settings: BootSettings;
@@ -90,6 +100,7 @@
   readonly #client: StoreClient;
   readonly #forwarder: Forwarder;
   readonly #admission: StreamAdmission;
+  readonly #bodies: BodyIntake;
   readonly #targets: TargetView;
   readonly #notices: TrackedNotices;
   readonly #exchange: StatusExchange;
@@ -161,12 +172,20 @@
     this.#admission = StreamAdmission.create({
       readLoad: (service, runMs) => this.#readLoad(service, runMs),
     });
+    const memoryBytes = settings.memoryBytes ?? DEFAULT_MEMORY_BYTES;
+    this.#bodies = BodyIntake.create({
+      logger,
+      registry,
+      totalBytes: memoryBytes * BODY_MEMORY_FRACTION,
+    });
     const context: ForwardContext = {
       logger,
       metrics: ForwardMetrics.create({
         registry,
         countNotices: () => this.#notices.countByKind(performance.now()),
+        meter: pools.meter,
       }),
+      bodies: this.#bodies,
       configuration: this.#configuration,
       placement,
       notices: this.#notices,
@@ -264,16 +283,18 @@
     this.#exchange.broadcast();
     await delay(schedule.acceptMs);
     this.#forwarder.refuseNewRequests();
-    while (this.#forwarder.activeCount > 0 && performance.now() < cutAtMs) {
+    while (
+      this.#callerServer.openAnswerCount > 0 && performance.now() < cutAtMs
+    ) {
       await delay(STOP_POLL_MS);
     }
-    this.#forwarder.cutResumableStreams();
+    this.#forwarder.endRequests();
     this.#isStopped = true;
     clearInterval(this.#refreshTimer);
     for (const watcher of this.#watchers) watcher.stop();
     this.#exchange.stop();
     const closed = Promise.all(this.#servers.map((server) => server.close()));
-    await Promise.race([closed, delay(CLOSE_TIMEOUT_MS)]);
+    await Promise.race([closed, delay(schedule.closeMs)]);
   }
 
   #createServer(address: SocketAddress, listener: RequestListener) {
@@ -291,8 +312,9 @@
     try {
       this.#targets.expireTargets();
       this.#admission.updateLoads();
+      this.#bodies.expire();
     } catch (error) {
-      this.#logError("refresh of targets and admission", error);
+      this.#logError("refresh of targets, admission and bodies", error);
     }
   }
 
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -6,13 +6,23 @@
 
 import type { buildConnector, Dispatcher } from "undici";
 import createConnector from "undici/lib/core/connect.js";
+import type { Socket } from "node:net";
 import Pool from "undici/lib/dispatcher/pool.js";
+import { ConnectionReads } from "./connection_reads.ts";
 import { ConnectionResets } from "./connection_resets.ts";
+import {
+  type PieceAllowance,
+  PieceThrottle,
+  type ThrottledResponse,
+} from "./piece_throttle.ts";
+import { TransferMeter } from "./transfer_meter.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
 /** A peer that sends more interim heads (1xx) than this sends no answer. */
 const MAX_INTERIM_HEAD_BYTES = 65_536;
+/** A status line, where it isn't the first line of its head. */
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?: |$)/;
 /** Status line and line ends of a head, about. */
 const HEAD_OVERHEAD_BYTES = 32;
 
@@ -28,6 +38,10 @@
   /** Longest idle time of a connection, unless the peer announces a shorter one. */
   readonly keepAliveMs?: number;
   readonly connector?: HttpConnector;
+  /** Counts what this pool receives; several pools may share one. */
+  readonly meter?: TransferMeter;
+  /** Limits small pieces; pools that share a processor may share one. */
+  readonly throttle?: PieceThrottle;
 }
 
 export interface HttpRequest {
@@ -66,6 +80,7 @@
 export interface RequestHandle {
   /** Resets the connection, so that bytes still in flight are not delivered. */
   cancel(): void;
+  /** Reads no more from the connection; bytes already read are still delivered. */
   pause(): void;
   resume(): void;
 }
@@ -74,19 +89,26 @@
   readonly origin: string;
   readonly #pool: Pool;
   readonly #resets = ConnectionResets.create();
+  readonly #meter: TransferMeter;
+  readonly #reads: ConnectionReads;
+  readonly #throttle: PieceThrottle;
 
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
+    this.#meter = options.meter ?? TransferMeter.create();
+    this.#reads = ConnectionReads.create(this.#meter);
+    this.#throttle = options.throttle ?? PieceThrottle.create();
+    const connector = options.connector ?? createConnector({
+      timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+    });
     this.#pool = new Pool(options.origin, {
       connections: options.connections ?? null,
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
-      connect: this.#resets.wrapConnector(
-        options.connector ?? createConnector({
-          timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-        }),
+      connect: this.#reads.wrapConnector(
+        this.#resets.wrapConnector(connector),
       ),
     });
   }
@@ -97,7 +119,12 @@
 
   /** Sends a request. Exactly one of `onEnd` and `onError` is called for it. */
   send(request: HttpRequest, handler: HttpHandler): RequestHandle {
-    const dispatch = new RequestDispatch(handler, this.#resets);
+    const dispatch = new RequestDispatch(handler, {
+      resets: this.#resets,
+      meter: this.#meter,
+      reads: this.#reads,
+      throttle: this.#throttle,
+    });
     this.#pool.dispatch(
       {
         origin: this.origin,
@@ -122,17 +149,37 @@
   }
 }
 
-class RequestDispatch implements Dispatcher.DispatchHandler, RequestHandle {
+class RequestDispatch
+  implements Dispatcher.DispatchHandler, RequestHandle, ThrottledResponse {
   readonly #handler: HttpHandler;
   readonly #resets: ConnectionResets;
+  readonly #meter: TransferMeter;
+  readonly #reads: ConnectionReads;
+  readonly #allowance: PieceAllowance;
   #controller: Dispatcher.DispatchController | undefined;
+  /** The connection from which the response is read. */
+  #socket: Socket | undefined;
   #interimHeadBytes = 0;
   #isCancelled = false;
   #isEnded = false;
+  /** Whether the handler, or the throttle, wants no further pieces now. */
+  #isPaused = false;
+  #isHeld = false;
 
-  constructor(handler: HttpHandler, resets: ConnectionResets) {
+  constructor(
+    handler: HttpHandler,
+    { resets, meter, reads, throttle }: {
+      readonly resets: ConnectionResets;
+      readonly meter: TransferMeter;
+      readonly reads: ConnectionReads;
+      readonly throttle: PieceThrottle;
+    },
+  ) {
     this.#handler = handler;
     this.#resets = resets;
+    this.#meter = meter;
+    this.#reads = reads;
+    this.#allowance = throttle.createAllowance(this);
   }
 
   cancel(): void {
@@ -141,11 +188,23 @@
   }
 
   pause(): void {
-    this.#controller?.pause();
+    this.#isPaused = true;
+    this.#updateReading();
   }
 
   resume(): void {
-    this.#controller?.resume();
+    this.#isPaused = false;
+    this.#updateReading();
+  }
+
+  hold(): void {
+    this.#isHeld = true;
+    this.#updateReading();
+  }
+
+  release(): void {
+    this.#isHeld = false;
+    this.#updateReading();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -157,7 +216,12 @@
     _controller: Dispatcher.DispatchController,
     status: number,
     headers: HttpAnswerHead["headers"],
+    statusText = "",
   ): void {
+    this.#reads.recordHandled();
+    this.#socket = this.#reads.latest;
+    const defect = findHeadDefect(headers, statusText);
+    if (defect !== undefined) return this.#abort(new Error(defect));
     if (status >= 200) return this.#handler.onHead({ status, headers });
     this.#interimHeadBytes += HEAD_OVERHEAD_BYTES + countHeaderBytes(headers);
     if (this.#interimHeadBytes <= MAX_INTERIM_HEAD_BYTES) return;
@@ -169,12 +233,17 @@
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#reads.recordHandled();
+    this.#meter.recordBodyPiece(chunk.length);
     this.#handler.onData(chunk);
+    if (!this.#isEnded) this.#allowance.recordPiece(chunk.length);
   }
 
   onResponseEnd(): void {
+    this.#releaseSocket();
     if (this.#isEnded) return;
     this.#isEnded = true;
+    this.#reads.recordHandled();
     if (this.#resets.isPeerResetting) {
       this.#handler.onError(new Error("Connection was reset"), true);
       return;
@@ -183,17 +252,61 @@
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    this.#releaseSocket();
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#handler.onError(error, wasSent(error));
   }
 
+  /** The connection may serve the next request from now on. */
+  #releaseSocket(): void {
+    this.#allowance.end();
+    this.#isHeld = false;
+    this.#isPaused = false;
+    this.#updateReading();
+    this.#socket = undefined;
+  }
+
+  #updateReading(): void {
+    if (this.#socket === undefined) return;
+    if (this.#isPaused || this.#isHeld) this.#reads.pause(this.#socket);
+    else this.#reads.resume(this.#socket);
+  }
+
   /** Resets the connection; `onResponseError` is called with the reason. */
   #abort(reason: Error): void {
     this.#resets.resetWhile(() => this.#controller?.abort(reason));
   }
 }
 
+/** Returns why a head is no answer's, or why its body can't be read, if so. */
+function findHeadDefect(
+  headers: HttpAnswerHead["headers"],
+  statusText: string,
+): string | undefined {
+  if (isMerged(headers, statusText)) {
+    return "Head of an answer that was cut by another one";
+  }
+  // undici takes the bytes of any other coding for those of the body.
+  const coding = headers["transfer-encoding"];
+  const isReadable = coding === undefined ||
+    String(coding).trim().toLowerCase() === "chunked";
+  return isReadable ? undefined : "Answer with an unknown transfer coding";
+}
+
+/**
+ * Whether a head begins with a part of another one, such as of a late second
+ * answer that breaks off in its first line or in a field. The status may then be
+ * the other answer's, while the fields are those of the request's own.
+ */
+function isMerged(
+  headers: HttpAnswerHead["headers"],
+  statusText: string,
+): boolean {
+  return [statusText, ...Object.values(headers).flat()]
+    .some((text) => text !== undefined && STATUS_LINE.test(text));
+}
+
 function countHeaderBytes(headers: HttpAnswerHead["headers"]): number {
   return Object.entries(headers).flat(2).join("").length;
 }
--- a/testing/run-entry/src/entry_program.ts
+++ b/testing/run-entry/src/entry_program.ts
@@ -4,6 +4,7 @@
 import { ChildProgram } from "@dandelionbank/run-site";
 import type { SiteStore } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -18,6 +19,7 @@
 } from "./run_entry.ts";
 
 const SCRIPT = "daemon/platform-node/dist/main.js";
+const BYTES_PER_KIB = 1_024;
 /** Long enough for a start while the store is unavailable for some seconds. */
 const START_TIMEOUT_MS = 20_000;
 
@@ -27,18 +29,28 @@
   readonly number: number;
   /** Time from SIGTERM to SIGKILL, within which a stopping entry has to finish. */
   readonly graceS?: number;
+  /** Arguments of Node.js, such as those of the deploy file. */
+  readonly nodeArgs?: readonly string[];
 }
 
 /** An entry process. A restart uses the same settings and ports. */
 export class EntryProgram {
   readonly settings: BootSettings;
   readonly settingsFile: string;
+  readonly #nodeArgs: readonly string[];
   #program: ChildProgram | undefined;
   readonly #earlierLines: string[] = [];
 
-  private constructor(settings: BootSettings, settingsFile: string) {
+  private constructor(
+    settings: BootSettings,
+    { settingsFile, nodeArgs }: {
+      readonly settingsFile: string;
+      readonly nodeArgs: readonly string[];
+    },
+  ) {
     this.settings = settings;
     this.settingsFile = settingsFile;
+    this.#nodeArgs = nodeArgs;
   }
 
   /** Starts an entry and resolves when it is ready; it is killed after the test. */
@@ -50,7 +62,10 @@
     const directory = await mkdtemp(join(tmpdir(), "dandelionbank-"));
     const file = join(directory, "boot.conf");
     await writeFile(file, renderBootSettings(fields));
-    const entry = new EntryProgram(createBootSettings(fields), file);
+    const entry = new EntryProgram(createBootSettings(fields), {
+      settingsFile: file,
+      nodeArgs: options.nodeArgs ?? [],
+    });
     t.after(async () => {
       await entry.stop("SIGKILL");
       await rm(directory, { recursive: true });
@@ -63,6 +78,7 @@
     const program = ChildProgram.start(this.settings.name, {
       script: SCRIPT,
       args: ["entry"],
+      nodeArgs: this.#nodeArgs,
       environment: { DANDELIONBANK_CONFIG: this.settingsFile },
     });
     this.#earlierLines.push(...this.#program?.lines ?? []);
@@ -82,6 +98,14 @@
     return this.#program?.isRunning ?? false;
   }
 
+  /** The most memory that the process has had resident so far. */
+  readPeakResidentBytes(): number {
+    const status = readFileSync(`/proc/${this.pid}/status`, "utf8");
+    const match = /^VmHWM:\s+(\d+) kB$/m.exec(status);
+    assert.ok(match, "the process status has no peak of resident memory");
+    return Number(match[1]) * BYTES_PER_KIB;
+  }
+
   /** The output of all its processes, in order. */
   get loggedLines(): readonly string[] {
     return [...this.#earlierLines, ...this.#program?.lines ?? []];
--- a/testing/run-entry/src/run_entry.ts
+++ b/testing/run-entry/src/run_entry.ts
@@ -90,8 +90,9 @@
 ] as const;
 
 export function createConfiguration(
-  { version = 1, routes = ROUTES, keys = [CALLER_KEY] }: {
+  { version = 1, routes = ROUTES, keys = [CALLER_KEY], maxBodyBytes = 4_096 }: {
     readonly version?: number;
+    readonly maxBodyBytes?: number;
     readonly routes?: readonly unknown[];
     readonly keys?: readonly string[];
   } = {},
@@ -102,7 +103,7 @@
     services: [{ name: "s", "health_path": "/healthz", "max_conns": 40 }],
     limits: {
       "max_header_bytes": 16_384,
-      "max_body_bytes": 4_096,
+      "max_body_bytes": maxBodyBytes,
       "header_timeout_ms": 3_000,
       "idle_timeout_ms": 15_000,
     },
@@ -167,6 +168,7 @@
 
 const DEFAULT_SETTINGS = {
   zone: "a",
+  "limits.memory_mb": "350",
   "bounds.grace_s": "8",
   "bounds.config_apply_ms": "1000",
   "bounds.revoke_ms": "2000",
@@ -208,6 +210,7 @@
 
 export interface CallOptions {
   readonly path: string;
+  readonly method?: string;
   readonly body?: string;
   readonly key?: string | undefined;
   readonly headers?: Readonly<Record<string, string>>;
@@ -232,8 +235,8 @@
   { settings }: Pick<Site, "settings">,
   options: CallOptions,
 ): Promise<CallAnswer> {
-  const { path, body = "x", key = CALLER_KEY, headers, agent, signal } =
-    options;
+  const { path, method = "POST", body = "x", key = CALLER_KEY } = options;
+  const { headers, agent, signal } = options;
   const startedMs = performance.now();
   lastAttemptNumber += 1;
   return new Promise((resolve, reject) => {
@@ -241,7 +244,7 @@
       host: settings.callers!.host,
       port: settings.callers!.port,
       path,
-      method: "POST",
+      method,
       agent: agent ?? false,
       ...(signal === undefined ? {} : { signal }),
       headers: {
