Refuse registrations out of bounds, and log each malformed one once

An entry took slots of 1e308 or 8.5 of another writer's registration for real; a service's capacity is the sum of them, and streams are admitted up to it. An id of 1 MB was logged whole at each change of the targets of its service: 817 kB in 1.3 s (a trial; 284 kB for one of 100,000 characters). A malformed registration left no trace in the log at all.

Cause: numbers and texts were checked for their type only.

Change: slots is a whole number from 1 to 4,096, an id has at most 256 characters and so has a service. Entries and agents log registrationRefused (10042), with the name and what is wrong, once until the registration is sound or gone, for 256 at a time.

What such a capacity does to streams was read in the code and not run.

--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -12,14 +12,13 @@
 import type { TargetPools } from "@dandelionbank/forward-requests";
 import type { Logger } from "@dandelionbank/log-events";
 import { type PlacementState, stepPlacement } from "@dandelionbank/pick-target";
-import { decodeTarget, type StoredItem } from "@dandelionbank/platform-adapter";
 import {
   type ProgressTracker,
   retainTargets,
 } from "@dandelionbank/track-progress";
 import type { TrackedNotices } from "@dandelionbank/track-notices";
 import type { RegisteredTarget } from "@dandelionbank/types";
-import type { KindEvent } from "@dandelionbank/watch-kind";
+import { type KindEvent, RegistrationReader } from "@dandelionbank/watch-kind";
 
 /** What the targets of a service take together. */
 export interface GroupCapacity {
@@ -47,12 +46,14 @@
 export class TargetView {
   readonly #options: TargetViewOptions;
   readonly #tracker: TargetTracker;
+  readonly #registrations: RegistrationReader;
   /** The tracked targets by their runs. */
   #byRun: ReadonlyMap<string, RegisteredTarget> = new Map();
 
   private constructor(options: TargetViewOptions) {
     this.#options = options;
     this.#tracker = createTargetTracker(options);
+    this.#registrations = RegistrationReader.create(options.logger);
   }
 
   static create(options: TargetViewOptions): TargetView {
@@ -92,13 +93,14 @@
       case "listed":
         this.#dispatch({
           type: "listed",
-          targets: event.items.flatMap(toTarget),
+          targets: this.#registrations.readList(event.items),
           isRestored: event.isRestored,
         });
         return;
       case "changed": {
         const { item, isDeleted } = event.change;
-        const target = isDeleted ? undefined : toTarget(item)[0];
+        if (isDeleted) this.#registrations.forget(item.name);
+        const target = isDeleted ? undefined : this.#registrations.read(item);
         this.#dispatch(
           target === undefined
             ? { type: "removed", id: item.name }
@@ -186,11 +188,6 @@
   }
 }
 
-function toTarget(item: StoredItem): readonly RegisteredTarget[] {
-  const target = decodeTarget(item);
-  return target === undefined ? [] : [target];
-}
-
 function describeEvent(event: TargetsEvent): string {
   switch (event.type) {
     case "put":
--- a/daemon/serve-rank/src/group_view.ts
+++ b/daemon/serve-rank/src/group_view.ts
@@ -8,13 +8,16 @@
 import {
   CONFIGURATION_NAME,
   decodeConfiguration,
-  decodeTarget,
   KINDS,
   type StoreClient,
   type StoredItem,
 } from "@dandelionbank/platform-adapter";
 import type { ExpertProfile, RegisteredTarget } from "@dandelionbank/types";
-import { type KindEvent, KindWatcher } from "@dandelionbank/watch-kind";
+import {
+  type KindEvent,
+  KindWatcher,
+  RegistrationReader,
+} from "@dandelionbank/watch-kind";
 
 /** Ranks rarely change, and a rank not known yet only delays a map change. */
 const WATCH_WAIT_MS = 10_000;
@@ -34,11 +37,13 @@
 export class GroupView {
   readonly #options: GroupViewOptions;
   readonly #targets = new Map<string, RegisteredTarget>();
+  readonly #registrations: RegistrationReader;
   #profile: ExpertProfile | undefined;
   #watchers: readonly KindWatcher[] = [];
 
   private constructor(options: GroupViewOptions) {
     this.#options = options;
+    this.#registrations = RegistrationReader.create(options.logger);
   }
 
   static create(options: GroupViewOptions): GroupView {
@@ -97,7 +102,8 @@
     if (event.type === "listed") this.#replaceTargets(event.items);
     if (event.type !== "changed") return;
     const { item, isDeleted } = event.change;
-    const target = isDeleted ? undefined : decodeTarget(item);
+    if (isDeleted) this.#registrations.forget(item.name);
+    const target = isDeleted ? undefined : this.#registrations.read(item);
     if (target?.service === this.#options.service) {
       this.#targets.set(target.id, target);
     } else {
@@ -107,9 +113,8 @@
 
   #replaceTargets(items: readonly StoredItem[]): void {
     this.#targets.clear();
-    for (const item of items) {
-      const target = decodeTarget(item);
-      if (target?.service !== this.#options.service) continue;
+    for (const target of this.#registrations.readList(items)) {
+      if (target.service !== this.#options.service) continue;
       this.#targets.set(target.id, target);
     }
   }
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -217,6 +217,14 @@
       "Request {requestId} with prompt part {part} is refused for {retryAfterMs} ms: targets crashed while running such requests",
     help: "Check what callers send in that part",
   },
+  registrationRefused: {
+    id: 10042,
+    level: "warn",
+    text:
+      "Registration {target} at revision {revision} names no target: {reason}",
+    help:
+      "Check who wrote it; it is logged once, and no more than 256 at a time are",
+  },
   linesDropped: {
     id: 10030,
     level: "warn",
--- a/testing/fuzz/src/registry.ts
+++ b/testing/fuzz/src/registry.ts
@@ -159,8 +159,9 @@
       const changed = address === undefined || typeof spec !== "object"
         ? spec
         : { ...spec, address };
-      const target = decodeTarget({ name, revision: 1, spec: changed });
-      if (target === undefined) return undefined;
+      const decoded = decodeTarget({ name, revision: 1, spec: changed });
+      if (decoded.kind === "malformed") return undefined;
+      const { target } = decoded;
       // What is decoded has to be usable for a connection and as a header.
       void HttpPool.create({ origin: `http://${target.address}` }).close();
       validateHeaderValue("target", target.id);
