Put a displaced target in effect again if the later one is not there

The later registration took the engine's place, the engine answered it with 421, and its own registration stayed ignored until it was written again, which an engine does only when more than its sequence changes. A later one for a service that nobody configured took it out of use for good, as no request ever asked there.

Cause: ignoring the earlier registration of an address forgot it; the later one was believed without a look at whether it can be true.

Change: the tracker keeps displaced registrations. When the one in effect answers as another, or is removed, the latest of them takes effect again. One for a service that the configuration doesn't name displaces none. A restarted target takes the place of its old registration at once, as before.

--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -158,6 +158,7 @@
     });
     this.#targets = TargetView.create({
       reregistrationMs: bounds.targetReregistrationMs,
+      isServed: (service) => this.#isServed(service),
       placement,
       notices: this.#notices,
       pools,
@@ -383,6 +384,11 @@
     this.#crashMonitor.adoptQuarantinedParts(quarantined, "the store");
   }
 
+  #isServed(service: string): boolean {
+    const configuration = this.#configuration.table?.configuration;
+    return configuration?.services.has(service) ?? true;
+  }
+
   #applyLimits({ limits }: IngressConfiguration): void {
     this.#callerServer.setKeepAliveTimeout(
       limits.idleTimeoutMs * IDLE_TIMEOUT_FACTOR,
--- a/daemon/serve-ingress/src/target_view.ts
+++ b/daemon/serve-ingress/src/target_view.ts
@@ -31,6 +31,8 @@
 export interface TargetViewOptions {
   /** Time for targets to re-register after an outage of the store. */
   readonly reregistrationMs: number;
+  /** Returns false if no route leads to the service. */
+  readonly isServed: (service: string) => boolean;
   readonly placement: PlacementState;
   readonly notices: TrackedNotices;
   readonly pools: TargetPools;
--- a/routing/track-targets/src/target_tracker.ts
+++ b/routing/track-targets/src/target_tracker.ts
@@ -15,7 +15,9 @@
  * A restarted target may register under a new id at the same address, while its
  * old registration remains for some time. Among registrations with the same address,
  * the one written last takes effect. A registration whose address answers as
- * another target is ignored until it is written again.
+ * another target is ignored until it is written again. It may be another writer's:
+ * the one that it had displaced takes effect again, as it does when the later one is
+ * removed, and a registration for a service that is not served displaces none.
  */
 
 import type { RegisteredTarget } from "@dandelionbank/types";
@@ -39,6 +41,9 @@
   readonly targets: Map<string, RegisteredTarget>;
   /** Revisions of ignored registrations, by id; a later revision takes effect. */
   readonly ignoredRevisions: Map<string, number>;
+  /** Registrations that a later one with the same address displaced, by id. */
+  readonly displaced: Map<string, RegisteredTarget>;
+  readonly isServed: (service: string) => boolean;
   /** Removal times of targets whose registration expired in an outage, by id. */
   readonly removeAtMs: Map<string, number>;
   /** Targets whose registration has ended, the latest last. */
@@ -69,15 +74,19 @@
 export interface TargetTrackerOptions {
   /** Time that a live target may take to register again after a store outage. */
   readonly reregistrationMs: number;
+  /** Returns false if requests never go to targets of the service. */
+  readonly isServed: (service: string) => boolean;
 }
 
 export function createTargetTracker(
-  { reregistrationMs }: TargetTrackerOptions,
+  { reregistrationMs, isServed }: TargetTrackerOptions,
 ): TargetTracker {
   return {
     reregistrationMs,
+    isServed,
     targets: new Map(),
     ignoredRevisions: new Map(),
+    displaced: new Map(),
     removeAtMs: new Map(),
     leftIds: new Set(),
     held: new Map(),
@@ -108,13 +117,16 @@
       return true;
     case "removed":
       state.ignoredRevisions.delete(event.id);
+      state.displaced.delete(event.id);
       state.held.delete(event.id);
       recordLeft(state, event.id);
       return removeTarget(state, { id: event.id, nowMs });
     case "misdirected": {
       const target = state.targets.get(event.id);
       if (target === undefined) return false;
-      return ignoreRegistration(state, target);
+      ignoreRegistration(state, target);
+      restoreDisplaced(state, target);
+      return true;
     }
     case "tick": {
       const hasReleased = releaseHeld(state, nowMs);
@@ -176,7 +188,9 @@
   const listed = new Set(targets.map(({ id }) => id));
   for (const target of targets) putTarget(state, target);
   for (const id of [...state.ignoredRevisions.keys()]) {
-    if (!listed.has(id)) state.ignoredRevisions.delete(id);
+    if (listed.has(id)) continue;
+    state.ignoredRevisions.delete(id);
+    state.displaced.delete(id);
   }
   for (const id of [...state.held.keys()]) {
     if (!listed.has(id)) state.held.delete(id);
@@ -192,15 +206,20 @@
   const ignoredRevision = state.ignoredRevisions.get(id);
   if (ignoredRevision !== undefined && revision <= ignoredRevision) return;
   state.ignoredRevisions.delete(id);
+  state.displaced.delete(id);
   state.held.delete(id);
   state.leftIds.delete(id);
   for (const other of [...state.targets.values()]) {
     if (other.id === id || other.address !== address) continue;
     if (other.revision > revision) {
+      if (!state.isServed(other.service)) continue;
       state.ignoredRevisions.set(id, revision);
+      state.displaced.set(id, target);
       return;
     }
+    if (!state.isServed(target.service)) continue;
     ignoreRegistration(state, other);
+    state.displaced.set(other.id, other);
   }
   state.removeAtMs.delete(id);
   state.targets.set(id, target);
@@ -209,10 +228,23 @@
 function ignoreRegistration(
   state: TargetTracker,
   target: RegisteredTarget,
-): boolean {
+): void {
   state.ignoredRevisions.set(target.id, target.revision);
   state.removeAtMs.delete(target.id);
-  return state.targets.delete(target.id);
+  state.targets.delete(target.id);
+}
+
+/** Puts the latest registration in effect that was displaced from the address. */
+function restoreDisplaced(
+  state: TargetTracker,
+  { address }: RegisteredTarget,
+): void {
+  const [latest] = [...state.displaced.values()]
+    .filter((target) => target.address === address)
+    .toSorted((left, right) => right.revision - left.revision);
+  if (latest === undefined) return;
+  state.ignoredRevisions.delete(latest.id);
+  putTarget(state, latest);
 }
 
 function removeTarget(
@@ -230,16 +262,20 @@
   }
   state.removeAtMs.delete(id);
   recordLeft(state, id);
-  return state.targets.delete(id);
+  state.targets.delete(id);
+  restoreDisplaced(state, target);
+  return true;
 }
 
 function removeExpired(state: TargetTracker, nowMs: number): boolean {
   let hasChanged = false;
   for (const [id, dueMs] of state.removeAtMs) {
     if (nowMs < dueMs) continue;
+    const target = state.targets.get(id);
     state.removeAtMs.delete(id);
     state.targets.delete(id);
     recordLeft(state, id);
+    if (target !== undefined) restoreDisplaced(state, target);
     hasChanged = true;
   }
   return hasChanged;
--- a/routing/track-targets/src/target_tracker_test.ts
+++ b/routing/track-targets/src/target_tracker_test.ts
@@ -125,8 +125,51 @@
   assert.ok(state.targets.has("a"));
 });
 
+// Guards against a sound target that another writer's registration takes out of use.
+test("A target that is displaced from its address by one that is not there takes effect again", () => {
+  const state = createState(["a"]);
+  const { address } = target("a");
+  const odd = { ...target("odd"), address, revision: 5 };
+  const odder = { ...target("odder"), address, revision: 6 };
+  updateTargets(state, { type: "put", target: odd }, 1);
+  updateTargets(state, { type: "put", target: odder }, 2);
+  assert.deepEqual([...state.targets.keys()], ["odder"]);
+  updateTargets(state, { type: "misdirected", id: "odder" }, 3);
+  assert.deepEqual([...state.targets.keys()], ["odd"]);
+  updateTargets(state, { type: "misdirected", id: "odd" }, 4);
+  assert.deepEqual([...state.targets.keys()], ["a"]);
+  const targets = [target("a"), odd, odder];
+  updateTargets(state, { type: "listed", targets }, 5);
+  assert.deepEqual([...state.targets.keys()], ["a"]);
+});
+
+test("A target that is displaced takes effect again when the other is removed, unless it is gone", () => {
+  for (const isGone of [false, true]) {
+    const state = createState(["a"]);
+    const { address } = target("a");
+    const odd = { ...target("odd"), address, revision: 5 };
+    updateTargets(state, { type: "put", target: odd }, 1);
+    if (isGone) updateTargets(state, { type: "removed", id: "a" }, 2);
+    updateTargets(state, { type: "removed", id: "odd" }, 3);
+    assert.deepEqual([...state.targets.keys()], isGone ? [] : ["a"]);
+  }
+});
+
+test("A registration for a service that is not served displaces no target", () => {
+  const state = createState(["a"]);
+  const { address } = target("a");
+  const odd = { ...target("odd"), address, revision: 5, service: "unknown" };
+  for (const targets of [[target("a"), odd], [odd, target("a")]]) {
+    updateTargets(state, { type: "listed", targets }, 1);
+    assert.ok(state.targets.has("a"));
+  }
+});
+
 function createState(ids: readonly string[]) {
-  const state = createTargetTracker({ reregistrationMs: 2_000 });
+  const state = createTargetTracker({
+    reregistrationMs: 2_000,
+    isServed: (service) => service !== "unknown",
+  });
   updateTargets(state, { type: "listed", targets: ids.map(target) }, 0);
   return state;
 }
--- a/testing/ingress-tests/src/views_test.ts
+++ b/testing/ingress-tests/src/views_test.ts
@@ -100,6 +100,25 @@
   }
 });
 
+// Guards against a sound target that is out of use until it is written again, as
+// another writer registers its address.
+test("A registration with the address of a target takes it out of use for no caller", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  const [engine] = site.engines;
+  const odd = engine!.createServerSpec({ service: "s" });
+  site.store.put("servers", "same-service", odd);
+  site.store.put("servers", "no-service", { ...odd, service: "none" });
+  await waitFor(() =>
+    site.lines.some(({ fields }) => fields["change"] === "no-service is open")
+  );
+  for (let count = 0; count < 10; count++) {
+    assert.equal((await call(site, { path: "/safe/a" })).status, 200);
+  }
+  site.store.compactHistory();
+  await delay(700);
+  assert.equal((await call(site, { path: "/once/a" })).status, 200);
+});
+
 function hasLogged(site: Site, event: string): boolean {
   return site.lines.some(({ name }) => name === event);
 }
