--- a/foundation/open-http/src/fetch_answer.ts
+++ b/foundation/open-http/src/fetch_answer.ts
@@ -15,6 +15,12 @@
   readonly value: unknown;
 }
 
+export interface FetchOptions {
+  readonly timeoutMs: number;
+  /** Longest body, from which also its parsed value is bounded; 16 MiB if absent. */
+  readonly maxAnswerBytes?: number;
+}
+
 /**
  * Rejects with the error of the connection, after `timeoutMs`, or if the answer
  * is too long.
@@ -22,7 +28,7 @@
 export function fetchAnswer(
   pool: HttpPool,
   request: HttpRequest,
-  options: { readonly timeoutMs: number },
+  { timeoutMs, maxAnswerBytes = MAX_ANSWER_BYTES }: FetchOptions,
 ): Promise<BufferedAnswer> {
   return new Promise((resolve, reject) => {
     const body = ByteCollector.create();
@@ -32,7 +38,6 @@
       reject(new Error(reason));
       running.cancel();
     };
-    const { timeoutMs } = options;
     const timer = setTimeout(
       () => giveUp(`No answer from ${pool.origin} in ${timeoutMs} ms`),
       timeoutMs,
@@ -43,9 +48,9 @@
       },
       onData: (chunk) => {
         body.add(chunk);
-        if (body.lengthBytes > MAX_ANSWER_BYTES) {
+        if (body.lengthBytes > maxAnswerBytes) {
           giveUp(
-            `Answer from ${pool.origin} of more than ${MAX_ANSWER_BYTES} bytes`,
+            `Answer from ${pool.origin} of more than ${maxAnswerBytes} bytes`,
           );
         }
       },
@@ -65,7 +70,7 @@
 export async function callJson(
   pool: HttpPool,
   request: Omit<HttpRequest, "body"> & { readonly value?: unknown },
-  options: { readonly timeoutMs: number },
+  options: FetchOptions,
 ): Promise<JsonAnswer> {
   const { value, ...rest } = request;
   const answer = await fetchAnswer(pool, {
--- a/foundation/open-http/src/mod.ts
+++ b/foundation/open-http/src/mod.ts
@@ -14,6 +14,10 @@
   RequestHandle,
 } from "./http_pool.ts";
 export { callJson, fetchAnswer } from "./fetch_answer.ts";
-export type { BufferedAnswer, JsonAnswer } from "./fetch_answer.ts";
+export type {
+  BufferedAnswer,
+  FetchOptions,
+  JsonAnswer,
+} from "./fetch_answer.ts";
 export { TransferMeter } from "./transfer_meter.ts";
 export { PieceThrottle } from "./piece_throttle.ts";
