Answer the attempts that reach an agent as it leaves

What callers saw: of `dandelionbankd`, some calls ended with an unknown outcome (502, DANDELIONBANK_ATTEMPT_LOST) when an agent got SIGTERM.

The agent withdrew its registration and closed its connections at once, while entries that had not followed that yet sent it attempts. And an entry counted every attempt at an agent as lost when the agent's registration was removed, also those whose refusal was on its way.

Change: an agent that has withdrawn goes on refusing attempts for 0.5 s before it closes. An entry counts the attempts at an agent that was removed as lost 1 s later; those at one that was replaced by a new run are lost at once, as before.

--- a/daemon/route-requests/src/attempt_sender.ts
+++ b/daemon/route-requests/src/attempt_sender.ts
@@ -24,6 +24,8 @@
 import type { OpenRequest } from "./request_table.ts";
 
 const NO_BODY = new Uint8Array(0);
+/** Longer than an agent that has withdrawn refuses attempts before it closes. */
+const WITHDRAWAL_MS = 1_000;
 
 export interface AttemptSenderOptions {
   readonly entry: string;
@@ -56,6 +58,7 @@
   readonly #homes: PeerLinks;
   readonly #sent = new Map<string, SentAttempt>();
   readonly #attemptsByRequest = new Map<string, string[]>();
+  readonly #withdrawals = new Set<NodeJS.Timeout>();
 
   private constructor(options: AttemptSenderOptions) {
     this.#options = options;
@@ -68,12 +71,10 @@
   }
 
   replaceAgents(agents: readonly PeerAddress[]): void {
-    for (const { name, incarnation } of this.#agents.replaceAll(agents)) {
-      this.#options.post({
-        type: "agentLost",
-        target: name,
-        agentIncarnation: incarnation,
-      });
+    for (const removed of this.#agents.replaceAll(agents)) {
+      const isReplaced = this.#agents.incarnationOf(removed.name) !== undefined;
+      if (isReplaced) this.#reportLost(removed);
+      else this.#reportLostLater(removed);
     }
   }
 
@@ -204,9 +205,27 @@
   }
 
   async close(): Promise<void> {
+    for (const timer of this.#withdrawals) clearTimeout(timer);
     await Promise.all([this.#agents.close(), this.#homes.close()]);
   }
 
+  #reportLost({ name, incarnation }: PeerAddress): void {
+    this.#options.post({
+      type: "agentLost",
+      target: name,
+      agentIncarnation: incarnation,
+    });
+  }
+
+  /** An agent that has withdrawn still answers the attempts on their way to it. */
+  #reportLostLater(removed: PeerAddress): void {
+    const timer = setTimeout(() => {
+      this.#withdrawals.delete(timer);
+      this.#reportLost(removed);
+    }, WITHDRAWAL_MS);
+    this.#withdrawals.add(timer);
+  }
+
   #register(attemptId: string, openRequest: OpenRequest, target: string): void {
     const { requestId, organisation, keyText } = openRequest;
     this.#sent.set(attemptId, {
--- a/daemon/serve-agent/src/agent_process.ts
+++ b/daemon/serve-agent/src/agent_process.ts
@@ -45,6 +45,13 @@
 /** Longest wait for attempts in flight until an entry has sent its view. */
 const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
 
+/**
+ * Time for entries to follow the agent's withdrawal, which the platform tells them.
+ * Until then it refuses their attempts: one that meets a closed connection would
+ * count as lost.
+ */
+const WITHDRAWAL_MS = 500;
+
 export interface AgentProcessOptions {
   readonly settings: AgentSettings;
   readonly logger: Logger;
@@ -134,6 +141,7 @@
       options.logger.log("targetCut", { target, inFlight });
     }
     await this.#registration?.withdraw();
+    await wait(WITHDRAWAL_MS);
     await this.#peers?.close();
     await this.#observability?.close();
     task.stop();
--- a/testing/site-tests/src/stop_signal_test.ts
+++ b/testing/site-tests/src/stop_signal_test.ts
@@ -52,6 +52,25 @@
   );
 }
 
+// Guards against an agent that closes connections on which entries, which have not
+// followed its withdrawal yet, send it attempts: these then count as lost.
+test(
+  "No call has an unknown outcome when an agent gets SIGTERM under quick calls",
+  TEST_OPTIONS,
+  async (context) => {
+    const site = await startSite(context, SITE_OPTIONS);
+    const load = await MixedLoad.start(site, { intervalMs: 4 });
+    await sleep(BEFORE_SIGNAL_MS);
+    const stopping = site.agents.get("parts-0")!;
+    stopping.signal("SIGTERM");
+    await waitUntil("the agent ends", () => !stopping.isRunning);
+    await sleep(BEFORE_SIGNAL_MS);
+    const results = await load.stop();
+    const isFailed = ({ result }: CallResult) => result === "failed";
+    assert.equal(results.filter(isFailed).length, 0, `of ${results.length}`);
+  },
+);
+
 // Guards against calls that are checked on their head alone, and so taken by an entry
 // that has begun to stop in between.
 test(
@@ -97,19 +116,28 @@
   readonly #results: Promise<CallResult>[] = [];
   readonly #timer: NodeJS.Timeout;
 
-  private constructor(site: Site, ticket: string) {
+  private constructor(
+    site: Site,
+    { ticket, intervalMs }: {
+      readonly ticket: string;
+      readonly intervalMs: number;
+    },
+  ) {
     this.#site = site;
     this.#ticket = ticket;
-    this.#timer = setInterval(() => this.#sendAll(), CALL_INTERVAL_MS);
+    this.#timer = setInterval(() => this.#sendAll(), intervalMs);
   }
 
   /** The keys of the calls belong to the first entry. */
-  static async start(site: Site): Promise<MixedLoad> {
+  static async start(
+    site: Site,
+    { intervalMs = CALL_INTERVAL_MS }: { readonly intervalMs?: number } = {},
+  ): Promise<MixedLoad> {
     const { ticket } = await fetchTicket(
       site.getEntryUrl("entry-1"),
       site.callerKey,
     );
-    return new MixedLoad(site, ticket);
+    return new MixedLoad(site, { ticket, intervalMs });
   }
 
   /** Sends no more calls; resolves with the results of all. */
