Merge the queue of pipelined requests

h-upload serves the requests of a connection one after another, which h-stop's PipelinedAnswers did not know: an answer would have closed its connection while others waited behind it.

--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -4,13 +4,13 @@
  */
 
 import { computeProofAgeMs } from "@dandelionbank/track-configuration";
+import { hasWaitingRequests, readArrivalMs } from "@dandelionbank/listen-http";
 import { decodeCallerHead } from "@dandelionbank/platform-adapter";
 import { readInstant } from "@dandelionbank/read-instant";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { BodyLimits } from "./body_reader.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import type { ForwardContext } from "./forward_context.ts";
-import { PipelinedAnswers } from "./pipelined_answers.ts";
 import { RequestTask } from "./request_task.ts";
 import { computeTimeoutMs, type RoutedRequest } from "./routed_request.ts";
 import { type RouteDecision, routeRequest } from "./route_request.ts";
@@ -28,7 +28,6 @@
 export class Forwarder {
   readonly #context: ForwardContext;
   readonly #tasks = new Set<RequestTask>();
-  readonly #pipelinedAnswers = PipelinedAnswers.create();
   readonly #stopCheck: StopCheck;
   readonly #slowdowns = SlowdownTracker.create();
   #lastId = 0;
@@ -72,17 +71,12 @@
 
   /** Reads the request's body, and then answers or starts the request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    const arrivedAtMs = performance.now();
-    if (!this.#pipelinedAnswers.add(request, response)) return;
-    const answer = CallerAnswer.create(
-      response,
-      {
-        memory: this.#context.answerMemory,
-        isLast: () =>
-          this.#context.isStopping() &&
-          this.#pipelinedAnswers.isLatest(response),
-      },
-    );
+    const arrivedAtMs = readArrivalMs(request);
+    const answer = CallerAnswer.create(response, {
+      memory: this.#context.answerMemory,
+      isLast: () =>
+        this.#context.isStopping() && !hasWaitingRequests(request.socket),
+    });
     request.on("error", () => undefined);
     response.on("error", () => undefined);
     this.#context.bodies.read(request, {
