Limit the requests in progress on one connection

Cause: Node.js starts each request as soon as its head has been read and stops reading only for answers that are written, so one connection could start any number of requests, whose answers wait for the first one's in memory. The event "close" of an answer that still waits is never emitted either, so nothing ended those requests when the caller left.

The listener now keeps eight of a connection in progress and starts the next when one has ended. From 16 that wait on, the connection is not read; beyond 4,000 in the process, such connections are closed. Callers that wait for each answer see no difference.

A connection that is not read shows no close: the leave of a caller with 16 requests waiting is seen when one of its requests has ended.

--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -4,6 +4,7 @@
  */
 
 import { computeProofAgeMs } from "@dandelionbank/track-configuration";
+import { readArrivalMs } from "@dandelionbank/listen-http";
 import { decodeCallerHead } from "@dandelionbank/platform-adapter";
 import { readInstant } from "@dandelionbank/read-instant";
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -69,7 +70,7 @@
 
   /** Reads the request's body, and then answers or starts the request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
-    const arrivedAtMs = performance.now();
+    const arrivedAtMs = readArrivalMs(request);
     const answer = CallerAnswer.create(response, this.#context.isStopping);
     request.on("error", () => undefined);
     response.on("error", () => undefined);
--- a/peers/listen-http/src/http_listener.ts
+++ b/peers/listen-http/src/http_listener.ts
@@ -15,6 +15,7 @@
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
+import { PipelineQueue } from "./pipeline_queue.ts";
 
 export interface HttpListenerOptions {
   readonly host: string;
@@ -82,7 +83,9 @@
 
 function createHttpServer(options: HttpListenerOptions): Server {
   const { tls } = options;
-  const listener = guardListener(options);
+  const queue = PipelineQueue.create(guardListener(options));
+  const listener: RequestListener = (request, response) =>
+    queue.handle(request, response);
   if (tls === undefined) return createServer(listener);
   const server = createTlsServer(tls.createServerOptions(), listener);
   tls.attachServer(server);
--- a/peers/listen-http/src/mod.ts
+++ b/peers/listen-http/src/mod.ts
@@ -2,3 +2,4 @@
 
 export { HttpListener } from "./http_listener.ts";
 export type { HttpListenerOptions } from "./http_listener.ts";
+export { readArrivalMs } from "./pipeline_queue.ts";
