--- a/daemon/forward-requests/src/forwarder.ts
+++ b/daemon/forward-requests/src/forwarder.ts
@@ -11,15 +11,13 @@
 import type { BodyLimits } from "./body_reader.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import type { ForwardContext } from "./forward_context.ts";
+import { PipelinedAnswers } from "./pipelined_answers.ts";
 import { RequestTask } from "./request_task.ts";
-import { estimateLongestRunMs } from "./estimate_run.ts";
 import { computeTimeoutMs, type RoutedRequest } from "./routed_request.ts";
 import { type RouteDecision, routeRequest } from "./route_request.ts";
+import { SlowdownTracker } from "./slowdown_tracker.ts";
+import { StopCheck } from "./stop_check.ts";
 
-/** `retry-after` of a request that this entry cannot route yet. */
-const UNAVAILABLE_RETRY_MS = 200;
-/** `retry-after` of a request that another entry takes at once. */
-const STOPPING_RETRY_MS = 0;
 /** For requests that come before the first configuration; all are refused. */
 const UNCONFIGURED_LIMITS: BodyLimits = {
   maxBytes: Number.POSITIVE_INFINITY,
@@ -31,36 +29,41 @@
 export class Forwarder {
   readonly #context: ForwardContext;
   readonly #tasks = new Set<RequestTask>();
+  readonly #pipelinedAnswers = PipelinedAnswers.create();
+  readonly #stopCheck: StopCheck;
+  readonly #slowdowns = SlowdownTracker.create();
   #lastId = 0;
-  /** When accepted requests have to end; undefined unless the entry stops. */
-  #endAtMs: number | undefined;
 
   private constructor(context: ForwardContext) {
+    const { configuration, countEntries } = context;
     this.#context = context;
+    this.#stopCheck = StopCheck.create({
+      countEntries,
+      readConditions: (service) => ({
+        profile: configuration.table?.configuration.services.get(service)
+          ?.engine,
+        slowdown: this.#readSlowdown(service),
+      }),
+    });
   }
 
   static create(context: ForwardContext): Forwarder {
     return new Forwarder(context);
   }
 
-  /** Number of requests in progress. */
-  get activeCount(): number {
-    return this.#tasks.size;
-  }
-
-  /** Refuses, as not run, every further request that may not end by then. */
+  /** Refuses, as not run, every request that may not end by then. */
   refuseLongRequests(endAtMs: number): void {
-    this.#endAtMs = endAtMs;
+    this.#stopCheck.begin(endAtMs);
   }
 
   /** Refuses every further request as not run. */
   refuseNewRequests(): void {
-    this.#endAtMs = performance.now();
+    this.#stopCheck.endAccepting();
   }
 
-  /** Cuts the streams that their callers can resume at another entry. */
-  cutResumableStreams(): void {
-    for (const task of [...this.#tasks]) task.cutForResume();
+  /** Ends all requests, with an answer where none has begun. */
+  endRequests(): void {
+    for (const task of [...this.#tasks]) task.endForStop();
   }
 
   /** Ends the requests that have been quarantined since they began. */
@@ -71,7 +74,16 @@
   /** Reads the request's body, and then answers or starts the request. */
   handle(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = readArrivalMs(request);
-    const answer = CallerAnswer.create(response, this.#context.isStopping);
+    if (!this.#pipelinedAnswers.add(request, response)) return;
+    const answer = CallerAnswer.create(
+      response,
+      {
+        memory: this.#context.answerMemory,
+        isLast: () =>
+          this.#context.isStopping() &&
+          this.#pipelinedAnswers.isLatest(response),
+      },
+    );
     request.on("error", () => undefined);
     response.on("error", () => undefined);
     this.#context.bodies.read(request, {
@@ -174,15 +186,16 @@
       });
       release();
       if (decision.kind === "denied") answer.sendFinal({ status });
-      else answer.refuse(this.#unavailableRetryMs);
+      else answer.refuse(this.#stopCheck.retryAfterMs);
       return;
     }
     this.#lastId += 1;
     const task = RequestTask.start(context, {
       id: String(this.#lastId),
       answer,
+      stopCheck: this.#stopCheck,
       onEnd: (ended) => {
-        this.#tasks.delete(ended);
+        this.#removeTask(ended);
         release();
       },
       request: {
@@ -202,32 +215,29 @@
     response.on("close", () => task.handleCallerDisconnect());
   }
 
+  #removeTask(task: RequestTask): void {
+    this.#tasks.delete(task);
+    const { service, slowdown } = task;
+    this.#slowdowns.record(service, slowdown, performance.now());
+  }
+
+  /** Returns how much slower than expected a service's requests ran, or run. */
+  #readSlowdown(service: string): number {
+    const running = [...this.#tasks].filter((task) => task.service === service);
+    return Math.max(
+      this.#slowdowns.readLargest(service, performance.now()),
+      ...running.map(({ slowdown }) => slowdown),
+    );
+  }
+
   /** Refuses a routed request that may still run when the entry ends. */
   #checkStop(
     decision: RouteDecision,
     { head, arrivedAtMs }: Pick<RoutedRequest, "head" | "arrivedAtMs">,
   ): RouteDecision {
-    if (this.#endAtMs === undefined || decision.kind !== "routed") {
-      return decision;
-    }
+    if (decision.kind !== "routed") return decision;
     const { route } = decision;
-    const services = this.#context.configuration.table?.configuration.services;
-    const profiles = route.shares.map(({ service }) =>
-      services?.get(service)?.engine
-    );
-    const longestMs = Math.round(
-      estimateLongestRunMs({ head, route }, profiles),
-    );
-    const leftMs = Math.max(0, Math.round(this.#endAtMs - arrivedAtMs));
-    if (longestMs <= leftMs) return decision;
-    const reason =
-      `stopping: may run for ${longestMs} ms, ${leftMs} ms are left`;
-    return { kind: "unavailable", reason };
-  }
-
-  get #unavailableRetryMs(): number {
-    const isTakenByOther = this.#endAtMs !== undefined &&
-      this.#context.countEntries() > 1;
-    return isTakenByOther ? STOPPING_RETRY_MS : UNAVAILABLE_RETRY_MS;
+    const reason = this.#stopCheck.findRefusal({ head, route, arrivedAtMs });
+    return reason === undefined ? decision : { kind: "unavailable", reason };
   }
 }
--- a/daemon/serve-agent/src/agent_process.ts
+++ b/daemon/serve-agent/src/agent_process.ts
@@ -30,7 +30,6 @@
   AgentRegistration,
   AgentStatus,
   AgentView,
-  IncarnationClosing,
 } from "@dandelionbank/types";
 import { randomUUID } from "node:crypto";
 
@@ -45,6 +44,13 @@
 /** Longest wait for attempts in flight until an entry has sent its view. */
 const DEFAULT_DRAIN_TIMEOUT_MS = 30_000;
 
+/**
+ * Time for entries to follow the agent's withdrawal, which the platform tells them.
+ * Until then it refuses their attempts: one that meets a closed connection would
+ * count as lost.
+ */
+const WITHDRAWAL_MS = 500;
+
 export interface AgentProcessOptions {
   readonly settings: AgentSettings;
   readonly logger: Logger;
@@ -134,6 +140,7 @@
       options.logger.log("targetCut", { target, inFlight });
     }
     await this.#registration?.withdraw();
+    await wait(WITHDRAWAL_MS);
     await this.#peers?.close();
     await this.#observability?.close();
     task.stop();
@@ -188,14 +195,13 @@
     logger.log("admissionOpened", { target: settings.name, incarnation });
   }
 
+  /** Reads the incarnations that are closed, after which closings are named. */
   async #readClosings(): Promise<readonly string[]> {
     const { options, store } = this.#dependencies;
     while (!this.#isStopping) {
       try {
         const { items } = await store.list("closing");
-        return items.map(({ value }) =>
-          (value as IncarnationClosing).incarnation
-        );
+        return items.map(({ name }) => name);
       } catch (error) {
         const message = (error as Error).message;
         options.logger.log("admissionWaits", { message });
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -12,6 +12,7 @@
   createDirectoryListener,
   createReadinessListener,
 } from "@dandelionbank/serve-directory";
+import { ByteBudget } from "@dandelionbank/collect-bytes";
 import { createRetryBudget } from "@dandelionbank/budget-retries";
 import { StatusExchange } from "@dandelionbank/exchange-status";
 import {
@@ -69,16 +70,16 @@
 const DIRECTORY_TTL_MS = 2_000;
 /** Idle connections are kept longer than the limit that callers assume. */
 const IDLE_TIMEOUT_FACTOR = 2;
-/** Interval of checks whether all requests have ended. */
+/** Interval of checks whether all answers were sent. */
 const STOP_POLL_MS = 50;
-/** Time for servers to close once nothing runs any more. */
-const CLOSE_TIMEOUT_MS = 300;
 /**
  * Part of the process's memory for the bodies of requests. Released bodies that
  * are not collected yet may take as much again, and half remains for the runtime
  * and its heap, which are outside this budget.
  */
 const BODY_MEMORY_FRACTION = 0.25;
+/** Part of the process's memory for answers that are kept, in the same way. */
+const ANSWER_MEMORY_FRACTION = 0.0625;
 /** Memory of a process whose settings state none. */
 const DEFAULT_MEMORY_BYTES = 256_000_000;
 
@@ -160,6 +161,7 @@
     });
     this.#targets = TargetView.create({
       reregistrationMs: bounds.targetReregistrationMs,
+      isServed: (service) => this.#isServed(service),
       placement,
       notices: this.#notices,
       pools,
@@ -180,13 +182,18 @@
       registry,
       totalBytes: memoryBytes * BODY_MEMORY_FRACTION,
     });
+    const answerMemory = ByteBudget.create(
+      memoryBytes * ANSWER_MEMORY_FRACTION,
+    );
     const context: ForwardContext = {
       logger,
       metrics: ForwardMetrics.create({
         registry,
         countNotices: () => this.#notices.countByKind(performance.now()),
         meter: pools.meter,
+        answerMemory,
       }),
+      answerMemory,
       bodies: this.#bodies,
       configuration: this.#configuration,
       placement,
@@ -285,16 +292,18 @@
     this.#exchange.broadcast();
     await delay(schedule.acceptMs);
     this.#forwarder.refuseNewRequests();
-    while (this.#forwarder.activeCount > 0 && performance.now() < cutAtMs) {
+    while (
+      this.#callerServer.openAnswerCount > 0 && performance.now() < cutAtMs
+    ) {
       await delay(STOP_POLL_MS);
     }
-    this.#forwarder.cutResumableStreams();
+    this.#forwarder.endRequests();
     this.#isStopped = true;
     clearInterval(this.#refreshTimer);
     for (const watcher of this.#watchers) watcher.stop();
     this.#exchange.stop();
     const closed = Promise.all(this.#servers.map((server) => server.close()));
-    await Promise.race([closed, delay(CLOSE_TIMEOUT_MS)]);
+    await Promise.race([closed, delay(schedule.closeMs)]);
   }
 
   #createServer(address: SocketAddress, listener: RequestListener) {
@@ -383,6 +392,11 @@
     this.#crashMonitor.adoptQuarantinedParts(quarantined, "the store");
   }
 
+  #isServed(service: string): boolean {
+    const configuration = this.#configuration.table?.configuration;
+    return configuration?.services.has(service) ?? true;
+  }
+
   #applyLimits({ limits }: IngressConfiguration): void {
     this.#callerServer.setKeepAliveTimeout(
       limits.idleTimeoutMs * IDLE_TIMEOUT_FACTOR,
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -6,20 +6,23 @@
 
 import type { buildConnector, Dispatcher } from "undici";
 import createConnector from "undici/lib/core/connect.js";
+import type { Socket } from "node:net";
 import Pool from "undici/lib/dispatcher/pool.js";
+import { ConnectionReads } from "./connection_reads.ts";
 import { ConnectionResets } from "./connection_resets.ts";
 import {
   type PieceAllowance,
   PieceThrottle,
   type ThrottledResponse,
 } from "./piece_throttle.ts";
-import { ReadMonitor } from "./read_monitor.ts";
 import { TransferMeter } from "./transfer_meter.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
 /** A peer that sends more interim heads (1xx) than this sends no answer. */
 const MAX_INTERIM_HEAD_BYTES = 65_536;
+/** A status line, where it isn't the first line of its head. */
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?: |$)/;
 /** Status line and line ends of a head, about. */
 const HEAD_OVERHEAD_BYTES = 32;
 
@@ -77,6 +80,7 @@
 export interface RequestHandle {
   /** Resets the connection, so that bytes still in flight are not delivered. */
   cancel(): void;
+  /** Reads no more from the connection; bytes already read are still delivered. */
   pause(): void;
   resume(): void;
 }
@@ -86,13 +90,13 @@
   readonly #pool: Pool;
   readonly #resets = ConnectionResets.create();
   readonly #meter: TransferMeter;
-  readonly #reads: ReadMonitor;
+  readonly #reads: ConnectionReads;
   readonly #throttle: PieceThrottle;
 
   private constructor(options: HttpPoolOptions) {
     this.origin = options.origin;
     this.#meter = options.meter ?? TransferMeter.create();
-    this.#reads = ReadMonitor.create(this.#meter);
+    this.#reads = ConnectionReads.create(this.#meter);
     this.#throttle = options.throttle ?? PieceThrottle.create();
     const connector = options.connector ?? createConnector({
       timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
@@ -103,8 +107,8 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
-      connect: this.#resets.wrapConnector(
-        this.#reads.wrapConnector(connector),
+      connect: this.#reads.wrapConnector(
+        this.#resets.wrapConnector(connector),
       ),
     });
   }
@@ -150,9 +154,11 @@
   readonly #handler: HttpHandler;
   readonly #resets: ConnectionResets;
   readonly #meter: TransferMeter;
-  readonly #reads: ReadMonitor;
+  readonly #reads: ConnectionReads;
   readonly #allowance: PieceAllowance;
   #controller: Dispatcher.DispatchController | undefined;
+  /** The connection from which the response is read. */
+  #socket: Socket | undefined;
   #interimHeadBytes = 0;
   #isCancelled = false;
   #isEnded = false;
@@ -165,7 +171,7 @@
     { resets, meter, reads, throttle }: {
       readonly resets: ConnectionResets;
       readonly meter: TransferMeter;
-      readonly reads: ReadMonitor;
+      readonly reads: ConnectionReads;
       readonly throttle: PieceThrottle;
     },
   ) {
@@ -183,22 +189,22 @@
 
   pause(): void {
     this.#isPaused = true;
-    this.#controller?.pause();
+    this.#updateReading();
   }
 
   resume(): void {
     this.#isPaused = false;
-    if (!this.#isHeld) this.#controller?.resume();
+    this.#updateReading();
   }
 
   hold(): void {
     this.#isHeld = true;
-    this.#controller?.pause();
+    this.#updateReading();
   }
 
   release(): void {
     this.#isHeld = false;
-    if (!this.#isPaused) this.#controller?.resume();
+    this.#updateReading();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -210,8 +216,12 @@
     _controller: Dispatcher.DispatchController,
     status: number,
     headers: HttpAnswerHead["headers"],
+    statusText = "",
   ): void {
     this.#reads.recordHandled();
+    this.#socket = this.#reads.latest;
+    const defect = findHeadDefect(headers, statusText);
+    if (defect !== undefined) return this.#abort(new Error(defect));
     if (status >= 200) return this.#handler.onHead({ status, headers });
     this.#interimHeadBytes += HEAD_OVERHEAD_BYTES + countHeaderBytes(headers);
     if (this.#interimHeadBytes <= MAX_INTERIM_HEAD_BYTES) return;
@@ -230,9 +240,9 @@
   }
 
   onResponseEnd(): void {
+    this.#releaseSocket();
     if (this.#isEnded) return;
     this.#isEnded = true;
-    this.#allowance.end();
     this.#reads.recordHandled();
     if (this.#resets.isPeerResetting) {
       this.#handler.onError(new Error("Connection was reset"), true);
@@ -242,18 +252,61 @@
   }
 
   onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    this.#releaseSocket();
     if (this.#isEnded) return;
     this.#isEnded = true;
-    this.#allowance.end();
     this.#handler.onError(error, wasSent(error));
   }
 
+  /** The connection may serve the next request from now on. */
+  #releaseSocket(): void {
+    this.#allowance.end();
+    this.#isHeld = false;
+    this.#isPaused = false;
+    this.#updateReading();
+    this.#socket = undefined;
+  }
+
+  #updateReading(): void {
+    if (this.#socket === undefined) return;
+    if (this.#isPaused || this.#isHeld) this.#reads.pause(this.#socket);
+    else this.#reads.resume(this.#socket);
+  }
+
   /** Resets the connection; `onResponseError` is called with the reason. */
   #abort(reason: Error): void {
     this.#resets.resetWhile(() => this.#controller?.abort(reason));
   }
 }
 
+/** Returns why a head is no answer's, or why its body can't be read, if so. */
+function findHeadDefect(
+  headers: HttpAnswerHead["headers"],
+  statusText: string,
+): string | undefined {
+  if (isMerged(headers, statusText)) {
+    return "Head of an answer that was cut by another one";
+  }
+  // undici takes the bytes of any other coding for those of the body.
+  const coding = headers["transfer-encoding"];
+  const isReadable = coding === undefined ||
+    String(coding).trim().toLowerCase() === "chunked";
+  return isReadable ? undefined : "Answer with an unknown transfer coding";
+}
+
+/**
+ * Whether a head begins with a part of another one, such as of a late second
+ * answer that breaks off in its first line or in a field. The status may then be
+ * the other answer's, while the fields are those of the request's own.
+ */
+function isMerged(
+  headers: HttpAnswerHead["headers"],
+  statusText: string,
+): boolean {
+  return [statusText, ...Object.values(headers).flat()]
+    .some((text) => text !== undefined && STATUS_LINE.test(text));
+}
+
 function countHeaderBytes(headers: HttpAnswerHead["headers"]): number {
   return Object.entries(headers).flat(2).join("").length;
 }
