--- a/peers/listen-http/src/mod.ts
+++ b/peers/listen-http/src/mod.ts
@@ -2,4 +2,4 @@
 
 export { HttpListener } from "./http_listener.ts";
 export type { HttpListenerOptions } from "./http_listener.ts";
-export { hasWaitingRequests, readArrivalMs } from "./pipeline_queue.ts";
+export { readArrivalMs } from "./pipeline_queue.ts";
