Confine an error of one task to that task when the view of the store changes

The probe of a lost entry opens its client inside its try.

The listeners of requests and the timers of dandelionbankd still have no boundary.

--- a/daemon/follow-peers/src/entry_follower.ts
+++ b/daemon/follow-peers/src/entry_follower.ts
@@ -102,8 +102,8 @@
 
   async #isAnswering(registration: EntryRegistration): Promise<boolean> {
     const { access } = this.#options;
-    const client = createEntryClient({ ...access, ...registration });
     try {
+      const client = createEntryClient({ ...access, ...registration });
       const { incarnation } = await client.ping.query();
       return incarnation === registration.incarnation;
     } catch {
--- a/daemon/keep-view/src/view_keeper.ts
+++ b/daemon/keep-view/src/view_keeper.ts
@@ -1,7 +1,8 @@
 /**
  * Folds the events of the platform's watch into a view, a consistent snapshot of
  * the stored objects, and publishes each new view. The last view remains in force
- * during an outage of the platform.
+ * during an outage of the platform. An error of one listener is logged; the others
+ * and the watch go on.
  */
 
 import type { PlatformClient } from "@dandelionbank/call-platform";
@@ -21,11 +22,14 @@
 export interface ViewKeeperOptions {
   readonly client: PlatformClient;
   readonly logger: Logger;
-  readonly onView: (view: View) => void;
+  /** Called in order with each new view. */
+  readonly viewListeners: readonly ViewListener[];
   /** Called with each event of the watch, after it was applied to the view. */
   readonly onWatchEvent: (event: WatchEvent) => void;
 }
 
+export type ViewListener = (view: View) => void;
+
 export class ViewKeeper {
   readonly #options: ViewKeeperOptions;
   readonly #runner: CoreRunner<ViewState, WatchEvent, ViewEffect>;
@@ -71,15 +75,15 @@
   #handleEvent(event: WatchEvent): void {
     this.#isReachable = event.type !== "unreachable";
     this.#runner.post(event);
-    this.#options.onWatchEvent(event);
+    this.#guard(event.type, () => this.#options.onWatchEvent(event));
   }
 
   #perform(effect: ViewEffect): void {
-    const { logger, onView } = this.#options;
+    const { logger } = this.#options;
     switch (effect.type) {
       case "viewChanged":
         logger.log("viewAdvanced", { revision: effect.view.revision });
-        return onView(effect.view);
+        return this.#publish(effect.view);
       case "viewConfirmed":
         return;
       case "objectRefused":
@@ -98,6 +102,21 @@
         return;
     }
   }
+
+  #publish(view: View): void {
+    for (const listener of this.#options.viewListeners) {
+      this.#guard(`view ${view.revision}`, () => listener(view));
+    }
+  }
+
+  #guard(operation: string, call: () => void): void {
+    try {
+      call();
+    } catch (error) {
+      const detail = String(error);
+      this.#options.logger.log("unexpectedError", { operation, detail });
+    }
+  }
 }
 
 function parseObject(object: StoredObject): ParsedObject {
--- a/daemon/serve-entry/src/entry_process.ts
+++ b/daemon/serve-entry/src/entry_process.ts
@@ -45,7 +45,6 @@
   EntryRegistration,
   StatusReport,
   TlsSource,
-  View,
 } from "@dandelionbank/types";
 import { randomUUID } from "node:crypto";
 import { ArbiterLease } from "./arbiter_lease.ts";
@@ -171,7 +170,13 @@
     this.#views = ViewKeeper.create({
       client: store,
       logger,
-      onView: (view) => this.#applyView(view),
+      viewListeners: [
+        this.#requests,
+        this.#members,
+        this.#agents,
+        this.#entries,
+        this.#takeOvers,
+      ].map((task) => (view) => task.applyView(view)),
       onWatchEvent: (event) => this.#takeOvers.applyWatchEvent(event),
     });
   }
@@ -341,14 +346,6 @@
     if (arbiter !== undefined) this.#entries.probe(arbiter);
   }
 
-  #applyView(view: View): void {
-    this.#requests.applyView(view);
-    this.#members.applyView(view);
-    this.#agents.applyView(view);
-    this.#entries.applyView(view);
-    this.#takeOvers.applyView(view);
-  }
-
   #readReadiness(): {
     readonly isReady: boolean;
     readonly reasons: readonly string[];
