Give the groups of the odd entries' tests addresses of their own

Run three times at once, "The agents of a group follow the store past a registration ..." failed in two copies: the agents of all had the addresses 127.0.0.61 to 63 and serve metrics on the same port. Shown with two copies at one address: EADDRINUSE 127.0.0.63:9464, after which the agent exits.

The addresses include the process id, as those of entries do, and the test says which agent has exited. Three copies at once passed (9 tests).

--- a/testing/ingress-tests/src/odd_entries_test.ts
+++ b/testing/ingress-tests/src/odd_entries_test.ts
@@ -17,6 +17,7 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import process from "node:process";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 
@@ -32,7 +33,16 @@
 /** Longer than the interval between two calls to the store. */
 const APPLIED_MS = 700;
 const CALL_COUNT = 12;
-const GROUP_SHAPE = { ranks: 3, sets: 2, expertsPerSet: 6, firstHost: 61 };
+/**
+ * Agents serve metrics on the same port, so the addresses of their group include
+ * the process id: other test processes run at the same time.
+ */
+const GROUP_SHAPE = {
+  ranks: 3,
+  sets: 2,
+  expertsPerSet: 6,
+  firstHost: 64 + process.pid % 58 * 3,
+};
 
 const NESTED = "[".repeat(VALUE_LENGTH / 2) + "]".repeat(VALUE_LENGTH / 2);
 const FIELDS = {
@@ -116,18 +126,18 @@
     const { store, group, agents } = await startGroup(t, (store) => {
       store.putText("servers", "early", text!);
     });
-    await waitForMap(group, 0);
+    await waitForMap(group, { version: 0, agents });
     store.putText("servers", "later", text!);
     await delay(APPLIED_MS);
     group.hotExpert = 3;
-    await waitForMap(group, group.model.mapVersion);
+    await waitForMap(group, { version: group.model.mapVersion, agents });
     const coordinator = agents.find((agent) => hasCoordinated(agent));
     await coordinator!.stop("SIGKILL");
     const others = agents.filter((agent) => agent !== coordinator);
     await waitFor(() => others.some(hasCoordinated), { timeoutMs: 15_000 });
     await delay(APPLIED_MS);
-    for (const { isRunning, lines, pid } of others) {
-      assert.ok(isRunning, lines.slice(-8).join("\n"));
+    assertRunning(others);
+    for (const { pid } of others) {
       const peakMb = readPeakMb(pid);
       t.diagnostic(`peak of ${Math.round(peakMb)} MB`);
       assert.ok(peakMb < AGENT_LIMIT_MB, `peak of ${Math.round(peakMb)} MB`);
@@ -191,10 +201,23 @@
   return lines.some((line) => line.includes('"name":"coordinatorStarted"'));
 }
 
-function waitForMap(group: SiteGroup, version: number): Promise<void> {
-  return waitFor(() => group.model.mapVersion > version, {
-    timeoutMs: 15_000,
-  });
+function waitForMap(
+  group: SiteGroup,
+  { version, agents }: {
+    readonly version: number;
+    readonly agents: readonly ChildProgram[];
+  },
+): Promise<void> {
+  return waitFor(() => {
+    assertRunning(agents);
+    return group.model.mapVersion > version;
+  }, { timeoutMs: 15_000 });
+}
+
+function assertRunning(agents: readonly ChildProgram[]): void {
+  for (const { isRunning, lines } of agents) {
+    assert.ok(isRunning, lines.slice(-8).join("\n"));
+  }
 }
 
 /** Reads the largest resident memory that a process has had. */
