Test that a response within its own rate is never held up

With the refill of a response's own pieces taken out, all tests of the throttle and 400 random answers passed: a stream at less than one piece a millisecond would wait for turns behind floods, and no test saw it. The new test fails then (one hold, none allowed) and passed three times with the refill.

--- a/foundation/open-http/src/piece_throttle_test.ts
+++ b/foundation/open-http/src/piece_throttle_test.ts
@@ -84,6 +84,34 @@
   assert.equal(pieces, CHUNK_COUNT);
 });
 
+// Guards against a fast stream that is held up by the turns of others.
+test("A response within its own rate is never held while others take turns", async () => {
+  const throttle = PieceThrottle.create();
+  const flood = () => {
+    const allowance = throttle.createAllowance({
+      hold: () => undefined,
+      release: () => send(),
+    });
+    const send = () => {
+      for (let index = 0; index < 1_000; index++) allowance.recordPiece(1);
+    };
+    send();
+    return allowance;
+  };
+  const floods = Array.from({ length: 20 }, flood);
+  let holds = 0;
+  const stream = throttle.createAllowance({
+    hold: () => holds += 1,
+    release: () => undefined,
+  });
+  for (let round = 0; round < 5; round++) {
+    for (let index = 0; index < 100; index++) stream.recordPiece(1);
+    await delay(150);
+  }
+  for (const allowance of [...floods, stream]) allowance.end();
+  assert.equal(holds, 0);
+});
+
 function withResolvers() {
   let resolve = () => {};
   let reject: (error: Error) => void = () => {};
