Bound the fields of heads, and read no more once a connection is closed

With 48 calls the entry's one thread stood still for 4.3 s; with 200 calls and fields of 22 bytes for 5.5 s.

Cause: undici's parser keeps two objects for each field of a head, whatever its length, so 64 KiB of unhandled bytes are 32,768 objects a connection. Beyond its limit of 16 KiB it makes an error for each further field, and a closed socket still returned what it had received.

Now at most 512 lines and 24 KiB are read without a handler being called, 1 KiB at a time where a head is expected and 4 KiB elsewhere (trailers come in the same read as a body's end), and nothing from a closed connection. A head of more than about 500 fields is no longer read.

The four new tests fail before (65,536 to 98,304 bytes read); http_pool, piece_throttle, random_answers twice, endless_answers, endless_memory, second_answers and answers pass.

--- a/foundation/open-http/src/connection_reads.ts
+++ b/foundation/open-http/src/connection_reads.ts
@@ -16,15 +16,29 @@
 import type { HttpConnector } from "./http_pool.ts";
 import type { TransferMeter } from "./transfer_meter.ts";
 
-/** Several times the largest head that the parser accepts, which is 16 KiB. */
-const MAX_UNHANDLED_BYTES = 65_536;
+/**
+ * The largest head that the parser accepts has 16 KiB of names and values. What
+ * stands between them is less than half of that, and each field costs objects.
+ */
+const MAX_UNHANDLED_BYTES = 24_576;
 /** Bytes that are parsed at a time: a pause takes effect after them. */
-const MAX_READ_BYTES = 16_384;
+const MAX_READ_BYTES = 4_096;
+/**
+ * Lines that are read without a handler being called. The parser keeps two objects
+ * for each field of a head, however short it is; heads have some tens of fields.
+ */
+const MAX_UNHANDLED_LINES = 512;
+/** Bytes that are parsed at a time where a head is expected, or more of one. */
+const MAX_HEAD_READ_BYTES = 1_024;
+const LINE_FEED = 10;
 
 interface Connection {
   isPaused: boolean;
-  /** Bytes that were read since a handler was last called. */
+  /** Bytes, and lines of them, that were read since a handler was last called. */
   unhandledBytes: number;
+  unhandledLines: number;
+  /** Whether the latest bytes called no handler, or ended an answer. */
+  isAtHead: boolean;
 }
 
 export class ConnectionReads {
@@ -61,7 +75,16 @@
   recordHandled(): void {
     if (this.#latest === undefined) return;
     const connection = this.#connections.get(this.#latest);
-    if (connection !== undefined) connection.unhandledBytes = 0;
+    if (connection === undefined) return;
+    connection.unhandledBytes = 0;
+    connection.unhandledLines = 0;
+    connection.isAtHead = false;
+  }
+
+  /** Records that a head is expected next on the connection. */
+  recordEnd(socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (connection !== undefined) connection.isAtHead = true;
   }
 
   pause(socket: Socket): void {
@@ -80,35 +103,69 @@
   }
 
   #wrapRead(socket: Socket): void {
-    const connection: Connection = { isPaused: false, unhandledBytes: 0 };
+    const connection: Connection = {
+      isPaused: false,
+      unhandledBytes: 0,
+      unhandledLines: 0,
+      isAtHead: true,
+    };
     this.#connections.set(socket, connection);
     const read = socket.read.bind(socket);
     socket.read = (size?: number) => {
       // Node.js itself calls `read(0)`, which returns nothing, to fill its buffer.
       if (size === 0) return read(0);
-      if (connection.isPaused) return null;
-      if (connection.unhandledBytes > MAX_UNHANDLED_BYTES) {
+      // A connection that was closed still returns what it had received.
+      if (connection.isPaused || socket.destroyed) return null;
+      if (isOverflowing(connection)) {
         socket.destroy(describeOverflow(connection));
         return null;
       }
-      const bytes = readPart(socket, read);
+      const bytes = readPart(socket, read, connection);
       if (bytes === null) return null;
       this.#latest = socket;
       this.#meter.recordReceived(bytes.length);
       connection.unhandledBytes += bytes.length;
+      if (connection.isAtHead) connection.unhandledLines += countLines(bytes);
+      connection.isAtHead = true;
       return bytes;
     };
   }
 }
 
-function readPart(socket: Socket, read: Socket["read"]): Buffer | null {
-  const sizeBytes = Math.min(socket.readableLength, MAX_READ_BYTES);
+function readPart(
+  socket: Socket,
+  read: Socket["read"],
+  { isAtHead, unhandledBytes }: Connection,
+): Buffer | null {
+  const sizeBytes = Math.min(
+    socket.readableLength,
+    isAtHead ? MAX_HEAD_READ_BYTES : MAX_READ_BYTES,
+    // One more than allowed shows that there are more.
+    MAX_UNHANDLED_BYTES + 1 - unhandledBytes,
+  );
   // Without any bytes, `read` notices the end of the connection.
   return sizeBytes === 0 ? read() : read(sizeBytes);
 }
 
-function describeOverflow({ unhandledBytes }: Connection): Error {
+function isOverflowing(
+  { unhandledBytes, unhandledLines }: Connection,
+): boolean {
+  return unhandledBytes > MAX_UNHANDLED_BYTES ||
+    unhandledLines > MAX_UNHANDLED_LINES;
+}
+
+function countLines(bytes: Buffer): number {
+  let count = 0;
+  for (const byte of bytes) {
+    if (byte === LINE_FEED) count += 1;
+  }
+  return count;
+}
+
+function describeOverflow(
+  { unhandledBytes, unhandledLines }: Connection,
+): Error {
   return new Error(
-    `${unhandledBytes} bytes that are no part of an answer; the limit is ${MAX_UNHANDLED_BYTES}`,
+    `${unhandledBytes} bytes and ${unhandledLines} lines that are no part of an answer; the limits are ${MAX_UNHANDLED_BYTES} and ${MAX_UNHANDLED_LINES}`,
   );
 }
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -242,10 +242,12 @@
   }
 
   onResponseEnd(): void {
+    const socket = this.#socket;
     this.#releaseSocket();
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#reads.recordHandled();
+    if (socket !== undefined) this.#reads.recordEnd(socket);
     if (this.#resets.isPeerResetting) {
       this.#handler.onError(new Error("Connection was reset"), true);
       return;
--- a/foundation/open-http/src/http_pool_test.ts
+++ b/foundation/open-http/src/http_pool_test.ts
@@ -8,6 +8,7 @@
   type Socket,
 } from "node:net";
 import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import {
   fetchAnswer,
   type HttpConnector,
@@ -262,6 +263,65 @@
   };
 }
 
+const FIELD = "x-filler: 0123456789\r\n";
+/** A name of one byte without a value: the parser keeps two objects for it. */
+const EMPTY_FIELD = "a:\r\n";
+const TRAILERS = `${CHUNKED}\r\n0\r\n`;
+
+// Guards against heads without end that take the time and memory of their fields:
+// 64 KiB of empty fields are 32,768 objects, and each field beyond the parser's
+// limit is another error.
+for (
+  const { name, start = "", field, mostBytes } of [
+    { name: "empty fields", field: EMPTY_FIELD, mostBytes: 4_096 },
+    { name: "fields", field: FIELD, mostBytes: 32_768 },
+    {
+      name: "empty trailers",
+      start: TRAILERS,
+      field: EMPTY_FIELD,
+      mostBytes: 8_192,
+    },
+    { name: "trailers", start: TRAILERS, field: FIELD, mostBytes: 32_768 },
+  ]
+) {
+  test(`A connection with ${name} without end is read to little more than the longest head`, async (t) => {
+    const peer = await acceptConnections(t);
+    const meter = TransferMeter.create();
+    const pool = HttpPool.create({ origin: peer.origin, meter });
+    t.after(() => pool.close());
+    peer.server.on(
+      "connection",
+      (socket: Socket) =>
+        socket.on("error", () => undefined).once("data", () => {
+          socket.write(`HTTP/1.1 200 OK\r\n${start}${field.repeat(50_000)}`);
+        }),
+    );
+    const { isComplete } = await readSlowly(pool);
+    assert.ok(!isComplete);
+    assert.ok(meter.receivedBytes <= mostBytes, `${meter.receivedBytes} bytes`);
+  });
+}
+
+test("A head near the parser's limit is read, however it arrives", async (t) => {
+  const peer = await acceptConnections(t);
+  const pool = HttpPool.create({ origin: peer.origin });
+  t.after(() => pool.close());
+  const head = `HTTP/1.1 200 OK\r\n${
+    "x-filler: 0123456789012345678901234567\r\n".repeat(400)
+  }content-length: 5\r\n\r\nwhole`;
+  peer.server.on(
+    "connection",
+    (socket: Socket) =>
+      socket.setNoDelay(true).once("data", async () => {
+        for (let at = 0; at < head.length; at += 1_000) {
+          socket.write(head.slice(at, at + 1_000));
+          await delay(1);
+        }
+      }),
+  );
+  assert.deepEqual(await readSlowly(pool), { bytes: 5, isComplete: true });
+});
+
 /** Starts a server that accepts connections and never answers. */
 async function acceptConnections(
   t: TestContext,
--- a/testing/standin-site/src/endless_forms.ts
+++ b/testing/standin-site/src/endless_forms.ts
@@ -50,6 +50,15 @@
     renderStart: () => "HTTP/1.1 200 OK\r\n",
     repeated: repeat("x-filler: 0123456789\r\n"),
   },
+  "a head of empty fields": {
+    renderStart: () => "HTTP/1.1 200 OK\r\n",
+    repeated: repeat("a:\r\n"),
+  },
+  "trailers of empty fields": {
+    renderStart: (call) =>
+      `${renderAnswerHead(call, { fields: CHUNKED })}0\r\n`,
+    repeated: repeat("a:\r\n"),
+  },
   "a line of a head": {
     renderStart: () => "HTTP/1.1 200 OK\r\nx-filler: ",
     repeated: BLOCK,
