--- a/daemon/forward-requests/src/forward_context.ts
+++ b/daemon/forward-requests/src/forward_context.ts
@@ -1,5 +1,6 @@
 /** State and services shared by all requests of an entry. */
 
+import type { ByteBudget } from "@dandelionbank/collect-bytes";
 import type { RetryBudget } from "@dandelionbank/budget-retries";
 import type { ActiveConfiguration } from "@dandelionbank/track-configuration";
 import type { Logger } from "@dandelionbank/log-events";
@@ -8,6 +9,7 @@
 import type { TrackedNotices } from "@dandelionbank/track-notices";
 import type { RegisteredTarget } from "@dandelionbank/types";
 import type { CrashMonitor } from "@dandelionbank/watch-suspects";
+import type { BodyIntake } from "./body_intake.ts";
 import type { ForwardMetrics } from "./forward_metrics.ts";
 import type { StreamAdmission } from "./stream_admission.ts";
 import type { TargetPools } from "./target_pools.ts";
@@ -15,6 +17,9 @@
 export interface ForwardContext {
   readonly logger: Logger;
   readonly metrics: ForwardMetrics;
+  readonly bodies: BodyIntake;
+  /** Memory for all answers that are kept until they are whole or sent. */
+  readonly answerMemory: ByteBudget;
   readonly configuration: ActiveConfiguration;
   readonly placement: PlacementState;
   readonly notices: TrackedNotices;
--- a/daemon/forward-requests/src/pipelined_answers.ts
+++ b/daemon/forward-requests/src/pipelined_answers.ts
@@ -1,7 +1,7 @@
 /**
- * The latest answer on each connection. Requests that a caller pipelines are all
- * handled at once, and their answers are sent in order; the one that closes the
- * connection has to be the last.
+ * The latest answer on each connection. Requests that a caller pipelines are
+ * handled several at once, and their answers are sent in order; the one that
+ * closes the connection has to be the last.
  */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -12,6 +12,7 @@
   createDirectoryListener,
   createReadinessListener,
 } from "@dandelionbank/serve-directory";
+import { ByteBudget } from "@dandelionbank/collect-bytes";
 import { createRetryBudget } from "@dandelionbank/budget-retries";
 import { StatusExchange } from "@dandelionbank/exchange-status";
 import {
@@ -19,6 +20,7 @@
   sumActiveRequests,
 } from "@dandelionbank/track-entries";
 import {
+  BodyIntake,
   type ForwardContext,
   Forwarder,
   ForwardMetrics,
@@ -59,7 +61,10 @@
 
 /** Duration of one watch call, as a fraction of the bound on key revocation. */
 const WATCH_WAIT_FRACTION = 0.3;
-/** Interval at which targets are expired and waiting streams reconsidered. */
+/**
+ * Interval at which targets are expired, and waiting streams and bodies
+ * reconsidered.
+ */
 const REFRESH_INTERVAL_MS = 50;
 /** How long callers may cache the directory's answer. */
 const DIRECTORY_TTL_MS = 2_000;
@@ -67,6 +72,16 @@
 const IDLE_TIMEOUT_FACTOR = 2;
 /** Interval of checks whether all answers were sent. */
 const STOP_POLL_MS = 50;
+/**
+ * Part of the process's memory for the bodies of requests. Released bodies that
+ * are not collected yet may take as much again, and half remains for the runtime
+ * and its heap, which are outside this budget.
+ */
+const BODY_MEMORY_FRACTION = 0.25;
+/** Part of the process's memory for answers that are kept, in the same way. */
+const ANSWER_MEMORY_FRACTION = 0.0625;
+/** Memory of a process whose settings state none. */
+const DEFAULT_MEMORY_BYTES = 256_000_000;
 
 export interface IngressOptions {
   readonly settings: BootSettings;
@@ -88,6 +103,7 @@
   readonly #client: StoreClient;
   readonly #forwarder: Forwarder;
   readonly #admission: StreamAdmission;
+  readonly #bodies: BodyIntake;
   readonly #targets: TargetView;
   readonly #notices: TrackedNotices;
   readonly #exchange: StatusExchange;
@@ -145,6 +161,7 @@
     });
     this.#targets = TargetView.create({
       reregistrationMs: bounds.targetReregistrationMs,
+      isServed: (service) => this.#isServed(service),
       placement,
       notices: this.#notices,
       pools,
@@ -159,13 +176,25 @@
     this.#admission = StreamAdmission.create({
       readLoad: (service, runMs) => this.#readLoad(service, runMs),
     });
+    const memoryBytes = settings.memoryBytes ?? DEFAULT_MEMORY_BYTES;
+    this.#bodies = BodyIntake.create({
+      logger,
+      registry,
+      totalBytes: memoryBytes * BODY_MEMORY_FRACTION,
+    });
+    const answerMemory = ByteBudget.create(
+      memoryBytes * ANSWER_MEMORY_FRACTION,
+    );
     const context: ForwardContext = {
       logger,
       metrics: ForwardMetrics.create({
         registry,
         countNotices: () => this.#notices.countByKind(performance.now()),
         meter: pools.meter,
+        answerMemory,
       }),
+      answerMemory,
+      bodies: this.#bodies,
       configuration: this.#configuration,
       placement,
       notices: this.#notices,
@@ -292,8 +321,9 @@
     try {
       this.#targets.expireTargets();
       this.#admission.updateLoads();
+      this.#bodies.expire();
     } catch (error) {
-      this.#logError("refresh of targets and admission", error);
+      this.#logError("refresh of targets, admission and bodies", error);
     }
   }
 
@@ -362,6 +392,11 @@
     this.#crashMonitor.adoptQuarantinedParts(quarantined, "the store");
   }
 
+  #isServed(service: string): boolean {
+    const configuration = this.#configuration.table?.configuration;
+    return configuration?.services.has(service) ?? true;
+  }
+
   #applyLimits({ limits }: IngressConfiguration): void {
     this.#callerServer.setKeepAliveTimeout(
       limits.idleTimeoutMs * IDLE_TIMEOUT_FACTOR,
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -90,6 +90,14 @@
     help:
       "Check the route, the API key and the time since the configuration was confirmed",
   },
+  bodyRefused: {
+    id: 10040,
+    level: "info",
+    text:
+      "Request {requestId} was refused with {receivedBytes} of {sizeBytes} bytes of its body received after {elapsedMs} ms: {reason}; bodies hold {heldBytes} of {budgetBytes} bytes, {waiting} wait; the caller may return in {retryAfterMs} ms",
+    help:
+      "full: more is uploaded than fits into memory; add entries or memory. stalled: the caller has stopped sending. late: the route's timeout has passed",
+  },
   streamAdmitted: {
     id: 10022,
     level: "debug",
@@ -209,6 +217,14 @@
       "Request {requestId} with prompt part {part} is refused for {retryAfterMs} ms: targets crashed while running such requests",
     help: "Check what callers send in that part",
   },
+  registrationRefused: {
+    id: 10042,
+    level: "warn",
+    text:
+      "Registration {target} at revision {revision} names no target: {reason}",
+    help:
+      "Check who wrote it; it is logged once, and no more than 256 at a time are",
+  },
   linesDropped: {
     id: 10030,
     level: "warn",
--- a/foundation/open-http/src/connection_reads.ts
+++ b/foundation/open-http/src/connection_reads.ts
@@ -114,7 +114,7 @@
     socket.read = (size?: number) => {
       // Node.js itself calls `read(0)`, which returns nothing, to fill its buffer.
       if (size === 0) return read(0);
-      // A connection that was closed still returns what it had received.
+      // undici would go on to parse what a connection that it has closed still holds.
       if (connection.isPaused || socket.destroyed) return null;
       if (isOverflowing(connection)) {
         socket.destroy(describeOverflow(connection));
--- a/peers/listen-http/src/http_listener.ts
+++ b/peers/listen-http/src/http_listener.ts
@@ -16,6 +16,7 @@
 import { createServer as createTlsServer } from "node:https";
 import { type AddressInfo, Server as NetServer } from "node:net";
 import { OpenAnswers } from "./open_answers.ts";
+import { PipelineQueue } from "./pipeline_queue.ts";
 
 /** Time for slow readers to read the answers that have ended. */
 const SEND_TIMEOUT_MS = 10_000;
@@ -116,7 +117,9 @@
 
 function createHttpServer(options: HttpListenerOptions): Server {
   const { tls } = options;
-  const listener = guardListener(options);
+  const queue = PipelineQueue.create(guardListener(options));
+  const listener: RequestListener = (request, response) =>
+    queue.handle(request, response);
   if (tls === undefined) return createServer(listener);
   const server = createTlsServer(tls.createServerOptions(), listener);
   tls.attachServer(server);
