--- a/daemon/call-target/src/call_target_test.ts
+++ b/daemon/call-target/src/call_target_test.ts
@@ -161,6 +161,30 @@
   }
 });
 
+// Guards against an agent that ends by its memory, since it keeps an answer piece
+// by piece: 8 MB in single bytes took 265 MB.
+test("An answer in chunks of one byte reaches an agent in few pieces", async (t) => {
+  const sizeBytes = 20_000;
+  const server = createNetServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      const head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+      socket.write(`${head}${"1\r\nx\r\n".repeat(sizeBytes)}0\r\n\r\n`);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const adapter = createTargetAdapter("plain", {
+    targetUrl: `http://127.0.0.1:${port}`,
+  });
+  t.after(() => adapter.close());
+  const { body, pieceCount } = await callWith(adapter);
+  assert.equal(body, "x".repeat(sizeBytes));
+  assert.ok(pieceCount < 200, `${pieceCount} pieces`);
+});
+
 test("A late second answer of a target is no answer to the next call", async (t) => {
   for (const gapMs of [0, 1, 5]) {
     const answers = await callStuttering(t, gapMs);
@@ -206,6 +230,7 @@
   readonly head: TargetHead | undefined;
   readonly result: "complete" | TargetFailure;
   readonly body: string;
+  readonly pieceCount: number;
 }
 
 async function callOnce(
@@ -222,7 +247,10 @@
   return new Promise<CallResult>((resolve) => {
     const chunks: Buffer[] = [];
     let head: TargetHead | undefined;
-    const body = (): string => Buffer.concat(chunks).toString("utf8");
+    const readBody = () => ({
+      body: Buffer.concat(chunks).toString("utf8"),
+      pieceCount: chunks.length,
+    });
     adapter.call(
       {
         method: "POST",
@@ -238,9 +266,9 @@
         onData: (chunk) => {
           chunks.push(chunk);
         },
-        onEnd: () => resolve({ head, result: "complete", body: body() }),
+        onEnd: () => resolve({ head, result: "complete", ...readBody() }),
         onFailure: (failure) =>
-          resolve({ head, result: failure, body: body() }),
+          resolve({ head, result: failure, ...readBody() }),
       },
     );
   });
--- a/daemon/call-target/src/send_call.ts
+++ b/daemon/call-target/src/send_call.ts
@@ -2,6 +2,7 @@
 
 import type { HttpPool } from "@dandelionbank/open-http";
 import { StreamTail } from "@dandelionbank/read-events";
+import { PieceMerger } from "./piece_merger.ts";
 import type { RunningCall, TargetCall, TargetSink } from "./target_adapter.ts";
 
 /** An agent keeps the answer until it is delivered, so its memory bounds it. */
@@ -22,6 +23,7 @@
 ): RunningCall {
   let tail: StreamTail | undefined;
   let sizeBytes = 0;
+  const pieces = PieceMerger.create((piece) => sink.onData(piece));
   const running = pool.send(
     {
       method: call.method,
@@ -46,17 +48,20 @@
           return;
         }
         tail?.push(chunk);
-        sink.onData(chunk);
+        pieces.add(chunk);
       },
       onEnd: () => {
+        pieces.flush();
         if (tail === undefined || isStreamComplete(tail)) return sink.onEnd();
         sink.onFailure({ code: "TARGET_STREAM_CUT", mayHaveRun: true });
       },
-      onError: (_, wasSent) =>
+      onError: (_, wasSent) => {
+        pieces.flush();
         sink.onFailure({
           code: describeFailure({ sizeBytes, wasSent }),
           mayHaveRun: wasSent,
-        }),
+        });
+      },
     },
   );
   return running;
