Choose the ports of tests below those that systems assign

A port that findFreePort has seen free is in the range from which the system gives ports to servers, so a store of one process got the port of an entry of another. Two copies of group_test also met on one such port.

Ports are taken from 10,000 on now, below that range, in a window of each process.

--- a/testing/run-entry/src/run_entry.ts
+++ b/testing/run-entry/src/run_entry.ts
@@ -16,6 +16,7 @@
 import { once } from "node:events";
 import { Agent, type IncomingHttpHeaders, request } from "node:http";
 import { createServer } from "node:net";
+import process from "node:process";
 import type { TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 
@@ -198,14 +199,37 @@
   return fields.map((field) => field.join("=")).join("\n");
 }
 
+/**
+ * Ports below those that systems assign by themselves, which other test processes
+ * may get for their servers at any time.
+ */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+/** Keeps processes that run at the same time apart. */
+const PORTS_PER_PROCESS = 64;
+let portCount = 0;
+
 /** Returns a loopback port that is free at the time of the call. */
 export async function findFreePort(): Promise<number> {
-  const server = createServer().listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as { readonly port: number };
+  for (let tries = 0; tries < PORT_COUNT; tries++) {
+    const offset = process.pid * PORTS_PER_PROCESS + portCount;
+    portCount += 1;
+    const port = FIRST_PORT + offset % PORT_COUNT;
+    if (await isPortFree(port)) return port;
+  }
+  throw new Error(`no free port of ${PORT_COUNT} from ${FIRST_PORT} on`);
+}
+
+async function isPortFree(port: number): Promise<boolean> {
+  const server = createServer().listen(port, "127.0.0.1");
+  try {
+    await once(server, "listening");
+  } catch {
+    return false;
+  }
   server.close();
   await once(server, "close");
-  return port;
+  return true;
 }
 
 export interface CallOptions {
