--- a/daemon/call-target/src/call_target_test.ts
+++ b/daemon/call-target/src/call_target_test.ts
@@ -2,7 +2,11 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { createServer, type RequestListener, type Server } from "node:http";
-import { type AddressInfo, createServer as createNetServer } from "node:net";
+import {
+  type AddressInfo,
+  createServer as createNetServer,
+  type Socket,
+} from "node:net";
 import { test, type TestContext } from "node:test";
 import { createTargetAdapter } from "./mod.ts";
 import type {
@@ -165,21 +169,12 @@
 // by piece: 8 MB in single bytes took 265 MB.
 test("An answer in chunks of one byte reaches an agent in few pieces", async (t) => {
   const sizeBytes = 20_000;
-  const server = createNetServer((socket) => {
-    socket.on("error", () => undefined);
+  const adapter = await createRawAdapter(t, (socket) => {
     socket.once("data", () => {
       const head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
       socket.write(`${head}${"1\r\nx\r\n".repeat(sizeBytes)}0\r\n\r\n`);
     });
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  t.after(() => server.close());
-  const { port } = server.address() as AddressInfo;
-  const adapter = createTargetAdapter("plain", {
-    targetUrl: `http://127.0.0.1:${port}`,
-  });
-  t.after(() => adapter.close());
   const { body, pieceCount } = await callWith(adapter);
   assert.equal(body, "x".repeat(sizeBytes));
   assert.ok(pieceCount < 200, `${pieceCount} pieces`);
@@ -198,9 +193,8 @@
   gapMs: number,
 ): Promise<readonly string[]> {
   let count = 0;
-  const server = createNetServer((socket) => {
+  const adapter = await createRawAdapter(t, (socket) => {
     let late = "";
-    socket.on("error", () => undefined);
     socket.on("data", () => {
       const text = `answer ${count}`;
       const bytes =
@@ -211,6 +205,22 @@
       setTimeout(() => socket.write(bytes), gapMs);
     });
   });
+  const answers: string[] = [];
+  for (let index = 0; index < 8; index++) {
+    answers.push((await callWith(adapter)).body);
+  }
+  return answers;
+}
+
+/** Creates an adapter for a plain target that writes the bytes of its answers. */
+async function createRawAdapter(
+  t: TestContext,
+  serve: (socket: Socket) => void,
+): Promise<TargetAdapter> {
+  const server = createNetServer((socket) => {
+    socket.on("error", () => undefined);
+    serve(socket);
+  });
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   t.after(() => server.close());
@@ -219,11 +229,7 @@
     targetUrl: `http://127.0.0.1:${port}`,
   });
   t.after(() => adapter.close());
-  const answers: string[] = [];
-  for (let index = 0; index < 8; index++) {
-    answers.push((await callWith(adapter)).body);
-  }
-  return answers;
+  return adapter;
 }
 
 interface CallResult {
