Read the peak memory of a process in one place in tests

odd_entries_test had a copy of what EntryProgram does, which gave NaN for a process that had ended; the shared function fails with a message.

--- a/testing/ingress-tests/src/odd_entries_test.ts
+++ b/testing/ingress-tests/src/odd_entries_test.ts
@@ -8,13 +8,14 @@
   createConfiguration,
   EntryProgram,
   findFreePort,
+  readPeakResidentBytes,
   renderBootSettings,
   waitFor,
 } from "@dandelionbank/run-entry";
 import { ChildProgram } from "@dandelionbank/run-site";
 import { SiteEngine, SiteGroup, SiteStore } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -27,7 +28,7 @@
 const ENTRY_NODE_ARGS = ["--max-old-space-size=160"];
 const AGENT_LIMIT_MB = 218;
 const AGENT_NODE_ARGS = ["--max-old-space-size=96"];
-const KIB_PER_MB = 1_000_000 / 1_024;
+const BYTES_PER_MB = 1_000_000;
 /** About the longest value that the store admits, which is 1 MiB. */
 const VALUE_LENGTH = 1_040_000;
 /** Longer than the interval between two calls to the store. */
@@ -113,7 +114,7 @@
   assert.deepEqual(refused.toSorted(), expected.toSorted());
   const lengths = entry.loggedLines.map(({ length }) => length);
   assert.ok(Math.max(...lengths) < 2_000, "no line has a whole registration");
-  const peakMb = readPeakMb(entry.pid);
+  const peakMb = entry.readPeakResidentBytes() / BYTES_PER_MB;
   t.diagnostic(`peak of ${Math.round(peakMb)} MB`);
   assert.ok(peakMb < ENTRY_LIMIT_MB, `peak of ${Math.round(peakMb)} MB`);
   assert.equal(engines.length, 2);
@@ -138,7 +139,7 @@
     await delay(APPLIED_MS);
     assertRunning(others);
     for (const { pid } of others) {
-      const peakMb = readPeakMb(pid);
+      const peakMb = readPeakResidentBytes(pid) / BYTES_PER_MB;
       t.diagnostic(`peak of ${Math.round(peakMb)} MB`);
       assert.ok(peakMb < AGENT_LIMIT_MB, `peak of ${Math.round(peakMb)} MB`);
     }
@@ -220,12 +221,6 @@
   }
 }
 
-/** Reads the largest resident memory that a process has had. */
-function readPeakMb(pid: number): number {
-  const status = readFileSync(`/proc/${pid}/status`, "utf8");
-  return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) / KIB_PER_MB;
-}
-
 async function startStore(t: TestContext) {
   const store = await SiteStore.create();
   t.after(() => store.close());
--- a/testing/run-entry/src/entry_program.ts
+++ b/testing/run-entry/src/entry_program.ts
@@ -100,10 +100,7 @@
 
   /** The most memory that the process has had resident so far. */
   readPeakResidentBytes(): number {
-    const status = readFileSync(`/proc/${this.pid}/status`, "utf8");
-    const match = /^VmHWM:\s+(\d+) kB$/m.exec(status);
-    assert.ok(match, "the process status has no peak of resident memory");
-    return Number(match[1]) * BYTES_PER_KIB;
+    return readPeakResidentBytes(this.pid);
   }
 
   /** The output of all its processes, in order. */
@@ -164,3 +161,11 @@
   const { pid } = process;
   return `127.${1 + (pid >> 8) % 200}.${1 + pid % 250}.${1 + number}`;
 }
+
+/** Returns the most memory that a process has had resident so far. */
+export function readPeakResidentBytes(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  const match = /^VmHWM:\s+(\d+) kB$/m.exec(status);
+  assert.ok(match, "the process status has no peak of resident memory");
+  return Number(match[1]) * BYTES_PER_KIB;
+}
--- a/testing/run-entry/src/mod.ts
+++ b/testing/run-entry/src/mod.ts
@@ -3,7 +3,7 @@
  * `run-site` starts the other kind of site, where `dandelionbankd` runs.
  */
 
-export { EntryProgram } from "./entry_program.ts";
+export { EntryProgram, readPeakResidentBytes } from "./entry_program.ts";
 export type { EntryProgramOptions } from "./entry_program.ts";
 export {
   call,
