Log and count attempts that continue an answer that has begun

The hypotheses of docs/incidents/joined_answers.md differ in whether one answer holds bytes of two targets, and attemptSent did not say whether the attempt goes on with an answer, or after which event. answerContinued (10043) does, and dandelionbank_continuations_total counts these attempts by service. No decision reads either.

--- a/daemon/forward-requests/src/forward_metrics.ts
+++ b/daemon/forward-requests/src/forward_metrics.ts
@@ -37,6 +37,7 @@
 export class ForwardMetrics {
   readonly #requests: Counter<"service" | "outcome">;
   readonly #attempts: Counter<"service" | "result">;
+  readonly #continuations: Counter<"service">;
   readonly #firstByte: Histogram<"service">;
   readonly #duration: Histogram<"service">;
 
@@ -56,6 +57,13 @@
       labelNames: ["service", "result"],
       registers,
     });
+    this.#continuations = new Counter({
+      name: "dandelionbank_continuations_total",
+      help:
+        "Attempts to continue an answer of which the caller has received a part",
+      labelNames: ["service"],
+      registers,
+    });
     this.#firstByte = new Histogram({
       name: "dandelionbank_first_byte_seconds",
       help: "Time from a request's arrival to the first byte of its answer",
@@ -100,6 +108,10 @@
     this.#attempts.inc({ service, result });
   }
 
+  countContinuation(service: string): void {
+    this.#continuations.inc({ service });
+  }
+
   recordRequest(
     { service, outcome, firstMs, elapsedMs }: {
       readonly service: string;
--- a/daemon/forward-requests/src/request_log.ts
+++ b/daemon/forward-requests/src/request_log.ts
@@ -120,6 +120,28 @@
     });
   }
 
+  /** Logs an attempt to continue an answer that the caller has in part. */
+  logContinuation(
+    target: RegisteredTarget,
+    { attempt, status, lastEventId }: {
+      readonly attempt: number;
+      readonly status: number;
+      /** Event after which the target is asked to start. */
+      readonly lastEventId: string | undefined;
+    },
+  ): void {
+    const { logger, metrics } = this.#context;
+    const { requestId, service } = this.#options;
+    logger.log("answerContinued", {
+      requestId,
+      attempt,
+      target: target.id,
+      status,
+      lastEventId,
+    });
+    metrics.countContinuation(service);
+  }
+
   logAttemptFailure(
     { outcome, reason, targetAtFault }: AttemptFailure,
     { attempt, target, sentAtMs, next }: {
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -254,6 +254,13 @@
       attempt: this.#attemptCount,
       remainingMs,
     });
+    if (this.#answer.hasBegun) {
+      this.#log.logContinuation(target, {
+        attempt: this.#attemptCount,
+        status: this.#relay.status,
+        lastEventId: this.#relay.lastEventId,
+      });
+    }
     this.#attempt = this.#send(target, remainingMs);
     this.#restartInactivityTimer();
   }
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -120,6 +120,13 @@
       "Attempt {attempt} of request {requestId} is sent to {target} with {leftMs} ms remaining",
     help: "None needed",
   },
+  answerContinued: {
+    id: 10043,
+    level: "info",
+    text:
+      "Attempt {attempt} asks {target} to continue the answer to request {requestId} after event {lastEventId}, with status {status}",
+    help: "None needed; the attempt before has failed",
+  },
   attemptFailed: {
     id: 10025,
     level: "info",
