Don't send an answer that has begun once more from another target

Cause: whether a request may be retried did not depend on whether a part of its answer had been sent, except at the end; an answer is sent before it is whole if it is longer than 1 MiB, or if the memory of kept answers is used up, and then small ones too. Now only a resumable stream is continued; any other answer that has begun is cut.

--- a/routing/decide-retries/src/decide_next_action.ts
+++ b/routing/decide-retries/src/decide_next_action.ts
@@ -89,7 +89,17 @@
 export function isRepeatable(
   { kind, isResumable }: Pick<RequestProgress, "kind" | "isResumable">,
 ): boolean {
-  return kind === "idempotent" || (kind === "stream" && isResumable);
+  return kind === "idempotent" || isContinuable({ kind, isResumable });
+}
+
+/**
+ * Reports whether another target can continue an answer that has begun. Any
+ * other answer would be sent from its start, behind the part already sent.
+ */
+function isContinuable(
+  { kind, isResumable }: Pick<RequestProgress, "kind" | "isResumable">,
+): boolean {
+  return kind === "stream" && isResumable;
 }
 
 function mayRetry(
@@ -97,6 +107,7 @@
   outcome: AttemptOutcome,
 ): boolean {
   if (progress.remainingMs < MIN_RETRY_TIME_MS) return false;
+  if (progress.hasAnswerStarted && !isContinuable(progress)) return false;
   if (outcome === "notSent") return true;
   if (progress.targetsSent >= progress.maxTargets) return false;
   return outcome === "refused" || isRepeatable(progress);
--- a/routing/decide-retries/src/decide_next_action_test.ts
+++ b/routing/decide-retries/src/decide_next_action_test.ts
@@ -75,6 +75,12 @@
     outcome: "broken",
     expected: "retry",
   },
+  {
+    name: "a started answer to an idempotent request was lost",
+    progress: { hasAnswerStarted: true },
+    outcome: "broken",
+    expected: "cut",
+  },
   {
     name: "too little time is left for a retry",
     progress: { remainingMs: 5 },
@@ -127,6 +133,17 @@
   );
 });
 
+test("An answer that has begun is continued only if it is a resumable stream", () => {
+  fc.assert(
+    fc.property(PROGRESS, OUTCOME, (progress, outcome) => {
+      if (!progress.hasAnswerStarted) return;
+      const { type } = decideNextAction(progress, outcome);
+      const isResumable = progress.kind === "stream" && progress.isResumable;
+      assert.ok(type === "cut" || (type === "retry" && isResumable));
+    }),
+  );
+});
+
 function createProgress(
   progress: Partial<RequestProgress> = {},
 ): RequestProgress {
--- a/testing/ingress-tests/src/odd_answers_test.ts
+++ b/testing/ingress-tests/src/odd_answers_test.ts
@@ -5,7 +5,6 @@
 
 import { Random } from "@dandelionbank/message-queue";
 import {
-  call,
   type CallAnswer,
   CALLER_KEY,
   ROUTE_HOST,
@@ -16,6 +15,7 @@
 import { request } from "node:http";
 import { test } from "node:test";
 import {
+  callNamed,
   nextId,
   type RawSite,
   startRawEngines,
@@ -130,16 +130,6 @@
   }
 });
 
-async function callNamed(
-  { entry }: RawSite,
-  path: string,
-): Promise<{ readonly attemptId: string; readonly answer: CallAnswer }> {
-  const attemptId = nextId("a");
-  const headers = { [HEADERS.attemptId]: attemptId };
-  const answer = await call(entry, { path: `${path}${attemptId}`, headers });
-  return { attemptId, answer };
-}
-
 /** An answer that is read slowly, in pieces of `PIECE`. */
 const PIECE = `data: ${"x".repeat(16_000)}\n\n`;
 const PIECE_COUNT = 100;
--- a/testing/ingress-tests/src/raw_site.ts
+++ b/testing/ingress-tests/src/raw_site.ts
@@ -1,9 +1,13 @@
 /** An entry process whose targets answer byte by byte. */
 
+import { HEADERS } from "@dandelionbank/platform-adapter";
 import {
   call,
+  type CallAnswer,
+  CALLER_KEY,
   createConfiguration,
   EntryProgram,
+  ROUTE_HOST,
   ROUTES,
   waitFor,
 } from "@dandelionbank/run-entry";
@@ -12,6 +16,7 @@
   type RawScript,
   SiteStore,
 } from "@dandelionbank/standin-site";
+import { connect, type Socket } from "node:net";
 import type { TestContext } from "node:test";
 
 const ENGINE_COUNT = 4;
@@ -73,6 +78,46 @@
   return engines;
 }
 
+/** Waits until the entry has used each of the targets. */
+export async function waitForEngines(
+  { entry }: RawSite,
+  engines: readonly RawEngine[],
+): Promise<void> {
+  await waitFor(async () => {
+    await Promise.all(
+      engines.map(() => call(entry, { path: `/open/${nextId("a")}` })),
+    );
+    return engines.every(({ calls }) => calls.length > 0);
+  });
+}
+
+/** Calls by an attempt id of its own, which also ends the path. */
+export async function callNamed(
+  { entry }: RawSite,
+  path: string,
+): Promise<{ readonly attemptId: string; readonly answer: CallAnswer }> {
+  const attemptId = nextId("a");
+  const headers = { [HEADERS.attemptId]: attemptId };
+  const answer = await call(entry, { path: `${path}${attemptId}`, headers });
+  return { attemptId, answer };
+}
+
+/** Sends a call, and leaves it to the caller to read the answer. */
+export function sendRawCall({ entry }: RawSite, path: string): Socket {
+  const { host, port } = entry.settings.callers!;
+  const socket = connect(port, host);
+  const lines = [
+    `POST ${path} HTTP/1.1`,
+    `host: ${ROUTE_HOST}`,
+    `${HEADERS.attemptId}: ${path.split("/").pop()}`,
+    `${HEADERS.credential}: ${CALLER_KEY}`,
+    "content-length: 0",
+  ];
+  socket.on("error", () => undefined);
+  socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+  return socket;
+}
+
 let lastNumber = 0;
 
 /** Returns an id that no other engine or call of this process has. */
--- a/testing/ingress-tests/src/second_answers_test.ts
+++ b/testing/ingress-tests/src/second_answers_test.ts
@@ -8,9 +8,7 @@
 import {
   call,
   type CallAnswer,
-  CALLER_KEY,
   createConfiguration,
-  ROUTE_HOST,
   waitFor,
 } from "@dandelionbank/run-entry";
 import {
@@ -22,12 +20,13 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { Agent } from "node:http";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import {
   nextId,
   type RawSite,
+  sendRawCall,
   startRawEngines,
   startRawSite,
 } from "./raw_site.ts";
@@ -251,7 +250,7 @@
       setTimeout(() => socket.write(renderRawAnswer(engineCall)), 50);
     });
     for (let index = 0; index < CALLS_PER_CALLER; index++) {
-      const ended = callRaw(site, path + nextId("a"));
+      const ended = sendRawCall(site, path + nextId("a"));
       await delay(20);
       if (name.startsWith("cancelled")) ended.destroy();
       const attemptId = nextId("a");
@@ -331,22 +330,6 @@
   assert.ok(heads.length >= 12);
 });
 
-/** Sends a call and reads nothing of its answer. */
-function callRaw({ entry }: RawSite, path: string): Socket {
-  const { host, port } = entry.settings.callers!;
-  const socket = connect(port, host);
-  const lines = [
-    `POST ${path} HTTP/1.1`,
-    `host: ${ROUTE_HOST}`,
-    `${ATTEMPT_ID}: ${path.split("/").pop()}`,
-    `${HEADERS.credential}: ${CALLER_KEY}`,
-    "content-length: 0",
-  ];
-  socket.on("error", () => undefined);
-  socket.write(`${lines.join("\r\n")}\r\n\r\n`);
-  return socket;
-}
-
 /** Engines that answer each call a second time, as their connection is reused. */
 class Stuttering {
   readonly #engines: readonly RawEngine[];
