Continue a stream only with the events that follow it

Cause: after a stream had broken off, a further target's answer was taken as its continuation for its place alone: any 2xx status, any content type, any bytes up to a blank line, and no event at all. So were the bytes of one target after an event of its own.

A continuation now has the status of the answer that has begun and the type of an event stream, and holds an event at least. Events are read in their order: once one had an id, each has one, and numbers rise; what follows is forwarded up to the first event that doesn't, and the attempt has then failed: another target is asked, or the stream is cut. A stream without ids is not continued.

The last id moves from EventSplitter to EventSequence, with its property.

--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -2,7 +2,8 @@
  * Relays the answer to one request from its targets to the caller. A plain
  * answer is buffered until it is complete, so that the request can still be
  * retried at another target. A stream is forwarded event by event; a target
- * that resumes it continues after the last complete event.
+ * that resumes it has to continue after the last complete event, with an answer
+ * of the same kind, or nothing of its answer is forwarded.
  */
 
 import { ByteCollector } from "@dandelionbank/collect-bytes";
@@ -12,7 +13,7 @@
   encodeAnswerHeaders,
   type HeaderFields,
 } from "@dandelionbank/platform-adapter";
-import { EventSplitter } from "@dandelionbank/read-events";
+import { EventSequence, EventSplitter } from "@dandelionbank/read-events";
 import type { CallerAnswer } from "./caller_answer.ts";
 
 /** A longer plain answer is no longer buffered but streamed. */
@@ -24,9 +25,17 @@
 /** An event of this size is kept also when the memory for answers is used up. */
 const SMALL_EVENT_BYTES = 65_536;
 
+/** A target may leave the type of its answer out. */
+const CONTINUATION_TYPES: ReadonlySet<string> = new Set([
+  "",
+  "text/event-stream",
+]);
+
 export interface AnswerRelayOptions {
   readonly answer: CallerAnswer;
   readonly isStream: boolean;
+  /** Whether the targets of a stream start after the event that is named. */
+  readonly isResumable: boolean;
   /** Id of the last event that the caller received on an earlier connection. */
   readonly lastEventId: string | undefined;
 }
@@ -42,16 +51,23 @@
   readonly #isStream: boolean;
   readonly #buffered = ByteCollector.create();
   #splitter = EventSplitter.create();
-  #hasEvent = false;
-  #lastEventId: string | undefined;
+  readonly #callerLastEventId: string | undefined;
+  readonly #sequence: EventSequence;
+  /** Why the latest events do not follow those before, if so. */
+  #sequenceDefect: string | undefined;
+  #isContinuation = false;
   #fields: HeaderFields = {};
   #status = 0;
   #framing: BodyFraming | undefined;
 
-  private constructor({ answer, isStream, lastEventId }: AnswerRelayOptions) {
+  private constructor(options: AnswerRelayOptions) {
+    const { answer, isStream, isResumable, lastEventId } = options;
     this.#answer = answer;
     this.#isStream = isStream;
-    this.#lastEventId = lastEventId;
+    this.#callerLastEventId = lastEventId;
+    this.#sequence = EventSequence.create(
+      isResumable ? lastEventId : undefined,
+    );
   }
 
   static create(options: AnswerRelayOptions): AnswerRelay {
@@ -64,7 +80,12 @@
 
   /** Id of the last event forwarded; a resuming target starts after it. */
   get lastEventId(): string | undefined {
-    return this.#lastEventId;
+    return this.#sequence.lastId ?? this.#callerLastEventId;
+  }
+
+  /** Whether another target could tell where to continue the stream. */
+  get isContinuable(): boolean {
+    return this.#sequence.isContinuable;
   }
 
   /** How the end of the target's latest answer is marked. */
@@ -77,13 +98,18 @@
     return this.#splitter.pendingBytes;
   }
 
-  handleHead({ status }: AnswerHead, fields: HeaderFields): void {
+  /** Returns why the answer cannot continue the one that has begun, if so. */
+  handleHead(
+    { status }: AnswerHead,
+    fields: HeaderFields,
+  ): string | undefined {
     this.#framing = readBodyFraming(fields);
     // A resumed stream keeps the headers sent by its first target.
-    if (this.#answer.hasBegun) return;
+    if (this.#answer.hasBegun) return this.#continue(status, fields);
     this.#fields = fields;
     this.#status = status;
     if (this.#isStream) this.#start();
+    return undefined;
   }
 
   /**
@@ -106,18 +132,8 @@
   }
 
   /** Returns why no more bytes are taken from the target, if none are. */
-  findOverflow(): string | undefined {
-    const { pendingBytes, pendingPieces, capacityBytes } = this.#splitter;
-    if (pendingBytes > MAX_EVENT_BYTES) {
-      return `event of ${pendingBytes} bytes without an end; the limit is ${MAX_EVENT_BYTES}`;
-    }
-    if (pendingPieces > MAX_EVENT_PIECES) {
-      return `event in ${pendingPieces} pieces without an end; the limit is ${MAX_EVENT_PIECES}`;
-    }
-    if (!this.#isStream || pendingBytes <= SMALL_EVENT_BYTES) return undefined;
-    return this.#answer.claimMemory(capacityBytes)
-      ? undefined
-      : `no memory for an event of ${pendingBytes} bytes`;
+  findDataDefect(): string | undefined {
+    return this.#sequenceDefect ?? this.#findOverflow();
   }
 
   /**
@@ -131,9 +147,9 @@
     if (unfinishedBytes > 0) {
       return `stream ended inside an event, after ${unfinishedBytes} bytes of it; its end was marked by ${framing}`;
     }
-    // A target that resumes a stream may have no event left to send.
-    const isEmpty = !this.#hasEvent && this.#lastEventId === undefined;
-    return isEmpty && framing === "connection"
+    if (this.#sequence.hasEvent) return undefined;
+    if (this.#isContinuation) return "no event continues the stream";
+    return framing === "connection"
       ? "connection ended before the stream's first event"
       : undefined;
   }
@@ -158,14 +174,42 @@
     this.#answer.claimMemory(0);
   }
 
+  #findOverflow(): string | undefined {
+    const { pendingBytes, pendingPieces, capacityBytes } = this.#splitter;
+    if (pendingBytes > MAX_EVENT_BYTES) {
+      return `event of ${pendingBytes} bytes without an end; the limit is ${MAX_EVENT_BYTES}`;
+    }
+    if (pendingPieces > MAX_EVENT_PIECES) {
+      return `event in ${pendingPieces} pieces without an end; the limit is ${MAX_EVENT_PIECES}`;
+    }
+    if (!this.#isStream || pendingBytes <= SMALL_EVENT_BYTES) return undefined;
+    return this.#answer.claimMemory(capacityBytes)
+      ? undefined
+      : `no memory for an event of ${pendingBytes} bytes`;
+  }
+
   #handleEvents(chunk: Buffer, source: RelaySource | undefined): boolean {
     const events = this.#splitter.push(chunk);
     if (events === undefined) return false;
-    this.#write(events.bytes, source);
-    if (events.count === 0) return false;
-    this.#hasEvent = true;
-    this.#lastEventId = events.lastId ?? this.#lastEventId;
-    return true;
+    const { acceptedBytes, defect } = this.#sequence.add(events.bytes);
+    this.#sequenceDefect = defect;
+    if (acceptedBytes > 0) {
+      this.#write(events.bytes.subarray(0, acceptedBytes), source);
+    }
+    return acceptedBytes > 0 && events.count > 0;
+  }
+
+  #continue(status: number, fields: HeaderFields): string | undefined {
+    this.#isContinuation = true;
+    this.#sequence.continue();
+    this.#sequenceDefect = undefined;
+    if (status !== this.#status) {
+      return `status ${status} continues an answer with status ${this.#status}`;
+    }
+    const type = readMediaType(fields);
+    return CONTINUATION_TYPES.has(type) || type === readMediaType(this.#fields)
+      ? undefined
+      : `content of type ${type} cannot continue a stream`;
   }
 
   #start(): void {
@@ -181,3 +225,8 @@
     this.#answer.onceDrained(() => source?.resume());
   }
 }
+
+function readMediaType(fields: HeaderFields): string {
+  const [type = ""] = String(fields["content-type"] ?? "").split(";");
+  return type.trim().toLowerCase();
+}
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -103,6 +103,7 @@
     this.#relay = AnswerRelay.create({
       answer,
       isStream: this.#isStream,
+      isResumable: route.isResumable,
       lastEventId: head.lastEventId,
     });
     this.#inactivityTimer = InactivityTimer.create(context, {
@@ -305,18 +306,22 @@
           this.#targets.reportNotices({ notices, sentAtMs: this.#sentAtMs });
         },
         onSuccess: (answerHead, answerFields) => {
+          const defect = this.#relay.handleHead(answerHead, answerFields);
+          if (defect !== undefined) {
+            this.#attempt?.abort("broken", defect);
+            return;
+          }
           this.#hasAnswerBegun = true;
           this.#recordProgress();
           if (answerHead.load !== undefined) {
             this.#targets.reportLoad(answerHead.load);
           }
-          this.#relay.handleHead(answerHead, answerFields);
         },
         onData: (chunk) => {
           const hasProgress = this.#relay.handleData(chunk, this.#attempt);
-          const overflow = this.#relay.findOverflow();
-          if (overflow !== undefined) {
-            this.#attempt?.abort("broken", overflow);
+          const defect = this.#relay.findDataDefect();
+          if (defect !== undefined) {
+            this.#attempt?.abort("broken", defect);
             return;
           }
           if (!this.#isStream || !hasProgress) return;
@@ -452,9 +457,9 @@
   /** Restarts the inactivity timer if the attempt may be repeated elsewhere. */
   #restartInactivityTimer(): void {
     this.#inactivityTimer.stop();
-    const { route } = this.#request;
-    const mayRepeat = isRepeatable(route) &&
-      this.#sentTargetCount < route.maxTargets;
+    const progress = this.#progress;
+    const mayRepeat = isRepeatable(progress) &&
+      progress.targetsSent < progress.maxTargets;
     // A plain answer that has begun soon completes or fails by itself.
     const isExpected = this.#isStream || !this.#hasAnswerBegun;
     if (mayRepeat && isExpected) this.#inactivityTimer.start();
@@ -496,7 +501,7 @@
     const { kind, isResumable, maxTargets } = this.#request.route;
     return {
       kind,
-      isResumable,
+      isResumable: isResumable && this.#relay.isContinuable,
       maxTargets,
       targetsSent: this.#sentTargetCount,
       mayHaveRun: this.#mayHaveRun,
--- a/routing/read-events/src/event_splitter.ts
+++ b/routing/read-events/src/event_splitter.ts
@@ -10,7 +10,6 @@
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 const SPACE = 32;
-const ID_FIELD = "id:";
 /**
  * The two bytes before a chunk: an event ends with two line feeds, with a
  * carriage return between at most.
@@ -26,8 +25,6 @@
 /** Complete events, and blank lines around them. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
-  /** Id of the last event that has one; `undefined` if none has. */
-  readonly lastId: string | undefined;
   /** Number of events; 0 for blank lines alone. */
   readonly count: number;
 }
@@ -74,7 +71,6 @@
     this.#keep(chunk.subarray(end));
     return {
       bytes: complete,
-      lastId: readLastId(complete),
       count: countEvents(complete),
     };
   }
@@ -111,16 +107,6 @@
   return 0;
 }
 
-function readLastId(events: Buffer): string | undefined {
-  const lineEnd = events.lastIndexOf(`\n${ID_FIELD}`);
-  const isFirst = lineEnd < 0 &&
-    events.toString("latin1", 0, ID_FIELD.length) === ID_FIELD;
-  if (lineEnd < 0 && !isFirst) return undefined;
-  const start = lineEnd + 1 + ID_FIELD.length;
-  const end = events.indexOf(LINE_FEED, start);
-  return events.toString("latin1", start, end < 0 ? events.length : end).trim();
-}
-
 /** Reads byte by byte: lines as strings cost far more than their bytes. */
 function countEvents(events: Buffer): number {
   let count = 0;
--- a/routing/read-events/src/event_splitter_test.ts
+++ b/routing/read-events/src/event_splitter_test.ts
@@ -12,17 +12,14 @@
       const splitter = EventSplitter.create();
       const ends = [0, ...cuts.sort((a, b) => a - b), bytes.length];
       let output = "";
-      let lastId: string | undefined;
       for (let index = 1; index < ends.length; index++) {
         const chunk = bytes.subarray(ends[index - 1], ends[index]);
         const events = splitter.push(chunk);
         if (events === undefined) continue;
         assert.match(events.bytes.toString(), /\r?\n\r?\n$/);
         output += events.bytes.toString();
-        lastId = events.lastId ?? lastId;
       }
       assert.equal(output, STREAM);
-      assert.equal(lastId, "3");
       assert.equal(splitter.pendingBytes, 0);
     }),
   );
@@ -52,7 +49,6 @@
   assert.equal(splitter.pendingBytes, 14);
   const events = splitter.push(Buffer.from("\nid: 2\ndata"));
   assert.equal(events?.bytes.toString(), "id: 1\ndata: a\n\n");
-  assert.equal(events?.lastId, "1");
   assert.equal(events?.count, 1);
 });
 
@@ -66,7 +62,7 @@
   assert.ok(elapsedMs < 2_000, `${elapsedMs} ms`);
 });
 
-test("The last id and the number of events are those of the text's lines", () => {
+test("The number of events is that of the text's blocks", () => {
   const text = fc.array(
     fc.constantFrom(
       "\n",
@@ -83,13 +79,9 @@
   fc.assert(
     fc.property(text, (stream) => {
       const events = EventSplitter.create().push(Buffer.from(stream));
-      const ids = stream.split(/\r?\n/).filter((line) =>
-        line.startsWith("id:")
-      );
       const blocks = stream.split(/(?:^|\n)(?:\r?\n)+/);
       const withText = blocks.filter((block) => block.trim() !== "");
       assert.equal(events?.bytes.toString(), stream);
-      assert.equal(events?.lastId, ids.at(-1)?.slice("id:".length).trim());
       assert.equal(events?.count, withText.length);
     }),
   );
