Believe nothing of the head of an answer to another attempt

Cause: the attempt was rejected for the id of another attempt, but status, load and target at fault of that head were still reported. A head is kept only once it names the attempt.

--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -81,6 +81,7 @@
   readonly #request: AttemptRequest;
   readonly #listener: AttemptListener;
   #running: RequestHandle | undefined;
+  /** Set once it names this attempt. */
   #head: AnswerHead | undefined;
   #fields: HeaderFields = {};
   readonly #errorBody = ByteCollector.create();
@@ -154,8 +155,6 @@
   #handleHead(status: number, fields: HeaderFields): void {
     if (this.#hasEnded) return;
     const head = decodeAnswerHead(status, fields);
-    this.#head = head;
-    this.#fields = fields;
     const { attemptId } = this.#request;
     if (head.attemptId !== attemptId) {
       this.abort(
@@ -166,6 +165,8 @@
       );
       return;
     }
+    this.#head = head;
+    this.#fields = fields;
     if (status !== STATUS_MISDIRECTED) this.#listener.onHead(head);
     if (status >= 300 || head.isNotRun) return;
     if (!head.isSealed) {
