Don't take an answer for whole that ends behind its head by its connection alone

A target that broke off there can't be told from one with an empty answer, and the entry framed it as whole. Streams had this check already. Now the attempt has failed: an idempotent request is sent to another target, any other one is answered 502, which promises nothing. HEAD, 204 and 304 have no body. Agents of dandelionbankd check the same.

--- a/daemon/call-target/src/call_target_test.ts
+++ b/daemon/call-target/src/call_target_test.ts
@@ -62,6 +62,28 @@
     },
     result: LOST,
   },
+  {
+    name: "connection closed behind a head without a length",
+    kind: "plain",
+    answer: (request) =>
+      request.socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n"),
+    result: LOST,
+  },
+  {
+    name: "connection closed inside a head",
+    kind: "plain",
+    answer: (request) =>
+      request.socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n"),
+    result: LOST,
+  },
+  {
+    name: "answer that never has a body",
+    kind: "plain",
+    answer: (request) =>
+      request.socket.end("HTTP/1.1 204 None\r\nconnection: close\r\n\r\n"),
+    result: "complete",
+    body: "",
+  },
   {
     name: "complete stream",
     kind: "engine",
--- a/daemon/call-target/src/send_call.ts
+++ b/daemon/call-target/src/send_call.ts
@@ -1,6 +1,6 @@
 /** HTTP transport shared by the target adapters. */
 
-import type { HttpPool } from "@dandelionbank/open-http";
+import { type HttpPool, mayLackBody } from "@dandelionbank/open-http";
 import { StreamTail } from "@dandelionbank/read-events";
 import { PieceMerger } from "./piece_merger.ts";
 import type { RunningCall, TargetCall, TargetSink } from "./target_adapter.ts";
@@ -23,6 +23,7 @@
 ): RunningCall {
   let tail: StreamTail | undefined;
   let sizeBytes = 0;
+  let isBodyRequired = false;
   const pieces = PieceMerger.create((piece) => sink.onData(piece));
   const running = pool.send(
     {
@@ -33,6 +34,7 @@
     },
     {
       onHead: ({ status, headers }) => {
+        isBodyRequired = mayLackBody({ status, headers }, call.method);
         const contentType = String(headers["content-type"] ?? "");
         const isStream = contentType.startsWith("text/event-stream");
         tail = isStream ? StreamTail.create() : undefined;
@@ -52,6 +54,12 @@
       },
       onEnd: () => {
         pieces.flush();
+        if (isBodyRequired && sizeBytes === 0) {
+          return sink.onFailure({
+            code: describeFailure({ sizeBytes, wasSent: true }),
+            mayHaveRun: true,
+          });
+        }
         if (tail === undefined || isStreamComplete(tail)) return sink.onEnd();
         sink.onFailure({ code: "TARGET_STREAM_CUT", mayHaveRun: true });
       },
--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -7,7 +7,11 @@
  */
 
 import { ByteCollector } from "@dandelionbank/collect-bytes";
-import { type BodyFraming, readBodyFraming } from "@dandelionbank/open-http";
+import {
+  type BodyFraming,
+  mayLackBody,
+  readBodyFraming,
+} from "@dandelionbank/open-http";
 import {
   type AnswerHead,
   encodeAnswerHeaders,
@@ -33,6 +37,7 @@
 
 export interface AnswerRelayOptions {
   readonly answer: CallerAnswer;
+  readonly method: string;
   readonly isStream: boolean;
   /** Whether the targets of a stream start after the event that is named. */
   readonly isResumable: boolean;
@@ -48,6 +53,7 @@
 
 export class AnswerRelay {
   readonly #answer: CallerAnswer;
+  readonly #method: string;
   readonly #isStream: boolean;
   readonly #buffered = ByteCollector.create();
   #splitter = EventSplitter.create();
@@ -61,8 +67,9 @@
   #framing: BodyFraming | undefined;
 
   private constructor(options: AnswerRelayOptions) {
-    const { answer, isStream, isResumable, lastEventId } = options;
+    const { answer, method, isStream, isResumable, lastEventId } = options;
     this.#answer = answer;
+    this.#method = method;
     this.#isStream = isStream;
     this.#callerLastEventId = lastEventId;
     this.#sequence = EventSequence.create(
@@ -142,7 +149,7 @@
    * message in the regular way, with a last chunk or by closing its connection.
    */
   findDefect(): string | undefined {
-    if (!this.#isStream) return undefined;
+    if (!this.#isStream) return this.#findMissingBody();
     const { unfinishedBytes, framing } = this;
     if (unfinishedBytes > 0) {
       return `stream ended inside an event, after ${unfinishedBytes} bytes of it; its end was marked by ${framing}`;
@@ -174,6 +181,14 @@
     this.#answer.claimMemory(0);
   }
 
+  #findMissingBody(): string | undefined {
+    const isEmpty = !this.#answer.hasBegun && this.#buffered.lengthBytes === 0;
+    const head = { status: this.#status, headers: this.#fields };
+    return isEmpty && mayLackBody(head, this.#method)
+      ? "connection ended before the first byte of the answer's body"
+      : undefined;
+  }
+
   #findOverflow(): string | undefined {
     const { pendingBytes, pendingPieces, capacityBytes } = this.#splitter;
     if (pendingBytes > MAX_EVENT_BYTES) {
--- a/daemon/forward-requests/src/request_task.ts
+++ b/daemon/forward-requests/src/request_task.ts
@@ -102,6 +102,7 @@
     this.#crashGuard = CrashGuard.create(context.crashMonitor, request);
     this.#relay = AnswerRelay.create({
       answer,
+      method: request.method,
       isStream: this.#isStream,
       isResumable: route.isResumable,
       lastEventId: head.lastEventId,
--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -21,6 +21,8 @@
 const KEEP_ALIVE_MS = 30_000;
 /** A peer that sends more interim heads (1xx) than this sends no answer. */
 const MAX_INTERIM_HEAD_BYTES = 65_536;
+/** Answers with these statuses never have a body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 /** A status line, where it isn't the first line of its head. */
 const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?: |$)/;
 /** Status line and line ends of a head, about. */
@@ -69,6 +71,21 @@
   return headers["content-length"] === undefined ? "connection" : "length";
 }
 
+/**
+ * Whether an answer whose body turned out empty may have broken off behind its
+ * head: only the end of its connection marked the end of a body.
+ */
+export function mayLackBody(
+  { status, headers }: {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, unknown>>;
+  },
+  method: string,
+): boolean {
+  return readBodyFraming(headers) === "connection" && method !== "HEAD" &&
+    !BODILESS_STATUSES.has(status);
+}
+
 export interface HttpHandler {
   onHead(head: HttpAnswerHead): void;
   onData(chunk: Buffer): void;
--- a/foundation/open-http/src/mod.ts
+++ b/foundation/open-http/src/mod.ts
@@ -3,7 +3,7 @@
  * loaded: the whole library would take some ten megabytes more resident memory.
  */
 
-export { HttpPool, readBodyFraming } from "./http_pool.ts";
+export { HttpPool, mayLackBody, readBodyFraming } from "./http_pool.ts";
 export type {
   BodyFraming,
   HttpAnswerHead,
--- a/testing/ingress-tests/src/answers_test.ts
+++ b/testing/ingress-tests/src/answers_test.ts
@@ -56,6 +56,15 @@
   assert.equal(sent[HEADERS.organisation], undefined);
 });
 
+test("An answer that never has a body is forwarded without one", async (t) => {
+  const site = await startSite(t, { engines: 1 });
+  site.engines[0]!.script = ({ response, answerHeaders }) => {
+    response.writeHead(204, { ...answerHeaders, connection: "close" }).end();
+  };
+  const answer = await call(site, { path: "/once/a" });
+  assert.equal(answer.status, 204);
+});
+
 interface FailedAnswerCase {
   readonly name: string;
   readonly script: EngineScript;
@@ -117,6 +126,16 @@
       response.writeHead(503, { ...answerHeaders, "content-length": 0 }).end();
     },
   },
+  {
+    // Its target may have broken off.
+    name: "without a length, that ends behind its head",
+    script: (engineCall) => {
+      const head = renderAnswerHead(engineCall, {
+        fields: { connection: "close" },
+      });
+      engineCall.response.socket?.end(head);
+    },
+  },
   { name: "lost to a connection reset", script: resetConnection },
   {
     name: "without a length, whose connection is reset",
