Reject an answer whose body holds the head of another one

Cause: a target that breaks off an answer with a length and then answers a second time, late, on the same connection fills up that length with its second answer; length, seal and attempt id are then right. Chunks can't be filled up like this: a head is no size of a chunk.

A body is now searched for a status line that is followed, within some lines, by a field that only answers have; across chunks, with at most 1 KiB kept. Such an attempt has failed. What remains: a second answer of which only so little fits that no such field is in it.

--- a/daemon/forward-requests/src/attempt.ts
+++ b/daemon/forward-requests/src/attempt.ts
@@ -18,6 +18,7 @@
 } from "@dandelionbank/platform-adapter";
 import type { AttemptOutcome } from "@dandelionbank/decide-retries";
 import type { TargetLoad } from "@dandelionbank/types";
+import { EmbeddedAnswerDetector } from "./embedded_answer.ts";
 
 export interface AttemptRequest {
   readonly attemptId: string | undefined;
@@ -84,6 +85,7 @@
   /** Set once it names this attempt. */
   #head: AnswerHead | undefined;
   #fields: HeaderFields = {};
+  readonly #embeddedAnswers = EmbeddedAnswerDetector.create();
   readonly #errorBody = ByteCollector.create();
   #errorPieces = 0;
   readonly #errorClaim: ByteClaim;
@@ -183,6 +185,10 @@
 
   #handleData(chunk: Buffer): void {
     if (this.#hasEnded) return;
+    if (this.#embeddedAnswers.push(chunk)) {
+      this.abort("broken", "body holds the head of another answer");
+      return;
+    }
     if (this.#isSuccess) {
       this.#listener.onData(chunk);
       return;
--- a/testing/ingress-tests/src/joined_answers_test.ts
+++ b/testing/ingress-tests/src/joined_answers_test.ts
@@ -3,6 +3,7 @@
  * after that has to continue what it has, or the answer must not look complete.
  */
 
+import { Random } from "@dandelionbank/message-queue";
 import { HEADERS } from "@dandelionbank/platform-adapter";
 import type { CallAnswer } from "@dandelionbank/run-entry";
 import { type RawCall, renderRawAnswer } from "@dandelionbank/standin-site";
@@ -18,7 +19,9 @@
   waitForEngines,
 } from "./raw_site.ts";
 
+const SEED = 46;
 const ROUTE_TIMEOUT_MS = 2_000;
+const { attemptId: ATTEMPT_ID, notRun: NOT_RUN } = HEADERS;
 
 /** Longer than an answer that is kept until it is whole. */
 const LONG_BYTES = 2_000_000;
@@ -63,6 +66,59 @@
   });
 }
 
+const FILLED_CALLS = 16;
+const FILLED_PATHS = ["/safe/", "/once/", "/stream/", "/live/"];
+
+/** What a target writes where the rest of its answer is due. */
+const FILLERS: Readonly<
+  Record<string, (call: RawCall, whole: string) => string>
+> = {
+  "itself": (_, whole) => whole,
+  "an error": (call) =>
+    renderRawAnswer(call, { status: 500, body: "e".repeat(600) }),
+  "a refusal": (call) =>
+    renderRawAnswer(call, {
+      status: 503,
+      headers: { [ATTEMPT_ID]: call.attemptId, [NOT_RUN]: "1" },
+      body: "e".repeat(600),
+    }),
+};
+
+// Guards against the head of an answer in the body of another one.
+for (const [name, renderFiller] of Object.entries(FILLERS)) {
+  test(`An answer that breaks off isn't filled up by ${name}`, async (t) => {
+    const site = await startRawSite(t, { routeTimeoutMs: ROUTE_TIMEOUT_MS });
+    const random = Random.create(SEED);
+    const engines = await startRawEngines(t, site, (engineCall) => {
+      const { path, socket } = engineCall;
+      const body = renderFilled(engineCall);
+      const whole = renderRawAnswer(engineCall, { body });
+      if (path.startsWith("/open/")) return void socket.write(whole);
+      const cutAt = random.int(1, body.length - 400);
+      socket.write(whole.slice(0, cutAt - body.length));
+      setTimeout(() => socket.write(renderFiller(engineCall, whole)), 5);
+    });
+    await waitForEngines(site, engines);
+    for (let index = 0; index < FILLED_CALLS; index++) {
+      const path = FILLED_PATHS[index % FILLED_PATHS.length]!;
+      const { attemptId, answer } = await callNamed(site, path);
+      const { status, body, isComplete } = answer;
+      const shown = JSON.stringify({ path, status, body, isComplete });
+      if (status !== 200) continue;
+      const whole = renderFilled({ path, attemptId });
+      assert.ok(whole.startsWith(body) && !isComplete, shown);
+    }
+  });
+}
+
+function renderFilled(
+  { path, attemptId }: Pick<RawCall, "path" | "attemptId">,
+) {
+  return path.startsWith("/stream/") || path.startsWith("/live/")
+    ? renderEvents(1, 60)
+    : attemptId.repeat(300);
+}
+
 const EVENT_COUNT = 8;
 const ALL_EVENTS = renderEvents(1, EVENT_COUNT);
 /** The part of a stream that its first target sends. */
@@ -76,7 +132,6 @@
 
 const CHUNKED: Fields = { "transfer-encoding": "chunked" };
 const CLOSING: Fields = { connection: "close" };
-const { attemptId: ATTEMPT_ID, notRun: NOT_RUN } = HEADERS;
 
 /** Ways in which a target breaks off a stream after its third event. */
 const BREAKS: Readonly<Record<string, Send>> = {
