Say in one place what a target that resumes a stream has to do

A comment of AnswerRelay said that nothing of a rejected continuation is forwarded; events up to the first that does not follow are. No code is changed.

--- a/daemon/forward-requests/src/answer_relay.ts
+++ b/daemon/forward-requests/src/answer_relay.ts
@@ -3,7 +3,7 @@
  * answer is buffered until it is complete, so that the request can still be
  * retried at another target. A stream is forwarded event by event; a target
  * that resumes it has to continue after the last complete event, with an answer
- * of the same kind, or nothing of its answer is forwarded.
+ * of the same kind.
  */
 
 import { ByteCollector } from "@dandelionbank/collect-bytes";
