--- a/testing/ingress-tests/src/joined_answers_test.ts
+++ b/testing/ingress-tests/src/joined_answers_test.ts
@@ -267,6 +267,25 @@
   });
 }
 
+// No event tells yet that the stream's events have ids.
+for (
+  const name of [
+    "succeeds with text and blank lines",
+    "succeeds with JSON",
+    "has a partial success",
+  ]
+) {
+  test(`A stream that broke off before its first event ends there if the next target ${name}`, async (t) => {
+    const { body, isComplete } = await callBroken(t, {
+      path: "/stream/",
+      sendFirst: (call) => call.socket.end(renderStreamHead(call, CHUNKED)),
+      sendNext: ERRORS[name]!,
+    });
+    assert.equal(body, "");
+    assert.ok(!isComplete);
+  });
+}
+
 test("A stream without ids isn't continued", async (t) => {
   const event = "data: t\n\n";
   const answer = await callBroken(t, {
