--- a/testing/ingress-tests/src/faulty_targets_test.ts
+++ b/testing/ingress-tests/src/faulty_targets_test.ts
@@ -6,49 +6,39 @@
 
 import { Random } from "@dandelionbank/message-queue";
 import { HEADERS } from "@dandelionbank/platform-adapter";
-import {
-  call,
-  type CallAnswer,
-  createConfiguration,
-  ROUTE,
-  ROUTES,
-} from "@dandelionbank/run-entry";
+import { createConfiguration, ROUTE, ROUTES } from "@dandelionbank/run-entry";
 import type { RawCall } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
-import { Agent } from "node:http";
 import type { Socket } from "node:net";
 import process from "node:process";
 import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import {
+  callRepeatedly,
+  type NamedResult,
   nextId,
-  type RawSite,
   startRawEngines,
   startRawSite,
 } from "./raw_site.ts";
 
 /** Another seed for runs by hand. */
 const SEED = Number(process.env["DANDELIONBANK_TEST_SEED"] ?? 46);
-const CALLER_COUNT = 12;
-const CALLS_PER_CALLER = 60;
 const ROUTE_TIMEOUT_MS = 1_500;
 const MAX_EVENTS = 12;
 const MAX_BODY_BYTES = 3_000;
 /** Longer than an answer that is kept until it is whole. */
 const LONG_BODY_BYTES = 1_200_000;
 const MAX_DELAY_MS = 20;
-const PATHS = ["/once/", "/safe/", "/live/", "/stream/"];
+const CALLS = {
+  callers: 12,
+  callsPerCaller: 60,
+  paths: ["/once/", "/safe/", "/live/", "/stream/"],
+};
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const FRAMINGS = ["length", "chunked", "connection"] as const;
 const FAULTS = ["cut", "cutHead", "garbage", "error", "refusal", "silence"];
 const { attemptId: ATTEMPT_ID, answerSeal: SEAL, notRun: NOT_RUN } = HEADERS;
 
-interface Result {
-  readonly attemptId: string;
-  readonly path: string;
-  readonly answer: CallAnswer | undefined;
-}
-
 test(`Random faults of targets reach no caller as an answer (seed ${SEED})`, async (t) => {
   const site = await startRawSite(t, { routeTimeoutMs: ROUTE_TIMEOUT_MS });
   const targets = new FaultyTargets(Random.create(SEED));
@@ -63,9 +53,7 @@
     attempts: route.type === "non_idempotent" ? ROUTE.attempts : 3,
   }));
   site.store.put("config", "main", createConfiguration({ version: 2, routes }));
-  const results = (await Promise.all(
-    Array.from({ length: CALLER_COUNT }, () => callRepeatedly(site)),
-  )).flat();
+  const results = await callRepeatedly(site, CALLS);
   // A call that was refused must not run later either.
   await delay(MAX_DELAY_MS);
   t.diagnostic(targets.describe(results));
@@ -74,7 +62,9 @@
 });
 
 /** What a call is to be answered by any target that runs it to the end. */
-function renderWhole({ attemptId, path }: Pick<Result, "attemptId" | "path">) {
+function renderWhole(
+  { attemptId, path }: Pick<NamedResult, "attemptId" | "path">,
+) {
   const random = Random.create(Number(attemptId.slice(1)));
   if (path.startsWith("/live/") || path.startsWith("/stream/")) {
     return renderEvents(attemptId, 1, random.int(1, MAX_EVENTS));
@@ -104,7 +94,7 @@
     this.#random = random;
   }
 
-  check({ attemptId, path, answer }: Result): void {
+  check({ attemptId, path, answer }: NamedResult): void {
     const runs = this.#runs.get(attemptId) ?? 0;
     const whole = renderWhole({ attemptId, path });
     const shown = JSON.stringify({ attemptId, path, runs, answer, whole })
@@ -125,7 +115,7 @@
     }
   }
 
-  describe(results: readonly Result[]): string {
+  describe(results: readonly NamedResult[]): string {
     const statuses: Record<string, number> = {};
     for (const { answer } of results) {
       const status = `${answer?.status} ${answer?.isComplete ?? ""}`;
@@ -229,19 +219,3 @@
   );
   return `${head}${text.join("")}0\r\n\r\n`;
 }
-
-async function callRepeatedly({ entry }: RawSite): Promise<readonly Result[]> {
-  const agent = new Agent({ keepAlive: true });
-  const results: Result[] = [];
-  for (let index = 0; index < CALLS_PER_CALLER; index++) {
-    const attemptId = nextId("a");
-    const path = PATHS[index % PATHS.length]! + attemptId;
-    const headers = { [ATTEMPT_ID]: attemptId };
-    const answer = await call(entry, { path, headers, agent }).catch(() =>
-      undefined
-    );
-    results.push({ attemptId, path, answer });
-  }
-  agent.destroy();
-  return results;
-}
--- a/testing/ingress-tests/src/raw_site.ts
+++ b/testing/ingress-tests/src/raw_site.ts
@@ -16,6 +16,7 @@
   type RawScript,
   SiteStore,
 } from "@dandelionbank/standin-site";
+import { Agent } from "node:http";
 import { connect, type Socket } from "node:net";
 import type { TestContext } from "node:test";
 
@@ -118,6 +119,42 @@
   return socket;
 }
 
+export interface NamedResult {
+  readonly attemptId: string;
+  readonly path: string;
+  /** Undefined if the connection ended before the answer's head. */
+  readonly answer: CallAnswer | undefined;
+}
+
+/** Several callers call one after the other, each on a connection that is kept. */
+export async function callRepeatedly(
+  { entry }: RawSite,
+  { callers, callsPerCaller, paths, method = "POST" }: {
+    readonly callers: number;
+    readonly callsPerCaller: number;
+    /** The starts of paths, in turn; the attempt id ends each path. */
+    readonly paths: readonly string[];
+    readonly method?: string;
+  },
+): Promise<readonly NamedResult[]> {
+  const body = method === "HEAD" ? "" : "x";
+  const results = Array.from({ length: callers }, async () => {
+    const agent = new Agent({ keepAlive: true });
+    const own: NamedResult[] = [];
+    for (let index = 0; index < callsPerCaller; index++) {
+      const attemptId = nextId("a");
+      const path = paths[index % paths.length]! + attemptId;
+      const headers = { [HEADERS.attemptId]: attemptId };
+      const answer = await call(entry, { path, method, body, headers, agent })
+        .catch(() => undefined);
+      own.push({ attemptId, path, answer });
+    }
+    agent.destroy();
+    return own;
+  });
+  return (await Promise.all(results)).flat();
+}
+
 let lastNumber = 0;
 
 /** Returns an id that no other engine or call of this process has. */
--- a/testing/ingress-tests/src/repeated_refusals_test.ts
+++ b/testing/ingress-tests/src/repeated_refusals_test.ts
@@ -6,29 +6,30 @@
 
 import { Random } from "@dandelionbank/message-queue";
 import { HEADERS } from "@dandelionbank/platform-adapter";
-import { call, type CallAnswer } from "@dandelionbank/run-entry";
 import {
   type RawCall,
   renderRawAnswer,
   renderRawBody,
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
-import { Agent } from "node:http";
 import type { Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import {
-  nextId,
+  callRepeatedly,
+  type NamedResult,
   type RawSite,
   startRawEngines,
   startRawSite,
 } from "./raw_site.ts";
 
 const SEED = 46;
-const CALLER_COUNT = 8;
-const CALLS_PER_CALLER = 24;
 const ROUTE_TIMEOUT_MS = 400;
-const PATHS = ["/once/", "/safe/", "/live/", "/stream/"];
+const CALLS = {
+  callers: 8,
+  callsPerCaller: 24,
+  paths: ["/once/", "/safe/", "/live/", "/stream/"],
+};
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Repeated refusals in each test, without which it would show nothing. */
 const MIN_REPEATED = 20;
@@ -79,7 +80,7 @@
   test(`A refusal that is repeated ${name} is no answer to the next call`, async (t) => {
     const site = await startRawSite(t, { routeTimeoutMs: ROUTE_TIMEOUT_MS });
     const engines = await RefusingEngines.start(t, { site, form });
-    const results = await callRepeatedly(site);
+    const results = await callRepeatedly(site, CALLS);
     // A call that was refused must not run later either.
     await delay(MAX_GAP_MS);
     t.diagnostic(engines.describe(results));
@@ -89,12 +90,6 @@
   });
 }
 
-interface Result {
-  readonly attemptId: string;
-  readonly path: string;
-  readonly answer: CallAnswer | undefined;
-}
-
 /** Engines that refuse some calls, and write each refusal once more. */
 class RefusingEngines {
   readonly #form: Form;
@@ -121,7 +116,7 @@
     return refusing;
   }
 
-  check({ attemptId, path, answer }: Result): void {
+  check({ attemptId, path, answer }: NamedResult): void {
     const runs = this.#runs.get(attemptId) ?? 0;
     const shown = JSON.stringify({ path, runs, answer });
     const isRepeatable = path.startsWith("/safe/") ||
@@ -138,7 +133,7 @@
     assert.ok(this.#repeatedCount >= MIN_REPEATED, `${this.#repeatedCount}`);
   }
 
-  describe(results: readonly Result[]): string {
+  describe(results: readonly NamedResult[]): string {
     const statuses: Record<string, number> = {};
     for (const { answer } of results) {
       const status = String(answer?.status);
@@ -170,22 +165,3 @@
     socket.write(renderRawAnswer(engineCall, isStream ? { body: EVENT } : {}));
   }
 }
-
-async function callRepeatedly({ entry }: RawSite): Promise<readonly Result[]> {
-  const callers = Array.from({ length: CALLER_COUNT }, async () => {
-    const agent = new Agent({ keepAlive: true });
-    const results: Result[] = [];
-    for (let index = 0; index < CALLS_PER_CALLER; index++) {
-      const attemptId = nextId("a");
-      const path = PATHS[index % PATHS.length]! + attemptId;
-      const headers = { [ATTEMPT_ID]: attemptId };
-      const answer = await call(entry, { path, headers, agent }).catch(() =>
-        undefined
-      );
-      results.push({ attemptId, path, answer });
-    }
-    agent.destroy();
-    return results;
-  });
-  return (await Promise.all(callers)).flat();
-}
--- a/testing/ingress-tests/src/second_answers_test.ts
+++ b/testing/ingress-tests/src/second_answers_test.ts
@@ -5,12 +5,7 @@
 
 import { Random } from "@dandelionbank/message-queue";
 import { HEADERS } from "@dandelionbank/platform-adapter";
-import {
-  call,
-  type CallAnswer,
-  createConfiguration,
-  waitFor,
-} from "@dandelionbank/run-entry";
+import { call, createConfiguration, waitFor } from "@dandelionbank/run-entry";
 import {
   type RawCall,
   RawEngine,
@@ -19,11 +14,12 @@
 } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { Agent } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import {
+  callRepeatedly,
+  type NamedResult,
   nextId,
   type RawSite,
   sendRawCall,
@@ -32,8 +28,12 @@
 } from "./raw_site.ts";
 
 const SEED = 44;
-const CALLER_COUNT = 8;
 const CALLS_PER_CALLER = 12;
+const CALLS = {
+  callers: 8,
+  callsPerCaller: CALLS_PER_CALLER,
+  paths: ["/safe/", "/once/"],
+};
 const ROUTE_TIMEOUT_MS = 400;
 /** Second answers in each test, without which it would show nothing. */
 const MIN_LATE = 20;
@@ -186,7 +186,7 @@
     await t.test(form.name, async (t) => {
       const random = Random.create(SEED);
       const stuttering = await Stuttering.start(t, { site, form, random });
-      const results = await callRepeatedly(site, form);
+      const results = await callRepeatedly(site, { ...CALLS, ...form });
       t.diagnostic(stuttering.describe(results));
       // A connection isn't reused after a HEAD.
       if (form.method !== "HEAD") stuttering.checkReuse();
@@ -196,12 +196,6 @@
   }
 });
 
-interface Result {
-  readonly attemptId: string;
-  readonly path: string;
-  readonly answer: CallAnswer | undefined;
-}
-
 /** Ways in which the entry itself ends a target's answer. */
 const ENDED_EARLY: Readonly<
   Record<string, { readonly path: string; readonly render: RenderPart }>
@@ -365,7 +359,7 @@
     assert.ok(this.#lateCount >= MIN_LATE, `${this.#lateCount} late`);
   }
 
-  check({ attemptId, path, answer }: Result): void {
+  check({ attemptId, path, answer }: NamedResult): void {
     if (answer === undefined) return;
     const { status, headers, body, isComplete } = answer;
     const shown = JSON.stringify({ path, status, headers, body, isComplete });
@@ -385,7 +379,7 @@
     if (path.startsWith("/once/")) assert.ok(runs.length <= 1, shown);
   }
 
-  describe(results: readonly Result[]): string {
+  describe(results: readonly NamedResult[]): string {
     const counts = new Map<string, number>();
     for (const { answer } of results) {
       const status = String(answer?.status);
@@ -420,26 +414,3 @@
     socket.write(first);
   }
 }
-
-async function callRepeatedly(
-  { entry }: RawSite,
-  { method = "POST" }: SecondAnswer,
-): Promise<readonly Result[]> {
-  const callers = Array.from({ length: CALLER_COUNT }, async () => {
-    const agent = new Agent({ keepAlive: true });
-    const results: Result[] = [];
-    for (let index = 0; index < CALLS_PER_CALLER; index++) {
-      const attemptId = nextId("a");
-      // Calls that are alike may be quarantined for crashing their targets.
-      const path = `${index % 2 === 0 ? "/safe/" : "/once/"}${attemptId}`;
-      const headers = { [ATTEMPT_ID]: attemptId };
-      const body = method === "HEAD" ? "" : "x";
-      const answer = await call(entry, { path, method, body, headers, agent })
-        .catch(() => undefined);
-      results.push({ attemptId, path, answer });
-    }
-    agent.destroy();
-    return results;
-  });
-  return (await Promise.all(callers)).flat();
-}
