--- a/testing/ingress-tests/src/faulty_targets_test.ts
+++ b/testing/ingress-tests/src/faulty_targets_test.ts
@@ -71,7 +71,11 @@
   }
   const isLong = random.chance(0.03);
   const length = isLong ? LONG_BODY_BYTES : random.int(1, MAX_BODY_BYTES);
-  return attemptId.repeat(Math.ceil(length / attemptId.length));
+  let text = "";
+  for (let line = 1; text.length < length; line++) {
+    text += `${attemptId} ${line}\n`;
+  }
+  return text;
 }
 
 function renderEvents(attemptId: string, first: number, last: number): string {
