--- a/testing/ingress-tests/src/raw_site.ts
+++ b/testing/ingress-tests/src/raw_site.ts
@@ -162,3 +162,10 @@
   lastNumber += 1;
   return `${prefix}${lastNumber}`;
 }
+
+/** Renders events with ids that rise by one. */
+export function renderEvents(first: number, last: number): string {
+  let text = "";
+  for (let id = first; id <= last; id++) text += `id: ${id}\ndata: t${id}\n\n`;
+  return text;
+}
