Name the one option that a form of second answers gives its calls

The whole form was spread into the options of callRepeatedly, so a reader had to look up which of its fields counts.

--- a/testing/ingress-tests/src/second_answers_test.ts
+++ b/testing/ingress-tests/src/second_answers_test.ts
@@ -186,7 +186,10 @@
     await t.test(form.name, async (t) => {
       const random = Random.create(SEED);
       const stuttering = await Stuttering.start(t, { site, form, random });
-      const results = await callRepeatedly(site, { ...CALLS, ...form });
+      const results = await callRepeatedly(site, {
+        ...CALLS,
+        method: form.method ?? "POST",
+      });
       t.diagnostic(stuttering.describe(results));
       // A connection isn't reused after a HEAD.
       if (form.method !== "HEAD") stuttering.checkReuse();
