Require API keys also once the last one was taken out

Cause: whether keys are required was derived from the list not being empty (`usesKeys: organisations.length > 0`). An empty, a malformed and a missing list were one case, and all of them opened every route.

Change: a configuration holds either no list of keys (undefined) or a list, which may be empty. Keys are required if the settings' contracts have them or the configuration has the list, and before the first configuration. With the contract and without the list the answer is 503, as a denial could be wrong then.

Why it works: no number of keys decides any more, only what the settings and the configuration say, so removing keys can only narrow what runs.

--- a/daemon/forward-requests/src/route_request.ts
+++ b/daemon/forward-requests/src/route_request.ts
@@ -6,6 +6,7 @@
 
 import {
   type ActiveConfiguration,
+  areKeysRequired,
   mayDeny,
   mayUseKeys,
 } from "@dandelionbank/track-configuration";
@@ -45,10 +46,13 @@
       ? { kind: "denied", status: 404, reason: "no matching route" }
       : unavailable("no route, but the configuration may be out of date");
   }
-  if (!table.configuration.usesKeys || route.isPublic) {
+  if (route.isPublic || !areKeysRequired(active)) {
     const { priority } = route;
     return { kind: "routed", route, organisation: undefined, priority };
   }
+  if (table.configuration.keys === undefined) {
+    return unavailable("keys are required, but the configuration has none");
+  }
   const holder = findKeyHolder(table, head.key ?? "");
   if (holder === undefined) {
     return mayDeny(active, now)
--- a/daemon/serve-ingress/src/ingress_process.ts
+++ b/daemon/serve-ingress/src/ingress_process.ts
@@ -32,6 +32,7 @@
 import { createTextHash } from "@dandelionbank/hash-text";
 import {
   type ActiveConfiguration,
+  areKeysRequired,
   createActiveConfiguration,
   mayUseKeys,
 } from "@dandelionbank/track-configuration";
@@ -131,9 +132,12 @@
     this.#addresses = addresses;
     this.#watchWaitMs = Math.round(bounds.revocationMs * WATCH_WAIT_FRACTION);
     this.#configuration = createActiveConfiguration({
-      ...bounds,
-      watchWaitMs: this.#watchWaitMs,
-      rewriteMs: bounds.targetReregistrationMs,
+      bounds: {
+        ...bounds,
+        watchWaitMs: this.#watchWaitMs,
+        rewriteMs: bounds.targetReregistrationMs,
+      },
+      requiresKeys: settings.requiresKeys,
     });
     this.#client = StoreClient.create(formatAddress(settings.store), {
       onInvalidEra: (era) => logger.log("storeEraInvalid", { era }),
@@ -338,8 +342,8 @@
 
   /** True if keys may be used, or if no route needs one. */
   get #mayUseKeys(): boolean {
-    const isNeeded = this.#configuration.table?.configuration.usesKeys ?? false;
-    return !isNeeded || mayUseKeys(this.#configuration, readInstant());
+    return !areKeysRequired(this.#configuration) ||
+      mayUseKeys(this.#configuration, readInstant());
   }
 
   #startWatching(): void {
--- a/foundation/types/src/ingress.ts
+++ b/foundation/types/src/ingress.ts
@@ -96,8 +96,10 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, Service>;
-  /** Whether any route requires an API key. */
-  readonly usesKeys: boolean;
-  readonly keys: ReadonlyMap<string, KeyHolder>;
+  /**
+   * Holders by API key. Undefined only if the configuration does not mention keys
+   * at all; one without any holder grants no caller access.
+   */
+  readonly keys: ReadonlyMap<string, KeyHolder> | undefined;
   readonly limits: CallerLimits;
 }
--- a/routing/match-route/src/match_route.ts
+++ b/routing/match-route/src/match_route.ts
@@ -55,7 +55,7 @@
   { configuration }: RouteTable,
   key: string,
 ): KeyHolder | undefined {
-  return configuration.keys.get(key);
+  return configuration.keys?.get(key);
 }
 
 /** Chooses a service by weight; `random` is in the interval [0, 1). */
--- a/routing/match-route/src/match_route_test.ts
+++ b/routing/match-route/src/match_route_test.ts
@@ -50,7 +50,6 @@
       createRoute({ name: "two", pathPrefix: "/one/two/" }),
     ],
     services: new Map(),
-    usesKeys: true,
     keys: new Map([["k1", { organisation: "o1", priority: undefined }]]),
     limits: {
       maxHeaderBytes: 1,
--- a/routing/track-configuration/src/active_configuration.ts
+++ b/routing/track-configuration/src/active_configuration.ts
@@ -26,9 +26,14 @@
   readonly rewriteMs: number;
 }
 
-/** Opaque; mutated in place. */
-export interface ActiveConfiguration {
+export interface ActiveConfigurationOptions {
   readonly bounds: FreshnessBounds;
+  /** Whether the settings require API keys, whatever the configuration holds. */
+  readonly requiresKeys: boolean;
+}
+
+/** Opaque; mutated in place. */
+export interface ActiveConfiguration extends ActiveConfigurationOptions {
   table: RouteTable | undefined;
   /** Store revision at which the configuration last changed. */
   revision: number;
@@ -47,10 +52,10 @@
 }
 
 export function createActiveConfiguration(
-  bounds: FreshnessBounds,
+  options: ActiveConfigurationOptions,
 ): ActiveConfiguration {
   return {
-    bounds,
+    ...options,
     table: undefined,
     revision: 0,
     provenAt: undefined,
@@ -99,6 +104,18 @@
   return measureAgeMs(provenAt, now);
 }
 
+/**
+ * Whether requests on routes that are not public need an API key. They do not only
+ * where neither the settings nor the configuration mention keys: removing the last
+ * key must not open the routes that it protected.
+ */
+export function areKeysRequired(
+  { requiresKeys, table }: ActiveConfiguration,
+): boolean {
+  return requiresKeys || table === undefined ||
+    table.configuration.keys !== undefined;
+}
+
 /** Returns false once an API key may have been revoked for longer than the bound. */
 export function mayUseKeys(active: ActiveConfiguration, now: Instant): boolean {
   const limitMs = active.bounds.revocationMs * (1 - REVOCATION_MARGIN);
--- a/routing/track-configuration/src/active_configuration_test.ts
+++ b/routing/track-configuration/src/active_configuration_test.ts
@@ -16,9 +16,10 @@
   watchWaitMs: 1_500,
   rewriteMs: 2_000,
 };
+const OPTIONS = { bounds: BOUNDS, requiresKeys: true };
 
 test("An older configuration never replaces a newer one", () => {
-  const active = createActiveConfiguration(BOUNDS);
+  const active = createActiveConfiguration(OPTIONS);
   assert.ok(
     applyConfiguration(active, createStored({ version: 3, revision: 30 })),
   );
@@ -32,7 +33,7 @@
 });
 
 test("API keys are used only while the proof is within the bound on revocations", () => {
-  const active = createActiveConfiguration(BOUNDS);
+  const active = createActiveConfiguration(OPTIONS);
   assert.ok(!mayUseKeys(active, createInstant(0)));
   applyConfiguration(active, createStored({ version: 1, revision: 1 }));
   recordProof(active, createInstant(1_000));
@@ -41,7 +42,7 @@
 });
 
 test("The wall clock reveals that the VM was suspended", () => {
-  const active = createActiveConfiguration(BOUNDS);
+  const active = createActiveConfiguration(OPTIONS);
   applyConfiguration(active, createStored({ version: 1, revision: 1 }));
   recordProof(active, { monotonicMs: 1_000, wallMs: 1_000 });
   assert.ok(!mayUseKeys(active, { monotonicMs: 1_100, wallMs: 9_000 }));
@@ -50,7 +51,7 @@
 });
 
 test("Nothing is denied while a newer configuration could allow it", () => {
-  const active = createActiveConfiguration(BOUNDS);
+  const active = createActiveConfiguration(OPTIONS);
   assert.ok(!mayDeny(active, createInstant(0)));
   applyConfiguration(active, createStored({ version: 1, revision: 1 }));
   recordProof(active, createInstant(0));
@@ -60,7 +61,7 @@
 });
 
 test("A restored store proves nothing until lost changes could be written again", () => {
-  const active = createActiveConfiguration(BOUNDS);
+  const active = createActiveConfiguration(OPTIONS);
   applyConfiguration(active, createStored({ version: 3, revision: 30 }));
   recordProof(active, createInstant(0));
   recordRestore(active, createInstant(1_000));
@@ -72,7 +73,7 @@
 });
 
 test("A restored store with an older configuration proves nothing", () => {
-  const active = createActiveConfiguration(BOUNDS);
+  const active = createActiveConfiguration(OPTIONS);
   applyConfiguration(active, createStored({ version: 3, revision: 30 }));
   recordRestore(active, createInstant(1_000));
   applyConfiguration(active, createStored({ version: 2, revision: 100 }));
@@ -85,7 +86,7 @@
 });
 
 test("A proof before the first configuration has no effect", () => {
-  const active = createActiveConfiguration(BOUNDS);
+  const active = createActiveConfiguration(OPTIONS);
   recordProof(active, createInstant(0));
   assert.ok(!mayDeny(active, createInstant(1)));
 });
@@ -104,8 +105,7 @@
     version,
     routes: [],
     services: new Map(),
-    usesKeys: false,
-    keys: new Map(),
+    keys: undefined,
     limits: {
       maxHeaderBytes: 1,
       maxBodyBytes: 1,
--- a/routing/track-configuration/src/mod.ts
+++ b/routing/track-configuration/src/mod.ts
@@ -2,6 +2,7 @@
 
 export {
   applyConfiguration,
+  areKeysRequired,
   computeProofAgeMs,
   createActiveConfiguration,
   mayDeny,
@@ -11,6 +12,7 @@
 } from "./active_configuration.ts";
 export type {
   ActiveConfiguration,
+  ActiveConfigurationOptions,
   FreshnessBounds,
   StoredConfiguration,
 } from "./active_configuration.ts";
--- a/testing/ingress-tests/src/configuration_eras_test.ts
+++ b/testing/ingress-tests/src/configuration_eras_test.ts
@@ -24,6 +24,7 @@
   watchWaitMs: 1_500,
   rewriteMs: 2_000,
 };
+const OPTIONS = { bounds: BOUNDS, requiresKeys: true };
 
 const FAULTS_END_MS = 15_000;
 /** Time without faults after which the newest configuration must be in force. */
@@ -70,7 +71,7 @@
   calls: readonly CallOutcome[],
 ): void {
   const queue = MessageQueue.create<never>({ seed: 1 });
-  const active = createActiveConfiguration(BOUNDS);
+  const active = createActiveConfiguration(OPTIONS);
   let era = 1;
   let history: readonly StoreState[] = [
     { sinceMs: 0, version: 1, revision: 1 },
--- a/testing/run-entry/src/run_entry.ts
+++ b/testing/run-entry/src/run_entry.ts
@@ -43,6 +43,10 @@
   readonly routes?: readonly Readonly<Record<string, unknown>>[];
   /** Time from SIGTERM to SIGKILL, within which a stopping entry has to finish. */
   readonly graceS?: number;
+  /** The first configuration in the store. */
+  readonly configuration?: Readonly<Record<string, unknown>>;
+  /** Lines that add to and override the settings file. */
+  readonly settingLines?: Readonly<Record<string, string>>;
 }
 
 /** Fields that the routes share. */
@@ -118,15 +122,16 @@
   options: SiteOptions = {},
 ): Promise<Site> {
   const { engines: count = 2, graceS = 1 } = options;
+  const { configuration = createConfiguration(), settingLines = {} } = options;
   const store = await SiteStore.create();
   const engines = await Promise.all(
     Array.from({ length: count }, (_, index) => SiteEngine.create(`e${index}`)),
   );
-  store.put("config", "main", createConfiguration());
+  store.put("config", "main", configuration);
   for (const engine of engines) {
     store.put("servers", engine.id, engine.createServerSpec({ service: "s" }));
   }
-  const settings = await createSettings({ store, graceS });
+  const settings = await createSettings({ store, graceS, settingLines });
   const lines: LoggedLine[] = [];
   const logger: Logger = {
     log: (name, fields) => void lines.push({ name, fields }),
@@ -150,7 +155,9 @@
 }
 
 async function createSettings(
-  { store, graceS }: { readonly store: SiteStore; readonly graceS: number },
+  { store, graceS, settingLines }:
+    & { readonly store: SiteStore }
+    & Required<Pick<SiteOptions, "graceS" | "settingLines">>,
 ): Promise<BootSettings> {
   const [callers, ready, registry, peers] = await Promise.all(
     Array.from({ length: 4 }, findFreePort),
@@ -164,6 +171,7 @@
     "port_range": `${peers},${peers}`,
     "bounds.grace_s": String(graceS),
     "platform.address": store.address,
+    ...settingLines,
   });
 }
 
