Take no unreadable part of a configuration for an absent one

Callers would see: requests that run though the configuration does not allow them, wherever a part of it cannot be read.

Cause: the decoder dropped what it could not read or put a default in its place, and what remained allowed more than the whole: - a route that did not decode left its requests to a shorter prefix, perhaps of a public route or another service; so did a prefix without its slashes; - a list of keys that was null or an object counted as a configuration without keys on a site whose settings do not require them; an empty key was held by each request without one; - while the newest configuration was malformed or removed, each answer of the store still proved the one before, so that its keys never lapsed; - timeouts and limits of another type became the defaults, a route without a service went to the targets of the service "".

A route with an unreadable field keeps its host and prefix, and its requests get 503. Keys that cannot be read give nobody access; other keys go on, and an unknown one gets 503 instead of 401, as it may be among them. What may concern any request makes the configuration malformed: the one before stays, unproven, so that its keys lapse within the bound on revocations. Log event configurationIncomplete, and the fields that could not be read in configurationRefused.

--- a/daemon/forward-requests/src/route_request.ts
+++ b/daemon/forward-requests/src/route_request.ts
@@ -40,20 +40,29 @@
 ): RouteDecision {
   const { table } = active;
   if (table === undefined) return unavailable("no configuration received yet");
-  const route = matchRoute(table, { host: head.host, target });
-  if (route === undefined) {
+  const match = matchRoute(table, { host: head.host, target });
+  if (match.kind === "unreadable") {
+    return unavailable("the configuration of the route cannot be read");
+  }
+  if (match.kind === "none") {
     return mayDeny(active, now)
       ? { kind: "denied", status: 404, reason: "no matching route" }
       : unavailable("no route, but the configuration may be out of date");
   }
+  const { route } = match;
+  if (route.shares.length === 0) return unavailable("the route has no service");
   if (route.isPublic || !areKeysRequired(active)) {
     const { priority } = route;
     return { kind: "routed", route, organisation: undefined, priority };
   }
-  if (table.configuration.keys === undefined) {
+  const { keys } = table.configuration;
+  if (keys === undefined) {
     return unavailable("keys are required, but the configuration has none");
   }
   const holder = findKeyHolder(table, head.key ?? "");
+  if (holder === undefined && !keys.isComplete) {
+    return unavailable("unknown key, but some keys cannot be read");
+  }
   if (holder === undefined) {
     return mayDeny(active, now)
       ? { kind: "denied", status: 401, reason: "unknown key" }
--- a/daemon/serve-ingress/src/configuration_view.ts
+++ b/daemon/serve-ingress/src/configuration_view.ts
@@ -8,17 +8,22 @@
   applyConfiguration,
   recordProof,
   recordRestore,
+  recordUnusable,
 } from "@dandelionbank/track-configuration";
 import type { Logger } from "@dandelionbank/log-events";
 import {
   CONFIGURATION_NAME,
   decodeConfiguration,
+  type StoredChange,
   type StoredItem,
 } from "@dandelionbank/platform-adapter";
 import { readInstant } from "@dandelionbank/read-instant";
 import type { IngressConfiguration } from "@dandelionbank/types";
 import type { KindEvent } from "@dandelionbank/watch-kind";
 
+/** Bounds the length of a log line. */
+const MAX_LOGGED_PROBLEMS = 8;
+
 export interface ConfigurationViewOptions {
   readonly active: ActiveConfiguration;
   readonly logger: Logger;
@@ -45,10 +50,10 @@
           recordRestore(this.#options.active, readInstant());
           this.#options.onRestored();
         }
-        for (const item of event.items) this.#apply(item);
+        this.#applyList(event.items);
         return;
       case "changed":
-        if (!event.change.isDeleted) this.#apply(event.change.item);
+        this.#applyChange(event.change);
         return;
       case "proven":
         recordProof(this.#options.active, event.sentAt);
@@ -59,15 +64,34 @@
     }
   }
 
-  #apply({ name, revision, spec }: StoredItem): void {
-    if (name !== CONFIGURATION_NAME) return;
+  #applyList(items: readonly StoredItem[]): void {
+    const item = items.find(({ name }) => name === CONFIGURATION_NAME);
+    if (item === undefined) recordUnusable(this.#options.active);
+    else this.#apply(item);
+  }
+
+  #applyChange({ item, isDeleted }: StoredChange): void {
+    if (item.name !== CONFIGURATION_NAME) return;
+    if (isDeleted) recordUnusable(this.#options.active);
+    else this.#apply(item);
+  }
+
+  #apply({ revision, spec }: StoredItem): void {
     const { active, logger, onApplied } = this.#options;
-    const configuration = decodeConfiguration(spec);
-    if (configuration === undefined) {
-      logger.log("configurationRefused", { revision, reason: "malformed" });
+    const decoded = decodeConfiguration(spec);
+    const problems = formatProblems(decoded.problems);
+    if (decoded.kind === "malformed") {
+      recordUnusable(active);
+      const reason = `cannot read ${problems}`;
+      logger.log("configurationRefused", { revision, reason });
       return;
     }
+    const { configuration } = decoded;
     if (!applyConfiguration(active, { configuration, revision })) return;
+    if (decoded.problems.length > 0) {
+      const { version } = configuration;
+      logger.log("configurationIncomplete", { version, revision, problems });
+    }
     logger.log("configurationApplied", {
       version: configuration.version,
       revision,
@@ -76,3 +100,9 @@
     onApplied(configuration);
   }
 }
+
+function formatProblems(problems: readonly string[]): string {
+  const more = problems.length - MAX_LOGGED_PROBLEMS;
+  const shown = problems.slice(0, MAX_LOGGED_PROBLEMS).join(", ");
+  return more > 0 ? `${shown} and ${more} more` : shown;
+}
--- a/daemon/serve-rank/src/group_view.ts
+++ b/daemon/serve-rank/src/group_view.ts
@@ -128,8 +128,10 @@
 
   #applyConfiguration({ name, spec }: StoredItem): void {
     if (name !== CONFIGURATION_NAME) return;
-    const configuration = decodeConfiguration(spec);
-    const service = configuration?.services.get(this.#options.service);
+    const decoded = decodeConfiguration(spec);
+    if (decoded.kind === "malformed") return;
+    const { services } = decoded.configuration;
+    const service = services.get(this.#options.service);
     this.#profile = service?.engine?.experts ?? this.#profile;
   }
 }
--- a/foundation/log-events/src/ingress_events.ts
+++ b/foundation/log-events/src/ingress_events.ts
@@ -27,7 +27,8 @@
     id: 10003,
     level: "error",
     text: "Configuration at revision {revision} was rejected: {reason}",
-    help: "The previous configuration stays in force; write a valid one",
+    help:
+      "The previous configuration stays in force, and requests with API keys are refused once it was last confirmed too long ago; write a valid one",
   },
   targetsChanged: {
     id: 10004,
@@ -224,6 +225,14 @@
       "Request {requestId} with prompt part {part} is refused for {retryAfterMs} ms: targets crashed while running such requests",
     help: "Check what callers send in that part",
   },
+  configurationIncomplete: {
+    id: 10044,
+    level: "error",
+    text:
+      "Configuration version {version} at revision {revision} was applied without parts that cannot be read: {problems}",
+    help:
+      "Requests of such routes, and those with keys that may be among these parts, get 503; correct the fields named",
+  },
   registrationRefused: {
     id: 10042,
     level: "warn",
--- a/foundation/types/src/ingress.ts
+++ b/foundation/types/src/ingress.ts
@@ -9,17 +9,21 @@
  */
 export type RouteKind = "idempotent" | "nonIdempotent" | "stream";
 
+/** The requests that a route concerns. */
+export interface RouteScope {
+  readonly host: string;
+  /** Starts and ends with a slash. */
+  readonly pathPrefix: string;
+}
+
 /** One service of a route, which gets a share in proportion to its weight. */
 export interface ServiceShare {
   readonly service: string;
   readonly weight: number;
 }
 
-export interface Route {
+export interface Route extends RouteScope {
   readonly name: string;
-  readonly host: string;
-  /** Starts and ends with a slash. */
-  readonly pathPrefix: string;
   readonly kind: RouteKind;
   /** Longest time that a caller waits for the final answer. */
   readonly timeoutMs: number;
@@ -85,6 +89,13 @@
   readonly priority: number | undefined;
 }
 
+export interface ApiKeys {
+  /** Holders by API key. Without any, no caller has access. */
+  readonly holders: ReadonlyMap<string, KeyHolder>;
+  /** False if some could not be read, so that an unknown key may be valid. */
+  readonly isComplete: boolean;
+}
+
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
   readonly maxBodyBytes: number;
@@ -95,11 +106,10 @@
 export interface IngressConfiguration {
   readonly version: number;
   readonly routes: readonly Route[];
+  /** Scopes of routes that could not be read; their requests are refused. */
+  readonly unreadableRoutes: readonly RouteScope[];
   readonly services: ReadonlyMap<string, Service>;
-  /**
-   * Holders by API key. Undefined only if the configuration does not mention keys
-   * at all; one without any holder grants no caller access.
-   */
-  readonly keys: ReadonlyMap<string, KeyHolder> | undefined;
+  /** Undefined only if the configuration does not mention keys at all. */
+  readonly keys: ApiKeys | undefined;
   readonly limits: CallerLimits;
 }
--- a/routing/match-route/src/match_route.ts
+++ b/routing/match-route/src/match_route.ts
@@ -8,46 +8,59 @@
   IngressConfiguration,
   KeyHolder,
   Route,
+  RouteScope,
   ServiceShare,
 } from "@dandelionbank/types";
 
+export type RouteMatch =
+  | { readonly kind: "route"; readonly route: Route }
+  /** The request belongs to a route that could not be read. */
+  | { readonly kind: "unreadable" }
+  | { readonly kind: "none" };
+
 /** The indexed routes of one configuration. */
 export interface RouteTable {
   readonly configuration: IngressConfiguration;
-  /** Routes by host, then by path prefix. */
-  readonly hosts: ReadonlyMap<string, ReadonlyMap<string, Route>>;
+  /** Matches by host, then by path prefix. */
+  readonly hosts: ReadonlyMap<string, ReadonlyMap<string, RouteMatch>>;
 }
 
 export function createRouteTable(
   configuration: IngressConfiguration,
 ): RouteTable {
-  const hosts = new Map<string, Map<string, Route>>();
+  const hosts = new Map<string, Map<string, RouteMatch>>();
+  const add = ({ host, pathPrefix }: RouteScope, match: RouteMatch) => {
+    const prefixes = hosts.get(host) ?? new Map<string, RouteMatch>();
+    prefixes.set(pathPrefix, match);
+    hosts.set(host, prefixes);
+  };
   for (const route of configuration.routes) {
-    const prefixes = hosts.get(route.host) ?? new Map<string, Route>();
-    prefixes.set(route.pathPrefix, route);
-    hosts.set(route.host, prefixes);
+    add(route, { kind: "route", route });
+  }
+  for (const scope of configuration.unreadableRoutes) {
+    add(scope, { kind: "unreadable" });
   }
   return { configuration, hosts };
 }
 
 /**
- * Returns the route with the longest path prefix that matches. `target` is the
+ * Finds the route with the longest path prefix that matches. `target` is the
  * request target: the path with an optional query.
  */
 export function matchRoute(
   { hosts }: RouteTable,
   { host, target }: { readonly host: string; readonly target: string },
-): Route | undefined {
+): RouteMatch {
   const prefixes = hosts.get(stripPort(host.toLowerCase()));
-  if (prefixes === undefined) return undefined;
+  if (prefixes === undefined) return { kind: "none" };
   const path = target.split("?", 1)[0] ?? "";
   let slashIndex = path.lastIndexOf("/");
   while (slashIndex >= 0) {
-    const route = prefixes.get(path.slice(0, slashIndex + 1));
-    if (route !== undefined) return route;
+    const match = prefixes.get(path.slice(0, slashIndex + 1));
+    if (match !== undefined) return match;
     slashIndex = slashIndex === 0 ? -1 : path.lastIndexOf("/", slashIndex - 1);
   }
-  return undefined;
+  return { kind: "none" };
 }
 
 /** Returns the holder of an API key, if the configuration has the key. */
@@ -55,7 +68,7 @@
   { configuration }: RouteTable,
   key: string,
 ): KeyHolder | undefined {
-  return configuration.keys?.get(key);
+  return configuration.keys?.holders.get(key);
 }
 
 /** Chooses a service by weight; `random` is in the interval [0, 1). */
--- a/routing/match-route/src/match_route_test.ts
+++ b/routing/match-route/src/match_route_test.ts
@@ -21,7 +21,29 @@
     ["b.example", "/one/x", undefined],
   ];
   for (const [host, target, name] of cases) {
-    assert.equal(matchRoute(table, { host, target })?.name, name, target);
+    const match = matchRoute(table, { host, target });
+    assert.equal(match.kind, name === undefined ? "none" : "route", target);
+    if (match.kind === "route") assert.equal(match.route.name, name, target);
+  }
+});
+
+// A route that cannot be read must not leave its requests to a shorter prefix, whose
+// route may be public or lead to another service.
+test("An unreadable route keeps its requests from matching another route", () => {
+  const table = createTable({
+    unreadableRoutes: [
+      { host: "a.example", pathPrefix: "/one/two/" },
+      { host: "a.example", pathPrefix: "/one/three/" },
+    ],
+  });
+  const cases = [
+    ["/one/x", "route"],
+    ["/one/two/x", "unreadable"],
+    ["/one/three/x", "unreadable"],
+  ] as const;
+  for (const [target, kind] of cases) {
+    const match = matchRoute(table, { host: "a.example", target });
+    assert.equal(match.kind, kind, target);
   }
 });
 
@@ -42,7 +64,11 @@
   assert.equal(chooseService([], 0.5), undefined);
 });
 
-function createTable() {
+function createTable(
+  { unreadableRoutes = [] }: Partial<
+    Pick<IngressConfiguration, "unreadableRoutes">
+  > = {},
+) {
   const configuration: IngressConfiguration = {
     version: 1,
     routes: [
@@ -50,7 +76,11 @@
       createRoute({ name: "two", pathPrefix: "/one/two/" }),
     ],
     services: new Map(),
-    keys: new Map([["k1", { organisation: "o1", priority: undefined }]]),
+    unreadableRoutes,
+    keys: {
+      holders: new Map([["k1", { organisation: "o1", priority: undefined }]]),
+      isComplete: true,
+    },
     limits: {
       maxHeaderBytes: 1,
       maxBodyBytes: 1,
--- a/routing/match-route/src/mod.ts
+++ b/routing/match-route/src/mod.ts
@@ -6,4 +6,4 @@
   findKeyHolder,
   matchRoute,
 } from "./match_route.ts";
-export type { RouteTable } from "./match_route.ts";
+export type { RouteMatch, RouteTable } from "./match_route.ts";
--- a/routing/track-configuration/src/active_configuration.ts
+++ b/routing/track-configuration/src/active_configuration.ts
@@ -39,8 +39,11 @@
   revision: number;
   /** Send time of the last call that confirmed this configuration. */
   provenAt: Instant | undefined;
-  /** True while the store holds an older configuration than this one, or none. */
-  isStoreBehind: boolean;
+  /**
+   * True while the store holds another configuration than this one which cannot
+   * replace it: an older one, one that cannot be read, or none.
+   */
+  hasDiverged: boolean;
   /** Calls sent before this time of the steady clock prove nothing. */
   provesFromMs: number;
 }
@@ -59,7 +62,7 @@
     table: undefined,
     revision: 0,
     provenAt: undefined,
-    isStoreBehind: false,
+    hasDiverged: false,
     provesFromMs: 0,
   };
 }
@@ -69,18 +72,27 @@
   active: ActiveConfiguration,
   { configuration, revision }: StoredConfiguration,
 ): boolean {
+  if (revision === active.revision) active.hasDiverged = false;
   if (revision <= active.revision) return false;
   const currentVersion = active.table?.configuration.version ?? -1;
   if (configuration.version < currentVersion) return false;
-  active.isStoreBehind = false;
+  active.hasDiverged = false;
   active.revision = revision;
   active.table = createRouteTable(configuration);
   return true;
 }
 
+/**
+ * Records that the store's configuration is missing or cannot be read. The active
+ * one stays in force, but nothing proves that its keys are still valid.
+ */
+export function recordUnusable(active: ActiveConfiguration): void {
+  active.hasDiverged = active.table !== undefined;
+}
+
 /** Records that the store has come back from an older copy. */
 export function recordRestore(active: ActiveConfiguration, now: Instant): void {
-  active.isStoreBehind = active.table !== undefined;
+  active.hasDiverged = active.table !== undefined;
   active.provesFromMs = now.monotonicMs + active.bounds.rewriteMs;
 }
 
@@ -89,7 +101,7 @@
   active: ActiveConfiguration,
   sentAt: Instant,
 ): void {
-  if (active.table === undefined || active.isStoreBehind) return;
+  if (active.table === undefined || active.hasDiverged) return;
   if (sentAt.monotonicMs < active.provesFromMs) return;
   active.provenAt = sentAt;
 }
--- a/routing/track-configuration/src/active_configuration_test.ts
+++ b/routing/track-configuration/src/active_configuration_test.ts
@@ -105,6 +105,7 @@
     version,
     routes: [],
     services: new Map(),
+    unreadableRoutes: [],
     keys: undefined,
     limits: {
       maxHeaderBytes: 1,
--- a/routing/track-configuration/src/mod.ts
+++ b/routing/track-configuration/src/mod.ts
@@ -9,6 +9,7 @@
   mayUseKeys,
   recordProof,
   recordRestore,
+  recordUnusable,
 } from "./active_configuration.ts";
 export type {
   ActiveConfiguration,
--- a/testing/fuzz/src/registry.ts
+++ b/testing/fuzz/src/registry.ts
@@ -141,8 +141,9 @@
       target: fc.webPath(),
     }),
     decode: ({ spec, target }) => {
-      const configuration = decodeConfiguration(spec);
-      if (configuration === undefined) return undefined;
+      const decoded = decodeConfiguration(spec);
+      if (decoded.kind === "malformed") return undefined;
+      const { configuration } = decoded;
       const table = createRouteTable(configuration);
       findKeyHolder(table, target);
       return [configuration, matchRoute(table, { host: ROUTE_HOST, target })];
--- a/testing/ingress-tests/src/api_keys_test.ts
+++ b/testing/ingress-tests/src/api_keys_test.ts
@@ -7,17 +7,32 @@
   call,
   CALLER_KEY,
   createConfiguration,
+  ROUTES,
   type Site,
   startSite,
   waitFor,
 } from "@dandelionbank/run-entry";
+import type { SiteStore } from "@dandelionbank/standin-site";
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 
 const PATHS = ["/safe/a", "/once/a", "/stream/a", "/live/a"] as const;
 const KEYS = [CALLER_KEY, "unknown-key", ""] as const;
 const CONTRACT = { contracts: "base,config,tenants,platform" } as const;
 const NO_CONTRACT = { contracts: "base,config,platform" } as const;
+const REPLACEMENTS: readonly [string, (store: SiteStore) => void][] = [
+  ["removed", (store) => store.remove("config", "main")],
+  ["replaced by no object", (store) => store.put("config", "main", null)],
+  [
+    "replaced by one whose routes cannot be read",
+    (store) =>
+      store.put("config", "main", {
+        ...createConfiguration({ version: 2, keys: [] }),
+        routes: {},
+      }),
+  ],
+];
 const { tenants: _, ...WITHOUT_KEYS } = createConfiguration();
 
 // Guards against entries that require no key once the last one was taken out of the
@@ -53,6 +68,58 @@
   assert.equal((await call(site, { path: "/open/a" })).status, 200);
 });
 
+// A list that cannot be read may hold any key, so that a denial could be wrong.
+test("No request runs while the keys of the configuration cannot be read", async (t) => {
+  const site = await startSite(t, { settingLines: NO_CONTRACT });
+  const unreadable = [null, {}, "org-1", [7], [{ name: "org-1" }], [{
+    name: "org-1",
+    "api_keys": [""],
+  }]];
+  for (const [index, tenants] of unreadable.entries()) {
+    const version = index + 2;
+    await publish(site, { ...createConfiguration({ version }), tenants });
+    await assertNoneRuns(site, 503);
+  }
+  const incomplete = site.lines.filter(({ name }) =>
+    name === "configurationIncomplete"
+  );
+  assert.equal(incomplete.length, unreadable.length);
+});
+
+// Guards against entries that take each answer of the store for a proof that their
+// keys are valid, although the configuration in it was removed or cannot be read.
+for (const [what, replace] of REPLACEMENTS) {
+  test(`Keys stop within their bound once the configuration was ${what}`, async (t) => {
+    const site = await startSite(t, { settingLines: CONTRACT });
+    assert.equal((await call(site, { path: "/safe/a" })).status, 200);
+    replace(site.store);
+    await delay(site.settings.bounds.revocationMs);
+    await assertNoneRuns(site, 503);
+    assert.equal((await call(site, { path: "/open/a" })).status, 200);
+
+    await publish(site, createConfiguration({ version: 3 }));
+    await waitFor(async () =>
+      (await call(site, { path: "/safe/a" })).status === 200
+    );
+  });
+}
+
+// Guards against routes that are dropped as they cannot be read: their requests fell
+// to a shorter prefix, here that of a public route.
+test("No request of a route that cannot be read runs on another route", async (t) => {
+  const site = await startSite(t, { settingLines: CONTRACT });
+  const [route] = ROUTES;
+  const routes = [
+    { ...route, name: "all", "path_prefix": "/", public: true },
+    { ...route, "timeout_ms": "2000" },
+  ];
+  await publish(site, createConfiguration({ version: 2, routes }));
+  for (const key of KEYS) {
+    assert.equal((await call(site, { path: "/safe/a", key })).status, 503);
+    assert.equal((await call(site, { path: "/other/a", key })).status, 200);
+  }
+});
+
 test("Requests run without a key where neither settings nor configuration use keys", async (t) => {
   for (const settingLines of [NO_CONTRACT, {}]) {
     const site = await startWithoutKeys(t, settingLines);
--- a/testing/ingress-tests/src/configuration_eras_test.ts
+++ b/testing/ingress-tests/src/configuration_eras_test.ts
@@ -169,7 +169,7 @@
 }
 
 function createStored(version: number, revision: number) {
-  const configuration = decodeConfiguration(createConfiguration({ version }));
-  assert.ok(configuration !== undefined);
-  return { configuration, revision };
+  const decoded = decodeConfiguration(createConfiguration({ version }));
+  assert.ok(decoded.kind === "configuration");
+  return { configuration: decoded.configuration, revision };
 }
