Refuse the bootstrap key while an operator's object is invalid

An operator whose object does not match the schema is left out of the view, so that with the only operator invalid the bootstrap key had all rights again.

Change: the view knows the names of invalid operators, and the bootstrap key needs none of either. An object that was valid before keeps its last valid value, as it did.

Evidence: "The bootstrap key is refused while an operator's object is invalid" fails without the condition (1 of 22 tests of operator_api_test), and passes with it. With the last operator deleted the bootstrap key counts again, as its setting says.

--- a/daemon/follow-peers/src/agent_follower_test.ts
+++ b/daemon/follow-peers/src/agent_follower_test.ts
@@ -156,6 +156,7 @@
     config: undefined,
     contracts: new Map(),
     operators: new Map(),
+    invalidOperators: new Set(),
     stops: new Map(),
     agents: new Map([[
       name,
--- a/daemon/route-requests/src/request_limiter_test.ts
+++ b/daemon/route-requests/src/request_limiter_test.ts
@@ -102,6 +102,7 @@
     config: undefined,
     contracts: new Map([["acme", stored]]),
     operators: new Map(),
+    invalidOperators: new Set(),
     stops: new Map(),
     agents: new Map(),
     entries: new Map([["e1", createEntry()]]),
--- a/daemon/take-over-entries/src/take_over_task_test.ts
+++ b/daemon/take-over-entries/src/take_over_task_test.ts
@@ -72,6 +72,7 @@
     config: undefined,
     contracts: new Map(),
     operators: new Map(),
+    invalidOperators: new Set(),
     stops: new Map(),
     agents: new Map(),
     entries: new Map(registrations.map((object) => [object.name, object])),
--- a/foundation/types/src/view.ts
+++ b/foundation/types/src/view.ts
@@ -16,6 +16,11 @@
   readonly config: StoredObject<Config> | undefined;
   readonly contracts: ReadonlyMap<string, StoredObject<Contract>>;
   readonly operators: ReadonlyMap<string, StoredObject<Operator>>;
+  /**
+   * Names of the operators whose value is invalid and has no valid predecessor, so
+   * that they are not among `operators`.
+   */
+  readonly invalidOperators: ReadonlySet<string>;
   readonly stops: ReadonlyMap<string, StoredObject<PlannedStop>>;
   readonly agents: ReadonlyMap<string, StoredObject<AgentRegistration>>;
   readonly entries: ReadonlyMap<string, StoredObject<EntryRegistration>>;
--- a/objects/fold-view/src/step_view.ts
+++ b/objects/fold-view/src/step_view.ts
@@ -19,6 +19,7 @@
   createView,
   findObject,
   isViewKind,
+  markOperator,
   type ObjectId,
   putObject,
   removeObject,
@@ -49,7 +50,11 @@
     .filter(({ kind }) => isViewKind(kind))
     .map((object) => parse(state, object));
   const objects = accepted.flatMap(({ object }) => object ?? []);
-  const view = createView(list.revision, objects);
+  const view = accepted.reduce(
+    (marked, { id, object }) =>
+      markOperator(marked, id, { isInvalid: object === undefined }),
+    createView(list.revision, objects),
+  );
   return changeView(state, view, accepted.flatMap(({ effects }) => effects));
 }
 
@@ -65,14 +70,17 @@
   const changed = object === undefined
     ? removeObject(view, change.object)
     : putObject(view, object);
-  return changeView(state, changed, effects);
+  const isInvalid = object === undefined;
+  const marked = markOperator(changed, change.object, { isInvalid });
+  return changeView(state, marked, effects);
 }
 
 function applyDeletion(
   state: ViewState,
   deletion: { readonly view: View; readonly change: ObjectId },
 ): ViewStep {
-  const { view, change } = deletion;
+  const { change } = deletion;
+  const view = markOperator(deletion.view, change, { isInvalid: false });
   if (findObject(view, change) === undefined) return confirmView(state, view);
   return changeView(state, removeObject(view, change), []);
 }
@@ -85,6 +93,7 @@
 }
 
 interface ParseOutcome {
+  readonly id: ObjectId;
   /** Object to keep in the view under this name; `undefined` for none. */
   readonly object: StoredObject | undefined;
   readonly effects: readonly ViewEffect[];
@@ -94,6 +103,7 @@
   const parsed = state.parseObject(object);
   if (parsed.kind === "ok") {
     return {
+      id: object,
       object: { ...object, value: parsed.value },
       effects: [],
     };
@@ -102,6 +112,7 @@
   const { problems } = parsed;
   const previous = findObject(state.view, object);
   return {
+    id: object,
     object: previous?.uid === object.uid ? previous : undefined,
     effects: [{ type: "objectRefused", kind, name, revision, problems }],
   };
--- a/objects/fold-view/src/step_view_test.ts
+++ b/objects/fold-view/src/step_view_test.ts
@@ -283,3 +283,21 @@
     { seed: 5, numRuns: 1000 },
   );
 });
+
+test("The names of invalid operators are known until they are valid or deleted", () => {
+  const operator = { kind: "operator", name: "asha" } as const;
+  const bad = { ...operator, value: "bad" };
+  const listNames = (...events: readonly WatchEvent[]) => [
+    ...fold(events).view?.invalidOperators ?? [],
+  ];
+  const invalid = listed(1, createObject(1, bad));
+  assert.deepEqual(listNames(invalid), ["asha"]);
+  assert.deepEqual(listNames(listed(1), put(2, bad)), ["asha"]);
+  assert.deepEqual(listNames(invalid, put(2, operator)), []);
+  assert.deepEqual(listNames(invalid, remove(2, operator)), []);
+  assert.deepEqual(listNames(invalid, listed(2)), []);
+  // The last valid value stays in force.
+  const valid = listed(1, createObject(1, operator));
+  assert.deepEqual(listNames(valid, put(2, bad)), []);
+  assert.deepEqual(listNames(listed(1, createObject(1, { value: "bad" }))), []);
+});
--- a/objects/fold-view/src/view_objects.ts
+++ b/objects/fold-view/src/view_objects.ts
@@ -2,7 +2,10 @@
 
 import type { ObjectKind, StoredObject, View } from "@dandelionbank/types";
 
-type MapField = Exclude<keyof View, "revision" | "config">;
+type MapField = Exclude<
+  keyof View,
+  "revision" | "config" | "invalidOperators"
+>;
 
 /** Field of the view for each kind. Kinds without one are not part of a view. */
 const FIELDS: Readonly<Partial<Record<ObjectKind, MapField>>> = {
@@ -29,6 +32,7 @@
     config: objects.find(({ kind }) => kind === "config"),
     contracts: indexByName("contract", objects),
     operators: indexByName("operator", objects),
+    invalidOperators: new Set(),
     stops: indexByName("stop", objects),
     agents: indexByName("agent", objects),
     entries: indexByName("entry", objects),
@@ -69,6 +73,21 @@
   return { ...view, [field]: objects };
 }
 
+/** Adds or removes a name among those of invalid operators. */
+export function markOperator(
+  view: View,
+  { kind, name }: ObjectId,
+  { isInvalid }: { readonly isInvalid: boolean },
+): View {
+  const { invalidOperators } = view;
+  if (kind !== "operator" || invalidOperators.has(name) === isInvalid) {
+    return view;
+  }
+  const others = [...invalidOperators].filter((other) => other !== name);
+  const names = isInvalid ? [...others, name] : others;
+  return { ...view, invalidOperators: new Set(names) };
+}
+
 function indexByName(
   kind: ObjectKind,
   objects: readonly StoredObject[],
--- a/peers/check-credential/src/find_holder_test.ts
+++ b/peers/check-credential/src/find_holder_test.ts
@@ -58,6 +58,7 @@
         return [name, createObject("operator", name, { value })];
       }),
     ),
+    invalidOperators: new Set(),
     stops: new Map(),
     agents: new Map(),
     entries: new Map(),
--- a/peers/operator-api/src/authenticate.ts
+++ b/peers/operator-api/src/authenticate.ts
@@ -28,8 +28,9 @@
   const operator = findOperatorByKey(view, key);
   if (operator !== undefined) return { kind: "operator", name: operator.name };
   const { bootstrapKeyDigest } = options;
+  // An operator whose object is invalid is still one.
   const mayBootstrap = view.operators.size === 0 &&
-    bootstrapKeyDigest !== undefined;
+    view.invalidOperators.size === 0 && bootstrapKeyDigest !== undefined;
   if (mayBootstrap && matchesDigest(key, bootstrapKeyDigest)) {
     return { kind: "operator", name: BOOTSTRAP_OPERATOR };
   }
--- a/peers/operator-api/src/operator_api_test.ts
+++ b/peers/operator-api/src/operator_api_test.ts
@@ -1,7 +1,9 @@
 import { digestKey } from "@dandelionbank/check-credential";
+import { createViewState, stepView } from "@dandelionbank/fold-view";
 import type { LogFields, Logger } from "@dandelionbank/log-events";
 import { type InjectedFailure, MemoryStore } from "@dandelionbank/memory-store";
-import type { StatusReport } from "@dandelionbank/types";
+import { parseValue } from "@dandelionbank/parse-objects";
+import type { StatusReport, View } from "@dandelionbank/types";
 import { createTRPCClient, httpLink, TRPCClientError } from "@trpc/client";
 import assert from "node:assert/strict";
 import { once } from "node:events";
@@ -90,6 +92,15 @@
   store.seed({ kind: "operator", name: "asha" }, value);
 }
 
+/** Creates the view of a platform whose only object is an operator. */
+function foldOperator(value: unknown): View | undefined {
+  const state = createViewState(({ kind, value }) => parseValue(kind, value));
+  const id = { kind: "operator", name: "asha", uid: "u" } as const;
+  const items = [{ ...id, revision: 1, changeId: "c", value }];
+  return stepView(state, { type: "listed", list: { items, revision: 1 } })
+    .state.view;
+}
+
 async function captureErrorData(
   call: Promise<unknown>,
 ): Promise<CallErrorShape["data"]> {
@@ -363,6 +374,16 @@
   }, { bootstrapKeyDigest });
 });
 
+// Guards against a bootstrap key that gains an operator's rights again by an object
+// that cannot be read.
+test("The bootstrap key is refused while an operator's object is invalid", async () => {
+  const view = foldOperator({ name: "asha", keyDigests: "none" });
+  await withApi(async ({ client }) => {
+    const { httpStatus } = await captureErrorData(client.status.query());
+    assert.equal(httpStatus, 401);
+  }, { bootstrapKeyDigest: digestKey(KEY), readView: () => view });
+});
+
 test("An entry without a view answers calls with status 503", async () => {
   await withApi(async ({ client }) => {
     const { httpStatus, error } = await captureErrorData(client.status.query());
--- a/testing/bench/src/capacity/control_traffic.ts
+++ b/testing/bench/src/capacity/control_traffic.ts
@@ -160,6 +160,7 @@
     config: undefined,
     contracts: new Map(),
     operators: new Map(),
+    invalidOperators: new Set(),
     stops: new Map(),
     agents: createObjectMap(sizes.agents, (number) => {
       const value = createAgent(number, peerUrl);
--- a/testing/memory-store/src/memory_store.ts
+++ b/testing/memory-store/src/memory_store.ts
@@ -95,6 +95,7 @@
       config: this.#listByName<Config>("config").values().next().value,
       contracts: this.#listByName("contract"),
       operators: this.#listByName("operator"),
+      invalidOperators: new Set(),
       stops: this.#listByName("stop"),
       agents: this.#listByName("agent"),
       entries: this.#listByName("entry"),
