Reject answers whose status is below 100 by a check of our own

Users saw on another system of this kind that an engine in trouble answered with the status 000, and that the client got it as an answer. Here it is not reproduced: on the code before this change no form tried reached a caller, whether the entry's four kinds of route, an idempotent repeat, a late second answer on a kept connection, an agent's report and order, the store's answers, or a plain target behind an agent of dandelionbankd. All of them read answers by HttpPool.

What was found instead: HttpPool takes each status below 200 for an interim head, and nothing but an assertion inside undici's parser kept what followed a 000 from being read as the request's answer. The log gave that assertion's text as the reason, and what the pool believed of the status rested on a detail of a library.

Change: HttpPool ends a request whose answer has a status below 100, resets its connection, and says "Answer with the invalid status 000".

Evidence: 13 forms of invalid_status_test in open-http (three methods each) and the report's test in platform/adapter fail before, by the reason, and pass with the change. The tests of the entry (14 forms on four kinds of route, a repeat, late second answers) and of dandelionbankd pass before and after; they guard the paths. Status 600 to 999 is passed on, as before.

--- a/foundation/open-http/src/http_pool.ts
+++ b/foundation/open-http/src/http_pool.ts
@@ -23,6 +23,8 @@
 const MAX_INTERIM_HEAD_BYTES = 65_536;
 /** Answers with these statuses never have a body. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+/** The parser takes any three digits for a status. */
+const LOWEST_STATUS = 100;
 /** A status line, where it isn't the first line of its head. */
 const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?: |$)/;
 /** Status line and line ends of a head, about. */
@@ -237,7 +239,9 @@
   ): void {
     this.#reads.recordHandled();
     this.#socket = this.#reads.latest;
-    const defect = findHeadDefect(headers, statusText);
+    const defect = status < LOWEST_STATUS
+      ? `Answer with the invalid status ${String(status).padStart(3, "0")}`
+      : findHeadDefect(headers, statusText);
     if (defect !== undefined) return this.#abort(new Error(defect));
     if (status >= 200) return this.#handler.onHead({ status, headers });
     this.#interimHeadBytes += HEAD_OVERHEAD_BYTES + countHeaderBytes(headers);
