Note the status of the answer that a faulty target sends as its first one

Cause: an answer that breaks off in its head may break off before its first byte. The 500 that the stand-in then sends is a whole answer, the target's own, and was checked against the status of the one that was never begun.

The check is the same: a failure with a seal has the status that its target sent.

--- a/testing/ingress-tests/src/faulty_targets_test.ts
+++ b/testing/ingress-tests/src/faulty_targets_test.ts
@@ -34,6 +34,8 @@
   callsPerCaller: 60,
   paths: ["/once/", "/safe/", "/live/", "/stream/"],
 };
+/** Status of an answer that follows one which broke off. */
+const OTHER_STATUS = 500;
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const FRAMINGS = ["length", "chunked", "connection"] as const;
 const FAULTS = ["cut", "cutHead", "garbage", "error", "refusal", "silence"];
@@ -171,8 +173,10 @@
     // The regular end of an answer without a length is its whole end.
     const isReset = framing === "connection" && fault === "cut";
     await delay(random.int(1, MAX_DELAY_MS));
+    // Without a byte before it, the other answer is the target's own.
+    if (cutAt === 0) this.#statuses.set(seal, OTHER_STATUS);
     const other = renderAnswer({
-      status: 500,
+      status: OTHER_STATUS,
       fields,
       body: "error\n\n".repeat(MAX_BODY_BYTES),
     });
