Stop a target also if the value of its planned stop is invalid

Change: the name of the object says which target leaves, whatever its value is. An invalid value without a valid predecessor is substituted; it is still logged as objectRefused.

--- a/daemon/keep-view/src/view_keeper.ts
+++ b/daemon/keep-view/src/view_keeper.ts
@@ -16,7 +16,7 @@
 import type { Logger } from "@dandelionbank/log-events";
 import { checkName, parseValue } from "@dandelionbank/parse-objects";
 import { CoreRunner } from "@dandelionbank/run-core";
-import type { StoredObject, View } from "@dandelionbank/types";
+import type { PlannedStop, StoredObject, View } from "@dandelionbank/types";
 import { type WatchEvent, watchObjects } from "@dandelionbank/watch-objects";
 
 export interface ViewKeeperOptions {
@@ -122,7 +122,16 @@
 function parseObject(object: StoredObject): ParsedObject {
   const { kind, name } = object;
   const parsed = parseValue(kind, object.value);
-  if (parsed.kind === "invalid") return parsed;
-  const problems = checkName(kind, { name, value: parsed.value });
-  return problems.length === 0 ? parsed : { kind: "invalid", problems };
+  const problems = parsed.kind === "invalid"
+    ? parsed.problems
+    : checkName(kind, { name, value: parsed.value });
+  if (problems.length === 0) return parsed;
+  // The name of a planned stop says which target leaves, whatever its value is.
+  return kind === "stop"
+    ? { kind: "invalid", problems, substitute: createUnknownStop(name) }
+    : { kind: "invalid", problems };
+}
+
+function createUnknownStop(target: string): PlannedStop {
+  return { target, reason: "invalid object", requestedBy: "unknown" };
 }
--- a/daemon/keep-view/src/view_keeper_test.ts
+++ b/daemon/keep-view/src/view_keeper_test.ts
@@ -60,3 +60,34 @@
   const errors = logged.filter((name) => name === "unexpectedError");
   assert.equal(errors.length, 3);
 });
+
+// Guards against a target that gets new work although an operator has written its
+// planned stop, as the value of that object cannot be read.
+test("A planned stop whose value is invalid still stops its target", async () => {
+  const values = [null, {}, { target: "other", reason: "r", requestedBy: "o" }];
+  for (const value of values) {
+    const logged: string[] = [];
+    const id = {
+      kind: "stop",
+      name: "parts-1",
+      uid: "u",
+      changeId: "c",
+    } as const;
+    const items = [{ ...id, revision: 1, value }];
+    const client = {
+      list: () => Promise.resolve({ items, revision: 1 }),
+      openWatch: () => ({ close: () => {} }),
+    } as unknown as PlatformClient;
+    const keeper = ViewKeeper.create({
+      client,
+      logger: { log: (name) => void logged.push(name) },
+      viewListeners: [],
+      onWatchEvent: () => {},
+    });
+    const stop = keeper.start();
+    await delay(1);
+    stop();
+    assert.equal(keeper.view?.stops.get("parts-1")?.value.target, "parts-1");
+    assert.ok(logged.includes("objectRefused"));
+  }
+});
--- a/objects/fold-view/src/step_view.ts
+++ b/objects/fold-view/src/step_view.ts
@@ -1,8 +1,8 @@
 /**
  * Applies the events of a watch to the view: an immutable snapshot of the
  * platform's objects at one revision, which never decreases. An object with an
- * invalid value is not applied, and the last valid value under the same uid
- * stays in effect. An object that was deleted and created again has a new uid,
+ * invalid value is not applied, and the last valid value under the same uid, or
+ * else the substitute of its kind, stays in effect. An object that was deleted and created again has a new uid,
  * so values of the earlier object no longer apply.
  */
 
@@ -109,11 +109,14 @@
     };
   }
   const { kind, name, revision } = object;
-  const { problems } = parsed;
+  const { problems, substitute } = parsed;
   const previous = findObject(state.view, object);
+  const substituted = substitute === undefined
+    ? undefined
+    : { ...object, value: substitute };
   return {
     id: object,
-    object: previous?.uid === object.uid ? previous : undefined,
+    object: previous?.uid === object.uid ? previous : substituted,
     effects: [{ type: "objectRefused", kind, name, revision, problems }],
   };
 }
--- a/objects/fold-view/src/view_state.ts
+++ b/objects/fold-view/src/view_state.ts
@@ -4,7 +4,12 @@
 
 export type ParsedObject =
   | { readonly kind: "ok"; readonly value: unknown }
-  | { readonly kind: "invalid"; readonly problems: readonly string[] };
+  | {
+    readonly kind: "invalid";
+    readonly problems: readonly string[];
+    /** Value that takes effect in place of an invalid one without a predecessor. */
+    readonly substitute?: unknown;
+  };
 
 /** Validates an object's value, and that its name matches the value. */
 export type ParseObject = (object: StoredObject) => ParsedObject;
