Show that a request whose crash silences its engine is never quarantined

Rule BUDGET: at most three retries of a request that crashes engines reach them later than contact_ms after the third crash.

--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -51,6 +51,7 @@
   }
 
   async start() {
+    this.#dropConnections();
     this.#born = Date.now();
     this.#running = 0;
     this.#waiting = [];
@@ -98,12 +99,19 @@
     clearTimeout(this.#lapseTimer);
   }
 
-  /** Ends as a process does that crashes: it says nothing to anybody. */
-  crash() {
+  /**
+   * Ends as a process does that crashes: its connections are reset, and new ones
+   * refused. If its machine goes dark with it, the connections go silent instead.
+   */
+  crash({ isDark = false } = {}) {
     if (!this.#isUp) return;
     this.#isUp = false;
     clearInterval(this.#timer);
     this.#server.close();
+    if (!isDark) this.#dropConnections();
+  }
+
+  #dropConnections() {
     for (const socket of this.#sockets) socket.resetAndDestroy();
   }
 
